--- a/packages/daemon/src/cell_runtime.cpp
+++ b/packages/daemon/src/cell_runtime.cpp
@@ -3,7 +3,7 @@
 #include "signal_spreader.hpp"
 
 #include "cardamompond/daemon/admin_server.hpp"
-#include "cardamompond/daemon/log.hpp"
+#include "cardamompond/telemetry/log.hpp"
 #include "cardamompond/declarations/adopter.hpp"
 #include "cardamompond/declarations/reader.hpp"
 #include "cardamompond/declarations/scheduler_configuration.hpp"
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -6,7 +6,7 @@
 #include "cardamompond/daemon/backend_poller.hpp"
 #include "cardamompond/daemon/cell_runtime.hpp"
 #include "cardamompond/daemon/entry_handler.hpp"
-#include "cardamompond/daemon/log.hpp"
+#include "cardamompond/telemetry/log.hpp"
 #include "cardamompond/daemon/status_writer.hpp"
 #include "cardamompond/daemon/usage_recorder.hpp"
 #include "cardamompond/net/http_object_store.hpp"
--- /dev/null
+++ b/packages/daemon/src/entry_daemon.cpp
@@ -0,0 +1,305 @@
+#include "cardamompond/daemon/entry_daemon.hpp"
+
+#include "cardamompond/gateway/collection_feed.hpp"
+#include "cardamompond/gateway/duties.hpp"
+#include "cardamompond/gateway/peer_exchange.hpp"
+#include "cardamompond/gateway/request_handler.hpp"
+#include "cardamompond/platform/object_store_client.hpp"
+#include "cardamompond/platform/objects.hpp"
+#include "cardamompond/platform/requests.hpp"
+#include "cardamompond/telemetry/log.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/fiber/operations.hpp>
+
+#include <csignal>
+#include <filesystem>
+#include <random>
+#include <tuple>
+#include <vector>
+
+namespace cardamompond::daemon {
+namespace {
+
+// How often waiting requests are looked at without an event.
+constexpr milliseconds admission_interval{10};
+
+constexpr milliseconds control_interval{20};
+
+// How often the settings file is looked at; it may change without a signal.
+constexpr milliseconds settings_interval{1'000};
+
+// After SIGTERM callers still come for this long, until the balancer has twice found the daemon not ready.
+constexpr milliseconds drain_notice{3'300};
+
+// After SIGTERM streams are refused from this time on: most balancers know by then, and a stream that begins
+// later might be cut by the end of the process.
+constexpr milliseconds stream_notice{2'800};
+
+// Before the end of the drain time all requests are refused, and those that still run are cut.
+constexpr milliseconds refusal_margin{1'800};
+constexpr milliseconds exit_margin{350};
+
+// A connection to the store or a backend server without an acknowledgement for this long is given up.
+constexpr milliseconds loss_detection{2'000};
+
+net::http_response plain(int status, std::string text) {
+  return {status, {{"Content-Type", "text/plain; charset=utf-8"}}, std::move(text)};
+}
+
+// Increases with each start as long as the clock does; peers drop reports of an older one.
+std::uint64_t make_incarnation() {
+  return static_cast<std::uint64_t>(wall_clock_ms());
+}
+
+} // namespace
+
+class entry_daemon::impl {
+public:
+  impl(gateway::gateway_settings settings, std::string settings_file);
+
+  int run();
+
+private:
+  void start_fibers();
+  void on_signal();
+  void reload_settings();
+  void watch_settings();
+  void apply_limits();
+  void serve_admin(net::http_exchange& exchange);
+  void serve_metrics(net::http_exchange& exchange);
+  void update_metrics();
+  bool ready() const;
+  int drain();
+
+  gateway::gateway_settings m_settings;
+  std::string m_settings_file;
+  net::fiber_runtime m_runtime;
+  std::mt19937_64 m_random{std::random_device{}()};
+  net::http_client m_store_connections;
+  net::http_client m_backend_connections;
+  platform::object_store_client m_store;
+  platform::object_reader m_reader;
+  platform::request_codec m_protocol;
+  gateway::fleet_knowledge m_knowledge;
+  gateway::admission m_admission;
+  gateway::member m_self;
+  gateway::peer_group m_group;
+  gateway::peer_exchange m_exchange;
+  gateway::duties m_duties;
+  request_metrics m_metrics;
+  gateway::request_handler m_handler;
+  std::vector<std::unique_ptr<gateway::collection_feed>> m_feeds;
+  net::http_server m_server;
+  net::http_server m_admin;
+  net::http_server m_metrics_server;
+  boost::asio::signal_set m_signals;
+  bool m_stop_requested = false;
+  bool m_refusing_streams = false;
+  bool m_refusing = false;
+};
+
+entry_daemon::impl::impl(gateway::gateway_settings settings, std::string settings_file)
+    : m_settings(std::move(settings))
+    , m_settings_file(std::move(settings_file))
+    , m_store_connections(m_runtime, {.m_loss_detection = loss_detection})
+    , m_backend_connections(m_runtime, {.m_loss_detection = loss_detection})
+    , m_store(m_store_connections, m_settings.m_store_address)
+    , m_knowledge(m_reader)
+    , m_admission(m_knowledge, m_settings.m_name, m_settings.m_limits, m_random())
+    , m_self{m_settings.m_name, m_settings.m_exchange_address}
+    , m_group(m_admission, m_self, m_settings.m_seeds, make_incarnation())
+    , m_exchange(m_runtime, m_backend_connections, m_group, m_knowledge, m_settings.m_exchange_address)
+    , m_duties(m_store, m_admission, m_group, m_reader, m_self)
+    , m_handler(m_backend_connections, m_admission, m_protocol, m_metrics,
+                {.m_accepts = [this](bool streamed) { return !m_refusing && !(streamed && m_refusing_streams); }})
+    , m_server(m_runtime, {.m_address = m_settings.m_callers_address},
+               [this](net::http_exchange& exchange) { m_handler.handle(exchange); })
+    , m_admin(m_runtime, {.m_address = m_settings.m_admin_address, .m_max_connections = 256},
+              [this](net::http_exchange& exchange) { serve_admin(exchange); })
+    , m_metrics_server(m_runtime, {.m_address = m_settings.m_metrics_address, .m_max_connections = 64},
+                       [this](net::http_exchange& exchange) { serve_metrics(exchange); })
+    , m_signals(m_runtime.context(), SIGTERM, SIGINT, SIGHUP) {
+  m_server.set_failure_responder(
+      [this](net::http_parse_failure failure) { return m_handler.answer_parse_failure(failure); });
+  m_knowledge.on_change([this](gateway::collection_kind kind) {
+    if (kind == gateway::collection_kind::declarations) {
+      apply_limits();
+    }
+  });
+  for (const auto kind : gateway::all_collections) {
+    m_feeds.push_back(std::make_unique<gateway::collection_feed>(m_store, m_knowledge, kind, m_random()));
+  }
+}
+
+void entry_daemon::impl::apply_limits() {
+  if (const auto routes = m_knowledge.routes()) {
+    const auto& limits = routes->source().m_limits;
+    m_server.set_limits(limits.m_max_header_bytes, limits.m_max_body_bytes, limits.m_header_timeout,
+                        limits.m_idle_timeout);
+  }
+}
+
+bool entry_daemon::impl::ready() const {
+  return !m_stop_requested && m_knowledge.routes() != nullptr && !m_knowledge.backend_servers().empty();
+}
+
+void entry_daemon::impl::serve_admin(net::http_exchange& exchange) {
+  const std::string_view path = exchange.request().path();
+  net::http_response answer = plain(404, "not found\n");
+  if (path == "/livez") {
+    answer = plain(200, "ok\n");
+  } else if (path == "/readyz") {
+    answer = ready() ? plain(200, "ok\n")
+                     : plain(503, m_stop_requested ? "shutting down\n" : "not ready: no declarations yet\n");
+  }
+  std::ignore = exchange.respond(answer);
+}
+
+void entry_daemon::impl::update_metrics() {
+  const time_point now = monotonic_now();
+  const auto age_s = [&](time_point since) { return std::chrono::duration<double>(now - since).count(); };
+  for (const auto kind : gateway::all_collections) {
+    const auto name = gateway::to_string(kind);
+    m_metrics.set_gauge("cardamompond_collection_age_seconds", "collection", name,
+                        age_s(m_knowledge.of(kind).confirmed()));
+    const auto& counters = m_feeds[static_cast<std::size_t>(kind)]->counters();
+    m_metrics.set_counter("cardamompond_store_lists_total", "collection", name,
+                          static_cast<double>(counters.m_lists));
+    m_metrics.set_counter("cardamompond_store_watches_total", "collection", name,
+                          static_cast<double>(counters.m_watches));
+    m_metrics.set_counter("cardamompond_store_failures_total", "collection", name,
+                          static_cast<double>(counters.m_failures));
+  }
+  const auto exchanged = m_exchange.counters();
+  m_metrics.set_counter("cardamompond_reports_sent_total", static_cast<double>(exchanged.m_reports_sent));
+  m_metrics.set_counter("cardamompond_reports_received_total", static_cast<double>(exchanged.m_reports_received));
+  m_metrics.set_counter("cardamompond_report_bytes_sent_total", static_cast<double>(exchanged.m_bytes_sent));
+  m_metrics.set_gauge("cardamompond_peers_heard", static_cast<double>(m_group.heard()));
+  m_metrics.set_gauge("cardamompond_requests_waiting", static_cast<double>(m_admission.dispatcher().waiting()));
+  m_metrics.set_gauge("cardamompond_requests_running", static_cast<double>(m_admission.dispatcher().running()));
+  m_metrics.set_counter("cardamompond_backend_connections_total",
+                        static_cast<double>(m_backend_connections.connections_opened()));
+  m_metrics.set_counter("cardamompond_documents_unreadable_total", static_cast<double>(m_knowledge.unreadable()));
+}
+
+void entry_daemon::impl::serve_metrics(net::http_exchange& exchange) {
+  if (exchange.request().path() != "/metrics") {
+    std::ignore = exchange.respond(plain(404, "not found\n"));
+    return;
+  }
+  update_metrics();
+  std::ignore = exchange.respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, m_metrics.text()});
+}
+
+void entry_daemon::impl::on_signal() {
+  m_signals.async_wait([this](const boost::system::error_code& error, int number) {
+    if (error) {
+      return;
+    }
+    if (number == SIGHUP) {
+      log_event(log_level::info, "signal_received", {{"signal", "SIGHUP"}});
+      net::fiber_runtime::spawn([this] { reload_settings(); });
+    } else {
+      m_stop_requested = true;
+    }
+    on_signal();
+  });
+}
+
+// Takes over what can change while the daemon runs; the rest holds from the next start.
+void entry_daemon::impl::reload_settings() {
+  const auto read = gateway::read_gateway_settings(m_settings_file);
+  if (!read) {
+    log_event(log_level::error, "settings_refused", {{"reason", read.error().m_message}});
+    return;
+  }
+  m_group.set_seeds(read->m_seeds);
+  m_settings.m_drain_time = read->m_drain_time;
+  log_event(log_level::info, "settings_reloaded", {{"file", m_settings_file}, {"seeds", read->m_seeds.size()}});
+}
+
+void entry_daemon::impl::watch_settings() {
+  std::error_code ignored;
+  auto seen = std::filesystem::last_write_time(m_settings_file, ignored);
+  while (true) {
+    boost::this_fiber::sleep_for(settings_interval);
+    const auto written = std::filesystem::last_write_time(m_settings_file, ignored);
+    if (!ignored && written != seen) {
+      seen = written;
+      reload_settings();
+    }
+  }
+}
+
+void entry_daemon::impl::start_fibers() {
+  for (auto& feed : m_feeds) {
+    net::fiber_runtime::spawn([each = feed.get()] { each->run(); });
+  }
+  m_exchange.start();
+  net::fiber_runtime::spawn([this] { m_duties.run_membership(); });
+  net::fiber_runtime::spawn([this] { m_duties.run_rollouts(); });
+  net::fiber_runtime::spawn([this] { watch_settings(); });
+  net::fiber_runtime::spawn([this] {
+    while (true) {
+      m_admission.run();
+      boost::this_fiber::sleep_for(admission_interval);
+    }
+  });
+}
+
+int entry_daemon::impl::run() {
+  on_signal();
+  start_fibers();
+  log_event(log_level::info, "started",
+            {{"name", m_settings.m_name},
+             {"availability_zone", m_settings.m_availability_zone},
+             {"callers", m_settings.m_callers_address},
+             {"exchange", m_settings.m_exchange_address},
+             {"store", m_settings.m_store_address},
+             {"seeds", m_settings.m_seeds.size()}});
+  while (!m_stop_requested) {
+    boost::this_fiber::sleep_for(control_interval);
+  }
+  return drain();
+}
+
+int entry_daemon::impl::drain() {
+  const time_point begun = monotonic_now();
+  const time_point end = begun + m_settings.m_drain_time;
+  log_event(log_level::info, "drain_begun", {{"active_requests", m_server.active_requests()}});
+  m_server.begin_drain();
+  bool deregistering = false;
+  while (monotonic_now() < end - exit_margin) {
+    const time_point now = monotonic_now();
+    if (now >= begun + drain_notice) {
+      if (!deregistering) {
+        deregistering = true;
+        net::fiber_runtime::spawn([this] { m_duties.deregister(); });
+      }
+      if (m_server.active_requests() == 0) {
+        break;
+      }
+    }
+    m_refusing_streams = now >= begun + stream_notice;
+    m_refusing = now >= end - refusal_margin;
+    boost::this_fiber::sleep_for(control_interval);
+  }
+  m_exchange.send_leaving();
+  log_event(log_level::info, "drain_ended",
+            {{"cut_requests", m_server.active_requests()},
+             {"ms", std::chrono::duration_cast<milliseconds>(monotonic_now() - begun).count()}});
+  return 0;
+}
+
+entry_daemon::entry_daemon(gateway::gateway_settings settings, std::string settings_file)
+    : m_impl(std::make_unique<impl>(std::move(settings), std::move(settings_file))) {}
+
+entry_daemon::~entry_daemon() = default;
+
+int entry_daemon::run() {
+  return m_impl->run();
+}
+
+} // namespace cardamompond::daemon
--- a/packages/daemon/src/entry_handler.cpp
+++ b/packages/daemon/src/entry_handler.cpp
@@ -1,7 +1,7 @@
 #include "cardamompond/daemon/entry_handler.hpp"
 
 #include "cardamompond/core/hash.hpp"
-#include "cardamompond/daemon/log.hpp"
+#include "cardamompond/telemetry/log.hpp"
 
 #include <boost/fiber/operations.hpp>
 
--- a/packages/daemon/src/forwarder.cpp
+++ b/packages/daemon/src/forwarder.cpp
@@ -38,31 +38,12 @@
 } // namespace
 
 net::http_headers end_to_end_headers(const net::http_headers& headers) {
-  constexpr std::array<std::string_view, 13> dropped = {"Connection",
-                                                        "Keep-Alive",
-                                                        "Proxy-Connection",
-                                                        "Proxy-Authorization",
-                                                        "Proxy-Authenticate",
-                                                        "TE",
-                                                        "Trailer",
-                                                        "Transfer-Encoding",
-                                                        "Upgrade",
-                                                        "Expect",
-                                                        "Host",
-                                                        "Authorization",
-                                                        "Content-Length"};
-  const std::string_view listed = net::find_header(headers, "Connection").value_or("");
-  net::http_headers kept;
-  for (const auto& header : headers) {
-    const bool drop = std::any_of(dropped.begin(), dropped.end(),
-                                  [&](std::string_view name) { return same_name(name, header.m_name); }) ||
-                      (header.m_name.size() > 12 &&
-                       same_name(std::string_view(header.m_name).substr(0, 13), "Cardamompond-")) ||
-                      boost::beast::http::token_list(listed).exists(header.m_name);
-    if (!drop) {
-      kept.push_back(header);
-    }
-  }
+  constexpr std::string_view own_prefix = "Cardamompond-";
+  net::http_headers kept = net::without_connection_headers(headers);
+  std::erase_if(kept, [&](const net::http_header& header) {
+    return same_name(header.m_name, "Host") || same_name(header.m_name, "Authorization") ||
+           same_name(std::string_view(header.m_name).substr(0, own_prefix.size()), own_prefix);
+  });
   return kept;
 }
 
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -1,5 +1,6 @@
 #include "cardamompond/daemon/daemon.hpp"
-#include "cardamompond/daemon/log.hpp"
+#include "cardamompond/daemon/entry_daemon.hpp"
+#include "cardamompond/telemetry/log.hpp"
 #include "cardamompond/daemon/settings.hpp"
 
 #include <tclap/CmdLine.h>
@@ -12,6 +13,31 @@
 
 constexpr int exit_bad_settings = 2;
 
+// Ends without destructors: fibers may still be blocked in calls to the platform or to backend servers.
+[[noreturn]] void end_process(int code) {
+  std::cout.flush();
+  std::cerr.flush();
+  std::_Exit(code);
+}
+
+// Runs a daemon that schedules its own requests; returns only if there is nothing to run.
+int run_local(const std::string& file, bool check_only) {
+  const auto loaded = cardamompond::gateway::read_gateway_settings(file);
+  if (!loaded) {
+    std::cerr << "cardamompondd: " << loaded.error().m_message << "\n";
+    return exit_bad_settings;
+  }
+  if (!cardamompond::start_logging(loaded->m_log_level)) {
+    std::cerr << "cardamompondd: " << file << ": log.level: must be debug, info, warning or error\n";
+    return exit_bad_settings;
+  }
+  if (check_only) {
+    return 0;
+  }
+  const auto daemon = std::make_unique<cardamompond::daemon::entry_daemon>(*loaded, file);
+  end_process(daemon->run());
+}
+
 } // namespace
 
 int main(int argc, char** argv) {
@@ -31,6 +57,9 @@
       std::cerr << "cardamompondd: " << error.argId() << ": " << error.error() << "; see --help\n";
       return exit_bad_settings;
     }
+    if (cardamompond::gateway::selects_local_scheduling(file.getValue())) {
+      return run_local(file.getValue(), check.getValue());
+    }
     const auto loaded = read_settings(file.getValue());
     if (!loaded) {
       std::cerr << "cardamompondd: " << loaded.error().m_message << "\n";
@@ -39,14 +68,11 @@
     if (check.getValue()) {
       return 0;
     }
-    start_logging(loaded->m_log_level);
+    cardamompond::start_logging(loaded->m_log_level);
     const auto daemon = std::make_unique<daemon_process>(*loaded);
-    const int code = daemon->run();
-    std::cerr.flush();
-    // Ends without destructors: fibers may still be blocked in calls to the platform or to backend servers.
-    std::_Exit(code);
+    end_process(daemon->run());
   } catch (const std::exception& error) {
     std::cerr << "cardamompondd: " << error.what() << "\n";
-    std::_Exit(exit_bad_settings);
+    end_process(exit_bad_settings);
   }
 }
--- a/packages/daemon/src/usage_recorder.cpp
+++ b/packages/daemon/src/usage_recorder.cpp
@@ -1,6 +1,6 @@
 #include "cardamompond/daemon/usage_recorder.hpp"
 
-#include "cardamompond/daemon/log.hpp"
+#include "cardamompond/telemetry/log.hpp"
 
 #include <boost/fiber/operations.hpp>
 
--- /dev/null
+++ b/packages/fleet/include/cardamompond/fleet/crash_register.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "cardamompond/core/hash.hpp"
+#include "cardamompond/core/time.hpp"
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace cardamompond::fleet {
+
+// The backend servers whose connection broke without an answer while they ran one request content.
+struct crash_suspicion {
+  hash128 m_content;
+  std::vector<std::uint64_t> m_servers; // hashes of their ids
+};
+
+// Recognises request contents that crash the backend servers that run them. A content that broke on several
+// servers and was never answered in between is refused for a while; an answer clears it.
+class crash_register {
+public:
+  // A connection to `server` broke without an answer while it ran this content.
+  void note_break(const hash128& content, std::uint64_t server, time_point now);
+
+  // The content was answered whole.
+  void note_answer(const hash128& content, time_point now);
+
+  // Takes over what another daemon saw.
+  void merge(const crash_suspicion& seen, time_point now);
+
+  // Whether the content must not be sent to any backend server.
+  bool refused(const hash128& content, time_point now) const;
+
+  // The suspicions that changed last, at most `most`, for reports to the other daemons.
+  std::vector<crash_suspicion> recent(std::size_t most, time_point now) const;
+
+private:
+  struct record {
+    std::vector<std::uint64_t> m_servers;
+    time_point m_changed;
+    time_point m_cleared_until; // an answer outweighs older reports of other daemons
+  };
+
+  void add(const hash128& content, std::uint64_t server, time_point now);
+  void forget_old(time_point now);
+
+  std::map<hash128, record> m_records;
+};
+
+} // namespace cardamompond::fleet
--- /dev/null
+++ b/packages/fleet/include/cardamompond/fleet/dispatcher.hpp
@@ -0,0 +1,147 @@
+#pragma once
+
+#include "cardamompond/core/time.hpp"
+#include "cardamompond/fleet/backend_server.hpp"
+#include "cardamompond/fleet/declarations.hpp"
+#include "cardamompond/fleet/rollout_judge.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace cardamompond::fleet {
+
+// Identifies one submission to the dispatcher of this daemon.
+using ticket = std::uint64_t;
+
+// A request that waits for a backend server.
+struct submission {
+  ticket m_ticket = 0;
+  std::string m_service;
+  std::uint32_t m_rank = 0;       // 0 is the highest tier
+  std::uint64_t m_affinity = 0;   // hash of the prompt's own part; 0: none
+  std::uint32_t m_prompt_tokens = 0;
+  std::uint32_t m_output_tokens = 0; // estimate
+  time_point m_arrived;
+  time_point m_goal;     // full credit if the answer begins by then
+  time_point m_deadline; // the caller's or the route's, whichever is earlier
+  std::vector<std::string> m_avoid; // ids of backend servers that have had this request
+};
+
+// The request may be sent to this backend server now.
+struct dispatch_grant {
+  ticket m_ticket = 0;
+  backend_server m_server;
+};
+
+enum class refusal_reason { no_backend_server, no_capacity };
+
+// The request is over without having been sent.
+struct dispatch_refusal {
+  ticket m_ticket = 0;
+  refusal_reason m_reason = refusal_reason::no_capacity;
+  duration m_retry_after{};
+};
+
+using dispatch_decision = std::variant<dispatch_grant, dispatch_refusal>;
+
+// How a dispatched request ended, as far as it tells about the backend server.
+enum class server_outcome {
+  answered,       // a whole answer, or one that the caller broke off
+  failed,         // an error of the server's own
+  refused,        // the server said that it did not run the request
+  misdirected,    // another server has the address
+  unreachable,    // no connection
+  broken,         // the connection broke, or the answer was no answer
+  silent          // no answer, or no progress, in time
+};
+
+// The load that a backend server states in its answers.
+struct stated_load {
+  std::uint32_t m_running = 0;
+  std::uint32_t m_waiting = 0;
+  std::uint32_t m_slots = 0;
+};
+
+// Running requests of one daemon on one backend server, by the hash of its id.
+struct server_load {
+  std::uint64_t m_server = 0;
+  std::uint32_t m_running = 0;
+};
+
+// What the dispatcher knows of one backend server, for the administration page and the log.
+struct server_status {
+  std::string m_id;
+  std::string m_service;
+  std::uint32_t m_slots = 0;
+  std::uint32_t m_own = 0;
+  std::uint32_t m_peers = 0;
+  bool m_excluded = false;
+};
+
+// Decides for one daemon which of its requests goes to which backend server and when, and which is refused.
+// Every daemon decides alone, on its own requests, its peers' last reports and the servers' own statements.
+// Reads no clock and opens no socket; used on one thread.
+class dispatcher {
+public:
+  explicit dispatcher(std::uint64_t seed);
+  ~dispatcher();
+  dispatcher(const dispatcher&) = delete;
+  dispatcher& operator=(const dispatcher&) = delete;
+
+  // Replaces the declared services.
+  void apply(const declarations& source);
+
+  // Replaces the list of backend servers. One that is missing gets nothing new; its running requests go on.
+  void set_backend_servers(std::span<const backend_server> servers, time_point now);
+
+  // Availability zones whose backend servers get nothing new.
+  void set_evacuated_zones(std::set<std::string, std::less<>> zones);
+
+  // Daemons that share the limits of cold servers, this one included, and this daemon's name among them.
+  void set_members(std::vector<std::string> names, std::string_view own_name);
+
+  // Limits by version during rollouts; outlives the dispatcher.
+  void set_rollout_judge(rollout_judge* judge);
+
+  void submit(submission request);
+
+  // The caller of a waiting request went away.
+  void cancel(ticket request);
+
+  // The load that a server stated while this daemon had a request there.
+  void note_load(std::string_view server_id, stated_load load, time_point now);
+
+  // The server said that it is cold for another while.
+  void note_cold(std::string_view server_id, milliseconds remaining, time_point now);
+
+  // The first part of the answer has arrived.
+  void note_first_answer(ticket request, time_point now);
+
+  // A granted request is over.
+  void finish(ticket request, server_outcome outcome, time_point now);
+
+  // Replaces the report of one peer; an empty one removes it.
+  void note_peer_loads(std::string_view daemon, std::span<const server_load> loads, time_point now);
+
+  // Own running requests, for reports to the peers.
+  std::vector<server_load> own_loads() const;
+
+  // Runs all systems: ages reports and exclusions, places waiting requests, refuses those without a chance.
+  std::vector<dispatch_decision> tick(time_point now);
+
+  std::size_t waiting() const;
+  std::size_t running() const;
+  std::vector<server_status> status(time_point now) const;
+
+private:
+  class impl;
+  std::unique_ptr<impl> m_impl;
+};
+
+} // namespace cardamompond::fleet
--- /dev/null
+++ b/packages/fleet/include/cardamompond/fleet/retry_budget.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "cardamompond/core/time.hpp"
+
+#include <array>
+#include <cstdint>
+
+namespace cardamompond::fleet {
+
+// Bounds how often requests of one service are sent a second time: a share of the requests of a sliding
+// window plus a fixed number. Each daemon keeps its own part of the fixed number, so that the bound holds for
+// all of them without communication.
+class retry_budget {
+public:
+  struct limits {
+    double m_ratio = 0.2;
+    double m_fixed = 5;           // of this daemon
+    duration m_window = seconds(10);
+  };
+
+  void set_limits(limits to) { m_limits = to; }
+
+  // A request for the service has arrived from a caller.
+  void note_request(time_point now);
+
+  // Takes one repetition out of the budget, if there is one left.
+  bool take(time_point now);
+
+private:
+  static constexpr std::size_t slices = 20; // of the window
+
+  struct slice {
+    std::int64_t m_number = -1;
+    std::uint32_t m_requests = 0;
+    std::uint32_t m_repeats = 0;
+  };
+
+  slice& current(time_point now);
+
+  limits m_limits;
+  std::array<slice, slices> m_slices{};
+};
+
+} // namespace cardamompond::fleet
--- /dev/null
+++ b/packages/fleet/include/cardamompond/fleet/route_table.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "cardamompond/fleet/declarations.hpp"
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace cardamompond::fleet {
+
+// Looks up routes, accounts and services of one version of the declarations. Immutable.
+class route_table {
+public:
+  explicit route_table(std::shared_ptr<const declarations> source);
+
+  // The route with the longest prefix of `path` (without its query) among those of `host`, compared without
+  // regard to case and port; null if there is none.
+  const route* find_route(std::string_view host, std::string_view path) const;
+
+  // The account that holds the key; null if none does.
+  const client_account* find_account(std::string_view key) const;
+
+  const service* find_service(std::string_view name) const;
+
+  // Picks a service of a split by `random`, uniform in [0, 1).
+  static std::string_view pick_service(const route& from, double random);
+
+  const declarations& source() const { return *m_source; }
+
+private:
+  struct text_hash {
+    using is_transparent = void;
+    std::size_t operator()(std::string_view text) const { return std::hash<std::string_view>()(text); }
+  };
+  template <typename T> using text_map = std::unordered_map<std::string, T, text_hash, std::equal_to<>>;
+
+  std::shared_ptr<const declarations> m_source;
+  text_map<text_map<const route*>> m_routes; // by host, then by prefix
+  text_map<const client_account*> m_accounts;
+  text_map<const service*> m_services;
+};
+
+} // namespace cardamompond::fleet
--- /dev/null
+++ b/packages/fleet/src/crash_register.cpp
@@ -0,0 +1,85 @@
+#include "cardamompond/fleet/crash_register.hpp"
+
+#include <algorithm>
+
+namespace cardamompond::fleet {
+namespace {
+
+// Servers after which a content is refused: the platform's rule starts to count after the third crash.
+constexpr std::size_t refused_at_servers = 3;
+
+// How long a content stays refused after its last break.
+constexpr duration retention = seconds(60);
+
+// How long an answer outweighs reports of other daemons, which may be that old.
+constexpr duration clearance = seconds(5);
+
+// Bounds the memory when many servers break at once; the oldest records go first.
+constexpr std::size_t max_records = 4096;
+
+} // namespace
+
+void crash_register::forget_old(time_point now) {
+  std::erase_if(m_records, [&](const auto& entry) { return now - entry.second.m_changed > retention; });
+  while (m_records.size() > max_records) {
+    m_records.erase(std::min_element(m_records.begin(), m_records.end(), [](const auto& a, const auto& b) {
+      return a.second.m_changed < b.second.m_changed;
+    }));
+  }
+}
+
+void crash_register::add(const hash128& content, std::uint64_t server, time_point now) {
+  record& found = m_records[content];
+  if (std::find(found.m_servers.begin(), found.m_servers.end(), server) == found.m_servers.end()) {
+    found.m_servers.push_back(server);
+    found.m_changed = now;
+  }
+  if (m_records.size() > max_records) {
+    forget_old(now);
+  }
+}
+
+void crash_register::note_break(const hash128& content, std::uint64_t server, time_point now) {
+  add(content, server, now);
+}
+
+void crash_register::note_answer(const hash128& content, time_point now) {
+  if (const auto found = m_records.find(content); found != m_records.end()) {
+    found->second = {{}, now, now + clearance};
+  }
+}
+
+void crash_register::merge(const crash_suspicion& seen, time_point now) {
+  const auto known = m_records.find(seen.m_content);
+  if (known != m_records.end() && now < known->second.m_cleared_until) {
+    return;
+  }
+  for (const auto server : seen.m_servers) {
+    add(seen.m_content, server, now);
+  }
+}
+
+bool crash_register::refused(const hash128& content, time_point now) const {
+  const auto found = m_records.find(content);
+  return found != m_records.end() && found->second.m_servers.size() >= refused_at_servers &&
+         now - found->second.m_changed <= retention;
+}
+
+std::vector<crash_suspicion> crash_register::recent(std::size_t most, time_point now) const {
+  std::vector<std::map<hash128, record>::const_iterator> places;
+  for (auto each = m_records.begin(); each != m_records.end(); ++each) {
+    if (!each->second.m_servers.empty() && now - each->second.m_changed <= retention) {
+      places.push_back(each);
+    }
+  }
+  const auto count = std::min(most, places.size());
+  std::partial_sort(places.begin(), places.begin() + static_cast<std::ptrdiff_t>(count), places.end(),
+                    [](const auto& a, const auto& b) { return a->second.m_changed > b->second.m_changed; });
+  std::vector<crash_suspicion> found;
+  for (std::size_t i = 0; i < count; ++i) {
+    found.push_back({places[i]->first, places[i]->second.m_servers});
+  }
+  return found;
+}
+
+} // namespace cardamompond::fleet
--- /dev/null
+++ b/packages/fleet/src/dispatch_tables.hpp
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "cardamompond/core/hash.hpp"
+#include "cardamompond/fleet/dispatcher.hpp"
+
+#include <deque>
+#include <map>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace cardamompond::fleet {
+
+// One backend server.
+struct server_row {
+  backend_server m_entry;
+  std::uint64_t m_hash = 0; // of its id
+  bool m_listed = false;    // else it gets nothing new, and the row ends with its last request
+  bool m_batches = false;
+
+  std::uint32_t m_own = 0;   // running requests of this daemon
+  std::uint32_t m_peers = 0; // running requests of the others, by their reports
+
+  time_point m_cold_until;
+  time_point m_cold_second; // start of the second in which m_cold_sent were sent
+  std::uint32_t m_cold_sent = 0;
+
+  std::uint32_t m_failures_in_row = 0;
+  double m_failure_rate = 0; // moving average
+  time_point m_excluded_until;
+  time_point m_full_until; // it refused a request for lack of room
+
+  double m_first_answer_s = 0; // moving average, without the reading of the prompt; 0: not yet seen
+};
+
+struct waiting_request {
+  submission m_request;
+  time_point m_refuse_at;
+};
+
+struct running_request {
+  std::string m_service;
+  std::string m_server_id;
+  std::uint32_t m_prompt_tokens = 0;
+  time_point m_granted;
+};
+
+struct peer_row {
+  std::vector<server_load> m_loads;
+  time_point m_received;
+};
+
+// All state of the dispatcher. The systems below are its only writers.
+struct dispatch_tables {
+  std::map<std::string, service, std::less<>> m_services;
+  std::map<std::string, std::map<std::string, server_row, std::less<>>, std::less<>> m_servers; // by service, id
+  std::map<std::string, std::deque<waiting_request>, std::less<>> m_waiting; // by service, in order of service
+  std::unordered_map<ticket, running_request> m_running;
+  std::map<std::string, peer_row, std::less<>> m_peers;
+  std::set<std::string, std::less<>> m_evacuated;
+  std::vector<std::string> m_members;
+  std::string m_own_name;
+  rollout_judge* m_judge = nullptr;
+  std::mt19937_64 m_random;
+
+  // Ids are unique over all services.
+  server_row* find_server(std::string_view id);
+};
+
+// Drops peers that fell silent and adds up the others.
+void run_peer_loads(dispatch_tables& tables, time_point now);
+
+// Follows failures and excludes servers that fail.
+void record_outcome(server_row& server, server_outcome outcome, time_point now);
+
+// Whether a new request may go to the server at all.
+bool eligible(const dispatch_tables& tables, const server_row& server, time_point now);
+
+// The best server with room for the request, or null.
+server_row* place(dispatch_tables& tables, const submission& request, time_point now);
+
+// Grants what can be placed, in the order of tier and arrival, and refuses what has waited too long.
+void run_queue(dispatch_tables& tables, time_point now, std::vector<dispatch_decision>& decisions);
+
+// Inserts behind the requests of the same or a higher tier that arrived earlier.
+void enqueue(dispatch_tables& tables, submission request);
+
+} // namespace cardamompond::fleet
--- /dev/null
+++ b/packages/fleet/src/dispatcher.cpp
@@ -0,0 +1,213 @@
+#include "cardamompond/fleet/dispatcher.hpp"
+
+#include "dispatch_tables.hpp"
+
+#include <algorithm>
+
+namespace cardamompond::fleet {
+namespace {
+
+// Weight of one observation in the moving averages of a server's speed.
+constexpr double speed_weight = 0.15;
+
+// Reading speed assumed when the time to the first answer is freed of the reading of the prompt.
+constexpr double assumed_prompt_tokens_per_s = 112'000;
+
+// Without a declared rate a cold server counts as cold for what its entry says and not longer than this.
+constexpr duration max_cold = seconds(60);
+
+} // namespace
+
+server_row* dispatch_tables::find_server(std::string_view id) {
+  for (auto& [name, servers] : m_servers) {
+    if (const auto found = servers.find(id); found != servers.end()) {
+      return &found->second;
+    }
+  }
+  return nullptr;
+}
+
+class dispatcher::impl {
+public:
+  dispatch_tables m_tables;
+
+  void erase_ended_rows();
+};
+
+void dispatcher::impl::erase_ended_rows() {
+  for (auto& [name, servers] : m_tables.m_servers) {
+    std::erase_if(servers, [](const auto& each) { return !each.second.m_listed && each.second.m_own == 0; });
+  }
+}
+
+dispatcher::dispatcher(std::uint64_t seed)
+    : m_impl(std::make_unique<impl>()) {
+  m_impl->m_tables.m_random.seed(seed);
+}
+
+dispatcher::~dispatcher() = default;
+
+void dispatcher::apply(const declarations& source) {
+  auto& tables = m_impl->m_tables;
+  tables.m_services.clear();
+  for (const auto& each : source.m_services) {
+    tables.m_services.emplace(each.m_name, each);
+    if (const auto servers = tables.m_servers.find(each.m_name); servers != tables.m_servers.end()) {
+      for (auto& [id, server] : servers->second) {
+        server.m_batches = each.m_batches;
+      }
+    }
+  }
+}
+
+void dispatcher::set_backend_servers(std::span<const backend_server> servers, time_point now) {
+  auto& tables = m_impl->m_tables;
+  for (auto& [name, rows] : tables.m_servers) {
+    for (auto& [id, row] : rows) {
+      row.m_listed = false;
+    }
+  }
+  for (const auto& entry : servers) {
+    auto& rows = tables.m_servers[entry.m_service];
+    auto found = rows.find(entry.m_id);
+    if (found != rows.end() && found->second.m_entry.m_started_unix_ms != entry.m_started_unix_ms) {
+      // Started again under its id: what was known of it is about a process that has ended.
+      const auto own = found->second.m_own;
+      found->second = {};
+      found->second.m_own = own;
+    }
+    server_row& row = found == rows.end() ? rows[entry.m_id] : found->second;
+    const bool changed = row.m_entry.m_cold_remaining != entry.m_cold_remaining || row.m_hash == 0;
+    row.m_entry = entry;
+    row.m_hash = hash64(entry.m_id);
+    row.m_listed = true;
+    if (changed && entry.m_cold_remaining.count() > 0) {
+      row.m_cold_until = std::max(row.m_cold_until, now + std::min<duration>(entry.m_cold_remaining, max_cold));
+    }
+    const auto declared = tables.m_services.find(entry.m_service);
+    row.m_batches = declared != tables.m_services.end() && declared->second.m_batches;
+  }
+  m_impl->erase_ended_rows();
+  run_peer_loads(tables, now);
+}
+
+void dispatcher::set_evacuated_zones(std::set<std::string, std::less<>> zones) {
+  m_impl->m_tables.m_evacuated = std::move(zones);
+}
+
+void dispatcher::set_members(std::vector<std::string> names, std::string_view own_name) {
+  m_impl->m_tables.m_members = std::move(names);
+  m_impl->m_tables.m_own_name = own_name;
+}
+
+void dispatcher::set_rollout_judge(rollout_judge* judge) {
+  m_impl->m_tables.m_judge = judge;
+}
+
+void dispatcher::submit(submission request) {
+  enqueue(m_impl->m_tables, std::move(request));
+}
+
+void dispatcher::cancel(ticket request) {
+  for (auto& [name, queue] : m_impl->m_tables.m_waiting) {
+    std::erase_if(queue, [&](const waiting_request& each) { return each.m_request.m_ticket == request; });
+  }
+}
+
+void dispatcher::note_load(std::string_view server_id, stated_load load, time_point now) {
+  server_row* server = m_impl->m_tables.find_server(server_id);
+  if (server == nullptr) {
+    return;
+  }
+  // The server knows the requests of daemons whose reports were lost or are late.
+  if (load.m_waiting > 0 && server->m_batches) {
+    constexpr duration queue_pause = milliseconds(100);
+    server->m_full_until = std::max(server->m_full_until, now + queue_pause);
+  }
+}
+
+void dispatcher::note_cold(std::string_view server_id, milliseconds remaining, time_point now) {
+  if (server_row* server = m_impl->m_tables.find_server(server_id); server != nullptr) {
+    server->m_cold_until = std::max(server->m_cold_until, now + std::min<duration>(remaining, max_cold));
+  }
+}
+
+void dispatcher::note_first_answer(ticket request, time_point now) {
+  const auto found = m_impl->m_tables.m_running.find(request);
+  if (found == m_impl->m_tables.m_running.end()) {
+    return;
+  }
+  server_row* server = m_impl->m_tables.find_server(found->second.m_server_id);
+  if (server == nullptr) {
+    return;
+  }
+  const double seen = std::chrono::duration<double>(now - found->second.m_granted).count();
+  const double without_prompt = std::max(0.001, seen - found->second.m_prompt_tokens / assumed_prompt_tokens_per_s);
+  server->m_first_answer_s = server->m_first_answer_s == 0
+                                 ? without_prompt
+                                 : (1 - speed_weight) * server->m_first_answer_s + speed_weight * without_prompt;
+}
+
+void dispatcher::finish(ticket request, server_outcome outcome, time_point now) {
+  auto& tables = m_impl->m_tables;
+  const auto found = tables.m_running.find(request);
+  if (found == tables.m_running.end()) {
+    return;
+  }
+  if (server_row* server = tables.find_server(found->second.m_server_id); server != nullptr) {
+    server->m_own -= server->m_own > 0 ? 1 : 0;
+    record_outcome(*server, outcome, now);
+  }
+  tables.m_running.erase(found);
+  m_impl->erase_ended_rows();
+}
+
+void dispatcher::note_peer_loads(std::string_view daemon, std::span<const server_load> loads, time_point now) {
+  auto& peer = m_impl->m_tables.m_peers[std::string(daemon)];
+  peer.m_loads.assign(loads.begin(), loads.end());
+  peer.m_received = now;
+}
+
+std::vector<server_load> dispatcher::own_loads() const {
+  std::vector<server_load> loads;
+  for (const auto& [name, servers] : m_impl->m_tables.m_servers) {
+    for (const auto& [id, server] : servers) {
+      if (server.m_own > 0) {
+        loads.push_back({server.m_hash, server.m_own});
+      }
+    }
+  }
+  return loads;
+}
+
+std::vector<dispatch_decision> dispatcher::tick(time_point now) {
+  std::vector<dispatch_decision> decisions;
+  run_peer_loads(m_impl->m_tables, now);
+  run_queue(m_impl->m_tables, now, decisions);
+  return decisions;
+}
+
+std::size_t dispatcher::waiting() const {
+  std::size_t count = 0;
+  for (const auto& [name, queue] : m_impl->m_tables.m_waiting) {
+    count += queue.size();
+  }
+  return count;
+}
+
+std::size_t dispatcher::running() const {
+  return m_impl->m_tables.m_running.size();
+}
+
+std::vector<server_status> dispatcher::status(time_point now) const {
+  std::vector<server_status> all;
+  for (const auto& [name, servers] : m_impl->m_tables.m_servers) {
+    for (const auto& [id, server] : servers) {
+      all.push_back({id, name, server.m_entry.m_slots, server.m_own, server.m_peers,
+                     !eligible(m_impl->m_tables, server, now)});
+    }
+  }
+  return all;
+}
+
+} // namespace cardamompond::fleet
--- /dev/null
+++ b/packages/fleet/src/rollout_judge.cpp
@@ -0,0 +1,220 @@
+#include "cardamompond/fleet/rollout_judge.hpp"
+
+#include <algorithm>
+
+namespace cardamompond::fleet {
+namespace {
+
+using state = rollout_order::state;
+
+// Share of a service's requests that a version on trial gets; the platform's bound is a tenth.
+constexpr double trial_share = 0.07;
+
+// Requests that a daemon may give to a version on trial before the share counts, so that each daemon sees it.
+constexpr std::uint64_t trial_minimum = 1;
+
+// How long before its due time an order is completed: a margin for writes that fail and are repeated.
+constexpr duration completion_margin = milliseconds(1500);
+
+// A target is taken back from this many bad outcomes on one route, when their rate is also over the rate.
+constexpr std::uint64_t min_bad = 4;
+constexpr double bad_rate_margin = 0.15; // over the rate of the old versions on the same route
+
+// A target is slow when its mean on a route is over this many times that of the old versions.
+constexpr double slow_factor = 2.2;
+constexpr std::uint64_t min_slow_samples = 8;
+
+double rate(std::uint64_t part, std::uint64_t whole) {
+  return whole == 0 ? 0.0 : static_cast<double>(part) / static_cast<double>(whole);
+}
+
+double mean(double sum, std::uint64_t count) {
+  return count == 0 ? 0.0 : sum / static_cast<double>(count);
+}
+
+void add(version_outcomes& to, const version_outcomes& more) {
+  to.m_good += more.m_good;
+  to.m_bad += more.m_bad;
+  to.m_first_answer_s += more.m_first_answer_s;
+  to.m_total_s += more.m_total_s;
+}
+
+} // namespace
+
+void rollout_judge::set_orders(const std::vector<rollout_order>& orders, time_point now) {
+  std::map<std::string, trial, std::less<>> next;
+  for (const auto& order : orders) {
+    trial added;
+    added.m_started = now;
+    const auto known = m_trials.find(order.m_service);
+    if (known != m_trials.end() && known->second.m_order.m_created == order.m_created &&
+        known->second.m_order.m_target_version == order.m_target_version) {
+      added = known->second;
+    } else {
+      m_own.erase(order.m_service);
+    }
+    added.m_order = order;
+    if (order.m_state == state::completed || order.m_state == state::rolled_back) {
+      added.m_decided = order.m_state;
+    }
+    next.insert_or_assign(order.m_service, std::move(added));
+  }
+  m_trials = std::move(next);
+}
+
+void rollout_judge::note_outcome(std::string_view service, std::string_view version, std::string_view route,
+                                 bool good, duration first_answer, duration total, time_point /*now*/) {
+  if (!m_trials.contains(service)) {
+    return;
+  }
+  auto& outcomes = m_own[std::string(service)][{std::string(version), std::string(route)}];
+  if (!good) {
+    ++outcomes.m_bad;
+    return;
+  }
+  ++outcomes.m_good;
+  outcomes.m_first_answer_s += std::chrono::duration<double>(first_answer).count();
+  outcomes.m_total_s += std::chrono::duration<double>(total).count();
+}
+
+void rollout_judge::note_peer(std::string_view daemon, const std::vector<version_observation>& observations) {
+  if (observations.empty()) {
+    m_peers.erase(std::string(daemon));
+    return;
+  }
+  m_peers.insert_or_assign(std::string(daemon), observations);
+}
+
+std::vector<version_observation> rollout_judge::own_observations() const {
+  std::vector<version_observation> all;
+  for (const auto& [service, by_key] : m_own) {
+    for (const auto& [key, outcomes] : by_key) {
+      all.push_back({service, key.first, key.second, outcomes});
+    }
+  }
+  return all;
+}
+
+void rollout_judge::note_grant(std::string_view service, std::string_view version) {
+  if (const auto found = m_trials.find(service); found != m_trials.end()) {
+    ++found->second.m_granted;
+    if (version == found->second.m_order.m_target_version) {
+      ++found->second.m_granted_target;
+    }
+  }
+}
+
+bool rollout_judge::allows(std::string_view service, std::string_view version) const {
+  const auto found = m_trials.find(service);
+  if (found == m_trials.end()) {
+    return true;
+  }
+  const trial& of = found->second;
+  const bool target = version == of.m_order.m_target_version;
+  switch (of.m_decided) {
+  case state::completed:
+    return target || of.m_order.m_state != state::completed;
+  case state::rolled_back:
+    return !target;
+  case state::ordered:
+  case state::running:
+    break;
+  }
+  return !target || static_cast<double>(of.m_granted_target) <
+                        static_cast<double>(trial_minimum) + trial_share * static_cast<double>(of.m_granted);
+}
+
+bool rollout_judge::on_trial(std::string_view service, std::string_view version) const {
+  const auto found = m_trials.find(service);
+  return found != m_trials.end() && found->second.m_order.m_target_version == version &&
+         (found->second.m_decided == state::running || found->second.m_decided == state::ordered);
+}
+
+std::map<rollout_judge::outcome_key, version_outcomes> rollout_judge::sums(const std::string& service) const {
+  std::map<outcome_key, version_outcomes> total;
+  if (const auto own = m_own.find(service); own != m_own.end()) {
+    total = own->second;
+  }
+  for (const auto& [daemon, observations] : m_peers) {
+    for (const auto& each : observations) {
+      if (each.m_service == service) {
+        add(total[{each.m_version, each.m_route}], each.m_outcomes);
+      }
+    }
+  }
+  return total;
+}
+
+void rollout_judge::judge(const std::string& service, trial& of, time_point now) {
+  const auto total = sums(service);
+  const std::string& target = of.m_order.m_target_version;
+  std::map<std::string, version_outcomes> old_by_route;
+  for (const auto& [key, outcomes] : total) {
+    if (key.first != target) {
+      add(old_by_route[key.second], outcomes);
+    }
+  }
+  for (const auto& [key, outcomes] : total) {
+    if (key.first != target) {
+      continue;
+    }
+    const version_outcomes& old = old_by_route[key.second];
+    const double bad = rate(outcomes.m_bad, outcomes.m_good + outcomes.m_bad);
+    const double old_bad = rate(old.m_bad, old.m_good + old.m_bad);
+    if (outcomes.m_bad >= min_bad && bad > old_bad + bad_rate_margin) {
+      of.m_decided = state::rolled_back;
+      of.m_reason = "failures on route " + key.second;
+      return;
+    }
+    const double slowness = mean(outcomes.m_total_s, outcomes.m_good);
+    const double old_slowness = mean(old.m_total_s, old.m_good);
+    if (outcomes.m_good >= min_slow_samples && old.m_good >= min_slow_samples &&
+        slowness > slow_factor * old_slowness) {
+      of.m_decided = state::rolled_back;
+      of.m_reason = "slow on route " + key.second;
+      return;
+    }
+  }
+  if (now >= of.m_started + of.m_order.m_period - completion_margin) {
+    of.m_decided = state::completed;
+    of.m_reason = "no fault until the due time";
+  }
+}
+
+void rollout_judge::tick(time_point now) {
+  for (auto& [service, of] : m_trials) {
+    if (of.m_decided == state::running || of.m_decided == state::ordered) {
+      judge(service, of, now);
+    }
+  }
+}
+
+std::vector<rollout_judge::verdict_on_order> rollout_judge::verdicts() const {
+  std::vector<verdict_on_order> all;
+  for (const auto& [service, of] : m_trials) {
+    all.push_back({service, of.m_order.m_target_version, of.m_decided, of.m_reason});
+  }
+  return all;
+}
+
+void rollout_judge::note_taken_back(std::string_view service, std::uint64_t created,
+                                    std::string_view reason) {
+  const auto found = m_trials.find(service);
+  if (found != m_trials.end() && found->second.m_order.m_created == created &&
+      found->second.m_decided != state::rolled_back && found->second.m_order.m_state != state::completed) {
+    found->second.m_decided = state::rolled_back;
+    found->second.m_reason = reason;
+  }
+}
+
+std::vector<std::pair<std::string, std::uint64_t>> rollout_judge::taken_back() const {
+  std::vector<std::pair<std::string, std::uint64_t>> all;
+  for (const auto& [service, of] : m_trials) {
+    if (of.m_decided == state::rolled_back) {
+      all.emplace_back(service, of.m_order.m_created);
+    }
+  }
+  return all;
+}
+
+} // namespace cardamompond::fleet
--- /dev/null
+++ b/packages/fleet/src/server_health.cpp
@@ -0,0 +1,56 @@
+#include "dispatch_tables.hpp"
+
+#include <algorithm>
+
+namespace cardamompond::fleet {
+namespace {
+
+// First exclusion of a server that was not reached; doubles with each further failure in a row. Engines that
+// crash are back after some seconds.
+constexpr duration first_exclusion = milliseconds(400);
+constexpr duration max_exclusion = seconds(3);
+
+// Weight of one outcome in the moving average of failures: about the last eight requests.
+constexpr double outcome_weight = 0.12;
+
+// A server above this rate is excluded for a while. Sound services fail up to 14 of 100 calls by themselves.
+constexpr double excluded_failure_rate = 0.4;
+constexpr duration failing_exclusion = seconds(2);
+
+// How long a server that refused a request for lack of room gets nothing more.
+constexpr duration full_pause = milliseconds(60);
+
+bool counts_as_failure(server_outcome outcome) {
+  return outcome == server_outcome::failed || outcome == server_outcome::broken ||
+         outcome == server_outcome::silent;
+}
+
+} // namespace
+
+void record_outcome(server_row& server, server_outcome outcome, time_point now) {
+  if (outcome == server_outcome::refused) {
+    server.m_full_until = now + full_pause;
+    return;
+  }
+  if (outcome == server_outcome::unreachable || outcome == server_outcome::misdirected ||
+      outcome == server_outcome::broken || outcome == server_outcome::silent) {
+    const auto doublings = std::min(server.m_failures_in_row++, 4U);
+    const duration pause = std::min<duration>(first_exclusion * (1U << doublings), max_exclusion);
+    if (outcome != server_outcome::broken || server.m_failures_in_row > 1) {
+      server.m_excluded_until = std::max(server.m_excluded_until, now + pause);
+    }
+  } else if (outcome == server_outcome::answered) {
+    server.m_failures_in_row = 0;
+  }
+  if (outcome == server_outcome::unreachable || outcome == server_outcome::misdirected) {
+    return; // says nothing about how it serves
+  }
+  server.m_failure_rate =
+      (1 - outcome_weight) * server.m_failure_rate + (counts_as_failure(outcome) ? outcome_weight : 0);
+  if (server.m_failure_rate > excluded_failure_rate) {
+    server.m_excluded_until = std::max(server.m_excluded_until, now + failing_exclusion);
+    server.m_failure_rate = excluded_failure_rate / 2; // tried again after the exclusion
+  }
+}
+
+} // namespace cardamompond::fleet
--- /dev/null
+++ b/packages/fleet/src/token_quota.cpp
@@ -0,0 +1,103 @@
+#include "cardamompond/fleet/token_quota.hpp"
+
+#include <algorithm>
+
+namespace cardamompond::fleet {
+namespace {
+
+// Part of the burst that a daemon starts with. After a restart of all daemons nobody remembers what was used.
+constexpr double initial_burst_share = 0.5;
+
+double seconds_between(time_point from, time_point to) {
+  return std::max(0.0, std::chrono::duration<double>(to - from).count());
+}
+
+} // namespace
+
+void token_quota::fill(bucket& of, time_point now) const {
+  const double ceiling = of.m_burst * share();
+  of.m_level = std::min(ceiling, of.m_level + of.m_rate * share() * seconds_between(of.m_filled, now));
+  of.m_filled = std::max(of.m_filled, now);
+}
+
+void token_quota::apply(const declarations& source, time_point now) {
+  std::map<std::string, bucket, std::less<>> next;
+  for (const auto& account : source.m_client_accounts) {
+    if (account.m_units_per_s <= 0) {
+      continue;
+    }
+    bucket added;
+    if (const auto known = m_buckets.find(account.m_name); known != m_buckets.end()) {
+      added = known->second;
+      fill(added, now);
+    } else {
+      added.m_level = account.m_burst_units * initial_burst_share * share();
+      added.m_filled = now;
+    }
+    added.m_rate = account.m_units_per_s;
+    added.m_burst = std::max(account.m_burst_units, account.m_units_per_s);
+    next.emplace(account.m_name, added);
+  }
+  m_buckets = std::move(next);
+}
+
+void token_quota::set_members(std::uint32_t registered, std::uint32_t heard, time_point now) {
+  registered = std::max(1U, registered);
+  heard = std::clamp(heard, 1U, registered);
+  if (registered == m_registered && heard == m_heard) {
+    return;
+  }
+  for (auto& [name, each] : m_buckets) {
+    fill(each, now);
+  }
+  m_registered = registered;
+  m_heard = heard;
+}
+
+bool token_quota::admit(std::string_view account, double units, time_point now) {
+  const auto found = m_buckets.find(account);
+  if (found != m_buckets.end()) {
+    fill(found->second, now);
+    if (found->second.m_level <= 0) {
+      return false;
+    }
+    found->second.m_level -= units;
+  }
+  auto used = m_admitted.find(account);
+  if (used == m_admitted.end()) {
+    used = m_admitted.emplace(std::string(account), 0.0).first;
+  }
+  used->second += units;
+  return true;
+}
+
+void token_quota::give_back(std::string_view account, double units) {
+  if (const auto found = m_buckets.find(account); found != m_buckets.end()) {
+    found->second.m_level += units;
+  }
+  if (const auto used = m_admitted.find(account); used != m_admitted.end()) {
+    used->second -= units;
+  }
+}
+
+void token_quota::note_peer_use(std::string_view account, double units, time_point now) {
+  if (const auto found = m_buckets.find(account); found != m_buckets.end()) {
+    fill(found->second, now);
+    found->second.m_level -= units;
+  }
+}
+
+milliseconds token_quota::time_to_refill(std::string_view account, time_point now) const {
+  const auto found = m_buckets.find(account);
+  if (found == m_buckets.end()) {
+    return milliseconds(0);
+  }
+  bucket copy = found->second;
+  fill(copy, now);
+  if (copy.m_level > 0) {
+    return milliseconds(0);
+  }
+  return milliseconds(static_cast<std::int64_t>(1000.0 * -copy.m_level / (copy.m_rate * share())) + 1);
+}
+
+} // namespace cardamompond::fleet
--- /dev/null
+++ b/packages/gateway/include/cardamompond/gateway/admission.hpp
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "cardamompond/core/time.hpp"
+#include "cardamompond/fleet/crash_register.hpp"
+#include "cardamompond/fleet/dispatcher.hpp"
+#include "cardamompond/fleet/retry_budget.hpp"
+#include "cardamompond/fleet/rollout_judge.hpp"
+#include "cardamompond/fleet/token_quota.hpp"
+#include "cardamompond/gateway/fleet_knowledge.hpp"
+#include "cardamompond/net/io_wait.hpp"
+
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <variant>
+
+namespace cardamompond::gateway {
+
+// Figures that the daemons of a group share; from the settings.
+struct fleet_limits {
+  double m_retry_ratio = 0.2;        // repeats for each request of a service
+  double m_retry_fixed = 50;         // and over all daemons in a window
+  duration m_retry_window = seconds(10);
+};
+
+// Nothing (the wait was cancelled), a backend server, or a refusal.
+using admission_result = std::variant<std::monostate, fleet::dispatch_grant, fleet::dispatch_refusal>;
+
+// The decision state of this daemon: the dispatcher, quotas, retry budgets, rollouts and crash suspicions, kept
+// in step with what is known of the fleet, and the fibers that wait for decisions. Used on one thread.
+class admission {
+public:
+  admission(fleet_knowledge& knowledge, std::string own_name, fleet_limits limits, std::uint64_t seed);
+
+  // Blocks the fiber until the request is granted, refused or cancelled.
+  admission_result acquire(fleet::submission request);
+
+  // Ends the wait of a request; its acquire() returns nothing.
+  void cancel(fleet::ticket request);
+
+  fleet::ticket next_ticket() { return ++m_last_ticket; }
+
+  // Runs the dispatcher once and wakes those with a decision. Call it after events and every few milliseconds.
+  void run();
+
+  // Whether a further dispatch of a request fits the service's budget; takes it.
+  bool take_repeat(std::string_view service);
+  void note_request(std::string_view service);
+
+  // How many daemons there are, and which report at present, this one included in both.
+  void set_members(std::vector<std::string> registered, std::uint32_t heard);
+
+  fleet::dispatcher& dispatcher() { return m_dispatcher; }
+  fleet::token_quota& quota() { return m_quota; }
+  fleet::rollout_judge& judge() { return m_judge; }
+  fleet::crash_register& crashes() { return m_crashes; }
+  fleet_knowledge& knowledge() { return m_knowledge; }
+
+private:
+  struct waiter {
+    net::io_wait m_wait;
+    admission_result m_result;
+  };
+
+  void wake(fleet::ticket request, admission_result decision);
+  void note_change(collection_kind kind);
+
+  fleet_knowledge& m_knowledge;
+  std::string m_own_name;
+  fleet_limits m_limits;
+  fleet::rollout_judge m_judge;
+  fleet::dispatcher m_dispatcher;
+  fleet::token_quota m_quota;
+  fleet::crash_register m_crashes;
+  std::map<std::string, fleet::retry_budget, std::less<>> m_budgets;
+  std::uint32_t m_registered = 1;
+  std::unordered_map<fleet::ticket, waiter*> m_waiters;
+  fleet::ticket m_last_ticket = 0;
+};
+
+} // namespace cardamompond::gateway
--- /dev/null
+++ b/packages/gateway/include/cardamompond/gateway/document_reader.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "cardamompond/core/result.hpp"
+#include "cardamompond/fleet/backend_server.hpp"
+#include "cardamompond/fleet/declarations.hpp"
+#include "cardamompond/gateway/document_store.hpp"
+
+#include <string>
+
+namespace cardamompond::gateway {
+
+// A daemon of the group, as it registers itself.
+struct member {
+  std::string m_name;
+  std::string m_exchange_address; // where it sends and receives reports and serves collections
+};
+
+// Why a document could not be read; the document is then ignored, and others hold.
+struct unreadable_document {
+  std::string m_reason;
+};
+
+template <typename T> using read_result = result<T, unreadable_document>;
+
+// Turns documents of the store into the project's types.
+class document_reader {
+public:
+  virtual ~document_reader() = default;
+
+  virtual read_result<fleet::declarations> read_declarations(const document& from) const = 0;
+  virtual read_result<fleet::backend_server> read_backend_server(const document& from) const = 0;
+  virtual read_result<fleet::rollout_order> read_rollout(const document& from) const = 0;
+  virtual read_result<member> read_member(const document& from) const = 0;
+
+  // The content of a member's document, for document_store::create().
+  virtual std::string write_member(const member& from) const = 0;
+};
+
+} // namespace cardamompond::gateway
--- /dev/null
+++ b/packages/gateway/include/cardamompond/gateway/document_store.hpp
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "cardamompond/core/result.hpp"
+#include "cardamompond/core/time.hpp"
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cardamompond::gateway {
+
+// What the daemons know from the store, one collection of documents for each kind of object.
+enum class collection_kind { declarations, backend_servers, rollouts, evacuations, members };
+
+inline constexpr std::array all_collections = {collection_kind::declarations, collection_kind::backend_servers,
+                                               collection_kind::rollouts, collection_kind::evacuations,
+                                               collection_kind::members};
+
+// Returns the kind as it appears in logs and metrics, e.g. "backend_servers".
+std::string_view to_string(collection_kind kind);
+
+// One object of the store. The content is read by a document_reader only.
+struct document {
+  std::string m_name;
+  std::uint64_t m_revision = 0; // of its last change, in the order of all changes of the store
+  std::string m_content;
+};
+
+// All documents of a collection at one revision of the store.
+struct collection_snapshot {
+  std::uint64_t m_as_of = 0;
+  std::vector<document> m_documents;
+};
+
+struct document_change {
+  document m_document;
+  bool m_removed = false;
+};
+
+// The changes up to a revision; none if nothing changed.
+struct collection_changes {
+  std::uint64_t m_as_of = 0;
+  std::vector<document_change> m_changes;
+};
+
+enum class document_error_kind {
+  history_gone,    // the changes since that revision are not kept any more
+  conflict,        // the object has another revision
+  not_found,       // the object does not exist
+  unavailable,     // not reached, or refused; nothing was done
+  rate_limited,    // over the store's rate; nothing was done
+  outcome_unknown, // no answer; a write may be done, now or later
+  malformed        // the answer could not be read
+};
+
+// Returns the kind as it appears in logs and metrics, e.g. "rate_limited".
+std::string_view to_string(document_error_kind kind);
+
+struct document_error {
+  document_error_kind m_kind = document_error_kind::unavailable;
+  std::string m_message;
+};
+
+template <typename T> using document_result = result<T, document_error>;
+
+// The platform's store as the daemon uses it. Calls block the fiber, at most for `timeout`.
+class document_store {
+public:
+  virtual ~document_store() = default;
+
+  // Reads a whole collection. A stale answer is cheaper and may be some seconds old.
+  virtual document_result<collection_snapshot> list(collection_kind kind, bool stale, milliseconds timeout) = 0;
+
+  // Waits up to `wait` for changes after the revision.
+  virtual document_result<collection_changes> watch(collection_kind kind, std::uint64_t after,
+                                                    milliseconds wait) = 0;
+
+  // Creates an object of the daemons' own; `conflict` if it exists.
+  virtual document_result<done> create(collection_kind kind, std::string_view name, std::string_view content,
+                                       milliseconds timeout) = 0;
+
+  // Removes an object of the daemons' own.
+  virtual document_result<done> remove(collection_kind kind, std::string_view name, milliseconds timeout) = 0;
+
+  // Writes the state of a rollout if its object still has that revision.
+  virtual document_result<done> write_rollout_state(std::string_view service, std::uint64_t revision,
+                                                    std::string_view target_version, std::string_view state,
+                                                    milliseconds timeout) = 0;
+};
+
+} // namespace cardamompond::gateway
--- /dev/null
+++ b/packages/gateway/include/cardamompond/gateway/peer_exchange.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "cardamompond/gateway/peer_group.hpp"
+#include "cardamompond/net/fiber_runtime.hpp"
+#include "cardamompond/net/http_client.hpp"
+#include "cardamompond/net/http_server.hpp"
+
+#include <memory>
+#include <string>
+
+namespace cardamompond::gateway {
+
+// Datagrams and bytes exchanged with peers, for metrics.
+struct exchange_counters {
+  std::uint64_t m_reports_sent = 0;
+  std::uint64_t m_reports_received = 0;
+  std::uint64_t m_bytes_sent = 0;
+  std::uint64_t m_malformed = 0;
+  std::uint64_t m_collections_fetched = 0;
+  std::uint64_t m_fetch_failures = 0;
+};
+
+// Sends and receives the reports of a peer group as datagrams, serves this daemon's collections to peers over
+// HTTP on the same address, and fetches those that are ahead.
+class peer_exchange {
+public:
+  // Binds both sockets to `address`; throws std::runtime_error if that fails.
+  peer_exchange(net::fiber_runtime& runtime, net::http_client& client, peer_group& group,
+                fleet_knowledge& knowledge, const std::string& address);
+  ~peer_exchange();
+  peer_exchange(const peer_exchange&) = delete;
+  peer_exchange& operator=(const peer_exchange&) = delete;
+
+  // Starts the fibers that send, receive and fetch.
+  void start();
+
+  // Tells the peers at once that this daemon stops.
+  void send_leaving();
+
+  exchange_counters counters() const;
+
+private:
+  class impl;
+  std::unique_ptr<impl> m_impl;
+};
+
+} // namespace cardamompond::gateway
--- /dev/null
+++ b/packages/gateway/include/cardamompond/gateway/peer_group.hpp
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "cardamompond/core/time.hpp"
+#include "cardamompond/gateway/admission.hpp"
+#include "cardamompond/gateway/fleet_knowledge.hpp"
+#include "cardamompond/gateway/peer_report.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cardamompond::gateway {
+
+// Reports go out at this interval: short against the second or two that a generation lasts.
+inline constexpr milliseconds report_interval{100};
+
+// The other daemons of the group as this one hears them: which report, what they run, use and have seen, and
+// whose collections are ahead. No socket and no clock; see peer_exchange for both.
+class peer_group {
+public:
+  peer_group(admission& decisions, member self, std::vector<std::string> seeds, std::uint64_t incarnation);
+
+  // Takes in a report; an older one than the last of the same daemon is dropped.
+  void note_report(const peer_report& report, time_point now);
+
+  // Forgets daemons that fell silent and counts the members. Call it with each round of reports.
+  void tick(time_point now);
+
+  // The report of this daemon.
+  peer_report make_report(bool leaving);
+
+  // Where to send the next report: every other daemon, or in a large group some of them, in turns.
+  std::vector<std::string> next_targets();
+
+  // Replaces the addresses at which daemons may be found before the members are known.
+  void set_seeds(std::vector<std::string> seeds) { m_seeds = std::move(seeds); }
+
+  // Whether the daemon reports at present.
+  bool hears(std::string_view name) const { return m_peers.contains(name); }
+
+  // A collection that a peer has had in a newer state for a while; fetch it from that address.
+  struct lagging_collection {
+    collection_kind m_kind = collection_kind::declarations;
+    std::string m_peer_address;
+  };
+  std::optional<lagging_collection> find_lagging(time_point now) const;
+
+  // Daemons heard within the last second or so, without this one.
+  std::size_t heard() const { return m_peers.size(); }
+
+  // Place of this daemon among those heard, in the order of a hash with `matter`; 0 is the first.
+  std::size_t rank_for(std::string_view matter) const;
+
+private:
+  struct peer {
+    std::string m_address;
+    std::uint64_t m_incarnation = 0;
+    std::uint64_t m_sequence = 0;
+    time_point m_heard;
+    std::array<collection_state, all_collections.size()> m_collections{};
+    std::array<time_point, all_collections.size()> m_ahead_since{}; // epoch: not ahead
+    std::map<std::string, double, std::less<>> m_quota_use;
+  };
+
+  duration silent_after() const;
+  void note_quota_use(peer& of, const peer_report& report, bool restarted, time_point now);
+  void note_collections(peer& of, const peer_report& report, time_point now);
+
+  admission& m_admission;
+  member m_self;
+  std::vector<std::string> m_seeds;
+  std::uint64_t m_incarnation;
+  std::uint64_t m_sequence = 0;
+  std::map<std::string, peer, std::less<>> m_peers; // by name
+  std::size_t m_next_target = 0;
+  std::size_t m_target_count = 0;
+};
+
+} // namespace cardamompond::gateway
--- /dev/null
+++ b/packages/gateway/include/cardamompond/gateway/peer_report.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "cardamompond/core/result.hpp"
+#include "cardamompond/fleet/crash_register.hpp"
+#include "cardamompond/fleet/dispatcher.hpp"
+#include "cardamompond/fleet/rollout_judge.hpp"
+#include "cardamompond/gateway/document_store.hpp"
+
+#include <array>
+#include <cstdint>
+#include <span>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace cardamompond::gateway {
+
+// State of one collection at the sender of a report.
+struct collection_state {
+  std::uint64_t m_as_of = 0;
+  std::uint64_t m_changed_at = 0;
+};
+
+// What one daemon tells the others. Totals count from its start.
+struct peer_report {
+  std::string m_daemon;
+  std::string m_exchange_address;
+  std::uint64_t m_incarnation = 0; // increases with each start
+  std::uint64_t m_sequence = 0;    // increases with each report
+  bool m_leaving = false;
+  std::array<collection_state, all_collections.size()> m_collections{};
+  std::vector<fleet::server_load> m_loads;
+  std::vector<std::pair<std::string, double>> m_quota_use; // by account
+  std::vector<fleet::version_observation> m_outcomes;
+  std::vector<std::pair<std::string, std::uint64_t>> m_taken_back;
+  std::vector<fleet::crash_suspicion> m_crashes;
+};
+
+// Why bytes from a peer could not be read.
+struct malformed_message {
+  std::string m_reason;
+};
+
+std::string encode_report(const peer_report& report);
+result<peer_report, malformed_message> decode_report(std::span<const char> bytes);
+
+std::string encode_snapshot(const collection_snapshot& snapshot);
+result<collection_snapshot, malformed_message> decode_snapshot(std::span<const char> bytes);
+
+} // namespace cardamompond::gateway
--- /dev/null
+++ b/packages/gateway/src/collection.cpp
@@ -0,0 +1,74 @@
+#include "cardamompond/gateway/collection.hpp"
+
+#include <algorithm>
+
+namespace cardamompond::gateway {
+
+std::string_view to_string(collection_kind kind) {
+  constexpr std::string_view names[] = {"declarations", "backend_servers", "rollouts", "evacuations", "members"};
+  return names[static_cast<std::size_t>(kind)];
+}
+
+std::string_view to_string(document_error_kind kind) {
+  constexpr std::string_view names[] = {"history_gone", "conflict",        "not_found", "unavailable",
+                                        "rate_limited", "outcome_unknown", "malformed"};
+  return names[static_cast<std::size_t>(kind)];
+}
+
+bool collection::apply(const collection_snapshot& snapshot, time_point now) {
+  if (snapshot.m_as_of < m_as_of || snapshot.m_as_of == 0) {
+    return false;
+  }
+  m_confirmed = now;
+  std::map<std::string, document, std::less<>> next;
+  for (const auto& each : snapshot.m_documents) {
+    next.emplace(each.m_name, each);
+  }
+  const bool same = std::equal(next.begin(), next.end(), m_documents.begin(), m_documents.end(),
+                               [](const auto& a, const auto& b) {
+                                 return a.first == b.first && a.second.m_revision == b.second.m_revision;
+                               });
+  const bool changed = !same || m_as_of == 0;
+  if (changed) {
+    m_changed_at = snapshot.m_as_of;
+  }
+  m_as_of = snapshot.m_as_of;
+  m_documents = std::move(next);
+  return changed;
+}
+
+bool collection::apply(const collection_changes& changes, time_point now) {
+  if (changes.m_as_of < m_as_of) {
+    return false;
+  }
+  m_confirmed = now;
+  m_as_of = changes.m_as_of;
+  bool changed = false;
+  for (const auto& [changed_document, removed] : changes.m_changes) {
+    const auto known = m_documents.find(changed_document.m_name);
+    // A removal carries the revision of the removal or of the removed content; both may end a known document.
+    if (known != m_documents.end() && changed_document.m_revision < known->second.m_revision) {
+      continue;
+    }
+    changed = true;
+    if (removed) {
+      m_documents.erase(changed_document.m_name);
+    } else {
+      m_documents.insert_or_assign(changed_document.m_name, changed_document);
+    }
+  }
+  if (changed) {
+    m_changed_at = m_as_of;
+  }
+  return changed;
+}
+
+collection_snapshot collection::snapshot() const {
+  collection_snapshot all{m_as_of, {}};
+  for (const auto& [name, each] : m_documents) {
+    all.m_documents.push_back(each);
+  }
+  return all;
+}
+
+} // namespace cardamompond::gateway
--- /dev/null
+++ b/packages/gateway/src/collection_feed.cpp
@@ -0,0 +1,154 @@
+#include "cardamompond/gateway/collection_feed.hpp"
+
+#include "cardamompond/telemetry/log.hpp"
+
+#include <boost/fiber/operations.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace cardamompond::gateway {
+namespace {
+
+// One watch lasts at most this long, so that one that went silent is noticed within the time in which changes
+// of the collection must be in force. Each daemon and collection costs one call to the store in that time.
+milliseconds watch_time(collection_kind kind) {
+  switch (kind) {
+  case collection_kind::declarations:
+  case collection_kind::backend_servers:
+    return milliseconds(2'500);
+  case collection_kind::rollouts:
+  case collection_kind::evacuations:
+    return milliseconds(4'000);
+  case collection_kind::members:
+    break;
+  }
+  return milliseconds(10'000);
+}
+
+// Normal answers take a few milliseconds, and half a second when the store is slow.
+constexpr milliseconds list_timeout{1'500};
+
+constexpr milliseconds first_backoff{50};
+constexpr milliseconds max_backoff{600};
+
+// An outage this long lets entries of living backend servers lapse; they are back within about two seconds of
+// the store's return.
+constexpr duration lapse_after = milliseconds(1'500);
+constexpr duration settling_time = milliseconds(2'200);
+
+} // namespace
+
+collection_feed::collection_feed(document_store& store, fleet_knowledge& knowledge, collection_kind kind,
+                                 std::uint64_t seed)
+    : m_store(store)
+    , m_knowledge(knowledge)
+    , m_kind(kind)
+    , m_random(seed) {}
+
+void collection_feed::run() {
+  while (true) {
+    step();
+  }
+}
+
+void collection_feed::step() {
+  if (m_list_next) {
+    if (!list()) {
+      return;
+    }
+    m_list_next = monotonic_now() < m_settled_at;
+    if (m_list_next) {
+      constexpr milliseconds settling_interval{400};
+      boost::this_fiber::sleep_for(settling_interval);
+    }
+    return;
+  }
+  watch();
+}
+
+bool collection_feed::list() {
+  ++m_counters.m_lists;
+  const auto listed = m_store.list(m_kind, false, list_timeout);
+  if (!listed) {
+    note_failure(listed.error());
+    return false;
+  }
+  note_success();
+  apply_snapshot(*listed);
+  return true;
+}
+
+// Right after an outage, entries that are missing are kept until they have had time to come back.
+void collection_feed::apply_snapshot(const collection_snapshot& snapshot) {
+  if (m_kind != collection_kind::backend_servers || monotonic_now() >= m_settled_at) {
+    m_knowledge.apply(m_kind, snapshot, "store");
+    return;
+  }
+  collection_snapshot merged = snapshot;
+  std::set<std::string_view> listed;
+  for (const auto& each : snapshot.m_documents) {
+    listed.insert(each.m_name);
+  }
+  for (const auto& [name, each] : m_knowledge.of(m_kind).documents()) {
+    if (!listed.contains(name)) {
+      merged.m_documents.push_back(each);
+    }
+  }
+  m_knowledge.apply(m_kind, merged, "store_after_outage");
+}
+
+void collection_feed::watch() {
+  ++m_counters.m_watches;
+  const auto changes = m_store.watch(m_kind, m_knowledge.of(m_kind).as_of(), watch_time(m_kind));
+  if (!changes) {
+    if (changes.error().m_kind == document_error_kind::history_gone) {
+      log_event(log_level::info, "watch_history_gone",
+                {{"collection", to_string(m_kind)}, {"as_of", m_knowledge.of(m_kind).as_of()}});
+      m_list_next = true;
+      return;
+    }
+    note_failure(changes.error());
+    m_list_next = true;
+    return;
+  }
+  note_success();
+  if (m_list_next) {
+    return; // the store was away: what lapsed meanwhile needs the whole list
+  }
+  m_knowledge.apply(m_kind, *changes, "store");
+}
+
+void collection_feed::note_failure(const document_error& error) {
+  ++m_counters.m_failures;
+  const time_point now = monotonic_now();
+  if (m_failures_in_row == 0) {
+    m_lost = now;
+  }
+  if (m_connected) {
+    m_connected = false;
+    log_event(log_level::warning, "store_lost",
+              {{"collection", to_string(m_kind)}, {"reason", to_string(error.m_kind)},
+               {"message", error.m_message}, {"as_of", m_knowledge.of(m_kind).as_of()}});
+  }
+  const auto doublings = std::min(m_failures_in_row++, 5U);
+  const auto ceiling = std::min(first_backoff * (1U << doublings), max_backoff);
+  std::uniform_int_distribution<std::int64_t> pause(ceiling.count() / 2, ceiling.count());
+  boost::this_fiber::sleep_for(milliseconds(pause(m_random)));
+}
+
+void collection_feed::note_success() {
+  const time_point now = monotonic_now();
+  if (m_failures_in_row > 0 && now - m_lost >= lapse_after && m_knowledge.of(m_kind).known()) {
+    m_settled_at = now + settling_time;
+    m_list_next = true;
+  }
+  m_failures_in_row = 0;
+  if (!m_connected) {
+    m_connected = true;
+    log_event(log_level::info, "store_reached",
+              {{"collection", to_string(m_kind)}, {"as_of", m_knowledge.of(m_kind).as_of()}});
+  }
+}
+
+} // namespace cardamompond::gateway
--- /dev/null
+++ b/packages/gateway/src/duties.cpp
@@ -0,0 +1,145 @@
+#include "cardamompond/gateway/duties.hpp"
+
+#include "cardamompond/telemetry/log.hpp"
+
+#include <boost/fiber/operations.hpp>
+
+namespace cardamompond::gateway {
+namespace {
+
+constexpr milliseconds write_timeout{1'000};
+constexpr milliseconds membership_interval{500};
+constexpr milliseconds rollout_interval{100};
+
+// A member that has not reported for this long is removed; the share of the quotas that it kept is free then.
+constexpr duration lost_after = seconds(20);
+
+// The daemon of rank n writes a state after n times this, so that one write is the rule.
+constexpr duration write_turn = milliseconds(400);
+
+std::string_view state_name(fleet::rollout_order::state state) {
+  switch (state) {
+  case fleet::rollout_order::state::completed:
+    return "completed";
+  case fleet::rollout_order::state::rolled_back:
+    return "rolled_back";
+  case fleet::rollout_order::state::ordered:
+  case fleet::rollout_order::state::running:
+    break;
+  }
+  return "running";
+}
+
+} // namespace
+
+duties::duties(document_store& store, admission& decisions, peer_group& group, const document_reader& reader,
+               member self)
+    : m_store(store)
+    , m_admission(decisions)
+    , m_group(group)
+    , m_reader(reader)
+    , m_self(std::move(self)) {}
+
+bool duties::registered() const {
+  for (const auto& each : m_admission.knowledge().members()) {
+    if (each.m_name == m_self.m_name && each.m_exchange_address == m_self.m_exchange_address) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void duties::register_self() {
+  const auto created =
+      m_store.create(collection_kind::members, m_self.m_name, m_reader.write_member(m_self), write_timeout);
+  if (!created && created.error().m_kind == document_error_kind::conflict) {
+    // An entry of an earlier process at another address, or of this one that the collection does not show yet.
+    if (m_admission.knowledge().of(collection_kind::members).documents().contains(m_self.m_name)) {
+      const auto removed = m_store.remove(collection_kind::members, m_self.m_name, write_timeout);
+      log_event(log_level::info, "member_replaced", {{"name", m_self.m_name}, {"removed", removed.has_value()}});
+    }
+  } else {
+    log_event(created ? log_level::info : log_level::warning, "member_registered",
+              {{"name", m_self.m_name}, {"result", created ? "done" : to_string(created.error().m_kind)}});
+  }
+}
+
+void duties::remove_lost_members(time_point now) {
+  for (const auto& each : m_admission.knowledge().members()) {
+    if (each.m_name == m_self.m_name || m_group.hears(each.m_name)) {
+      m_silent_since.erase(each.m_name);
+      continue;
+    }
+    const auto [since, added] = m_silent_since.try_emplace(each.m_name, now);
+    if (now - since->second < lost_after || m_group.heard() == 0 || m_group.rank_for(each.m_name) != 0) {
+      continue;
+    }
+    const auto removed = m_store.remove(collection_kind::members, each.m_name, write_timeout);
+    log_event(log_level::info, "member_removed",
+              {{"name", each.m_name}, {"result", removed ? "done" : to_string(removed.error().m_kind)}});
+    m_silent_since.erase(each.m_name);
+    return; // the list of members may have changed
+  }
+}
+
+void duties::run_membership() {
+  while (!m_leaving) {
+    if (m_admission.knowledge().of(collection_kind::members).known()) {
+      if (registered()) {
+        remove_lost_members(monotonic_now());
+      } else {
+        register_self();
+      }
+    }
+    boost::this_fiber::sleep_for(membership_interval);
+  }
+}
+
+void duties::deregister() {
+  m_leaving = true;
+  const auto removed = m_store.remove(collection_kind::members, m_self.m_name, write_timeout);
+  log_event(log_level::info, "member_deregistered",
+            {{"name", m_self.m_name}, {"result", removed ? "done" : to_string(removed.error().m_kind)}});
+}
+
+void duties::write_rollout(const fleet::rollout_judge::verdict_on_order& verdict, time_point now) {
+  const fleet::rollout_order* order = nullptr;
+  for (const auto& each : m_admission.knowledge().rollouts()) {
+    if (each.m_service == verdict.m_service && each.m_target_version == verdict.m_target_version) {
+      order = &each;
+    }
+  }
+  if (order == nullptr || order->m_state == verdict.m_state ||
+      order->m_state == fleet::rollout_order::state::completed ||
+      order->m_state == fleet::rollout_order::state::rolled_back) {
+    m_unwritten_since.erase(verdict.m_service);
+    return;
+  }
+  const auto [since, added] = m_unwritten_since.try_emplace(verdict.m_service, now);
+  if (now - since->second < write_turn * static_cast<int>(m_group.rank_for(verdict.m_service))) {
+    return;
+  }
+  const auto written = m_store.write_rollout_state(verdict.m_service, order->m_revision, verdict.m_target_version,
+                                                   state_name(verdict.m_state), write_timeout);
+  log_event(log_level::info, "rollout_state_written",
+            {{"service", verdict.m_service},
+             {"target", verdict.m_target_version},
+             {"state", state_name(verdict.m_state)},
+             {"reason", verdict.m_reason},
+             {"revision", order->m_revision},
+             {"result", written ? "done" : to_string(written.error().m_kind)}});
+  since->second = monotonic_now() + write_turn; // the watch shows whether it took effect
+}
+
+void duties::run_rollouts() {
+  while (true) {
+    const time_point now = monotonic_now();
+    m_admission.judge().tick(now);
+    for (const auto& verdict : m_admission.judge().verdicts()) {
+      write_rollout(verdict, now);
+    }
+    boost::this_fiber::sleep_for(rollout_interval);
+  }
+}
+
+} // namespace cardamompond::gateway
--- /dev/null
+++ b/packages/gateway/src/event_splitter.cpp
@@ -0,0 +1,75 @@
+#include "cardamompond/gateway/event_splitter.hpp"
+
+#include <algorithm>
+
+namespace cardamompond::gateway {
+namespace {
+
+constexpr std::string_view separator = "\n\n";
+constexpr std::string_view separator_with_returns = "\r\n\r\n";
+
+// Position behind the last separator, or 0.
+std::size_t end_of_last_event(std::string_view text) {
+  std::size_t end = 0;
+  if (const auto at = text.rfind(separator); at != std::string_view::npos) {
+    end = at + separator.size();
+  }
+  if (const auto at = text.rfind(separator_with_returns); at != std::string_view::npos) {
+    end = std::max(end, at + separator_with_returns.size());
+  }
+  return end;
+}
+
+} // namespace
+
+std::string_view event_splitter::feed(std::string_view bytes) {
+  m_buffer.erase(0, m_complete);
+  m_buffer.append(bytes);
+  m_complete = end_of_last_event(m_buffer);
+  const std::string_view events = std::string_view(m_buffer).substr(0, m_complete);
+  note_ids(events);
+  count_events(events);
+  return events;
+}
+
+void event_splitter::count_events(std::string_view events) {
+  m_event_count = 0;
+  for (std::size_t at = 0; at + 1 < events.size(); ++at) {
+    const bool plain = events.compare(at, separator.size(), separator) == 0;
+    const bool with_returns = events.compare(at, separator_with_returns.size(), separator_with_returns) == 0;
+    m_event_count += plain || with_returns ? 1 : 0;
+  }
+}
+
+void event_splitter::drop_pending() {
+  m_buffer.clear();
+  m_complete = 0;
+}
+
+void event_splitter::note_ids(std::string_view events) {
+  constexpr std::string_view field = "id:";
+  std::size_t line = events.size();
+  // The last id counts, so that the search goes backwards.
+  while (line > 0) {
+    const auto before = events.rfind('\n', line - 1);
+    const std::size_t begin = before == std::string_view::npos ? 0 : before + 1;
+    std::string_view text = events.substr(begin, line - begin);
+    if (text.starts_with(field)) {
+      text.remove_prefix(field.size());
+      while (!text.empty() && text.front() == ' ') {
+        text.remove_prefix(1);
+      }
+      while (!text.empty() && (text.back() == '\r' || text.back() == '\n')) {
+        text.remove_suffix(1);
+      }
+      m_last_event_id = text;
+      return;
+    }
+    if (begin == 0) {
+      return;
+    }
+    line = before;
+  }
+}
+
+} // namespace cardamompond::gateway
--- /dev/null
+++ b/packages/gateway/src/fleet_knowledge.cpp
@@ -0,0 +1,98 @@
+#include "cardamompond/gateway/fleet_knowledge.hpp"
+
+#include "cardamompond/telemetry/log.hpp"
+
+namespace cardamompond::gateway {
+
+fleet_knowledge::fleet_knowledge(const document_reader& reader)
+    : m_reader(reader) {}
+
+bool fleet_knowledge::apply(collection_kind kind, const collection_snapshot& snapshot, std::string_view source) {
+  if (!m_collections[static_cast<std::size_t>(kind)].apply(snapshot, monotonic_now())) {
+    return false;
+  }
+  decode(kind, source);
+  return true;
+}
+
+bool fleet_knowledge::apply(collection_kind kind, const collection_changes& changes, std::string_view source) {
+  if (!m_collections[static_cast<std::size_t>(kind)].apply(changes, monotonic_now())) {
+    return false;
+  }
+  decode(kind, source);
+  return true;
+}
+
+void fleet_knowledge::note_unreadable(collection_kind kind, const document& each,
+                                      const unreadable_document& error) {
+  ++m_unreadable;
+  log_event(log_level::warning, "document_unreadable",
+            {{"collection", to_string(kind)}, {"name", each.m_name}, {"revision", each.m_revision},
+             {"reason", error.m_reason}});
+}
+
+template <typename T, typename Read>
+std::vector<T> fleet_knowledge::decode_all(collection_kind kind, const Read& read) {
+  std::vector<T> all;
+  for (const auto& [name, each] : of(kind).documents()) {
+    if (auto decoded = read(each)) {
+      all.push_back(std::move(*decoded));
+    } else {
+      note_unreadable(kind, each, decoded.error());
+    }
+  }
+  return all;
+}
+
+void fleet_knowledge::decode_declarations(std::string_view source) {
+  for (const auto& [name, each] : of(collection_kind::declarations).documents()) {
+    auto decoded = m_reader.read_declarations(each);
+    if (!decoded) {
+      note_unreadable(collection_kind::declarations, each, decoded.error());
+      continue;
+    }
+    if (m_routes && decoded->m_version < m_routes->source().m_version) {
+      continue; // an older version is never put back in force
+    }
+    m_routes = std::make_shared<const fleet::route_table>(
+        std::make_shared<const fleet::declarations>(std::move(*decoded)));
+    log_event(log_level::info, "declarations_in_force",
+              {{"version", m_routes->source().m_version}, {"revision", each.m_revision}, {"source", source},
+               {"routes", m_routes->source().m_routes.size()}});
+  }
+}
+
+void fleet_knowledge::decode(collection_kind kind, std::string_view source) {
+  switch (kind) {
+  case collection_kind::declarations:
+    decode_declarations(source);
+    break;
+  case collection_kind::backend_servers:
+    m_backend_servers = decode_all<fleet::backend_server>(
+        kind, [&](const document& each) { return m_reader.read_backend_server(each); });
+    break;
+  case collection_kind::rollouts:
+    m_rollouts = decode_all<fleet::rollout_order>(
+        kind, [&](const document& each) { return m_reader.read_rollout(each); });
+    break;
+  case collection_kind::evacuations:
+    m_evacuated_zones.clear();
+    for (const auto& [name, each] : of(kind).documents()) {
+      m_evacuated_zones.insert(name);
+    }
+    break;
+  case collection_kind::members:
+    m_members = decode_all<member>(kind, [&](const document& each) { return m_reader.read_member(each); });
+    break;
+  }
+  if (kind != collection_kind::declarations) {
+    log_event(log_level::info, "collection_changed",
+              {{"collection", to_string(kind)}, {"as_of", of(kind).as_of()}, {"source", source},
+               {"documents", of(kind).documents().size()}});
+  }
+  for (const auto& call : m_observers) {
+    call(kind);
+  }
+}
+
+} // namespace cardamompond::gateway
--- /dev/null
+++ b/packages/gateway/src/peer_exchange.cpp
@@ -0,0 +1,200 @@
+#include "cardamompond/gateway/peer_exchange.hpp"
+
+#include "cardamompond/net/io_wait.hpp"
+#include "cardamompond/telemetry/log.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/fiber/operations.hpp>
+
+#include <array>
+#include <charconv>
+#include <map>
+#include <stdexcept>
+#include <tuple>
+
+namespace cardamompond::gateway {
+namespace {
+
+namespace asio = boost::asio;
+using udp = asio::ip::udp;
+
+constexpr std::string_view collections_path = "/collections/";
+constexpr milliseconds fetch_timeout{800};
+constexpr milliseconds fetch_interval{100};
+
+// Datagrams over this size are not received whole on all links.
+constexpr std::size_t max_datagram_bytes = 16U << 10U;
+
+std::optional<udp::endpoint> parse_endpoint(std::string_view address) {
+  const auto colon = address.rfind(':');
+  if (colon == std::string_view::npos) {
+    return std::nullopt;
+  }
+  std::uint16_t port = 0;
+  const auto digits = address.substr(colon + 1);
+  if (std::from_chars(digits.data(), digits.data() + digits.size(), port).ec != std::errc()) {
+    return std::nullopt;
+  }
+  boost::system::error_code error;
+  const auto host = asio::ip::make_address(std::string(address.substr(0, colon)), error);
+  return error ? std::nullopt : std::optional(udp::endpoint(host, port));
+}
+
+udp::endpoint required_endpoint(const std::string& address) {
+  const auto endpoint = parse_endpoint(address);
+  if (!endpoint) {
+    throw std::runtime_error("invalid exchange address " + address);
+  }
+  return *endpoint;
+}
+
+} // namespace
+
+class peer_exchange::impl {
+public:
+  impl(net::fiber_runtime& runtime, net::http_client& client, peer_group& group, fleet_knowledge& knowledge,
+       const std::string& address)
+      : m_client(client)
+      , m_group(group)
+      , m_knowledge(knowledge)
+      , m_socket(runtime.context(), required_endpoint(address))
+      , m_server(runtime, {.m_address = address, .m_max_connections = 256},
+                 [this](net::http_exchange& exchange) { serve(exchange); }) {
+    m_socket.non_blocking(true);
+  }
+
+  void send(bool leaving);
+  void receive_reports();
+  void fetch_collections();
+
+  exchange_counters m_counters;
+
+private:
+  void serve(net::http_exchange& exchange);
+  void fetch(const peer_group::lagging_collection& lagging);
+
+  net::http_client& m_client;
+  peer_group& m_group;
+  fleet_knowledge& m_knowledge;
+  udp::socket m_socket;
+  net::http_server m_server;
+  std::map<std::string, udp::endpoint> m_endpoints; // by address as registered
+};
+
+void peer_exchange::impl::send(bool leaving) {
+  m_group.tick(monotonic_now());
+  const std::string bytes = encode_report(m_group.make_report(leaving));
+  if (bytes.size() > max_datagram_bytes) {
+    log_event(log_level::warning, "report_too_large", {{"bytes", bytes.size()}});
+    return;
+  }
+  for (const auto& address : m_group.next_targets()) {
+    auto found = m_endpoints.find(address);
+    if (found == m_endpoints.end()) {
+      const auto endpoint = parse_endpoint(address);
+      if (!endpoint) {
+        continue;
+      }
+      found = m_endpoints.emplace(address, *endpoint).first;
+    }
+    boost::system::error_code ignored; // a lost report is made good by the next one
+    m_socket.send_to(asio::buffer(bytes), found->second, 0, ignored);
+    ++m_counters.m_reports_sent;
+    m_counters.m_bytes_sent += bytes.size();
+  }
+}
+
+void peer_exchange::impl::receive_reports() {
+  std::vector<char> buffer(max_datagram_bytes);
+  while (true) {
+    udp::endpoint sender;
+    net::io_wait wait;
+    m_socket.async_receive_from(asio::buffer(buffer), sender, wait.handler());
+    if (wait.wait()) {
+      boost::this_fiber::sleep_for(report_interval);
+      continue;
+    }
+    ++m_counters.m_reports_received;
+    const auto report = decode_report({buffer.data(), wait.bytes()});
+    if (report) {
+      m_group.note_report(*report, monotonic_now());
+    } else if (++m_counters.m_malformed == 1) {
+      log_event(log_level::warning, "report_malformed",
+                {{"sender", sender.address().to_string()}, {"reason", report.error().m_reason}});
+    }
+  }
+}
+
+void peer_exchange::impl::serve(net::http_exchange& exchange) {
+  const std::string_view path = exchange.request().path();
+  if (path.starts_with(collections_path)) {
+    for (const auto kind : all_collections) {
+      if (path.substr(collections_path.size()) == to_string(kind)) {
+        std::ignore = exchange.respond({200,
+                                        {{"Content-Type", "application/octet-stream"}},
+                                        encode_snapshot(m_knowledge.of(kind).snapshot())});
+        return;
+      }
+    }
+  }
+  std::ignore = exchange.respond({404, {{"Content-Type", "text/plain"}}, "not found\n"});
+}
+
+void peer_exchange::impl::fetch(const peer_group::lagging_collection& lagging) {
+  const std::string target = std::string(collections_path) + std::string(to_string(lagging.m_kind));
+  const auto answer = m_client.fetch(lagging.m_peer_address, {"GET", target, {}, {}}, fetch_timeout);
+  const auto reason = [&]() -> std::string {
+    if (!answer) {
+      return answer.error().m_message;
+    }
+    const auto snapshot = decode_snapshot(answer->m_body);
+    if (!snapshot) {
+      return snapshot.error().m_reason;
+    }
+    ++m_counters.m_collections_fetched;
+    m_knowledge.apply(lagging.m_kind, *snapshot, lagging.m_peer_address);
+    return {};
+  }();
+  if (!reason.empty()) {
+    ++m_counters.m_fetch_failures;
+    log_event(log_level::warning, "peer_fetch_failed",
+              {{"collection", to_string(lagging.m_kind)}, {"peer", lagging.m_peer_address}, {"reason", reason}});
+  }
+}
+
+void peer_exchange::impl::fetch_collections() {
+  while (true) {
+    if (const auto lagging = m_group.find_lagging(monotonic_now())) {
+      fetch(*lagging);
+    }
+    boost::this_fiber::sleep_for(fetch_interval);
+  }
+}
+
+peer_exchange::peer_exchange(net::fiber_runtime& runtime, net::http_client& client, peer_group& group,
+                             fleet_knowledge& knowledge, const std::string& address)
+    : m_impl(std::make_unique<impl>(runtime, client, group, knowledge, address)) {}
+
+peer_exchange::~peer_exchange() = default;
+
+void peer_exchange::start() {
+  net::fiber_runtime::spawn([this] { m_impl->receive_reports(); });
+  net::fiber_runtime::spawn([this] { m_impl->fetch_collections(); });
+  net::fiber_runtime::spawn([this] {
+    while (true) {
+      m_impl->send(false);
+      boost::this_fiber::sleep_for(report_interval);
+    }
+  });
+}
+
+void peer_exchange::send_leaving() {
+  m_impl->send(true);
+}
+
+exchange_counters peer_exchange::counters() const {
+  return m_impl->m_counters;
+}
+
+} // namespace cardamompond::gateway
--- /dev/null
+++ b/packages/gateway/src/peer_report.cpp
@@ -0,0 +1,169 @@
+#include "cardamompond/gateway/peer_report.hpp"
+
+#include "exchange.capnp.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <kj/exception.h>
+#include <kj/io.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace cardamompond::gateway {
+namespace {
+
+// Bounds on what a decoded message may hold, well above what daemons send.
+constexpr std::uint64_t max_words = 4U << 20U;
+
+std::string finish(capnp::MallocMessageBuilder& message) {
+  kj::VectorOutputStream out;
+  capnp::writePackedMessage(out, message);
+  const auto bytes = out.getArray();
+  return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
+}
+
+template <typename T, typename Read> result<T, malformed_message> decode(std::span<const char> bytes, Read read) {
+  try {
+    kj::ArrayInputStream in(kj::arrayPtr(reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
+    capnp::ReaderOptions options;
+    options.traversalLimitInWords = max_words;
+    capnp::PackedMessageReader message(in, options);
+    return read(message);
+  } catch (const kj::Exception& error) {
+    return malformed_message{error.getDescription().cStr()};
+  }
+}
+
+double finite(double value) {
+  return std::isfinite(value) ? value : 0;
+}
+
+void encode_outcomes(const std::vector<fleet::version_observation>& from, wire::Report::Builder to) {
+  auto list = to.initOutcomes(static_cast<unsigned>(from.size()));
+  for (unsigned i = 0; i < list.size(); ++i) {
+    list[i].setService(from[i].m_service);
+    list[i].setVersion(from[i].m_version);
+    list[i].setRoute(from[i].m_route);
+    list[i].setGood(from[i].m_outcomes.m_good);
+    list[i].setBad(from[i].m_outcomes.m_bad);
+    list[i].setFirstAnswerS(from[i].m_outcomes.m_first_answer_s);
+    list[i].setTotalS(from[i].m_outcomes.m_total_s);
+  }
+}
+
+void encode_crashes(const std::vector<fleet::crash_suspicion>& from, wire::Report::Builder to) {
+  auto list = to.initCrashes(static_cast<unsigned>(from.size()));
+  for (unsigned i = 0; i < list.size(); ++i) {
+    list[i].setContentHigh(from[i].m_content.m_high);
+    list[i].setContentLow(from[i].m_content.m_low);
+    auto servers = list[i].initServers(static_cast<unsigned>(from[i].m_servers.size()));
+    for (unsigned j = 0; j < servers.size(); ++j) {
+      servers.set(j, from[i].m_servers[j]);
+    }
+  }
+}
+
+peer_report read_report(capnp::MessageReader& message) {
+  const auto from = message.getRoot<wire::Report>();
+  peer_report report;
+  report.m_daemon = from.getDaemon().cStr();
+  report.m_exchange_address = from.getExchangeAddress().cStr();
+  report.m_incarnation = from.getIncarnation();
+  report.m_sequence = from.getSequence();
+  report.m_leaving = from.getLeaving();
+  const auto collections = from.getCollections();
+  for (unsigned i = 0; i < std::min<unsigned>(collections.size(), report.m_collections.size()); ++i) {
+    report.m_collections[i] = {collections[i].getAsOf(), collections[i].getChangedAt()};
+  }
+  for (const auto& each : from.getLoads()) {
+    report.m_loads.push_back({each.getServer(), each.getRunning()});
+  }
+  for (const auto& each : from.getQuotaUse()) {
+    report.m_quota_use.emplace_back(each.getAccount().cStr(), finite(each.getUnits()));
+  }
+  for (const auto& each : from.getOutcomes()) {
+    report.m_outcomes.push_back({each.getService().cStr(),
+                                 each.getVersion().cStr(),
+                                 each.getRoute().cStr(),
+                                 {each.getGood(), each.getBad(), finite(each.getFirstAnswerS()),
+                                  finite(each.getTotalS())}});
+  }
+  for (const auto& each : from.getTakenBack()) {
+    report.m_taken_back.emplace_back(each.getService().cStr(), each.getCreated());
+  }
+  for (const auto& each : from.getCrashes()) {
+    fleet::crash_suspicion suspicion{{each.getContentHigh(), each.getContentLow()}, {}};
+    for (const auto server : each.getServers()) {
+      suspicion.m_servers.push_back(server);
+    }
+    report.m_crashes.push_back(std::move(suspicion));
+  }
+  return report;
+}
+
+} // namespace
+
+std::string encode_report(const peer_report& report) {
+  capnp::MallocMessageBuilder message;
+  auto to = message.initRoot<wire::Report>();
+  to.setDaemon(report.m_daemon);
+  to.setExchangeAddress(report.m_exchange_address);
+  to.setIncarnation(report.m_incarnation);
+  to.setSequence(report.m_sequence);
+  to.setLeaving(report.m_leaving);
+  auto collections = to.initCollections(static_cast<unsigned>(report.m_collections.size()));
+  for (unsigned i = 0; i < collections.size(); ++i) {
+    collections[i].setAsOf(report.m_collections[i].m_as_of);
+    collections[i].setChangedAt(report.m_collections[i].m_changed_at);
+  }
+  auto loads = to.initLoads(static_cast<unsigned>(report.m_loads.size()));
+  for (unsigned i = 0; i < loads.size(); ++i) {
+    loads[i].setServer(report.m_loads[i].m_server);
+    loads[i].setRunning(report.m_loads[i].m_running);
+  }
+  auto use = to.initQuotaUse(static_cast<unsigned>(report.m_quota_use.size()));
+  for (unsigned i = 0; i < use.size(); ++i) {
+    use[i].setAccount(report.m_quota_use[i].first);
+    use[i].setUnits(report.m_quota_use[i].second);
+  }
+  encode_outcomes(report.m_outcomes, to);
+  auto taken_back = to.initTakenBack(static_cast<unsigned>(report.m_taken_back.size()));
+  for (unsigned i = 0; i < taken_back.size(); ++i) {
+    taken_back[i].setService(report.m_taken_back[i].first);
+    taken_back[i].setCreated(report.m_taken_back[i].second);
+  }
+  encode_crashes(report.m_crashes, to);
+  return finish(message);
+}
+
+result<peer_report, malformed_message> decode_report(std::span<const char> bytes) {
+  return decode<peer_report>(bytes, [](capnp::MessageReader& message) { return read_report(message); });
+}
+
+std::string encode_snapshot(const collection_snapshot& snapshot) {
+  capnp::MallocMessageBuilder message;
+  auto to = message.initRoot<wire::CollectionSnapshot>();
+  to.setAsOf(snapshot.m_as_of);
+  auto documents = to.initDocuments(static_cast<unsigned>(snapshot.m_documents.size()));
+  for (unsigned i = 0; i < documents.size(); ++i) {
+    documents[i].setName(snapshot.m_documents[i].m_name);
+    documents[i].setRevision(snapshot.m_documents[i].m_revision);
+    documents[i].setContent(snapshot.m_documents[i].m_content);
+  }
+  return finish(message);
+}
+
+result<collection_snapshot, malformed_message> decode_snapshot(std::span<const char> bytes) {
+  return decode<collection_snapshot>(bytes, [](capnp::MessageReader& message) {
+    const auto from = message.getRoot<wire::CollectionSnapshot>();
+    collection_snapshot snapshot{from.getAsOf(), {}};
+    for (const auto& each : from.getDocuments()) {
+      snapshot.m_documents.push_back(
+          {each.getName().cStr(), each.getRevision(), std::string(each.getContent().cStr(), each.getContent().size())});
+    }
+    return snapshot;
+  });
+}
+
+} // namespace cardamompond::gateway
--- a/packages/net/include/cardamompond/net/http_client.hpp
+++ b/packages/net/include/cardamompond/net/http_client.hpp
@@ -26,10 +26,15 @@
 public:
   virtual ~http_call() = default; // closes the connection unless the answer was read to its end
 
-  // Writes the request. After an error with m_sent == false nothing was written.
+  // Whether the connection had carried an earlier request.
+  virtual bool reused() const = 0;
+
+  // Writes the request. After an error with m_sent == false nothing was written. Also ends, without an error,
+  // when the server answers before it has read the whole request; the connection then ends with the call.
   virtual call_result<done> send(const http_request& request, milliseconds timeout) = 0;
 
-  // Reads the head of the answer; m_body stays empty.
+  // Reads the head of the answer; m_body stays empty. Called again after the end of an answer, it reads the
+  // head of a further one.
   virtual call_result<http_response> read_head(milliseconds timeout) = 0;
 
   // Reads a part of the body; an empty span is the complete end of the answer. An answer that ends early is
@@ -51,7 +56,14 @@
   milliseconds m_connect_timeout{1'000};
   std::uint32_t m_max_header_bytes = 64U << 10U;
   std::size_t m_max_idle_per_address = 64;
-  milliseconds m_max_idle{30'000};
+  milliseconds m_max_idle{30'000};    // a shorter time that the server states in Keep-Alive goes first
+  milliseconds m_loss_detection{0};   // without an acknowledgement; 0 leaves it to the system
+};
+
+// Which connection a call may use.
+struct connection_choice {
+  milliseconds m_max_idle{30'000}; // of a kept connection; 0 asks for a new one
+  milliseconds m_connect_timeout{1'000};
 };
 
 // Keep-alive connections to servers by address ("127.0.0.1:9001"). Before a connection is used again it is
@@ -65,6 +77,10 @@
 
   // Takes an idle connection or connects; an error is always m_sent == false.
   call_result<std::unique_ptr<http_call>> open(std::string_view address);
+  call_result<std::unique_ptr<http_call>> open(std::string_view address, connection_choice choice);
+
+  // Connections opened since the start.
+  std::uint64_t connections_opened() const;
 
   // Sends a request and reads the whole answer, at most `max_body_bytes` of it.
   call_result<http_response> fetch(std::string_view address, const http_request& request,
--- a/packages/net/include/cardamompond/net/http_message.hpp
+++ b/packages/net/include/cardamompond/net/http_message.hpp
@@ -17,6 +17,10 @@
 // Returns the value of the first header with that name, compared without regard to case.
 std::optional<std::string_view> find_header(const http_headers& headers, std::string_view name);
 
+// The headers without those that concern one connection only: framing, connection management, and what a
+// Connection header names.
+http_headers without_connection_headers(const http_headers& headers);
+
 struct http_request {
   std::string m_method;
   std::string m_target; // path and query as received
--- a/packages/net/include/cardamompond/net/http_server.hpp
+++ b/packages/net/include/cardamompond/net/http_server.hpp
@@ -50,6 +50,10 @@
   // Whether the caller has closed its connection. Does not block.
   virtual bool client_closed() = 0;
 
+  // Calls `on_closed` once, from an event handler that must not block, when the caller closes its connection
+  // before the handler returns. A connection on which the caller has already sent more is not watched.
+  virtual void watch_caller(std::function<void()> on_closed) = 0;
+
   // Closes the connection when the handler returns, even if the caller asked to keep it.
   virtual void close_after() = 0;
 };
@@ -59,7 +63,8 @@
   std::uint64_t m_max_body_bytes = 16U << 20U;
   std::uint32_t m_max_header_bytes = 32U << 10U;
   std::uint32_t m_max_connections = 20'000;
-  milliseconds m_idle_timeout{60'000};    // between requests and within the reading of one
+  milliseconds m_idle_timeout{60'000};    // between requests and within the reading of a body
+  milliseconds m_header_timeout{60'000};  // from the first byte of a header to its end
   milliseconds m_write_timeout{60'000};   // for one write to make progress
   std::size_t m_stack_bytes = 128 * 1024; // of the fiber of a connection
 };
@@ -82,6 +87,10 @@
   // Replaces the plain-text answers to malformed requests.
   void set_failure_responder(failure_responder responder);
 
+  // Replaces the limits on what callers send; they hold from the next request of each connection.
+  void set_limits(std::uint32_t max_header_bytes, std::uint64_t max_body_bytes, milliseconds header_timeout,
+                  milliseconds idle_timeout);
+
   // The port that the server listens on.
   std::uint16_t port() const;
 
--- a/packages/net/src/fiber_stream.cpp
+++ b/packages/net/src/fiber_stream.cpp
@@ -1,12 +1,15 @@
 #include "fiber_stream.hpp"
 
-#include "io_wait.hpp"
+#include "cardamompond/net/io_wait.hpp"
 
 #include <boost/beast/core/error.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
 
@@ -108,8 +111,56 @@
   return bytes;
 }
 
+error_code fiber_stream::wait_readable() {
+  return wait_for([&](auto handler) { m_socket.async_wait(socket_type::wait_read, handler); });
+}
+
+void fiber_stream::set_loss_detection(duration timeout) {
+  const auto set = [&](int level, int name, int value) {
+    ::setsockopt(m_socket.native_handle(), level, name, &value, sizeof value);
+  };
+  const auto ms = static_cast<int>(std::chrono::duration_cast<milliseconds>(timeout).count());
+  constexpr int probes = 2;
+  set(IPPROTO_TCP, TCP_USER_TIMEOUT, ms);
+  set(SOL_SOCKET, SO_KEEPALIVE, 1);
+  set(IPPROTO_TCP, TCP_KEEPIDLE, std::max(1, ms / 1000 / 2));
+  set(IPPROTO_TCP, TCP_KEEPINTVL, 1);
+  set(IPPROTO_TCP, TCP_KEEPCNT, probes);
+}
+
+// Both waits are started; the first to complete resumes the fiber and the other one is cancelled.
+error_code fiber_stream::wait_writable(bool or_readable, bool& readable) {
+  if (!or_readable) {
+    return wait_for([&](auto handler) { m_socket.async_wait(socket_type::wait_write, handler); });
+  }
+  struct first_completion {
+    io_wait::completion_handler m_handler;
+    bool m_done = false;
+    bool m_readable = false;
+  };
+  std::shared_ptr<first_completion> first;
+  const auto error = wait_for([&](auto handler) {
+    first = std::make_shared<first_completion>(first_completion{handler});
+    const auto complete = [first](bool was_readable) {
+      return [first, was_readable](error_code result) {
+        if (!first->m_done) {
+          first->m_done = true;
+          first->m_readable = was_readable;
+          first->m_handler(result);
+        }
+      };
+    };
+    m_socket.async_wait(socket_type::wait_read, complete(true));
+    m_socket.async_wait(socket_type::wait_write, complete(false));
+  });
+  readable = !error && first->m_readable;
+  cancel();
+  return error;
+}
+
 // The system nearly always has room for the whole message, so that writing is tried before waiting.
-error_code fiber_stream::write(std::span<const asio::const_buffer> buffers, std::size_t& written) {
+error_code fiber_stream::write(std::span<const asio::const_buffer> buffers, std::size_t& written,
+                               bool stop_when_readable) {
   written = 0;
   std::array<iovec, max_buffers> parts{};
   std::size_t count = 0;
@@ -134,9 +185,8 @@
       if (errno != EAGAIN && errno != EWOULDBLOCK) {
         return {errno, boost::system::system_category()};
       }
-      const auto error =
-          wait_for([&](auto handler) { m_socket.async_wait(socket_type::wait_write, handler); });
-      if (error) {
+      bool readable = false;
+      if (const auto error = wait_writable(stop_when_readable, readable); error || readable) {
         return error;
       }
       continue;
--- a/packages/net/src/fiber_stream.hpp
+++ b/packages/net/src/fiber_stream.hpp
@@ -56,8 +56,18 @@
     return bytes;
   }
 
-  // Writes all buffers (at most 8), or returns an error; `written` is how many bytes the system took.
-  boost::system::error_code write(std::span<const boost::asio::const_buffer> buffers, std::size_t& written);
+  // Writes all buffers (at most 8), or returns an error; `written` is how many bytes the system took. With
+  // `stop_when_readable` it also returns, without an error, when the other side sends something while the
+  // write is blocked.
+  boost::system::error_code write(std::span<const boost::asio::const_buffer> buffers, std::size_t& written,
+                                  bool stop_when_readable = false);
+
+  // Waits until there is something to read, or the end of the connection.
+  boost::system::error_code wait_readable();
+
+  // Gives up a connection whose other side has acknowledged nothing for that long; also probes idle ones, so
+  // that a connection that was lost without notice is found.
+  void set_loss_detection(duration timeout);
 
   // Ends a blocked call with operation_aborted.
   void cancel();
@@ -69,6 +79,7 @@
   boost::system::error_code wait_for(const Start& start, std::size_t* bytes = nullptr);
   void arm_timer();
   void on_timer();
+  boost::system::error_code wait_writable(bool or_readable, bool& readable);
 
   socket_type m_socket;
   time_point m_deadline = time_point::max();
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -7,7 +7,9 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <array>
+#include <charconv>
 #include <map>
 #include <optional>
 
@@ -21,11 +23,31 @@
 namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
 
+// The server closes an idle connection at the time that it stated; a request must not cross that close.
+constexpr milliseconds keep_alive_margin{500};
+
 struct idle_connection {
   std::unique_ptr<fiber_stream> m_stream;
   time_point m_since;
+  duration m_max_idle{};
 };
 
+// The idle time that the server states in "Keep-Alive: timeout=SECONDS"; nothing if it states none.
+std::optional<duration> stated_idle_time(std::string_view keep_alive) {
+  constexpr std::string_view key = "timeout=";
+  const auto at = keep_alive.find(key);
+  if (at == std::string_view::npos) {
+    return std::nullopt;
+  }
+  unsigned seconds_stated = 0;
+  const char* const from = keep_alive.data() + at + key.size();
+  const char* const end = keep_alive.data() + keep_alive.size();
+  if (std::from_chars(from, end, seconds_stated).ec != std::errc()) {
+    return std::nullopt;
+  }
+  return std::max<duration>(duration::zero(), seconds(seconds_stated) - keep_alive_margin);
+}
+
 call_error to_call_error(const boost::system::error_code& error, bool sent) {
   return {error.message(), sent, error == beast::error::timeout};
 }
@@ -43,9 +65,10 @@
   head.append(request.m_method)
       .append(" ")
       .append(request.m_target)
-      .append(" HTTP/1.1\r\nHost: ")
-      .append(address);
-  head.append("\r\n");
+      .append(" HTTP/1.1\r\n");
+  if (!find_header(request.m_headers, "Host")) {
+    head.append("Host: ").append(address).append("\r\n");
+  }
   for (const auto& header : request.m_headers) {
     head.append(header.m_name).append(": ").append(header.m_value).append("\r\n");
   }
@@ -65,32 +88,35 @@
       : m_runtime(runtime)
       , m_options(options) {}
 
-  std::unique_ptr<fiber_stream> take_idle(const std::string& address);
-  void give_back(const std::string& address, std::unique_ptr<fiber_stream> stream);
+  std::unique_ptr<fiber_stream> take_idle(const std::string& address, duration max_idle);
+  void give_back(const std::string& address, std::unique_ptr<fiber_stream> stream, duration max_idle);
 
+  std::uint64_t m_opened = 0;
   fiber_runtime& m_runtime;
   http_client_options m_options;
   std::map<std::string, std::vector<idle_connection>> m_idle;
 };
 
-std::unique_ptr<fiber_stream> http_client::impl::take_idle(const std::string& address) {
+std::unique_ptr<fiber_stream> http_client::impl::take_idle(const std::string& address, duration max_idle) {
   auto& idle = m_idle[address];
   const time_point now = monotonic_now();
   while (!idle.empty()) {
     idle_connection connection = std::move(idle.back());
     idle.pop_back();
-    if (now - connection.m_since <= m_options.m_max_idle && !unusable(connection.m_stream->socket())) {
+    const duration age = now - connection.m_since;
+    if (age < connection.m_max_idle && age < max_idle && !unusable(connection.m_stream->socket())) {
       return std::move(connection.m_stream);
     }
   }
   return nullptr;
 }
 
-void http_client::impl::give_back(const std::string& address, std::unique_ptr<fiber_stream> stream) {
+void http_client::impl::give_back(const std::string& address, std::unique_ptr<fiber_stream> stream,
+                                  duration max_idle) {
   auto& idle = m_idle[address];
   if (idle.size() < m_options.m_max_idle_per_address) {
     stream->expires_never();
-    idle.push_back({std::move(stream), monotonic_now()});
+    idle.push_back({std::move(stream), monotonic_now(), std::min<duration>(max_idle, m_options.m_max_idle)});
   }
 }
 
@@ -98,38 +124,45 @@
 
 class call final : public http_call {
 public:
-  using give_back = std::function<void(std::unique_ptr<fiber_stream>)>;
+  using give_back = std::function<void(std::unique_ptr<fiber_stream>, duration)>;
 
-  call(std::unique_ptr<fiber_stream> stream, std::string address, std::uint32_t max_header_bytes,
+  call(std::unique_ptr<fiber_stream> stream, bool reused, std::string address, std::uint32_t max_header_bytes,
        give_back return_connection)
       : m_stream(std::move(stream))
+      , m_reused(reused)
       , m_address(std::move(address))
+      , m_max_header_bytes(max_header_bytes)
       , m_return(std::move(return_connection)) {
-    m_parser.emplace();
-    m_parser->header_limit(max_header_bytes);
-    m_parser->body_limit(boost::none);
     m_buffer.max_size(max_header_bytes + (16U << 10U));
+    prepare_parser();
   }
 
   ~call() override {
-    if (m_reusable) {
-      m_return(std::move(m_stream));
+    if (m_reusable && m_buffer.size() == 0) {
+      m_return(std::move(m_stream), m_max_idle);
     }
   }
 
+  bool reused() const override { return m_reused; }
+
   call_result<done> send(const http_request& request, milliseconds timeout) override {
     m_head_request = request.m_method == "HEAD";
     const std::string head = serialise_request(request, m_address);
     m_stream->expires_after(timeout);
     const std::array<asio::const_buffer, 2> buffers = {asio::buffer(head), asio::buffer(request.m_body)};
     std::size_t written = 0;
-    if (const auto error = m_stream->write(buffers, written); error) {
+    if (const auto error = m_stream->write(buffers, written, true); error) {
       return to_call_error(error, written > 0);
     }
+    // A server that answered early would take the rest of the body for the next request.
+    m_incomplete = written < head.size() + request.m_body.size();
     return done{};
   }
 
   call_result<http_response> read_head(milliseconds timeout) override {
+    if (m_parser->is_done()) {
+      prepare_parser();
+    }
     if (m_head_request) {
       m_parser->skip(true);
     }
@@ -142,6 +175,10 @@
     if (error) {
       return to_call_error(error, true);
     }
+    constexpr unsigned first_final_status = 200;
+    if (m_parser->get().result_int() < first_final_status) {
+      return read_head(timeout); // interim answers carry nothing for the caller
+    }
     http_response response;
     response.m_status = static_cast<int>(m_parser->get().result_int());
     for (const auto& field : m_parser->get()) {
@@ -202,11 +239,26 @@
   }
 
 private:
-  void note_end() { m_reusable = m_parser->keep_alive() && m_buffer.size() == 0; }
+  void prepare_parser() {
+    m_reusable = false;
+    m_parser.emplace();
+    m_parser->header_limit(m_max_header_bytes);
+    m_parser->body_limit(boost::none);
+  }
+
+  void note_end() {
+    m_reusable = m_parser->keep_alive() && !m_parser->need_eof() && !m_incomplete;
+    const auto stated = stated_idle_time(m_parser->get()[http::field::keep_alive]);
+    m_max_idle = stated.value_or(duration::max());
+  }
 
   std::unique_ptr<fiber_stream> m_stream;
+  bool m_reused;
   std::string m_address;
+  std::uint32_t m_max_header_bytes;
   give_back m_return;
+  duration m_max_idle = duration::max();
+  bool m_incomplete = false; // the server answered before the whole request was written
   beast::flat_buffer m_buffer;
   std::optional<http::response_parser<http::buffer_body>> m_parser;
   bool m_reusable = false;
@@ -222,28 +274,43 @@
 http_client::~http_client() = default;
 
 call_result<std::unique_ptr<http_call>> http_client::open(std::string_view address) {
+  return open(address, {m_impl->m_options.m_max_idle, m_impl->m_options.m_connect_timeout});
+}
+
+call_result<std::unique_ptr<http_call>> http_client::open(std::string_view address,
+                                                          connection_choice choice) {
   std::string key(address);
-  auto stream = m_impl->take_idle(key);
+  auto stream = m_impl->take_idle(key, choice.m_max_idle);
+  const bool reused = stream != nullptr;
   if (!stream) {
     const auto endpoint = parse_address(address);
     if (!endpoint) {
       return call_error{"invalid address " + key};
     }
     stream = std::make_unique<fiber_stream>(m_impl->m_runtime.context());
-    stream->expires_after(m_impl->m_options.m_connect_timeout);
+    stream->expires_after(choice.m_connect_timeout);
     if (const auto error = stream->connect(*endpoint); error) {
       return to_call_error(error, false);
     }
+    ++m_impl->m_opened;
     boost::system::error_code ignored;
     stream->socket().set_option(tcp::no_delay(true), ignored);
+    if (m_impl->m_options.m_loss_detection > milliseconds(0)) {
+      stream->set_loss_detection(m_impl->m_options.m_loss_detection);
+    }
   }
-  auto return_connection = [pool = std::weak_ptr<impl>(m_impl), key](std::unique_ptr<fiber_stream> unused) {
+  auto return_connection = [pool = std::weak_ptr<impl>(m_impl), key](std::unique_ptr<fiber_stream> unused,
+                                                                     duration max_idle) {
     if (const auto alive = pool.lock()) {
-      alive->give_back(key, std::move(unused));
+      alive->give_back(key, std::move(unused), max_idle);
     }
   };
   return std::unique_ptr<http_call>(std::make_unique<call>(
-      std::move(stream), key, m_impl->m_options.m_max_header_bytes, std::move(return_connection)));
+      std::move(stream), reused, key, m_impl->m_options.m_max_header_bytes, std::move(return_connection)));
+}
+
+std::uint64_t http_client::connections_opened() const {
+  return m_impl->m_opened;
 }
 
 call_result<http_response> http_client::fetch(std::string_view address, const http_request& request,
--- a/packages/net/src/http_message.cpp
+++ b/packages/net/src/http_message.cpp
@@ -1,9 +1,13 @@
 #include "cardamompond/net/http_message.hpp"
 
 #include <boost/beast/core/string.hpp>
+#include <boost/beast/http/rfc7230.hpp>
 #include <boost/url/parse.hpp>
 #include <boost/url/url_view.hpp>
 
+#include <algorithm>
+#include <array>
+
 namespace cardamompond::net {
 
 std::optional<std::string_view> find_header(const http_headers& headers, std::string_view name) {
@@ -15,6 +19,26 @@
   return std::nullopt;
 }
 
+http_headers without_connection_headers(const http_headers& headers) {
+  constexpr std::array<std::string_view, 11> dropped = {
+      "Connection", "Keep-Alive",        "Proxy-Connection", "Proxy-Authorization", "Proxy-Authenticate",
+      "TE",         "Trailer",           "Transfer-Encoding", "Upgrade",            "Expect",
+      "Content-Length"};
+  const std::string_view listed = find_header(headers, "Connection").value_or("");
+  http_headers kept;
+  for (const auto& header : headers) {
+    const bool drop = std::any_of(dropped.begin(), dropped.end(),
+                                  [&](std::string_view name) {
+                                    return boost::beast::iequals(name, header.m_name);
+                                  }) ||
+                      boost::beast::http::token_list(listed).exists(header.m_name);
+    if (!drop) {
+      kept.push_back(header);
+    }
+  }
+  return kept;
+}
+
 std::string_view http_request::path() const {
   const std::string_view target = m_target;
   return target.substr(0, target.find('?'));
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -2,7 +2,7 @@
 
 #include "address.hpp"
 #include "fiber_stream.hpp"
-#include "io_wait.hpp"
+#include "cardamompond/net/io_wait.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -93,7 +93,8 @@
 };
 
 // One accepted connection; serves its requests one after the other.
-class http_server::impl::connection final : public http_exchange {
+class http_server::impl::connection final : public http_exchange,
+                                            public std::enable_shared_from_this<connection> {
 public:
   connection(std::shared_ptr<impl> server, fiber_stream::socket_type socket)
       : m_server(std::move(server))
@@ -123,6 +124,7 @@
   io_result<done> write(std::span<const char> data) override;
   io_result<done> finish() override;
   bool client_closed() override;
+  void watch_caller(std::function<void()> on_closed) override;
   void close_after() override { m_close = true; }
 
 private:
@@ -136,8 +138,11 @@
     return write_buffers(std::span(&buffer, 1));
   }
 
+  void end_watch();
+
   std::shared_ptr<impl> m_server;
   fiber_stream m_stream;
+  std::function<void()> m_on_closed; // empty: the caller is not watched
   beast::flat_buffer m_buffer;
   http_request m_request;
   answer_state m_answer = answer_state::none;
@@ -159,6 +164,7 @@
   } catch (const std::exception&) {
     m_close = true; // a begun answer must not look complete
   }
+  end_watch();
   --m_server->m_active_requests;
   m_in_request = false;
   m_request = {};
@@ -171,8 +177,14 @@
   parser.body_limit(m_server->m_options.m_max_body_bytes);
   // The buffer must be able to hold one header; larger bodies pass through it in pieces.
   m_buffer.max_size(m_server->m_options.m_max_header_bytes + (64U << 10U));
-  m_stream.expires_after(m_server->m_options.m_idle_timeout);
   boost::system::error_code error;
+  if (m_buffer.size() == 0) {
+    m_stream.expires_after(m_server->m_options.m_idle_timeout);
+    if (m_stream.wait_readable()) {
+      return false;
+    }
+  }
+  m_stream.expires_after(m_server->m_options.m_header_timeout);
   http::read_header(m_stream, m_buffer, parser, error);
   m_in_request = true;
   if (!error && beast::iequals(parser.get()[http::field::expect], "100-continue")) {
@@ -186,6 +198,9 @@
     http::read(m_stream, m_buffer, parser, error);
   }
   if (error) {
+    if (error == beast::error::timeout) {
+      return false; // the stream has closed the socket
+    }
     if (error == http::error::body_limit) {
       answer_parse_failure(http_parse_failure::body_too_large);
     } else if (error == http::error::header_limit || error == http::error::buffer_overflow) {
@@ -329,6 +344,26 @@
   return written;
 }
 
+void http_server::impl::connection::watch_caller(std::function<void()> on_closed) {
+  m_on_closed = std::move(on_closed);
+  if (m_buffer.size() > 0) {
+    return; // the next request is here already
+  }
+  m_stream.socket().async_wait(
+      fiber_stream::socket_type::wait_read, [self = shared_from_this()](boost::system::error_code error) {
+        if (!error && self->m_on_closed && self->client_closed()) {
+          std::exchange(self->m_on_closed, nullptr)();
+        }
+      });
+}
+
+void http_server::impl::connection::end_watch() {
+  if (m_on_closed) {
+    m_on_closed = nullptr;
+    m_stream.cancel();
+  }
+}
+
 bool http_server::impl::connection::client_closed() {
   if (!m_stream.socket().is_open()) {
     return true;
@@ -391,6 +426,15 @@
   m_impl->m_failure_responder = std::move(responder);
 }
 
+void http_server::set_limits(std::uint32_t max_header_bytes, std::uint64_t max_body_bytes,
+                             milliseconds header_timeout, milliseconds idle_timeout) {
+  auto& options = m_impl->m_options;
+  options.m_max_header_bytes = max_header_bytes;
+  options.m_max_body_bytes = max_body_bytes;
+  options.m_header_timeout = header_timeout;
+  options.m_idle_timeout = idle_timeout;
+}
+
 std::uint16_t http_server::port() const {
   return m_impl->m_acceptor.local_endpoint().port();
 }
--- a/packages/daemon/include/cardamompond/daemon/log.hpp
+++ b/packages/telemetry/include/cardamompond/telemetry/log.hpp
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <variant>
 
-namespace cardamompond::daemon {
+namespace cardamompond {
 
 enum class log_level { debug, info, warning, error };
 
@@ -36,7 +36,8 @@
   }
 };
 
-// Sets up logging to standard error. `level` is debug, info, warning or error; returns false for another one.
+// Sets up logging to standard output. Writing never blocks: lines over the rate, or without room at the
+// reader, are dropped and counted in the field dropped_lines of the next line. `level` is debug, info, warning or error; returns false for another one.
 bool start_logging(std::string_view level);
 
 // Returns the line "event=NAME KEY=VALUE ...". Values with spaces, quotes, equal signs or control characters
@@ -46,4 +47,4 @@
 // Writes one line with time and level.
 void log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields = {});
 
-} // namespace cardamompond::daemon
+} // namespace cardamompond
--- a/packages/daemon/include/cardamompond/daemon/request_metrics.hpp
+++ b/packages/telemetry/include/cardamompond/telemetry/request_metrics.hpp
@@ -8,7 +8,7 @@
 #include <string>
 #include <string_view>
 
-namespace cardamompond::daemon {
+namespace cardamompond {
 
 // Metrics in the text format of Prometheus. Label values come only from declared names and fixed sets, so
 // that outside input cannot create time series. Used on the daemon's thread only.
@@ -45,4 +45,4 @@
   std::unique_ptr<impl> m_impl;
 };
 
-} // namespace cardamompond::daemon
+} // namespace cardamompond
--- a/packages/daemon/src/log.cpp
+++ b/packages/telemetry/src/log.cpp
@@ -1,18 +1,75 @@
-#include "cardamompond/daemon/log.hpp"
+#include "cardamompond/telemetry/log.hpp"
 
-#include <log4cplus/consoleappender.h>
+#include <log4cplus/appender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <log4cplus/spi/loggingevent.h>
 
 #include <array>
 #include <charconv>
 #include <memory>
 
-namespace cardamompond::daemon {
+#include <poll.h>
+#include <unistd.h>
+
+namespace cardamompond {
 namespace {
 
+// Lines a second that a process writes at most; bounds the processor time and the volume under load.
+constexpr std::uint64_t max_lines_per_s = 500;
+
+// A pipe that reports room takes at least this many bytes without blocking (PIPE_BUF of POSIX systems).
+constexpr std::size_t max_line_bytes = 4096;
+
+// Writes lines to standard output and never blocks: a line that the reader has no room for, or that is over
+// the rate, is dropped and counted, and the count is written with the next line.
+class standard_output_appender final : public log4cplus::Appender {
+public:
+  standard_output_appender() = default;
+  ~standard_output_appender() override { destructorImpl(); }
+  void close() override { closed = true; }
+
+protected:
+  void append(const log4cplus::spi::InternalLoggingEvent& event) override {
+    const auto second = log4cplus::helpers::to_time_t(event.getTimestamp());
+    if (second != m_second) {
+      m_second = second;
+      m_lines = 0;
+    }
+    if (m_lines >= max_lines_per_s || !write_line(formatEvent(event))) {
+      ++m_dropped;
+    } else {
+      ++m_lines;
+    }
+  }
+
+private:
+  bool write_line(std::string line) {
+    if (m_dropped > 0) {
+      line.insert(line.find_last_not_of('\n') + 1, " dropped_lines=" + std::to_string(m_dropped));
+    }
+    if (line.size() > max_line_bytes) {
+      line.resize(max_line_bytes - 1);
+      line += '\n';
+    }
+    pollfd room{STDOUT_FILENO, POLLOUT, 0};
+    if (::poll(&room, 1, 0) != 1 || (room.revents & POLLOUT) == 0) {
+      return false;
+    }
+    const bool written = ::write(STDOUT_FILENO, line.data(), line.size()) == static_cast<ssize_t>(line.size());
+    if (written) {
+      m_dropped = 0;
+    }
+    return written;
+  }
+
+  std::time_t m_second = 0;
+  std::uint64_t m_lines = 0;   // written in this second
+  std::uint64_t m_dropped = 0; // since the last line that was written
+};
+
 bool needs_quotes(std::string_view text) {
   if (text.empty()) {
     return true;
@@ -93,7 +150,7 @@
     return false;
   }
   static log4cplus::Initializer initializer;
-  log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
+  log4cplus::SharedAppenderPtr appender(new standard_output_appender);
   appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
       LOG4CPLUS_TEXT("time=%d{%Y-%m-%dT%H:%M:%S.%qZ} level=%p %m%n")));
   logger().removeAllAppenders();
@@ -121,4 +178,4 @@
   }
 }
 
-} // namespace cardamompond::daemon
+} // namespace cardamompond
--- a/packages/daemon/src/request_metrics.cpp
+++ b/packages/telemetry/src/request_metrics.cpp
@@ -1,4 +1,4 @@
-#include "cardamompond/daemon/request_metrics.hpp"
+#include "cardamompond/telemetry/request_metrics.hpp"
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -10,7 +10,7 @@
 #include <unordered_map>
 #include <utility>
 
-namespace cardamompond::daemon {
+namespace cardamompond {
 namespace {
 
 using boundaries = prometheus::Histogram::BucketBoundaries; // seconds
@@ -183,4 +183,4 @@
   return prometheus::TextSerializer().Serialize(m_impl->m_registry.Collect());
 }
 
-} // namespace cardamompond::daemon
+} // namespace cardamompond
--- a/tests/support/src/tcp_relay.cpp
+++ b/tests/support/src/tcp_relay.cpp
@@ -2,7 +2,7 @@
 
 #include "address.hpp"
 #include "cardamompond/testing/environment.hpp"
-#include "io_wait.hpp"
+#include "cardamompond/net/io_wait.hpp"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
