Place requests by the speed that all daemons saw, and order the queue by what can still be on time

Cause: engines of one service differ fivefold (17 to 100 ms an event); equal counts put long answers on slow engines, where they fail at their deadline, and requests past their goal were served before fresh ones. Ruled out: affinity to the request's own prompt part, which never returns (19,920 of 3.7 M tokens kept).

--- a/packages/daemon/src/entry_daemon.cpp
+++ b/packages/daemon/src/entry_daemon.cpp
@@ -123,6 +123,7 @@
     , m_signals(m_runtime.context(), SIGTERM, SIGINT, SIGHUP) {
   m_server.set_failure_responder(
       [this](net::http_parse_failure failure) { return m_handler.answer_parse_failure(failure); });
+  m_admission.dispatcher().set_own_zone(m_settings.m_availability_zone);
   m_knowledge.on_change([this](gateway::collection_kind kind) {
     if (kind == gateway::collection_kind::declarations) {
       apply_limits();
--- a/packages/fleet/include/cardamompond/fleet/declarations.hpp
+++ b/packages/fleet/include/cardamompond/fleet/declarations.hpp
@@ -33,6 +33,7 @@
   std::uint32_t m_rank = 0;            // 0 is the highest tier
   std::uint32_t m_max_attempts = 1;    // backend servers that may run one request
   milliseconds m_timeout{0};           // from the arrival to the end of the answer; 0: none
+  milliseconds m_event_gap_goal{0};    // longest pause between events of a stream for full credit
   milliseconds m_first_answer_goal{0}; // from the arrival; full credit within it
 };
 
@@ -42,6 +43,7 @@
   std::string m_health_path;
   std::uint32_t m_max_connections = 0; // of one backend server, from all daemons; 0: unknown
   double m_cold_requests_per_s = 0;    // that one backend server bears while cold; 0: no limit
+  std::uint32_t m_tokens_per_event = 1; // of a stream
   bool m_batches = false;              // model engines, which serve requests in batches and cache prompts
 };
 
--- a/packages/fleet/include/cardamompond/fleet/dispatcher.hpp
+++ b/packages/fleet/include/cardamompond/fleet/dispatcher.hpp
@@ -4,6 +4,7 @@
 #include "cardamompond/fleet/backend_server.hpp"
 #include "cardamompond/fleet/declarations.hpp"
 #include "cardamompond/fleet/rollout_judge.hpp"
+#include "cardamompond/fleet/server_speed.hpp"
 
 #include <cstdint>
 #include <memory>
@@ -24,12 +25,15 @@
   ticket m_ticket = 0;
   std::string m_service;
   std::uint32_t m_rank = 0;       // 0 is the highest tier
-  std::uint64_t m_affinity = 0;   // hash of the prompt's own part; 0: none
+  std::uint32_t m_route_rank = 0; // orders requests of one tier
+  std::uint64_t m_affinity = 0;   // hash of the part of the prompt that other requests share; 0: none
   std::uint32_t m_prompt_tokens = 0;
   std::uint32_t m_output_tokens = 0; // estimate
+  std::uint32_t m_body_bytes = 0;
   time_point m_arrived;
   time_point m_goal;     // full credit if the answer begins by then
-  time_point m_deadline; // the caller's or the route's, whichever is earlier
+  time_point m_abandoned; // the caller leaves if the answer has not begun by then
+  time_point m_deadline;  // the caller's or the route's, whichever is earlier
   std::vector<std::string> m_avoid; // ids of backend servers that have had this request
 };
 
@@ -68,10 +72,11 @@
   std::uint32_t m_slots = 0;
 };
 
-// Running requests of one daemon on one backend server, by the hash of its id.
+// Running requests of one daemon on one backend server, by the hash of its id, and how fast it found the server.
 struct server_load {
   std::uint64_t m_server = 0;
   std::uint32_t m_running = 0;
+  speed_summary m_speed;
 };
 
 // What the dispatcher knows of one backend server, for the administration page and the log.
@@ -123,12 +128,18 @@
   // The first part of the answer has arrived.
   void note_first_answer(ticket request, time_point now);
 
+  // A stream made that many events in that time.
+  void note_events(ticket request, std::uint64_t events, duration took);
+
   // A granted request is over.
   void finish(ticket request, server_outcome outcome, time_point now);
 
   // Replaces the report of one peer; an empty one removes it.
   void note_peer_loads(std::string_view daemon, std::span<const server_load> loads, time_point now);
 
+  // The availability zone of this daemon; requests to others cross a link that is paid for.
+  void set_own_zone(std::string zone);
+
   // Own running requests, for reports to the peers.
   std::vector<server_load> own_loads() const;
 
--- a/packages/fleet/src/dispatch_tables.hpp
+++ b/packages/fleet/src/dispatch_tables.hpp
@@ -31,7 +31,8 @@
   time_point m_excluded_until;
   time_point m_full_until; // it refused a request for lack of room
 
-  double m_first_answer_s = 0; // moving average, without the reading of the prompt; 0: not yet seen
+  server_speed m_observed; // by this daemon
+  speed_summary m_speed = assumed_speed(); // by all daemons
 };
 
 struct waiting_request {
@@ -55,12 +56,13 @@
 struct dispatch_tables {
   std::map<std::string, service, std::less<>> m_services;
   std::map<std::string, std::map<std::string, server_row, std::less<>>, std::less<>> m_servers; // by service, id
-  std::map<std::string, std::deque<waiting_request>, std::less<>> m_waiting; // by service, in order of service
+  std::map<std::string, std::deque<waiting_request>, std::less<>> m_waiting; // by service
   std::unordered_map<ticket, running_request> m_running;
   std::map<std::string, peer_row, std::less<>> m_peers;
   std::set<std::string, std::less<>> m_evacuated;
   std::vector<std::string> m_members;
   std::string m_own_name;
+  std::string m_own_zone;
   rollout_judge* m_judge = nullptr;
   std::mt19937_64 m_random;
 
@@ -68,7 +70,7 @@
   server_row* find_server(std::string_view id);
 };
 
-// Drops peers that fell silent and adds up the others.
+// Drops peers that fell silent, adds up the others' requests and combines what all saw of the servers' speed.
 void run_peer_loads(dispatch_tables& tables, time_point now);
 
 // Follows failures and excludes servers that fail.
@@ -83,7 +85,7 @@
 // Grants what can be placed, in the order of tier and arrival, and refuses what has waited too long.
 void run_queue(dispatch_tables& tables, time_point now, std::vector<dispatch_decision>& decisions);
 
-// Inserts behind the requests of the same or a higher tier that arrived earlier.
+// Adds a request to the queue of its service.
 void enqueue(dispatch_tables& tables, submission request);
 
 } // namespace cardamompond::fleet
--- a/packages/fleet/src/dispatcher.cpp
+++ b/packages/fleet/src/dispatcher.cpp
@@ -7,12 +7,6 @@
 namespace cardamompond::fleet {
 namespace {
 
-// Weight of one observation in the moving averages of a server's speed.
-constexpr double speed_weight = 0.15;
-
-// Reading speed assumed when the time to the first answer is freed of the reading of the prompt.
-constexpr double assumed_prompt_tokens_per_s = 112'000;
-
 // Without a declared rate a cold server counts as cold for what its entry says and not longer than this.
 constexpr duration max_cold = seconds(60);
 
@@ -133,19 +127,23 @@
 }
 
 void dispatcher::note_first_answer(ticket request, time_point now) {
-  const auto found = m_impl->m_tables.m_running.find(request);
-  if (found == m_impl->m_tables.m_running.end()) {
-    return;
+  if (const auto found = m_impl->m_tables.m_running.find(request); found != m_impl->m_tables.m_running.end()) {
+    if (server_row* server = m_impl->m_tables.find_server(found->second.m_server_id); server != nullptr) {
+      server->m_observed.note_first_answer(found->second.m_prompt_tokens, now - found->second.m_granted);
+    }
   }
-  server_row* server = m_impl->m_tables.find_server(found->second.m_server_id);
-  if (server == nullptr) {
-    return;
+}
+
+void dispatcher::note_events(ticket request, std::uint64_t events, duration took) {
+  if (const auto found = m_impl->m_tables.m_running.find(request); found != m_impl->m_tables.m_running.end()) {
+    if (server_row* server = m_impl->m_tables.find_server(found->second.m_server_id); server != nullptr) {
+      server->m_observed.note_events(events, took);
+    }
   }
-  const double seen = std::chrono::duration<double>(now - found->second.m_granted).count();
-  const double without_prompt = std::max(0.001, seen - found->second.m_prompt_tokens / assumed_prompt_tokens_per_s);
-  server->m_first_answer_s = server->m_first_answer_s == 0
-                                 ? without_prompt
-                                 : (1 - speed_weight) * server->m_first_answer_s + speed_weight * without_prompt;
+}
+
+void dispatcher::set_own_zone(std::string zone) {
+  m_impl->m_tables.m_own_zone = std::move(zone);
 }
 
 void dispatcher::finish(ticket request, server_outcome outcome, time_point now) {
@@ -172,8 +170,9 @@
   std::vector<server_load> loads;
   for (const auto& [name, servers] : m_impl->m_tables.m_servers) {
     for (const auto& [id, server] : servers) {
-      if (server.m_own > 0) {
-        loads.push_back({server.m_hash, server.m_own});
+      const speed_summary speed = server.m_observed.summary();
+      if (server.m_own > 0 || speed.m_samples > 0) {
+        loads.push_back({server.m_hash, server.m_own, speed});
       }
     }
   }
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -11,16 +11,33 @@
 // different times in each daemon.
 constexpr double cold_rate_share = 0.8;
 
-// Load, in parts of a server's slots, by which the server that probably holds the prompt may exceed others.
-constexpr double affinity_allowance = 0.5;
+// Load, in parts of a server's slots, by which the server that probably holds the shared part of the prompt may
+// exceed others. The part is short, so that reading it again costs little.
+constexpr double affinity_allowance = 0.04;
+
+// What a request to another availability zone costs: load that the near server may have more than the far one,
+// and more for a body of this size.
+constexpr double far_allowance = 0.06;
+constexpr double far_allowance_large = 0.15;
+constexpr double large_body_bytes = 12'000;
 
 // A plain service queues a few requests itself; answers take some 20 ms, so that waiting here for a report
 // would cost more than waiting there.
 constexpr std::uint32_t plain_queue_allowance = 2;
 
-// What a slow server costs: load added for each time by which its answers begin later than the best one's.
-constexpr double slowness_weight = 0.1;
-constexpr double max_slowness = 4;
+// Predictions are kept under these parts of the time that a request has, since output lengths are estimates
+// that are often far off and servers slow down.
+constexpr double first_answer_share = 0.8;
+constexpr double whole_answer_share = 0.6;
+
+// Reading a long prompt stalls the streams beside it; a server that needs longer than this for it is spared.
+constexpr double max_stall_s = 0.3;
+
+// Servers up to this many times slower than the fastest one count as fast.
+constexpr double fast_enough = 1.3;
+
+// Prefers, among servers that are fast enough, the slower ones, which cannot serve the longer requests.
+constexpr double slow_preference = 0.1;
 
 std::uint64_t rendezvous(std::uint64_t key, std::uint64_t server) {
   const std::uint64_t pair[2] = {key, server};
@@ -61,6 +78,33 @@
   return server.m_entry.m_slots + (server.m_batches ? 0 : plain_queue_allowance);
 }
 
+// How well a server suits a request; higher is better.
+enum class fit {
+  none, // the answer would not be complete in time
+  late, // it would begin late
+  good
+};
+
+struct candidate {
+  server_row* m_server;
+  fit m_fit;
+};
+
+fit fit_of(const server_row& server, const submission& request, double events, time_point now) {
+  if (!server.m_batches) {
+    return fit::good;
+  }
+  const auto seconds_until = [&](time_point when) { return std::chrono::duration<double>(when - now).count(); };
+  const speed_summary& speed = server.m_speed;
+  const double reading = speed.m_prompt_s_per_token * request.m_prompt_tokens;
+  const double first = speed.m_base_s + reading;
+  if (first + events * speed.m_event_s > whole_answer_share * seconds_until(request.m_deadline)) {
+    return fit::none;
+  }
+  const bool late = first > first_answer_share * seconds_until(request.m_goal) || reading > max_stall_s;
+  return late ? fit::late : fit::good;
+}
+
 } // namespace
 
 bool eligible(const dispatch_tables& tables, const server_row& server, time_point now) {
@@ -78,10 +122,16 @@
   const auto declared = tables.m_services.find(request.m_service);
   const double cold_rate = declared == tables.m_services.end() ? 0 : declared->second.m_cold_requests_per_s;
 
-  std::vector<server_row*> candidates;
-  server_row* home = nullptr; // of the prompt, by rendezvous among all that are eligible, with room or not
+  const std::uint32_t tokens_per_event =
+      declared == tables.m_services.end() ? 1 : declared->second.m_tokens_per_event;
+  const double events = static_cast<double>(request.m_output_tokens) / tokens_per_event;
+
+  std::vector<candidate> candidates;
+  server_row* home = nullptr; // of the shared part, by rendezvous among all that are eligible, with room or not
   std::uint64_t home_weight = 0;
-  double fastest = std::numeric_limits<double>::max();
+  double slowest_event_s = 0;
+  double fastest_event_s = std::numeric_limits<double>::max();
+  fit possible = fit::none; // of the servers that have room and those that have none
   for (auto& [id, server] : of_service->second) {
     if (!eligible(tables, server, now) ||
         std::find(request.m_avoid.begin(), request.m_avoid.end(), id) != request.m_avoid.end()) {
@@ -93,25 +143,35 @@
         home = &server;
       }
     }
-    if (now < server.m_full_until || server.m_own + server.m_peers >= limit_of(server) ||
-        !cold_room(tables, server, cold_rate, now)) {
-      continue;
-    }
-    if (server.m_first_answer_s > 0) {
-      fastest = std::min(fastest, server.m_first_answer_s);
+    slowest_event_s = std::max(slowest_event_s, server.m_speed.m_event_s);
+    fastest_event_s = std::min(fastest_event_s, server.m_speed.m_event_s);
+    const fit suits = fit_of(server, request, events, now);
+    possible = std::max(possible, suits);
+    if (now >= server.m_full_until && server.m_own + server.m_peers < limit_of(server) &&
+        cold_room(tables, server, cold_rate, now)) {
+      candidates.push_back({&server, suits});
     }
-    candidates.push_back(&server);
   }
+  const double far = far_allowance + far_allowance_large * std::min(1.0, request.m_body_bytes / large_body_bytes);
 
   server_row* best = nullptr;
+  fit best_fit = fit::none;
   double best_score = std::numeric_limits<double>::max();
-  for (server_row* server : candidates) {
-    const double slowness =
-        server->m_first_answer_s > 0 ? std::min(server->m_first_answer_s / fastest - 1, max_slowness) : 0;
+  for (const auto& [server, suits] : candidates) {
+    // An answer that seems too long for every server may be shorter than estimated: the fast ones try.
+    const bool hopeless = suits == fit::none && (possible != fit::none || server->m_speed.m_event_s >
+                                                                              fast_enough * fastest_event_s);
+    if (hopeless || suits < best_fit) {
+      continue;
+    }
     const double chance = std::generate_canonical<double, 16>(tables.m_random) * 0.02; // breaks ties
+    const bool is_far = server->m_entry.m_availability_zone != tables.m_own_zone;
+    const double slowness = slowest_event_s > 0 ? server->m_speed.m_event_s / slowest_event_s : 0;
     const double score = static_cast<double>(server->m_own + server->m_peers) / server->m_entry.m_slots +
-                         slowness_weight * slowness - (server == home ? affinity_allowance : 0) + chance;
-    if (score < best_score) {
+                         (is_far ? far : 0) - (server == home ? affinity_allowance : 0) -
+                         (server->m_batches ? slow_preference * slowness : 0) + chance;
+    if (suits > best_fit || score < best_score) {
+      best_fit = suits;
       best_score = score;
       best = server;
     }
--- a/packages/fleet/src/queueing.cpp
+++ b/packages/fleet/src/queueing.cpp
@@ -1,13 +1,17 @@
 #include "dispatch_tables.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace cardamompond::fleet {
 namespace {
 
-// A request waits this many times its goal for a place before it is refused, so that it can still begin a
-// little late, and not longer, so that callers learn early.
-constexpr double patience_in_goals = 1.0;
+// A request waits for a place for this part of the time in which its answer must begin: a late answer is worth
+// something too, and the rest is left to the server.
+constexpr double patience_share = 0.55;
+
+// An answer that must begin within less than this cannot be on time any more; others go first.
+constexpr duration hopeless_within = milliseconds(60);
 
 // Longest wait while the service has no backend server at all: a list may be about to arrive.
 constexpr duration patience_without_server = milliseconds(500);
@@ -15,10 +19,6 @@
 // When to come back after a refusal for lack of room: about the time in which a place becomes free.
 constexpr duration retry_pause = milliseconds(300);
 
-bool ahead_of(const submission& a, const submission& b) {
-  return a.m_rank != b.m_rank ? a.m_rank < b.m_rank : a.m_arrived < b.m_arrived;
-}
-
 bool any_eligible(const dispatch_tables& tables, const std::string& service, time_point now) {
   const auto servers = tables.m_servers.find(service);
   return servers != tables.m_servers.end() &&
@@ -38,31 +38,36 @@
   return {request.m_ticket, server.m_entry};
 }
 
+// Tiers first; within a tier those that can still be on time, then by the rank of the route and by arrival.
+void order(std::deque<waiting_request>& queue, time_point now) {
+  const auto key = [&](const waiting_request& each) {
+    const submission& request = each.m_request;
+    return std::make_tuple(request.m_rank, now > request.m_goal - hopeless_within, request.m_route_rank,
+                           request.m_arrived);
+  };
+  std::sort(queue.begin(), queue.end(),
+            [&](const waiting_request& a, const waiting_request& b) { return key(a) < key(b); });
+}
+
 } // namespace
 
 void enqueue(dispatch_tables& tables, submission request) {
-  auto& queue = tables.m_waiting[request.m_service];
-  const auto patience = std::chrono::duration_cast<duration>((request.m_goal - request.m_arrived) * patience_in_goals);
-  waiting_request added{std::move(request), {}};
-  added.m_refuse_at = std::min(added.m_request.m_arrived + patience, added.m_request.m_deadline);
-  const auto place = std::upper_bound(
-      queue.begin(), queue.end(), added,
-      [](const waiting_request& a, const waiting_request& b) { return ahead_of(a.m_request, b.m_request); });
-  queue.insert(place, std::move(added));
+  const auto patience =
+      std::chrono::duration_cast<duration>((request.m_abandoned - request.m_arrived) * patience_share);
+  const time_point refuse_at = request.m_arrived + patience;
+  tables.m_waiting[request.m_service].push_back({std::move(request), refuse_at});
 }
 
 void run_queue(dispatch_tables& tables, time_point now, std::vector<dispatch_decision>& decisions) {
   for (auto& [name, queue] : tables.m_waiting) {
+    order(queue, now);
     std::deque<waiting_request> left;
-    bool full = false; // a request that avoids no server found no room
     for (auto& waiting : queue) {
       const submission& request = waiting.m_request;
-      server_row* server = full ? nullptr : place(tables, request, now);
-      if (server != nullptr) {
+      if (server_row* server = place(tables, request, now)) {
         decisions.emplace_back(grant(tables, request, *server, now));
         continue;
       }
-      full = full || request.m_avoid.empty();
       const bool served = any_eligible(tables, name, now);
       const time_point until =
           served ? waiting.m_refuse_at
--- a/packages/gateway/include/cardamompond/gateway/backend_call.hpp
+++ b/packages/gateway/include/cardamompond/gateway/backend_call.hpp
@@ -49,6 +49,7 @@
   bool m_idempotent = false;
   stream_relay* m_relay = nullptr; // of a streamed request
   std::function<void()> m_on_first_answer;
+  std::function<void(std::uint64_t events, duration took)> m_on_progress;
   std::function<void(const answer_facts&)> m_on_facts;
 };
 
@@ -77,8 +78,12 @@
   call_end relay_events();
   std::optional<call_end> pass_on(std::string_view events);
 
+  void note_progress();
+
   net::http_client& m_client;
   const request_protocol& m_protocol;
+  std::uint64_t m_events_noted = 0; // of this call
+  time_point m_noted_at;
   call_options m_options;
   std::unique_ptr<net::http_call> m_call;
   net::http_response m_answer;
--- a/packages/gateway/schema/exchange.capnp
+++ b/packages/gateway/schema/exchange.capnp
@@ -15,6 +15,10 @@
 struct ServerLoad {
   server @0 :UInt64;      # hash of the server's id
   running @1 :UInt32;     # requests of the sender there
+  baseS @2 :Float32;      # how fast the sender found it, see fleet::speed_summary
+  promptSPerToken @3 :Float32;
+  eventS @4 :Float32;
+  samples @5 :Float32;
 }
 
 struct QuotaUse {
--- a/packages/gateway/src/backend_call.cpp
+++ b/packages/gateway/src/backend_call.cpp
@@ -162,9 +162,24 @@
   if (!relay.m_exchange->write(events)) {
     return call_end::caller_gone;
   }
+  note_progress();
   return std::nullopt;
 }
 
+// Tells the speed of the server in portions, so that a long stream is known to be slow before it ends.
+void backend_call::note_progress() {
+  constexpr std::uint64_t portion = 8;
+  const stream_relay& relay = *m_options.m_relay;
+  if (m_noted_at == time_point{}) {
+    m_noted_at = relay.m_last_event;
+    m_events_noted = relay.m_events_passed;
+  } else if (relay.m_events_passed >= m_events_noted + portion) {
+    m_options.m_on_progress(relay.m_events_passed - m_events_noted, relay.m_last_event - m_noted_at);
+    m_noted_at = relay.m_last_event;
+    m_events_noted = relay.m_events_passed;
+  }
+}
+
 call_end backend_call::relay_events() {
   stream_relay& relay = *m_options.m_relay;
   relay.m_events.drop_pending();
--- a/packages/gateway/src/exchange.capnp.h
+++ b/packages/gateway/src/exchange.capnp.h
@@ -56,7 +56,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bc2e48190d07043a, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(bc2e48190d07043a, 4, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -272,6 +272,14 @@
 
   inline  ::uint32_t getRunning() const;
 
+  inline float getBaseS() const;
+
+  inline float getPromptSPerToken() const;
+
+  inline float getEventS() const;
+
+  inline float getSamples() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -306,6 +314,18 @@
   inline  ::uint32_t getRunning();
   inline void setRunning( ::uint32_t value);
 
+  inline float getBaseS();
+  inline void setBaseS(float value);
+
+  inline float getPromptSPerToken();
+  inline void setPromptSPerToken(float value);
+
+  inline float getEventS();
+  inline void setEventS(float value);
+
+  inline float getSamples();
+  inline void setSamples(float value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1123,6 +1143,62 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline float ServerLoad::Reader::getBaseS() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline float ServerLoad::Builder::getBaseS() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void ServerLoad::Builder::setBaseS(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline float ServerLoad::Reader::getPromptSPerToken() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline float ServerLoad::Builder::getPromptSPerToken() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void ServerLoad::Builder::setPromptSPerToken(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline float ServerLoad::Reader::getEventS() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline float ServerLoad::Builder::getEventS() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void ServerLoad::Builder::setEventS(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline float ServerLoad::Reader::getSamples() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline float ServerLoad::Builder::getSamples() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void ServerLoad::Builder::setSamples(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool QuotaUse::Reader::hasAccount() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/gateway/src/peer_report.cpp
+++ b/packages/gateway/src/peer_report.cpp
@@ -39,6 +39,10 @@
   return std::isfinite(value) ? value : 0;
 }
 
+double positive(double value) {
+  return std::max(0.0, finite(value));
+}
+
 void encode_outcomes(const std::vector<fleet::version_observation>& from, wire::Report::Builder to) {
   auto list = to.initOutcomes(static_cast<unsigned>(from.size()));
   for (unsigned i = 0; i < list.size(); ++i) {
@@ -77,7 +81,10 @@
     report.m_collections[i] = {collections[i].getAsOf(), collections[i].getChangedAt()};
   }
   for (const auto& each : from.getLoads()) {
-    report.m_loads.push_back({each.getServer(), each.getRunning()});
+    report.m_loads.push_back({each.getServer(),
+                              each.getRunning(),
+                              {positive(each.getBaseS()), positive(each.getPromptSPerToken()),
+                               positive(each.getEventS()), positive(each.getSamples())}});
   }
   for (const auto& each : from.getQuotaUse()) {
     report.m_quota_use.emplace_back(each.getAccount().cStr(), finite(each.getUnits()));
@@ -120,7 +127,12 @@
   auto loads = to.initLoads(static_cast<unsigned>(report.m_loads.size()));
   for (unsigned i = 0; i < loads.size(); ++i) {
     loads[i].setServer(report.m_loads[i].m_server);
-    loads[i].setRunning(report.m_loads[i].m_running);
+    const auto& [server, running, speed] = report.m_loads[i];
+    loads[i].setRunning(running);
+    loads[i].setBaseS(static_cast<float>(speed.m_base_s));
+    loads[i].setPromptSPerToken(static_cast<float>(speed.m_prompt_s_per_token));
+    loads[i].setEventS(static_cast<float>(speed.m_event_s));
+    loads[i].setSamples(static_cast<float>(speed.m_samples));
   }
   auto use = to.initQuotaUse(static_cast<unsigned>(report.m_quota_use.size()));
   for (unsigned i = 0; i < use.size(); ++i) {
--- a/packages/gateway/src/request_handler.cpp
+++ b/packages/gateway/src/request_handler.cpp
@@ -15,6 +15,12 @@
 // For callers that state no time of their own, on routes without one.
 constexpr milliseconds default_timeout{60'000};
 
+// Callers of streams leave when nothing comes for two seconds, four times the goal of the first event or eight
+// times that of a pause, whichever is longest.
+constexpr milliseconds min_caller_patience{2'000};
+constexpr int caller_patience_in_goals = 4;
+constexpr int caller_patience_in_gaps = 8;
+
 // Silence after which a stream goes on at another server. Callers leave a stream after two seconds or more.
 constexpr milliseconds stream_silence{1'300};
 
@@ -223,13 +229,21 @@
   submitted.m_ticket = ticket;
   submitted.m_service = m_service;
   submitted.m_rank = m_rank;
+  submitted.m_route_rank = m_route->m_rank;
   submitted.m_affinity = m_request.m_affinity;
   submitted.m_prompt_tokens = m_request.m_prompt_tokens;
   submitted.m_output_tokens = m_request.m_expected_output_tokens > 0 ? m_request.m_expected_output_tokens
                                                                      : m_request.m_max_output_tokens;
+  submitted.m_body_bytes = static_cast<std::uint32_t>(m_exchange.request().m_body.size());
   submitted.m_arrived = m_arrived;
   submitted.m_goal = m_arrived + m_route->m_first_answer_goal;
   submitted.m_deadline = m_deadline;
+  submitted.m_abandoned = m_deadline;
+  if (m_route->m_streamed) {
+    const auto patience = std::max({min_caller_patience, m_route->m_first_answer_goal * caller_patience_in_goals,
+                                    m_route->m_event_gap_goal * caller_patience_in_gaps});
+    submitted.m_abandoned = std::min(m_deadline, m_arrived + patience);
+  }
   submitted.m_avoid = m_tried;
   return submitted;
 }
@@ -257,6 +271,9 @@
     m_first_answer = monotonic_now();
     m_owner.m_admission.dispatcher().note_first_answer(ticket, m_first_answer);
   };
+  options.m_on_progress = [this, ticket = grant.m_ticket](std::uint64_t events, duration took) {
+    m_owner.m_admission.dispatcher().note_events(ticket, events, took);
+  };
   options.m_on_facts = [this, &grant](const answer_facts& facts) {
     const time_point now = monotonic_now();
     auto& dispatcher = m_owner.m_admission.dispatcher();
