--- a/packages/daemon/src/entry_daemon.cpp
+++ b/packages/daemon/src/entry_daemon.cpp
@@ -107,8 +107,8 @@
     , m_backend_connections(m_runtime, {.m_loss_detection = loss_detection})
     , m_store(m_store_connections, m_settings.m_store_address)
     , m_knowledge(m_reader)
-    , m_admission(m_knowledge, m_settings.m_name, m_settings.m_limits, m_random())
-    , m_self{m_settings.m_name, m_settings.m_exchange_address}
+    , m_admission(m_knowledge, {m_settings.m_name, m_settings.m_availability_zone}, m_settings.m_limits, m_random())
+    , m_self{m_settings.m_name, m_settings.m_availability_zone, m_settings.m_exchange_address}
     , m_group(m_admission, m_self, m_settings.m_seeds, make_incarnation())
     , m_exchange(m_runtime, m_backend_connections, m_group, m_knowledge, m_settings.m_exchange_address)
     , m_duties(m_store, m_admission, m_group, m_reader, m_self)
@@ -123,14 +123,18 @@
     , m_signals(m_runtime.context(), SIGTERM, SIGINT, SIGHUP) {
   m_server.set_failure_responder(
       [this](net::http_parse_failure failure) { return m_handler.answer_parse_failure(failure); });
-  m_admission.dispatcher().set_own_zone(m_settings.m_availability_zone);
   m_knowledge.on_change([this](gateway::collection_kind kind) {
     if (kind == gateway::collection_kind::declarations) {
       apply_limits();
     }
   });
   for (const auto kind : gateway::all_collections) {
-    m_feeds.push_back(std::make_unique<gateway::collection_feed>(m_store, m_knowledge, kind, m_random()));
+    m_feeds.push_back(std::make_unique<gateway::collection_feed>(
+        m_store, m_knowledge, kind,
+        gateway::collection_feed::peer_hooks{
+            [this](gateway::collection_kind of) { return m_group.covered(of, monotonic_now()); },
+            [this] { m_exchange.announce(); }},
+        m_random()));
   }
 }
 
--- a/packages/fleet/include/cardamompond/fleet/dispatcher.hpp
+++ b/packages/fleet/include/cardamompond/fleet/dispatcher.hpp
@@ -77,6 +77,7 @@
   std::uint64_t m_server = 0;
   std::uint32_t m_running = 0;
   speed_summary m_speed;
+  bool m_failing = false; // the daemon keeps away from it because its answers fail
 };
 
 // What the dispatcher knows of one backend server, for the administration page and the log.
@@ -89,6 +90,13 @@
   bool m_excluded = false;
 };
 
+// A daemon and its availability zone.
+struct daemon_place {
+  std::string m_name;
+  std::string m_availability_zone;
+  friend bool operator==(const daemon_place&, const daemon_place&) = default;
+};
+
 // Decides for one daemon which of its requests goes to which backend server and when, and which is refused.
 // Every daemon decides alone, on its own requests, its peers' last reports and the servers' own statements.
 // Reads no clock and opens no socket; used on one thread.
@@ -108,8 +116,9 @@
   // Availability zones whose backend servers get nothing new.
   void set_evacuated_zones(std::set<std::string, std::less<>> zones);
 
-  // Daemons that share the limits of cold servers, this one included, and this daemon's name among them.
-  void set_members(std::vector<std::string> names, std::string_view own_name);
+  // All daemons, this one included. They share the limits of cold servers, and those of a server's own zone
+  // share its slots.
+  void set_members(std::vector<daemon_place> members, daemon_place self);
 
   // Limits by version during rollouts; outlives the dispatcher.
   void set_rollout_judge(rollout_judge* judge);
@@ -137,11 +146,8 @@
   // Replaces the report of one peer; an empty one removes it.
   void note_peer_loads(std::string_view daemon, std::span<const server_load> loads, time_point now);
 
-  // The availability zone of this daemon; requests to others cross a link that is paid for.
-  void set_own_zone(std::string zone);
-
   // Own running requests, for reports to the peers.
-  std::vector<server_load> own_loads() const;
+  std::vector<server_load> own_loads(time_point now) const;
 
   // Runs all systems: ages reports and exclusions, places waiting requests, refuses those without a chance.
   std::vector<dispatch_decision> tick(time_point now);
--- a/packages/fleet/src/dispatch_tables.hpp
+++ b/packages/fleet/src/dispatch_tables.hpp
@@ -19,6 +19,7 @@
   bool m_listed = false;    // else it gets nothing new, and the row ends with its last request
   bool m_batches = false;
 
+  std::uint32_t m_share = 0; // slots that this daemon fills first
   std::uint32_t m_own = 0;   // running requests of this daemon
   std::uint32_t m_peers = 0; // running requests of the others, by their reports
 
@@ -28,6 +29,9 @@
 
   std::uint32_t m_failures_in_row = 0;
   double m_failure_rate = 0; // moving average
+  time_point m_failing_until; // excluded because its answers fail
+  std::uint32_t m_accusers = 0; // peers that keep away from it for that reason
+  bool m_on_probation = false;  // one request at a time until an answer is good
   time_point m_excluded_until;
   time_point m_full_until; // it refused a request for lack of room
 
@@ -49,6 +53,7 @@
 
 struct peer_row {
   std::vector<server_load> m_loads;
+  std::unordered_map<std::uint64_t, speed_summary> m_speeds; // reported less often than the loads
   time_point m_received;
 };
 
@@ -60,9 +65,8 @@
   std::unordered_map<ticket, running_request> m_running;
   std::map<std::string, peer_row, std::less<>> m_peers;
   std::set<std::string, std::less<>> m_evacuated;
-  std::vector<std::string> m_members;
-  std::string m_own_name;
-  std::string m_own_zone;
+  std::vector<daemon_place> m_members;
+  daemon_place m_self;
   rollout_judge* m_judge = nullptr;
   std::mt19937_64 m_random;
 
@@ -70,6 +74,10 @@
   server_row* find_server(std::string_view id);
 };
 
+// Deals the slots of each server to the daemons of its zone, as equally as they go, so that daemons that do not
+// hear one another in time do not all choose the same server.
+void deal_slots(dispatch_tables& tables);
+
 // Drops peers that fell silent, adds up the others' requests and combines what all saw of the servers' speed.
 void run_peer_loads(dispatch_tables& tables, time_point now);
 
--- a/packages/fleet/src/dispatcher.cpp
+++ b/packages/fleet/src/dispatcher.cpp
@@ -24,6 +24,8 @@
 class dispatcher::impl {
 public:
   dispatch_tables m_tables;
+  bool m_peers_changed = false;
+  time_point m_peers_added; // when the peers' loads were last added up
 
   void erase_ended_rows();
 };
@@ -82,6 +84,7 @@
     row.m_batches = declared != tables.m_services.end() && declared->second.m_batches;
   }
   m_impl->erase_ended_rows();
+  deal_slots(tables);
   run_peer_loads(tables, now);
 }
 
@@ -89,9 +92,14 @@
   m_impl->m_tables.m_evacuated = std::move(zones);
 }
 
-void dispatcher::set_members(std::vector<std::string> names, std::string_view own_name) {
-  m_impl->m_tables.m_members = std::move(names);
-  m_impl->m_tables.m_own_name = own_name;
+void dispatcher::set_members(std::vector<daemon_place> members, daemon_place self) {
+  auto& tables = m_impl->m_tables;
+  if (members == tables.m_members && self == tables.m_self) {
+    return;
+  }
+  tables.m_members = std::move(members);
+  tables.m_self = std::move(self);
+  deal_slots(tables);
 }
 
 void dispatcher::set_rollout_judge(rollout_judge* judge) {
@@ -142,10 +150,6 @@
   }
 }
 
-void dispatcher::set_own_zone(std::string zone) {
-  m_impl->m_tables.m_own_zone = std::move(zone);
-}
-
 void dispatcher::finish(ticket request, server_outcome outcome, time_point now) {
   auto& tables = m_impl->m_tables;
   const auto found = tables.m_running.find(request);
@@ -164,15 +168,22 @@
   auto& peer = m_impl->m_tables.m_peers[std::string(daemon)];
   peer.m_loads.assign(loads.begin(), loads.end());
   peer.m_received = now;
+  for (const auto& load : loads) {
+    if (load.m_speed.m_samples > 0) {
+      peer.m_speeds[load.m_server] = load.m_speed;
+    }
+  }
+  m_impl->m_peers_changed = true;
 }
 
-std::vector<server_load> dispatcher::own_loads() const {
+std::vector<server_load> dispatcher::own_loads(time_point now) const {
   std::vector<server_load> loads;
   for (const auto& [name, servers] : m_impl->m_tables.m_servers) {
     for (const auto& [id, server] : servers) {
       const speed_summary speed = server.m_observed.summary();
-      if (server.m_own > 0 || speed.m_samples > 0) {
-        loads.push_back({server.m_hash, server.m_own, speed});
+      const bool failing = now < server.m_failing_until;
+      if (server.m_own > 0 || speed.m_samples > 0 || failing) {
+        loads.push_back({server.m_hash, server.m_own, speed, failing});
       }
     }
   }
@@ -181,7 +192,13 @@
 
 std::vector<dispatch_decision> dispatcher::tick(time_point now) {
   std::vector<dispatch_decision> decisions;
-  run_peer_loads(m_impl->m_tables, now);
+  // Ages and own observations also change the sums, but slowly.
+  constexpr duration sum_interval = milliseconds(100);
+  if (m_impl->m_peers_changed || now - m_impl->m_peers_added >= sum_interval) {
+    m_impl->m_peers_changed = false;
+    m_impl->m_peers_added = now;
+    run_peer_loads(m_impl->m_tables, now);
+  }
   run_queue(m_impl->m_tables, now, decisions);
   return decisions;
 }
--- a/packages/fleet/src/peer_loads.cpp
+++ b/packages/fleet/src/peer_loads.cpp
@@ -1,11 +1,24 @@
 #include "dispatch_tables.hpp"
 
+#include <algorithm>
+
 namespace cardamompond::fleet {
 namespace {
 
 // Reports come several times a second; one this old says nothing about requests that last a second or two.
 constexpr duration max_report_age = seconds(2);
 
+// Peers that accuse most servers of a service have a bad link themselves.
+void drop_broad_accusations(std::map<std::string, server_row, std::less<>>& servers) {
+  const auto accused = std::count_if(servers.begin(), servers.end(),
+                                     [](const auto& each) { return each.second.m_accusers > 0; });
+  if (static_cast<std::size_t>(accused) * 2 > servers.size()) {
+    for (auto& [id, server] : servers) {
+      server.m_accusers = 0;
+    }
+  }
+}
+
 } // namespace
 
 void run_peer_loads(dispatch_tables& tables, time_point now) {
@@ -15,6 +28,7 @@
     for (auto& [id, server] : servers) {
       by_hash[server.m_hash] = &server;
       server.m_peers = 0;
+      server.m_accusers = 0;
       server.m_speed = server.m_observed.summary();
     }
   }
@@ -22,10 +36,18 @@
     for (const auto& load : peer.m_loads) {
       if (const auto found = by_hash.find(load.m_server); found != by_hash.end()) {
         found->second->m_peers += load.m_running;
-        found->second->m_speed = combine(found->second->m_speed, load.m_speed);
+        found->second->m_accusers += load.m_failing ? 1 : 0;
+      }
+    }
+    for (const auto& [server, speed] : peer.m_speeds) {
+      if (const auto found = by_hash.find(server); found != by_hash.end()) {
+        found->second->m_speed = combine(found->second->m_speed, speed);
       }
     }
   }
+  for (auto& [name, servers] : tables.m_servers) {
+    drop_broad_accusations(servers);
+  }
 }
 
 } // namespace cardamompond::fleet
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -39,6 +39,12 @@
 // Prefers, among servers that are fast enough, the slower ones, which cannot serve the longer requests.
 constexpr double slow_preference = 0.1;
 
+// Peers that keep away from a server before this daemon does too: one may be wrong, or the link between them.
+constexpr std::uint32_t enough_accusers = 2;
+
+// Load that a server may have more than another one because this daemon has free slots of its own there.
+constexpr double own_slots_allowance = 0.35;
+
 std::uint64_t rendezvous(std::uint64_t key, std::uint64_t server) {
   const std::uint64_t pair[2] = {key, server};
   return hash64(std::string_view(reinterpret_cast<const char*>(pair), sizeof pair));
@@ -53,13 +59,10 @@
     return static_cast<std::uint32_t>(own);
   }
   // Fewer permits than daemons: those that rank first for this server have one each.
-  const std::uint64_t mine = rendezvous(hash64(tables.m_own_name), server.m_hash);
-  std::size_t ahead = 0;
-  for (const auto& name : tables.m_members) {
-    if (name != tables.m_own_name && rendezvous(hash64(name), server.m_hash) > mine) {
-      ++ahead;
-    }
-  }
+  const std::uint64_t mine = rendezvous(hash64(tables.m_self.m_name), server.m_hash);
+  const auto ahead = std::count_if(tables.m_members.begin(), tables.m_members.end(), [&](const auto& each) {
+    return each.m_name != tables.m_self.m_name && rendezvous(hash64(each.m_name), server.m_hash) > mine;
+  });
   return static_cast<double>(ahead) < std::floor(shared) ? 1 : 0;
 }
 
@@ -107,8 +110,31 @@
 
 } // namespace
 
+void deal_slots(dispatch_tables& tables) {
+  for (auto& [name, servers] : tables.m_servers) {
+    for (auto& [id, server] : servers) {
+      std::size_t neighbours = 0; // daemons of the server's zone
+      std::size_t ahead = 0;
+      const bool near = server.m_entry.m_availability_zone == tables.m_self.m_availability_zone;
+      const std::uint64_t mine = rendezvous(hash64(tables.m_self.m_name), server.m_hash);
+      for (const auto& each : tables.m_members) {
+        if (near && each.m_availability_zone == server.m_entry.m_availability_zone) {
+          ++neighbours;
+          ahead += each.m_name != tables.m_self.m_name && rendezvous(hash64(each.m_name), server.m_hash) > mine ? 1 : 0;
+        }
+      }
+      server.m_share = 0;
+      if (neighbours > 0) {
+        const std::uint32_t slots = server.m_entry.m_slots;
+        server.m_share = slots / static_cast<std::uint32_t>(neighbours) + (ahead < slots % neighbours ? 1 : 0);
+      }
+    }
+  }
+}
+
 bool eligible(const dispatch_tables& tables, const server_row& server, time_point now) {
-  return server.m_listed && !server.m_entry.m_leaving && now >= server.m_excluded_until &&
+  const bool accused = server.m_accusers >= enough_accusers;
+  return server.m_listed && !accused && !(server.m_on_probation && server.m_own > 0) && !server.m_entry.m_leaving && now >= server.m_excluded_until &&
          !tables.m_evacuated.contains(server.m_entry.m_availability_zone) &&
          (tables.m_judge == nullptr ||
           tables.m_judge->allows(server.m_entry.m_service, server.m_entry.m_version));
@@ -165,10 +191,11 @@
       continue;
     }
     const double chance = std::generate_canonical<double, 16>(tables.m_random) * 0.02; // breaks ties
-    const bool is_far = server->m_entry.m_availability_zone != tables.m_own_zone;
+    const bool is_far = server->m_entry.m_availability_zone != tables.m_self.m_availability_zone;
     const double slowness = slowest_event_s > 0 ? server->m_speed.m_event_s / slowest_event_s : 0;
     const double score = static_cast<double>(server->m_own + server->m_peers) / server->m_entry.m_slots +
                          (is_far ? far : 0) - (server == home ? affinity_allowance : 0) -
+                         (server->m_own < server->m_share ? own_slots_allowance : 0) -
                          (server->m_batches ? slow_preference * slowness : 0) + chance;
     if (suits > best_fit || score < best_score) {
       best_fit = suits;
--- a/packages/fleet/src/server_health.cpp
+++ b/packages/fleet/src/server_health.cpp
@@ -10,10 +10,12 @@
 constexpr duration first_exclusion = milliseconds(400);
 constexpr duration max_exclusion = seconds(3);
 
-// Weight of one outcome in the moving average of failures: about the last eight requests.
-constexpr double outcome_weight = 0.12;
+// Weight of one outcome in the moving average of failures. Plain services fail up to 14 of 100 calls by
+// themselves, so that more calls are needed there to tell; a model engine shows by its second failure in a row.
+constexpr double plain_outcome_weight = 0.12;
+constexpr double batch_outcome_weight = 0.25;
 
-// A server above this rate is excluded for a while. Sound services fail up to 14 of 100 calls by themselves.
+// A server above this rate is excluded for a while, and then tried with one request at a time.
 constexpr double excluded_failure_rate = 0.4;
 constexpr duration failing_exclusion = seconds(2);
 
@@ -45,11 +47,16 @@
   if (outcome == server_outcome::unreachable || outcome == server_outcome::misdirected) {
     return; // says nothing about how it serves
   }
-  server.m_failure_rate =
-      (1 - outcome_weight) * server.m_failure_rate + (counts_as_failure(outcome) ? outcome_weight : 0);
-  if (server.m_failure_rate > excluded_failure_rate) {
-    server.m_excluded_until = std::max(server.m_excluded_until, now + failing_exclusion);
-    server.m_failure_rate = excluded_failure_rate / 2; // tried again after the exclusion
+  const bool failed = counts_as_failure(outcome);
+  const double weight = server.m_batches ? batch_outcome_weight : plain_outcome_weight;
+  server.m_failure_rate = (1 - weight) * server.m_failure_rate + (failed ? weight : 0);
+  if (server.m_failure_rate > excluded_failure_rate || (failed && server.m_on_probation)) {
+    server.m_failing_until = now + failing_exclusion;
+    server.m_excluded_until = std::max(server.m_excluded_until, server.m_failing_until);
+    server.m_on_probation = true;
+    server.m_failure_rate = excluded_failure_rate / 2;
+  } else if (!failed) {
+    server.m_on_probation = false;
   }
 }
 
--- a/packages/gateway/include/cardamompond/gateway/admission.hpp
+++ b/packages/gateway/include/cardamompond/gateway/admission.hpp
@@ -30,7 +30,7 @@
 // in step with what is known of the fleet, and the fibers that wait for decisions. Used on one thread.
 class admission {
 public:
-  admission(fleet_knowledge& knowledge, std::string own_name, fleet_limits limits, std::uint64_t seed);
+  admission(fleet_knowledge& knowledge, fleet::daemon_place self, fleet_limits limits, std::uint64_t seed);
 
   // Blocks the fiber until the request is granted, refused or cancelled.
   admission_result acquire(fleet::submission request);
@@ -48,7 +48,7 @@
   void note_request(std::string_view service);
 
   // How many daemons there are, and which report at present, this one included in both.
-  void set_members(std::vector<std::string> registered, std::uint32_t heard);
+  void set_members(std::vector<fleet::daemon_place> registered, std::uint32_t heard);
 
   fleet::dispatcher& dispatcher() { return m_dispatcher; }
   fleet::token_quota& quota() { return m_quota; }
@@ -66,7 +66,7 @@
   void note_change(collection_kind kind);
 
   fleet_knowledge& m_knowledge;
-  std::string m_own_name;
+  fleet::daemon_place m_self;
   fleet_limits m_limits;
   fleet::rollout_judge m_judge;
   fleet::dispatcher m_dispatcher;
--- a/packages/gateway/include/cardamompond/gateway/collection.hpp
+++ b/packages/gateway/include/cardamompond/gateway/collection.hpp
@@ -14,10 +14,13 @@
 class collection {
 public:
   // Replaces the content if the snapshot is newer; false: it was not, and nothing changed.
-  bool apply(const collection_snapshot& snapshot, time_point now);
+  bool apply(const collection_snapshot& snapshot);
 
   // Applies changes that follow the known revision; false: they were older and nothing changed.
-  bool apply(const collection_changes& changes, time_point now);
+  bool apply(const collection_changes& changes);
+
+  // The store, or a daemon that has the same content, was found complete up to `as_of` at that time.
+  void confirm(std::uint64_t as_of, time_point when);
 
   bool known() const { return m_as_of > 0; }
 
@@ -27,7 +30,7 @@
   // The revision at which the content last changed, as far as known; never above as_of().
   std::uint64_t changed_at() const { return m_changed_at; }
 
-  // When the content was last found to be up to date.
+  // When the content was last known to be what the store holds.
   time_point confirmed() const { return m_confirmed; }
 
   const std::map<std::string, document, std::less<>>& documents() const { return m_documents; }
--- a/packages/gateway/include/cardamompond/gateway/collection_feed.hpp
+++ b/packages/gateway/include/cardamompond/gateway/collection_feed.hpp
@@ -5,6 +5,7 @@
 #include "cardamompond/gateway/fleet_knowledge.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <random>
 
 namespace cardamompond::gateway {
@@ -17,10 +18,17 @@
 };
 
 // Keeps one collection up to date from the store: lists it once, then watches it, and lists it again when the
-// history is gone. Runs on a fiber of its own.
+// history is gone. Rests while other daemons read it for this one. Runs on a fiber of its own.
 class collection_feed {
 public:
-  collection_feed(document_store& store, fleet_knowledge& knowledge, collection_kind kind, std::uint64_t seed);
+  // What a feed asks and tells the exchange between the daemons.
+  struct peer_hooks {
+    std::function<bool(collection_kind)> m_covered; // whether other daemons keep this one up to date
+    std::function<void()> m_announce;               // there is news from the store
+  };
+
+  collection_feed(document_store& store, fleet_knowledge& knowledge, collection_kind kind, peer_hooks peers,
+                  std::uint64_t seed);
 
   // Never returns.
   void run();
@@ -41,6 +49,7 @@
   document_store& m_store;
   fleet_knowledge& m_knowledge;
   collection_kind m_kind;
+  peer_hooks m_peers;
   std::mt19937_64 m_random;
   feed_counters m_counters;
   bool m_connected = false;
--- a/packages/gateway/include/cardamompond/gateway/document_reader.hpp
+++ b/packages/gateway/include/cardamompond/gateway/document_reader.hpp
@@ -12,6 +12,7 @@
 // A daemon of the group, as it registers itself.
 struct member {
   std::string m_name;
+  std::string m_availability_zone;
   std::string m_exchange_address; // where it sends and receives reports and serves collections
 };
 
--- a/packages/gateway/include/cardamompond/gateway/fleet_knowledge.hpp
+++ b/packages/gateway/include/cardamompond/gateway/fleet_knowledge.hpp
@@ -27,6 +27,9 @@
   bool apply(collection_kind kind, const collection_snapshot& snapshot, std::string_view source);
   bool apply(collection_kind kind, const collection_changes& changes, std::string_view source);
 
+  // This daemon's content of the collection is what the store held at that time, up to `as_of`.
+  void confirm(collection_kind kind, std::uint64_t as_of, time_point when);
+
   void on_change(observer call) { m_observers.push_back(std::move(call)); }
 
   // The routes in force; null until declarations are known.
--- a/packages/gateway/include/cardamompond/gateway/peer_exchange.hpp
+++ b/packages/gateway/include/cardamompond/gateway/peer_exchange.hpp
@@ -34,7 +34,10 @@
   // Starts the fibers that send, receive and fetch.
   void start();
 
-  // Tells the peers at once that this daemon stops.
+  // Tells the near peers at once what this daemon knows, after news from the store.
+  void announce();
+
+  // Tells the near peers at once that this daemon stops.
   void send_leaving();
 
   exchange_counters counters() const;
--- a/packages/gateway/include/cardamompond/gateway/peer_group.hpp
+++ b/packages/gateway/include/cardamompond/gateway/peer_group.hpp
@@ -28,11 +28,30 @@
   // Forgets daemons that fell silent and counts the members. Call it with each round of reports.
   void tick(time_point now);
 
-  // The report of this daemon.
-  peer_report make_report(bool leaving);
+  // What a report holds. Loads and speeds matter to daemons that use the same servers: all of a small group,
+  // those of the own zone in a large one.
+  struct report_scope {
+    bool m_loads = true;
+    bool m_speeds = true;
+    bool m_leaving = false;
+  };
+  peer_report make_report(report_scope scope);
+
+  // One round of reports.
+  struct round {
+    std::vector<std::string> m_near; // addresses of daemons that get the loads
+    std::vector<std::string> m_far;  // the others
+    bool m_speeds = false;
+  };
 
-  // Where to send the next report: every other daemon, or in a large group some of them, in turns.
-  std::vector<std::string> next_targets();
+  // Whom to tell now: near daemons each time and far ones more seldom, in turns where there are many.
+  round next_round();
+
+  // All near daemons at once, for news that must not wait.
+  std::vector<std::string> near_addresses() const;
+
+  // Whether other daemons read the collection from the store for this one, and lately enough.
+  bool covered(collection_kind kind, time_point now) const;
 
   // Replaces the addresses at which daemons may be found before the members are known.
   void set_seeds(std::vector<std::string> seeds) { m_seeds = std::move(seeds); }
@@ -55,6 +74,7 @@
 
 private:
   struct peer {
+    std::string m_availability_zone;
     std::string m_address;
     std::uint64_t m_incarnation = 0;
     std::uint64_t m_sequence = 0;
@@ -64,7 +84,13 @@
     std::map<std::string, double, std::less<>> m_quota_use;
   };
 
-  duration silent_after() const;
+  struct addresses {
+    std::vector<std::string> m_near;
+    std::vector<std::string> m_far;
+  };
+  addresses known_addresses() const;
+  bool small_group() const;
+  duration silent_after(const peer& of) const;
   void note_quota_use(peer& of, const peer_report& report, bool restarted, time_point now);
   void note_collections(peer& of, const peer_report& report, time_point now);
 
@@ -74,8 +100,11 @@
   std::uint64_t m_incarnation;
   std::uint64_t m_sequence = 0;
   std::map<std::string, peer, std::less<>> m_peers; // by name
-  std::size_t m_next_target = 0;
-  std::size_t m_target_count = 0;
+  std::uint64_t m_round = 0;
+  std::size_t m_next_near = 0;
+  std::size_t m_next_far = 0;
+  std::size_t m_near_count = 0;
+  std::size_t m_far_count = 0;
 };
 
 } // namespace cardamompond::gateway
--- a/packages/gateway/include/cardamompond/gateway/peer_report.hpp
+++ b/packages/gateway/include/cardamompond/gateway/peer_report.hpp
@@ -19,11 +19,13 @@
 struct collection_state {
   std::uint64_t m_as_of = 0;
   std::uint64_t m_changed_at = 0;
+  milliseconds m_age{0}; // since the sender had that from the store itself
 };
 
 // What one daemon tells the others. Totals count from its start.
 struct peer_report {
   std::string m_daemon;
+  std::string m_availability_zone;
   std::string m_exchange_address;
   std::uint64_t m_incarnation = 0; // increases with each start
   std::uint64_t m_sequence = 0;    // increases with each report
--- a/packages/gateway/schema/exchange.capnp
+++ b/packages/gateway/schema/exchange.capnp
@@ -10,6 +10,7 @@
 struct CollectionState {
   asOf @0 :UInt64;        # revision of the store up to which the sender's copy is complete
   changedAt @1 :UInt64;   # revision of its last change
+  ageMs @2 :UInt32;       # since the sender had that from the store itself
 }
 
 struct ServerLoad {
@@ -19,6 +20,7 @@
   promptSPerToken @3 :Float32;
   eventS @4 :Float32;
   samples @5 :Float32;
+  failing @6 :Bool;       # the sender keeps away from it because its answers fail
 }
 
 struct QuotaUse {
@@ -59,6 +61,7 @@
   outcomes @8 :List(VersionOutcomes);
   takenBack @9 :List(TakenBack);
   crashes @10 :List(CrashSuspicion);
+  availabilityZone @11 :Text;
 }
 
 struct Document {
--- a/packages/gateway/src/admission.cpp
+++ b/packages/gateway/src/admission.cpp
@@ -16,13 +16,14 @@
 
 } // namespace
 
-admission::admission(fleet_knowledge& knowledge, std::string own_name, fleet_limits limits, std::uint64_t seed)
+admission::admission(fleet_knowledge& knowledge, fleet::daemon_place self, fleet_limits limits,
+                     std::uint64_t seed)
     : m_knowledge(knowledge)
-    , m_own_name(std::move(own_name))
+    , m_self(std::move(self))
     , m_limits(limits)
     , m_dispatcher(seed) {
   m_dispatcher.set_rollout_judge(&m_judge);
-  m_dispatcher.set_members({m_own_name}, m_own_name);
+  m_dispatcher.set_members({m_self}, m_self);
   m_knowledge.on_change([this](collection_kind kind) { note_change(kind); });
 }
 
@@ -98,10 +99,10 @@
   found->second.note_request(monotonic_now());
 }
 
-void admission::set_members(std::vector<std::string> registered, std::uint32_t heard) {
+void admission::set_members(std::vector<fleet::daemon_place> registered, std::uint32_t heard) {
   const auto count = static_cast<std::uint32_t>(std::max<std::size_t>(1, registered.size()));
   m_quota.set_members(count, heard, monotonic_now());
-  m_dispatcher.set_members(std::move(registered), m_own_name);
+  m_dispatcher.set_members(std::move(registered), m_self);
   if (count == m_registered) {
     return;
   }
--- a/packages/gateway/src/collection.cpp
+++ b/packages/gateway/src/collection.cpp
@@ -15,11 +15,10 @@
   return names[static_cast<std::size_t>(kind)];
 }
 
-bool collection::apply(const collection_snapshot& snapshot, time_point now) {
+bool collection::apply(const collection_snapshot& snapshot) {
   if (snapshot.m_as_of < m_as_of || snapshot.m_as_of == 0) {
     return false;
   }
-  m_confirmed = now;
   std::map<std::string, document, std::less<>> next;
   for (const auto& each : snapshot.m_documents) {
     next.emplace(each.m_name, each);
@@ -37,11 +36,10 @@
   return changed;
 }
 
-bool collection::apply(const collection_changes& changes, time_point now) {
+bool collection::apply(const collection_changes& changes) {
   if (changes.m_as_of < m_as_of) {
     return false;
   }
-  m_confirmed = now;
   m_as_of = changes.m_as_of;
   bool changed = false;
   for (const auto& [changed_document, removed] : changes.m_changes) {
@@ -63,6 +61,11 @@
   return changed;
 }
 
+void collection::confirm(std::uint64_t as_of, time_point when) {
+  m_as_of = std::max(m_as_of, as_of);
+  m_confirmed = std::max(m_confirmed, when);
+}
+
 collection_snapshot collection::snapshot() const {
   collection_snapshot all{m_as_of, {}};
   for (const auto& [name, each] : m_documents) {
--- a/packages/gateway/src/collection_feed.cpp
+++ b/packages/gateway/src/collection_feed.cpp
@@ -29,6 +29,12 @@
 // Normal answers take a few milliseconds, and half a second when the store is slow.
 constexpr milliseconds list_timeout{1'500};
 
+// After a change the next watch waits this long, so that changes in quick succession cost one call.
+constexpr milliseconds change_pause{200};
+
+// How often a daemon for which others read looks whether they still do.
+constexpr milliseconds rest_interval{100};
+
 constexpr milliseconds first_backoff{50};
 constexpr milliseconds max_backoff{600};
 
@@ -40,10 +46,11 @@
 } // namespace
 
 collection_feed::collection_feed(document_store& store, fleet_knowledge& knowledge, collection_kind kind,
-                                 std::uint64_t seed)
+                                 peer_hooks peers, std::uint64_t seed)
     : m_store(store)
     , m_knowledge(knowledge)
     , m_kind(kind)
+    , m_peers(std::move(peers))
     , m_random(seed) {}
 
 void collection_feed::run() {
@@ -64,6 +71,10 @@
     }
     return;
   }
+  if (m_failures_in_row == 0 && m_peers.m_covered(m_kind)) {
+    boost::this_fiber::sleep_for(rest_interval);
+    return;
+  }
   watch();
 }
 
@@ -76,6 +87,7 @@
   }
   note_success();
   apply_snapshot(*listed);
+  m_knowledge.confirm(m_kind, listed->m_as_of, monotonic_now());
   return true;
 }
 
@@ -116,7 +128,12 @@
   if (m_list_next) {
     return; // the store was away: what lapsed meanwhile needs the whole list
   }
-  m_knowledge.apply(m_kind, *changes, "store");
+  const bool changed = m_knowledge.apply(m_kind, *changes, "store");
+  m_knowledge.confirm(m_kind, changes->m_as_of, monotonic_now());
+  if (changed) {
+    m_peers.m_announce();
+    boost::this_fiber::sleep_for(change_pause);
+  }
 }
 
 void collection_feed::note_failure(const document_error& error) {
--- a/packages/gateway/src/exchange.capnp.h
+++ b/packages/gateway/src/exchange.capnp.h
@@ -41,7 +41,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8a8c133f02360274, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(8a8c133f02360274, 3, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -131,7 +131,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9f9f84d4d7a8dc24, 3, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(9f9f84d4d7a8dc24, 3, 9)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -191,6 +191,8 @@
 
   inline  ::uint64_t getChangedAt() const;
 
+  inline  ::uint32_t getAgeMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -225,6 +227,9 @@
   inline  ::uint64_t getChangedAt();
   inline void setChangedAt( ::uint64_t value);
 
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -280,6 +285,8 @@
 
   inline float getSamples() const;
 
+  inline bool getFailing() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -326,6 +333,9 @@
   inline float getSamples();
   inline void setSamples(float value);
 
+  inline bool getFailing();
+  inline void setFailing(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -784,6 +794,9 @@
   inline bool hasCrashes() const;
   inline  ::capnp::List< ::cardamompond::gateway::wire::CrashSuspicion,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
 
+  inline bool hasAvailabilityZone() const;
+  inline  ::capnp::Text::Reader getAvailabilityZone() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -877,6 +890,13 @@
   inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::CrashSuspicion,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::CrashSuspicion,  ::capnp::Kind::STRUCT>> disownCrashes();
 
+  inline bool hasAvailabilityZone();
+  inline  ::capnp::Text::Builder getAvailabilityZone();
+  inline void setAvailabilityZone( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAvailabilityZone(unsigned int size);
+  inline void adoptAvailabilityZone(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAvailabilityZone();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1115,6 +1135,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t CollectionState::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CollectionState::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void CollectionState::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t ServerLoad::Reader::getServer() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1199,6 +1233,20 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool ServerLoad::Reader::getFailing() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<224>() * ::capnp::ELEMENTS);
+}
+
+inline bool ServerLoad::Builder::getFailing() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<224>() * ::capnp::ELEMENTS);
+}
+inline void ServerLoad::Builder::setFailing(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<224>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool QuotaUse::Reader::hasAccount() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1833,6 +1881,40 @@
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
+inline bool Report::Reader::hasAvailabilityZone() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool Report::Builder::hasAvailabilityZone() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Report::Reader::getAvailabilityZone() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Report::Builder::getAvailabilityZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void Report::Builder::setAvailabilityZone( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Report::Builder::initAvailabilityZone(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void Report::Builder::adoptAvailabilityZone(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Report::Builder::disownAvailabilityZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
 inline bool Document::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/gateway/src/fleet_knowledge.cpp
+++ b/packages/gateway/src/fleet_knowledge.cpp
@@ -8,7 +8,7 @@
     : m_reader(reader) {}
 
 bool fleet_knowledge::apply(collection_kind kind, const collection_snapshot& snapshot, std::string_view source) {
-  if (!m_collections[static_cast<std::size_t>(kind)].apply(snapshot, monotonic_now())) {
+  if (!m_collections[static_cast<std::size_t>(kind)].apply(snapshot)) {
     return false;
   }
   decode(kind, source);
@@ -16,13 +16,17 @@
 }
 
 bool fleet_knowledge::apply(collection_kind kind, const collection_changes& changes, std::string_view source) {
-  if (!m_collections[static_cast<std::size_t>(kind)].apply(changes, monotonic_now())) {
+  if (!m_collections[static_cast<std::size_t>(kind)].apply(changes)) {
     return false;
   }
   decode(kind, source);
   return true;
 }
 
+void fleet_knowledge::confirm(collection_kind kind, std::uint64_t as_of, time_point when) {
+  m_collections[static_cast<std::size_t>(kind)].confirm(as_of, when);
+}
+
 void fleet_knowledge::note_unreadable(collection_kind kind, const document& each,
                                       const unreadable_document& error) {
   ++m_unreadable;
--- a/packages/gateway/src/peer_exchange.cpp
+++ b/packages/gateway/src/peer_exchange.cpp
@@ -21,7 +21,7 @@
 
 constexpr std::string_view collections_path = "/collections/";
 constexpr milliseconds fetch_timeout{800};
-constexpr milliseconds fetch_interval{100};
+constexpr milliseconds fetch_interval{50};
 
 // Datagrams over this size are not received whole on all links.
 constexpr std::size_t max_datagram_bytes = 16U << 10U;
@@ -64,13 +64,15 @@
     m_socket.non_blocking(true);
   }
 
-  void send(bool leaving);
+  void send_round();
+  void send_news(bool leaving);
   void receive_reports();
   void fetch_collections();
 
   exchange_counters m_counters;
 
 private:
+  void send(peer_group::report_scope scope, const std::vector<std::string>& addresses);
   void serve(net::http_exchange& exchange);
   void fetch(const peer_group::lagging_collection& lagging);
 
@@ -82,14 +84,16 @@
   std::map<std::string, udp::endpoint> m_endpoints; // by address as registered
 };
 
-void peer_exchange::impl::send(bool leaving) {
-  m_group.tick(monotonic_now());
-  const std::string bytes = encode_report(m_group.make_report(leaving));
+void peer_exchange::impl::send(peer_group::report_scope scope, const std::vector<std::string>& addresses) {
+  if (addresses.empty()) {
+    return;
+  }
+  const std::string bytes = encode_report(m_group.make_report(scope));
   if (bytes.size() > max_datagram_bytes) {
     log_event(log_level::warning, "report_too_large", {{"bytes", bytes.size()}});
     return;
   }
-  for (const auto& address : m_group.next_targets()) {
+  for (const auto& address : addresses) {
     auto found = m_endpoints.find(address);
     if (found == m_endpoints.end()) {
       const auto endpoint = parse_endpoint(address);
@@ -105,6 +109,17 @@
   }
 }
 
+void peer_exchange::impl::send_round() {
+  m_group.tick(monotonic_now());
+  const auto round = m_group.next_round();
+  send({.m_loads = true, .m_speeds = round.m_speeds, .m_leaving = false}, round.m_near);
+  send({.m_loads = false, .m_speeds = false, .m_leaving = false}, round.m_far);
+}
+
+void peer_exchange::impl::send_news(bool leaving) {
+  send({.m_loads = true, .m_speeds = false, .m_leaving = leaving}, m_group.near_addresses());
+}
+
 void peer_exchange::impl::receive_reports() {
   std::vector<char> buffer(max_datagram_bytes);
   while (true) {
@@ -183,14 +198,18 @@
   net::fiber_runtime::spawn([this] { m_impl->fetch_collections(); });
   net::fiber_runtime::spawn([this] {
     while (true) {
-      m_impl->send(false);
+      m_impl->send_round();
       boost::this_fiber::sleep_for(report_interval);
     }
   });
 }
 
+void peer_exchange::announce() {
+  m_impl->send_news(false);
+}
+
 void peer_exchange::send_leaving() {
-  m_impl->send(true);
+  m_impl->send_news(true);
 }
 
 exchange_counters peer_exchange::counters() const {
--- a/packages/gateway/src/peer_group.cpp
+++ b/packages/gateway/src/peer_group.cpp
@@ -17,10 +17,34 @@
 // Members that are assumed while none is known, so that a daemon that knows nothing takes a small share only.
 constexpr std::size_t assumed_members = 16;
 
-// Reports of one round. A larger group is served in turns, so that the cost of a daemon does not grow with it.
-constexpr std::size_t max_targets_per_round = 14;
+// Up to this many daemons all share one view of the servers; in a larger group those of one zone do.
+constexpr std::size_t small_group_size = 16;
 
-// Watches of several daemons return within this time; only one that stays behind fetches from a peer.
+// Near daemons are told in each round, at most this many, so that the cost of a daemon does not grow with the
+// group.
+constexpr std::size_t max_near_per_round = 14;
+
+// Every far daemon is told once in this many rounds; their link is paid for.
+constexpr std::size_t far_rounds_small = 2;
+constexpr std::size_t far_rounds_large = 7;
+constexpr std::size_t max_far_per_round = 10;
+
+// Speeds change slowly and are sent once in this many rounds.
+constexpr std::uint64_t speed_rounds = 8;
+
+// Daemons of one zone that read the store for the others of a large group: two, so that one may fail.
+constexpr std::size_t readers_per_zone = 2;
+
+// A daemon for which others read does it itself when what it knows was not confirmed for this long: the time of a
+// watch and of some reports.
+constexpr duration max_unconfirmed = milliseconds(3'000);
+
+// A rarely changing collection is watched for longer.
+constexpr duration max_unconfirmed_members = seconds(14);
+constexpr duration max_unconfirmed_orders = milliseconds(4'800);
+
+// Watches of several daemons return within this time; a daemon that watches fetches from a peer only if it stays
+// behind for longer.
 constexpr duration tolerated_lag = milliseconds(250);
 
 // Contents suspected of crashing servers in one report.
@@ -57,6 +81,7 @@
     log_event(log_level::info, "peer_heard", {{"peer", report.m_daemon}, {"address", report.m_exchange_address}});
   }
   peer& of = m_peers[report.m_daemon];
+  of.m_availability_zone = report.m_availability_zone;
   of.m_address = report.m_exchange_address;
   of.m_incarnation = report.m_incarnation;
   of.m_sequence = report.m_sequence;
@@ -77,9 +102,14 @@
   of.m_collections = report.m_collections;
   for (const auto kind : all_collections) {
     const auto index = static_cast<std::size_t>(kind);
-    const bool ahead = report.m_collections[index].m_changed_at > m_admission.knowledge().of(kind).as_of();
+    const collection_state& theirs = report.m_collections[index];
+    const bool ahead = theirs.m_changed_at > m_admission.knowledge().of(kind).as_of();
     if (!ahead) {
       of.m_ahead_since[index] = {};
+      if (theirs.m_as_of > 0 && m_admission.knowledge().of(kind).known()) {
+        // Nothing that the peer knows is missing here.
+        m_admission.knowledge().confirm(kind, theirs.m_as_of, now - theirs.m_age);
+      }
     } else if (of.m_ahead_since[index] == time_point{}) {
       of.m_ahead_since[index] = now;
     }
@@ -100,14 +130,21 @@
   of.m_quota_use = std::move(use);
 }
 
-duration peer_group::silent_after() const {
-  const auto rounds = static_cast<int>(m_target_count / max_targets_per_round + 1);
-  return std::max<duration>(min_silence, report_interval * rounds * silent_rounds);
+bool peer_group::small_group() const {
+  return m_near_count + m_far_count < small_group_size;
+}
+
+duration peer_group::silent_after(const peer& of) const {
+  const bool near = of.m_availability_zone == m_self.m_availability_zone;
+  const std::size_t rounds = near ? m_near_count / max_near_per_round + 1
+                             : small_group() ? far_rounds_small
+                                             : std::max(far_rounds_large, m_far_count / max_far_per_round + 1);
+  return std::max<duration>(min_silence, report_interval * static_cast<int>(rounds) * silent_rounds);
 }
 
 void peer_group::tick(time_point now) {
   for (auto each = m_peers.begin(); each != m_peers.end();) {
-    if (now - each->second.m_heard <= silent_after()) {
+    if (now - each->second.m_heard <= silent_after(each->second)) {
       ++each;
       continue;
     }
@@ -116,33 +153,48 @@
                {"silent_ms", std::chrono::duration_cast<milliseconds>(now - each->second.m_heard).count()}});
     each = m_peers.erase(each);
   }
-  std::set<std::string> names = {m_self.m_name};
+  std::map<std::string, std::string> zones = {{m_self.m_name, m_self.m_availability_zone}}; // by name
   for (const auto& each : m_admission.knowledge().members()) {
-    names.insert(each.m_name);
+    zones.emplace(each.m_name, each.m_availability_zone);
   }
   for (const auto& [name, each] : m_peers) {
-    names.insert(name);
+    zones.emplace(name, each.m_availability_zone);
+  }
+  std::vector<fleet::daemon_place> registered;
+  for (const auto& [name, zone] : zones) {
+    registered.push_back({name, zone});
   }
-  std::vector<std::string> registered(names.begin(), names.end());
-  for (std::size_t i = registered.size(); !m_admission.knowledge().of(collection_kind::members).known() && i < assumed_members; ++i) {
-    registered.push_back("unknown-" + std::to_string(i));
+  const bool known = m_admission.knowledge().of(collection_kind::members).known();
+  for (std::size_t i = registered.size(); !known && i < assumed_members; ++i) {
+    registered.push_back({"unknown-" + std::to_string(i), {}});
   }
   m_admission.set_members(std::move(registered), static_cast<std::uint32_t>(m_peers.size() + 1));
 }
 
-peer_report peer_group::make_report(bool leaving) {
+peer_report peer_group::make_report(report_scope scope) {
   const time_point now = monotonic_now();
   peer_report report;
   report.m_daemon = m_self.m_name;
+  report.m_availability_zone = m_self.m_availability_zone;
   report.m_exchange_address = m_self.m_exchange_address;
   report.m_incarnation = m_incarnation;
   report.m_sequence = ++m_sequence;
-  report.m_leaving = leaving;
+  report.m_leaving = scope.m_leaving;
   for (const auto kind : all_collections) {
     const auto& from = m_admission.knowledge().of(kind);
-    report.m_collections[static_cast<std::size_t>(kind)] = {from.as_of(), from.changed_at()};
+    report.m_collections[static_cast<std::size_t>(kind)] = {
+        from.as_of(), from.changed_at(), std::chrono::duration_cast<milliseconds>(now - from.confirmed())};
+  }
+  if (scope.m_loads) {
+    for (auto& load : m_admission.dispatcher().own_loads(now)) {
+      if (!scope.m_speeds) {
+        load.m_speed = {};
+      }
+      if (load.m_running > 0 || load.m_failing || load.m_speed.m_samples > 0) {
+        report.m_loads.push_back(load);
+      }
+    }
   }
-  report.m_loads = m_admission.dispatcher().own_loads();
   for (const auto& [account, units] : m_admission.quota().admitted()) {
     report.m_quota_use.emplace_back(account, units);
   }
@@ -152,37 +204,94 @@
   return report;
 }
 
-std::vector<std::string> peer_group::next_targets() {
-  std::set<std::string> addresses(m_seeds.begin(), m_seeds.end());
+peer_group::addresses peer_group::known_addresses() const {
+  std::map<std::string, bool> near; // by address
+  for (const auto& seed : m_seeds) {
+    near.emplace(seed, false);
+  }
   for (const auto& each : m_admission.knowledge().members()) {
-    addresses.insert(each.m_exchange_address);
+    near[each.m_exchange_address] = each.m_availability_zone == m_self.m_availability_zone;
   }
   for (const auto& [name, each] : m_peers) {
-    addresses.insert(each.m_address);
+    near[each.m_address] = each.m_availability_zone == m_self.m_availability_zone;
   }
-  addresses.erase(m_self.m_exchange_address);
-  std::vector<std::string> all(addresses.begin(), addresses.end());
-  m_target_count = all.size();
-  if (all.size() <= max_targets_per_round) {
-    return all;
+  near.erase(m_self.m_exchange_address);
+  addresses known;
+  for (const auto& [address, is_near] : near) {
+    (is_near ? known.m_near : known.m_far).push_back(address);
   }
-  std::vector<std::string> some;
-  for (std::size_t i = 0; i < max_targets_per_round; ++i) {
-    some.push_back(all[(m_next_target + i) % all.size()]);
+  return known;
+}
+
+std::vector<std::string> peer_group::near_addresses() const {
+  auto known = known_addresses();
+  if (small_group()) {
+    known.m_near.insert(known.m_near.end(), known.m_far.begin(), known.m_far.end());
+  }
+  return known.m_near;
+}
+
+peer_group::round peer_group::next_round() {
+  const auto known = known_addresses();
+  m_near_count = known.m_near.size();
+  m_far_count = known.m_far.size();
+  const auto take = [](const std::vector<std::string>& from, std::size_t most, std::size_t& next) {
+    std::vector<std::string> taken;
+    for (std::size_t i = 0; i < std::min(most, from.size()); ++i) {
+      taken.push_back(from[(next + i) % from.size()]);
+    }
+    next = from.empty() ? 0 : (next + taken.size()) % from.size();
+    return taken;
+  };
+  const std::size_t far_rounds = small_group() ? far_rounds_small : far_rounds_large;
+  const std::size_t far_now = std::min(max_far_per_round, (m_far_count + far_rounds - 1) / far_rounds);
+  round next;
+  next.m_near = take(known.m_near, max_near_per_round, m_next_near);
+  next.m_far = take(known.m_far, far_now, m_next_far);
+  // Every near daemon must get the speeds in time, also where they are told in turns.
+  const std::uint64_t turns = m_near_count / max_near_per_round + 1;
+  next.m_speeds = (m_round / turns) % speed_rounds == 0;
+  ++m_round;
+  if (small_group()) {
+    next.m_near.insert(next.m_near.end(), next.m_far.begin(), next.m_far.end());
+    next.m_far.clear();
+  }
+  return next;
+}
+
+bool peer_group::covered(collection_kind kind, time_point now) const {
+  if (small_group()) {
+    return false; // so few calls that each daemon reads for itself
+  }
+  const auto weight = [&](std::string_view name) { return hash64(name, hash64(to_string(kind))); };
+  const auto own = weight(m_self.m_name);
+  const auto ahead = std::count_if(m_peers.begin(), m_peers.end(), [&](const auto& each) {
+    return each.second.m_availability_zone == m_self.m_availability_zone && weight(each.first) > own;
+  });
+  if (static_cast<std::size_t>(ahead) < readers_per_zone) {
+    return false;
   }
-  m_next_target = (m_next_target + max_targets_per_round) % all.size();
-  return some;
+  const duration limit = kind == collection_kind::members ? max_unconfirmed_members
+                         : kind == collection_kind::declarations || kind == collection_kind::backend_servers
+                             ? max_unconfirmed
+                             : max_unconfirmed_orders;
+  return now - m_admission.knowledge().of(kind).confirmed() < limit;
 }
 
 std::optional<peer_group::lagging_collection> peer_group::find_lagging(time_point now) const {
   for (const auto kind : all_collections) {
     const auto index = static_cast<std::size_t>(kind);
     const auto own = m_admission.knowledge().of(kind).as_of();
+    const duration lag = covered(kind, now) ? duration::zero() : duration(tolerated_lag);
     const peer* best = nullptr;
     for (const auto& [name, each] : m_peers) {
       const bool ahead = each.m_collections[index].m_changed_at > own && each.m_ahead_since[index] != time_point{} &&
-                         (own == 0 || now - each.m_ahead_since[index] >= tolerated_lag);
-      if (ahead && (best == nullptr || each.m_collections[index].m_as_of > best->m_collections[index].m_as_of)) {
+                         (own == 0 || now - each.m_ahead_since[index] >= lag);
+      // Near before far, since the link to other zones is paid for; then any of those that are ahead.
+      const auto preference = [&](const peer& of) {
+        return std::pair(of.m_availability_zone == m_self.m_availability_zone, hash64(of.m_address, own));
+      };
+      if (ahead && (best == nullptr || preference(each) > preference(*best))) {
         best = &each;
       }
     }
--- a/packages/gateway/src/peer_report.cpp
+++ b/packages/gateway/src/peer_report.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace cardamompond::gateway {
 namespace {
@@ -73,18 +74,21 @@
   peer_report report;
   report.m_daemon = from.getDaemon().cStr();
   report.m_exchange_address = from.getExchangeAddress().cStr();
+  report.m_availability_zone = from.getAvailabilityZone().cStr();
   report.m_incarnation = from.getIncarnation();
   report.m_sequence = from.getSequence();
   report.m_leaving = from.getLeaving();
   const auto collections = from.getCollections();
   for (unsigned i = 0; i < std::min<unsigned>(collections.size(), report.m_collections.size()); ++i) {
-    report.m_collections[i] = {collections[i].getAsOf(), collections[i].getChangedAt()};
+    report.m_collections[i] = {collections[i].getAsOf(), collections[i].getChangedAt(),
+                               milliseconds(collections[i].getAgeMs())};
   }
   for (const auto& each : from.getLoads()) {
     report.m_loads.push_back({each.getServer(),
                               each.getRunning(),
                               {positive(each.getBaseS()), positive(each.getPromptSPerToken()),
-                               positive(each.getEventS()), positive(each.getSamples())}});
+                               positive(each.getEventS()), positive(each.getSamples())},
+                              each.getFailing()});
   }
   for (const auto& each : from.getQuotaUse()) {
     report.m_quota_use.emplace_back(each.getAccount().cStr(), finite(each.getUnits()));
@@ -116,6 +120,7 @@
   auto to = message.initRoot<wire::Report>();
   to.setDaemon(report.m_daemon);
   to.setExchangeAddress(report.m_exchange_address);
+  to.setAvailabilityZone(report.m_availability_zone);
   to.setIncarnation(report.m_incarnation);
   to.setSequence(report.m_sequence);
   to.setLeaving(report.m_leaving);
@@ -123,16 +128,19 @@
   for (unsigned i = 0; i < collections.size(); ++i) {
     collections[i].setAsOf(report.m_collections[i].m_as_of);
     collections[i].setChangedAt(report.m_collections[i].m_changed_at);
+    collections[i].setAgeMs(static_cast<std::uint32_t>(
+        std::clamp<std::int64_t>(report.m_collections[i].m_age.count(), 0, std::numeric_limits<std::uint32_t>::max())));
   }
   auto loads = to.initLoads(static_cast<unsigned>(report.m_loads.size()));
   for (unsigned i = 0; i < loads.size(); ++i) {
     loads[i].setServer(report.m_loads[i].m_server);
-    const auto& [server, running, speed] = report.m_loads[i];
+    const auto& [server, running, speed, failing] = report.m_loads[i];
     loads[i].setRunning(running);
     loads[i].setBaseS(static_cast<float>(speed.m_base_s));
     loads[i].setPromptSPerToken(static_cast<float>(speed.m_prompt_s_per_token));
     loads[i].setEventS(static_cast<float>(speed.m_event_s));
     loads[i].setSamples(static_cast<float>(speed.m_samples));
+    loads[i].setFailing(failing);
   }
   auto use = to.initQuotaUse(static_cast<unsigned>(report.m_quota_use.size()));
   for (unsigned i = 0; i < use.size(); ++i) {
--- a/packages/gateway/src/request_handler.cpp
+++ b/packages/gateway/src/request_handler.cpp
@@ -24,6 +24,8 @@
 // Silence after which a stream goes on at another server. Callers leave a stream after two seconds or more.
 constexpr milliseconds stream_silence{1'300};
 
+constexpr milliseconds first_event_silence{2'200};
+
 // A repeatable call that has waited for this part of its time without an answer is sent to another server.
 constexpr double silent_share = 0.4;
 
@@ -261,9 +263,11 @@
   options.m_streamed = m_route->m_streamed;
   options.m_idempotent = repeatable();
   options.m_relay = &m_relay;
-  if (m_route->m_resumable) {
-    options.m_silence_limit = stream_silence;
-  } else if (!m_route->m_streamed && repeatable() && m_route->m_max_attempts > m_runs + 1) {
+  const bool last_attempt = m_runs + 1 >= m_route->m_max_attempts;
+  if (m_route->m_resumable && !last_attempt) {
+    // Before its first event a stream may wait in the server's queue, whose place it would lose.
+    options.m_silence_limit = m_relay.m_begun ? stream_silence : first_event_silence;
+  } else if (!m_route->m_streamed && repeatable() && !last_attempt) {
     options.m_silence_limit =
         std::chrono::duration_cast<duration>((m_deadline - m_arrived) * silent_share);
   }
