--- a/packages/fleet/src/dispatch_tables.hpp
+++ b/packages/fleet/src/dispatch_tables.hpp
@@ -42,6 +42,7 @@
 struct waiting_request {
   submission m_request;
   time_point m_refuse_at;
+  bool m_quick = false; // takes a server for a moment only
 };
 
 struct running_request {
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -42,7 +42,7 @@
 // In a large group, slots that must seem free before one of another daemon's is used, in the own zone, whose
 // daemons report ten times a second, and in others, whose daemons report about once.
 constexpr std::uint32_t near_doubt = 1;
-constexpr std::uint32_t far_doubt = 3;
+constexpr std::uint32_t far_doubt = 2;
 
 // By how much a server may be over its slots when this daemon uses one of its own, because others borrowed it.
 constexpr std::uint32_t contested_slots = 1;
--- a/packages/fleet/src/queueing.cpp
+++ b/packages/fleet/src/queueing.cpp
@@ -16,8 +16,12 @@
 // Longest wait while the service has no backend server at all: a list may be about to arrive.
 constexpr duration patience_without_server = milliseconds(500);
 
-// When to come back after a refusal for lack of room: about the time in which a place becomes free.
-constexpr duration retry_pause = milliseconds(300);
+// When to come back after a refusal for lack of room. The goal is missed by then, and bursts last some seconds.
+constexpr duration retry_pause = milliseconds(2'500);
+
+// A request that takes a server at most this long goes ahead of longer ones: it delays them little, and many of
+// its kind are served for one of theirs.
+constexpr double quick_s = 0.15;
 
 bool any_eligible(const dispatch_tables& tables, const std::string& service, time_point now) {
   const auto servers = tables.m_servers.find(service);
@@ -38,12 +42,13 @@
   return {request.m_ticket, server.m_entry};
 }
 
-// Tiers first; within a tier those that can still be on time, then by the rank of the route and by arrival.
+// Tiers first; within a tier quick requests that can still be on time, then by the rank of the route, those that
+// can still be on time before the others, and by arrival.
 void order(std::deque<waiting_request>& queue, time_point now) {
   const auto key = [&](const waiting_request& each) {
     const submission& request = each.m_request;
-    return std::make_tuple(request.m_rank, now > request.m_goal - hopeless_within, request.m_route_rank,
-                           request.m_arrived);
+    const bool late = now > request.m_goal - hopeless_within;
+    return std::make_tuple(request.m_rank, late || !each.m_quick, request.m_route_rank, late, request.m_arrived);
   };
   std::sort(queue.begin(), queue.end(),
             [&](const waiting_request& a, const waiting_request& b) { return key(a) < key(b); });
@@ -55,7 +60,15 @@
   const auto patience =
       std::chrono::duration_cast<duration>((request.m_abandoned - request.m_arrived) * patience_share);
   const time_point refuse_at = request.m_arrived + patience;
-  tables.m_waiting[request.m_service].push_back({std::move(request), refuse_at});
+  const auto declared = tables.m_services.find(request.m_service);
+  const double tokens_per_event =
+      declared == tables.m_services.end() ? 1 : declared->second.m_tokens_per_event;
+  const speed_summary speed = assumed_speed();
+  const bool quick = speed.m_prompt_s_per_token * request.m_prompt_tokens +
+                         speed.m_event_s * request.m_output_tokens / tokens_per_event <=
+                     quick_s;
+  auto& queue = tables.m_waiting[request.m_service];
+  queue.push_back({std::move(request), refuse_at, quick});
 }
 
 void run_queue(dispatch_tables& tables, time_point now, std::vector<dispatch_decision>& decisions) {
