--- a/packages/daemon/include/cardamompond/daemon/admin_server.hpp
+++ b/packages/daemon/include/cardamompond/daemon/admin_server.hpp
@@ -2,9 +2,9 @@
 
 #include "cardamompond/core/object_store.hpp"
 #include "cardamompond/daemon/cell_runtime.hpp"
-#include "cardamompond/telemetry/request_metrics.hpp"
 #include "cardamompond/net/http_object_store.hpp"
 #include "cardamompond/net/http_server.hpp"
+#include "cardamompond/telemetry/request_metrics.hpp"
 
 #include <functional>
 #include <string>
--- a/packages/daemon/include/cardamompond/daemon/entry_handler.hpp
+++ b/packages/daemon/include/cardamompond/daemon/entry_handler.hpp
@@ -5,9 +5,9 @@
 #include "cardamompond/daemon/configuration_source.hpp"
 #include "cardamompond/daemon/forwarder.hpp"
 #include "cardamompond/daemon/permit_client.hpp"
-#include "cardamompond/telemetry/request_metrics.hpp"
 #include "cardamompond/daemon/request_router.hpp"
 #include "cardamompond/net/http_server.hpp"
+#include "cardamompond/telemetry/request_metrics.hpp"
 
 #include <functional>
 #include <memory>
--- a/packages/daemon/src/cell_runtime.cpp
+++ b/packages/daemon/src/cell_runtime.cpp
@@ -3,10 +3,10 @@
 #include "signal_spreader.hpp"
 
 #include "cardamompond/daemon/admin_server.hpp"
-#include "cardamompond/telemetry/log.hpp"
 #include "cardamompond/declarations/adopter.hpp"
 #include "cardamompond/declarations/reader.hpp"
 #include "cardamompond/declarations/scheduler_configuration.hpp"
+#include "cardamompond/telemetry/log.hpp"
 
 #include <boost/fiber/condition_variable.hpp>
 #include <boost/fiber/mutex.hpp>
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -6,10 +6,10 @@
 #include "cardamompond/daemon/backend_poller.hpp"
 #include "cardamompond/daemon/cell_runtime.hpp"
 #include "cardamompond/daemon/entry_handler.hpp"
-#include "cardamompond/telemetry/log.hpp"
 #include "cardamompond/daemon/status_writer.hpp"
 #include "cardamompond/daemon/usage_recorder.hpp"
 #include "cardamompond/net/http_object_store.hpp"
+#include "cardamompond/telemetry/log.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
--- a/packages/daemon/src/entry_daemon.cpp
+++ b/packages/daemon/src/entry_daemon.cpp
@@ -107,13 +107,15 @@
     , m_backend_connections(m_runtime, {.m_loss_detection = loss_detection})
     , m_store(m_store_connections, m_settings.m_store_address)
     , m_knowledge(m_reader)
-    , m_admission(m_knowledge, {m_settings.m_name, m_settings.m_availability_zone}, m_settings.m_limits, m_random())
+    , m_admission(m_knowledge, {m_settings.m_name, m_settings.m_availability_zone}, m_settings.m_limits,
+                  m_random())
     , m_self{m_settings.m_name, m_settings.m_availability_zone, m_settings.m_exchange_address}
     , m_group(m_admission, m_self, m_settings.m_seeds, make_incarnation())
     , m_exchange(m_runtime, m_backend_connections, m_group, m_knowledge, m_settings.m_exchange_address)
     , m_duties(m_store, m_admission, m_group, m_reader, m_self)
-    , m_handler(m_backend_connections, m_admission, m_protocol, m_metrics,
-                {.m_accepts = [this](bool streamed) { return !m_refusing && !(streamed && m_refusing_streams); }})
+    , m_handler(
+          m_backend_connections, m_admission, m_protocol, m_metrics,
+          {.m_accepts = [this](bool streamed) { return !m_refusing && !(streamed && m_refusing_streams); }})
     , m_server(m_runtime, {.m_address = m_settings.m_callers_address},
                [this](net::http_exchange& exchange) { m_handler.handle(exchange); })
     , m_admin(m_runtime, {.m_address = m_settings.m_admin_address, .m_max_connections = 256},
@@ -179,14 +181,18 @@
   }
   const auto exchanged = m_exchange.counters();
   m_metrics.set_counter("cardamompond_reports_sent_total", static_cast<double>(exchanged.m_reports_sent));
-  m_metrics.set_counter("cardamompond_reports_received_total", static_cast<double>(exchanged.m_reports_received));
+  m_metrics.set_counter("cardamompond_reports_received_total",
+                        static_cast<double>(exchanged.m_reports_received));
   m_metrics.set_counter("cardamompond_report_bytes_sent_total", static_cast<double>(exchanged.m_bytes_sent));
   m_metrics.set_gauge("cardamompond_peers_heard", static_cast<double>(m_group.heard()));
-  m_metrics.set_gauge("cardamompond_requests_waiting", static_cast<double>(m_admission.dispatcher().waiting()));
-  m_metrics.set_gauge("cardamompond_requests_running", static_cast<double>(m_admission.dispatcher().running()));
+  m_metrics.set_gauge("cardamompond_requests_waiting",
+                      static_cast<double>(m_admission.dispatcher().waiting()));
+  m_metrics.set_gauge("cardamompond_requests_running",
+                      static_cast<double>(m_admission.dispatcher().running()));
   m_metrics.set_counter("cardamompond_backend_connections_total",
                         static_cast<double>(m_backend_connections.connections_opened()));
-  m_metrics.set_counter("cardamompond_documents_unreadable_total", static_cast<double>(m_knowledge.unreadable()));
+  m_metrics.set_counter("cardamompond_documents_unreadable_total",
+                        static_cast<double>(m_knowledge.unreadable()));
 }
 
 void entry_daemon::impl::serve_metrics(net::http_exchange& exchange) {
@@ -222,7 +228,8 @@
   }
   m_group.set_seeds(read->m_seeds);
   m_settings.m_drain_time = read->m_drain_time;
-  log_event(log_level::info, "settings_reloaded", {{"file", m_settings_file}, {"seeds", read->m_seeds.size()}});
+  log_event(log_level::info, "settings_reloaded",
+            {{"file", m_settings_file}, {"seeds", read->m_seeds.size()}});
 }
 
 void entry_daemon::impl::watch_settings() {
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -1,7 +1,7 @@
 #include "cardamompond/daemon/daemon.hpp"
 #include "cardamompond/daemon/entry_daemon.hpp"
-#include "cardamompond/telemetry/log.hpp"
 #include "cardamompond/daemon/settings.hpp"
+#include "cardamompond/telemetry/log.hpp"
 
 #include <tclap/CmdLine.h>
 
--- a/packages/fleet/include/cardamompond/fleet/declarations.hpp
+++ b/packages/fleet/include/cardamompond/fleet/declarations.hpp
@@ -41,10 +41,10 @@
 struct service {
   std::string m_name;
   std::string m_health_path;
-  std::uint32_t m_max_connections = 0; // of one backend server, from all daemons; 0: unknown
-  double m_cold_requests_per_s = 0;    // that one backend server bears while cold; 0: no limit
+  std::uint32_t m_max_connections = 0;  // of one backend server, from all daemons; 0: unknown
+  double m_cold_requests_per_s = 0;     // that one backend server bears while cold; 0: no limit
   std::uint32_t m_tokens_per_event = 1; // of a stream
-  bool m_batches = false;              // model engines, which serve requests in batches and cache prompts
+  bool m_batches = false;               // model engines, which serve requests in batches and cache prompts
 };
 
 // A caller's organisation, known by its keys.
@@ -55,8 +55,8 @@
   std::uint32_t m_rank = 0;
   double m_units_per_s = 0; // quota over all daemons; 0: unlimited
   double m_burst_units = 0;
-  bool m_counts_tokens = false;        // units are tokens instead of requests
-  std::uint32_t m_default_tokens = 1;  // of a request that states none
+  bool m_counts_tokens = false;       // units are tokens instead of requests
+  std::uint32_t m_default_tokens = 1; // of a request that states none
 };
 
 // What a caller may send, and how long it may take.
--- a/packages/fleet/include/cardamompond/fleet/dispatcher.hpp
+++ b/packages/fleet/include/cardamompond/fleet/dispatcher.hpp
@@ -31,9 +31,9 @@
   std::uint32_t m_output_tokens = 0; // estimate
   std::uint32_t m_body_bytes = 0;
   time_point m_arrived;
-  time_point m_goal;     // full credit if the answer begins by then
-  time_point m_abandoned; // the caller leaves if the answer has not begun by then
-  time_point m_deadline;  // the caller's or the route's, whichever is earlier
+  time_point m_goal;                // full credit if the answer begins by then
+  time_point m_abandoned;           // the caller leaves if the answer has not begun by then
+  time_point m_deadline;            // the caller's or the route's, whichever is earlier
   std::vector<std::string> m_avoid; // ids of backend servers that have had this request
 };
 
@@ -56,13 +56,13 @@
 
 // How a dispatched request ended, as far as it tells about the backend server.
 enum class server_outcome {
-  answered,       // a whole answer, or one that the caller broke off
-  failed,         // an error of the server's own
-  refused,        // the server said that it did not run the request
-  misdirected,    // another server has the address
-  unreachable,    // no connection
-  broken,         // the connection broke, or the answer was no answer
-  silent          // no answer, or no progress, in time
+  answered,    // a whole answer, or one that the caller broke off
+  failed,      // an error of the server's own
+  refused,     // the server said that it did not run the request
+  misdirected, // another server has the address
+  unreachable, // no connection
+  broken,      // the connection broke, or the answer was no answer
+  silent       // no answer, or no progress, in time
 };
 
 // The load that a backend server states in its answers.
@@ -72,7 +72,8 @@
   std::uint32_t m_slots = 0;
 };
 
-// Running requests of one daemon on one backend server, by the hash of its id, and how fast it found the server.
+// Running requests of one daemon on one backend server, by the hash of its id, and how fast it found the
+// server.
 struct server_load {
   std::uint64_t m_server = 0;
   std::uint32_t m_running = 0;
@@ -117,8 +118,8 @@
   void set_evacuated_zones(std::set<std::string, std::less<>> zones);
 
   // All daemons, this one included. They share the limits of cold servers, and those of a server's own zone
-  // share its slots. `close` tells that all of them hear one another several times a second; else only those of
-  // one zone do.
+  // share its slots. `close` tells that all of them hear one another several times a second; else only those
+  // of one zone do.
   void set_members(std::vector<daemon_place> members, daemon_place self, bool close);
 
   // Limits by version during rollouts; outlives the dispatcher.
--- a/packages/fleet/include/cardamompond/fleet/retry_budget.hpp
+++ b/packages/fleet/include/cardamompond/fleet/retry_budget.hpp
@@ -14,7 +14,7 @@
 public:
   struct limits {
     double m_ratio = 0.2;
-    double m_fixed = 5;           // of this daemon
+    double m_fixed = 5; // of this daemon
     duration m_window = seconds(10);
   };
 
--- a/packages/fleet/include/cardamompond/fleet/rollout_judge.hpp
+++ b/packages/fleet/include/cardamompond/fleet/rollout_judge.hpp
@@ -15,9 +15,9 @@
 // Outcomes of requests by version and route, as running totals of one daemon.
 struct version_outcomes {
   std::uint64_t m_good = 0;
-  std::uint64_t m_bad = 0;         // failed, or broken off by the server
-  double m_first_answer_s = 0;     // sum over the good ones
-  double m_total_s = 0;            // sum over the good ones, per unit of answer
+  std::uint64_t m_bad = 0;     // failed, or broken off by the server
+  double m_first_answer_s = 0; // sum over the good ones
+  double m_total_s = 0;        // sum over the good ones, per unit of answer
 };
 
 // One row of a report: outcomes of one route on one version of a service since the daemon started.
@@ -79,7 +79,7 @@
     time_point m_started; // when this daemon learnt of the order
     rollout_order::state m_decided = rollout_order::state::running;
     std::string m_reason;
-    std::uint64_t m_granted = 0;        // to all versions, by this daemon
+    std::uint64_t m_granted = 0; // to all versions, by this daemon
     std::uint64_t m_granted_target = 0;
   };
   using outcome_key = std::pair<std::string, std::string>; // version, route
--- a/packages/fleet/src/dispatch_tables.hpp
+++ b/packages/fleet/src/dispatch_tables.hpp
@@ -28,14 +28,14 @@
   std::uint32_t m_cold_sent = 0;
 
   std::uint32_t m_failures_in_row = 0;
-  double m_failure_rate = 0; // moving average
-  time_point m_failing_until; // excluded because its answers fail
+  double m_failure_rate = 0;    // moving average
+  time_point m_failing_until;   // excluded because its answers fail
   std::uint32_t m_accusers = 0; // peers that keep away from it for that reason
   bool m_on_probation = false;  // one request at a time until an answer is good
   time_point m_excluded_until;
   time_point m_full_until; // it refused a request for lack of room
 
-  server_speed m_observed; // by this daemon
+  server_speed m_observed;                 // by this daemon
   speed_summary m_speed = assumed_speed(); // by all daemons
 };
 
@@ -61,7 +61,8 @@
 // All state of the dispatcher. The systems below are its only writers.
 struct dispatch_tables {
   std::map<std::string, service, std::less<>> m_services;
-  std::map<std::string, std::map<std::string, server_row, std::less<>>, std::less<>> m_servers; // by service, id
+  std::map<std::string, std::map<std::string, server_row, std::less<>>, std::less<>>
+      m_servers;                                                             // by service, id
   std::map<std::string, std::deque<waiting_request>, std::less<>> m_waiting; // by service
   std::unordered_map<ticket, running_request> m_running;
   std::map<std::string, peer_row, std::less<>> m_peers;
@@ -76,8 +77,8 @@
   server_row* find_server(std::string_view id);
 };
 
-// Deals the slots of each server to the daemons of its zone, as equally as they go, so that daemons that do not
-// hear one another in time do not all choose the same server.
+// Deals the slots of each server to the daemons of its zone, as equally as they go, so that daemons that do
+// not hear one another in time do not all choose the same server.
 void deal_slots(dispatch_tables& tables);
 
 // Drops peers that fell silent, adds up the others' requests and combines what all saw of the servers' speed.
--- a/packages/fleet/src/dispatcher.cpp
+++ b/packages/fleet/src/dispatcher.cpp
@@ -78,7 +78,8 @@
     row.m_hash = hash64(entry.m_id);
     row.m_listed = true;
     if (changed && entry.m_cold_remaining.count() > 0) {
-      row.m_cold_until = std::max(row.m_cold_until, now + std::min<duration>(entry.m_cold_remaining, max_cold));
+      row.m_cold_until =
+          std::max(row.m_cold_until, now + std::min<duration>(entry.m_cold_remaining, max_cold));
     }
     const auto declared = tables.m_services.find(entry.m_service);
     row.m_batches = declared != tables.m_services.end() && declared->second.m_batches;
@@ -136,7 +137,8 @@
 }
 
 void dispatcher::note_first_answer(ticket request, time_point now) {
-  if (const auto found = m_impl->m_tables.m_running.find(request); found != m_impl->m_tables.m_running.end()) {
+  if (const auto found = m_impl->m_tables.m_running.find(request);
+      found != m_impl->m_tables.m_running.end()) {
     if (server_row* server = m_impl->m_tables.find_server(found->second.m_server_id); server != nullptr) {
       server->m_observed.note_first_answer(found->second.m_prompt_tokens, now - found->second.m_granted);
     }
@@ -144,7 +146,8 @@
 }
 
 void dispatcher::note_events(ticket request, std::uint64_t events, duration took) {
-  if (const auto found = m_impl->m_tables.m_running.find(request); found != m_impl->m_tables.m_running.end()) {
+  if (const auto found = m_impl->m_tables.m_running.find(request);
+      found != m_impl->m_tables.m_running.end()) {
     if (server_row* server = m_impl->m_tables.find_server(found->second.m_server_id); server != nullptr) {
       server->m_observed.note_events(events, took);
     }
@@ -165,7 +168,8 @@
   m_impl->erase_ended_rows();
 }
 
-void dispatcher::note_peer_loads(std::string_view daemon, std::span<const server_load> loads, time_point now) {
+void dispatcher::note_peer_loads(std::string_view daemon, std::span<const server_load> loads,
+                                 time_point now) {
   auto& peer = m_impl->m_tables.m_peers[std::string(daemon)];
   peer.m_loads.assign(loads.begin(), loads.end());
   peer.m_received = now;
--- a/packages/fleet/src/peer_loads.cpp
+++ b/packages/fleet/src/peer_loads.cpp
@@ -22,7 +22,8 @@
 } // namespace
 
 void run_peer_loads(dispatch_tables& tables, time_point now) {
-  std::erase_if(tables.m_peers, [&](const auto& peer) { return now - peer.second.m_received > max_report_age; });
+  std::erase_if(tables.m_peers,
+                [&](const auto& peer) { return now - peer.second.m_received > max_report_age; });
   std::unordered_map<std::uint64_t, server_row*> by_hash;
   for (auto& [name, servers] : tables.m_servers) {
     for (auto& [id, server] : servers) {
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -11,12 +11,12 @@
 // different times in each daemon.
 constexpr double cold_rate_share = 0.8;
 
-// Load, in parts of a server's slots, by which the server that probably holds the shared part of the prompt may
-// exceed others. The part is short, so that reading it again costs little.
+// Load, in parts of a server's slots, by which the server that probably holds the shared part of the prompt
+// may exceed others. The part is short, so that reading it again costs little.
 constexpr double affinity_allowance = 0.04;
 
-// What a request to another availability zone costs: load that the near server may have more than the far one,
-// and more for a body of this size.
+// What a request to another availability zone costs: load that the near server may have more than the far
+// one, and more for a body of this size.
 constexpr double far_allowance = 0.06;
 constexpr double far_allowance_large = 0.15;
 constexpr double large_body_bytes = 12'000;
@@ -44,7 +44,8 @@
 constexpr std::uint32_t near_doubt = 1;
 constexpr std::uint32_t far_doubt = 2;
 
-// By how much a server may be over its slots when this daemon uses one of its own, because others borrowed it.
+// By how much a server may be over its slots when this daemon uses one of its own, because others borrowed
+// it.
 constexpr std::uint32_t contested_slots = 1;
 
 // Peers that keep away from a server before this daemon does too: one may be wrong, or the link between them.
@@ -85,8 +86,8 @@
   return server.m_cold_sent < cold_allowance(tables, server, declared);
 }
 
-// Running requests up to which this daemon may send another one. Slots of other daemons are used only where the
-// reports, by their age, leave little doubt that they are free.
+// Running requests up to which this daemon may send another one. Slots of other daemons are used only where
+// the reports, by their age, leave little doubt that they are free.
 std::uint32_t limit_of(const dispatch_tables& tables, const server_row& server) {
   if (!server.m_batches) {
     return server.m_entry.m_slots + plain_queue_allowance;
@@ -118,7 +119,9 @@
   if (!server.m_batches) {
     return fit::good;
   }
-  const auto seconds_until = [&](time_point when) { return std::chrono::duration<double>(when - now).count(); };
+  const auto seconds_until = [&](time_point when) {
+    return std::chrono::duration<double>(when - now).count();
+  };
   const speed_summary& speed = server.m_speed;
   const double reading = speed.m_prompt_s_per_token * request.m_prompt_tokens;
   const double first = speed.m_base_s + reading;
@@ -141,13 +144,17 @@
       for (const auto& each : tables.m_members) {
         if (near && each.m_availability_zone == server.m_entry.m_availability_zone) {
           ++neighbours;
-          ahead += each.m_name != tables.m_self.m_name && rendezvous(hash64(each.m_name), server.m_hash) > mine ? 1 : 0;
+          ahead +=
+              each.m_name != tables.m_self.m_name && rendezvous(hash64(each.m_name), server.m_hash) > mine
+                  ? 1
+                  : 0;
         }
       }
       server.m_share = 0;
       if (neighbours > 0) {
         const std::uint32_t slots = server.m_entry.m_slots;
-        server.m_share = slots / static_cast<std::uint32_t>(neighbours) + (ahead < slots % neighbours ? 1 : 0);
+        server.m_share =
+            slots / static_cast<std::uint32_t>(neighbours) + (ahead < slots % neighbours ? 1 : 0);
       }
     }
   }
@@ -155,7 +162,8 @@
 
 bool eligible(const dispatch_tables& tables, const server_row& server, time_point now) {
   const bool accused = server.m_accusers >= enough_accusers;
-  return server.m_listed && !accused && !(server.m_on_probation && server.m_own > 0) && !server.m_entry.m_leaving && now >= server.m_excluded_until &&
+  return server.m_listed && !accused && !(server.m_on_probation && server.m_own > 0) &&
+         !server.m_entry.m_leaving && now >= server.m_excluded_until &&
          !tables.m_evacuated.contains(server.m_entry.m_availability_zone) &&
          (tables.m_judge == nullptr ||
           tables.m_judge->allows(server.m_entry.m_service, server.m_entry.m_version));
@@ -174,7 +182,8 @@
   const double events = static_cast<double>(request.m_output_tokens) / tokens_per_event;
 
   std::vector<candidate> candidates;
-  server_row* home = nullptr; // of the shared part, by rendezvous among all that are eligible, with room or not
+  server_row* home =
+      nullptr; // of the shared part, by rendezvous among all that are eligible, with room or not
   std::uint64_t home_weight = 0;
   double slowest_event_s = 0;
   double fastest_event_s = std::numeric_limits<double>::max();
@@ -199,15 +208,16 @@
       candidates.push_back({&server, suits});
     }
   }
-  const double far = far_allowance + far_allowance_large * std::min(1.0, request.m_body_bytes / large_body_bytes);
+  const double far =
+      far_allowance + far_allowance_large * std::min(1.0, request.m_body_bytes / large_body_bytes);
 
   server_row* best = nullptr;
   fit best_fit = fit::none;
   double best_score = std::numeric_limits<double>::max();
   for (const auto& [server, suits] : candidates) {
     // An answer that seems too long for every server may be shorter than estimated: the fast ones try.
-    const bool hopeless = suits == fit::none && (possible != fit::none || server->m_speed.m_event_s >
-                                                                              fast_enough * fastest_event_s);
+    const bool hopeless = suits == fit::none && (possible != fit::none ||
+                                                 server->m_speed.m_event_s > fast_enough * fastest_event_s);
     if (hopeless || suits < best_fit) {
       continue;
     }
--- a/packages/fleet/src/queueing.cpp
+++ b/packages/fleet/src/queueing.cpp
@@ -6,8 +6,8 @@
 namespace cardamompond::fleet {
 namespace {
 
-// A request waits for a place for this part of the time in which its answer must begin: a late answer is worth
-// something too, and the rest is left to the server.
+// A request waits for a place for this part of the time in which its answer must begin: a late answer is
+// worth something too, and the rest is left to the server.
 constexpr double patience_share = 0.55;
 
 // An answer that must begin within less than this cannot be on time any more; others go first.
@@ -16,11 +16,12 @@
 // Longest wait while the service has no backend server at all: a list may be about to arrive.
 constexpr duration patience_without_server = milliseconds(500);
 
-// When to come back after a refusal for lack of room. The goal is missed by then, and bursts last some seconds.
+// When to come back after a refusal for lack of room. The goal is missed by then, and bursts last some
+// seconds.
 constexpr duration retry_pause = milliseconds(2'500);
 
-// A request that takes a server at most this long goes ahead of longer ones: it delays them little, and many of
-// its kind are served for one of theirs.
+// A request that takes a server at most this long goes ahead of longer ones: it delays them little, and many
+// of its kind are served for one of theirs.
 constexpr double quick_s = 0.15;
 
 bool any_eligible(const dispatch_tables& tables, const std::string& service, time_point now) {
@@ -42,13 +43,14 @@
   return {request.m_ticket, server.m_entry};
 }
 
-// Tiers first; within a tier quick requests that can still be on time, then by the rank of the route, those that
-// can still be on time before the others, and by arrival.
+// Tiers first; within a tier quick requests that can still be on time, then by the rank of the route, those
+// that can still be on time before the others, and by arrival.
 void order(std::deque<waiting_request>& queue, time_point now) {
   const auto key = [&](const waiting_request& each) {
     const submission& request = each.m_request;
     const bool late = now > request.m_goal - hopeless_within;
-    return std::make_tuple(request.m_rank, late || !each.m_quick, request.m_route_rank, late, request.m_arrived);
+    return std::make_tuple(request.m_rank, late || !each.m_quick, request.m_route_rank, late,
+                           request.m_arrived);
   };
   std::sort(queue.begin(), queue.end(),
             [&](const waiting_request& a, const waiting_request& b) { return key(a) < key(b); });
--- a/packages/fleet/src/server_health.cpp
+++ b/packages/fleet/src/server_health.cpp
@@ -11,7 +11,8 @@
 constexpr duration max_exclusion = seconds(3);
 
 // Weight of one outcome in the moving average of failures. Plain services fail up to 14 of 100 calls by
-// themselves, so that more calls are needed there to tell; a model engine shows by its second failure in a row.
+// themselves, so that more calls are needed there to tell; a model engine shows by its second failure in a
+// row.
 constexpr double plain_outcome_weight = 0.12;
 constexpr double batch_outcome_weight = 0.25;
 
--- a/packages/fleet/src/server_speed.cpp
+++ b/packages/fleet/src/server_speed.cpp
@@ -49,8 +49,7 @@
 speed_summary server_speed::summary() const {
   speed_summary found = assumed_speed();
   // How this server compares with the assumption, from its events; scales the prior of the regression.
-  const double scale =
-      m_event_weight > 0 ? (m_event_seconds / m_event_weight) / assumed_event_s : 1.0;
+  const double scale = m_event_weight > 0 ? (m_event_seconds / m_event_weight) / assumed_event_s : 1.0;
   if (m_event_weight > 0) {
     found.m_event_s = m_event_seconds / m_event_weight;
   }
@@ -75,7 +74,9 @@
   if (samples <= 0) {
     return a;
   }
-  const auto mean = [&](double left, double right) { return (left * a.m_samples + right * b.m_samples) / samples; };
+  const auto mean = [&](double left, double right) {
+    return (left * a.m_samples + right * b.m_samples) / samples;
+  };
   return {mean(a.m_base_s, b.m_base_s), mean(a.m_prompt_s_per_token, b.m_prompt_s_per_token),
           mean(a.m_event_s, b.m_event_s), samples};
 }
--- /dev/null
+++ b/packages/fleet/tests/token_quota_test.cpp
@@ -0,0 +1,131 @@
+#include "cardamompond/fleet/retry_budget.hpp"
+#include "cardamompond/fleet/token_quota.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <vector>
+
+using namespace cardamompond;
+using namespace cardamompond::fleet;
+
+namespace {
+
+constexpr double rate = 1000;
+
+declarations with_rate(double units_per_s) {
+  declarations made;
+  client_account account;
+  account.m_name = "workshop";
+  account.m_units_per_s = units_per_s;
+  account.m_burst_units = units_per_s;
+  made.m_client_accounts.push_back(account);
+  return made;
+}
+
+// Admits what it can in requests of ten units for that time and returns the units.
+double use_up(token_quota& quota, time_point& now, duration time) {
+  double used = 0;
+  for (const time_point until = now + time; now < until; now += milliseconds(1)) {
+    while (quota.admit("workshop", 10, now)) {
+      used += 10;
+    }
+  }
+  return used;
+}
+
+} // namespace
+
+TEST_GROUP(token_quota){};
+
+// Guards against daemons that are cut off and together admit more than the quota.
+TEST(token_quota, silent_daemons_keep_to_their_share) {
+  time_point now{seconds(1)};
+  token_quota quota;
+  quota.set_members(8, 1, now);
+  quota.apply(with_rate(rate), now);
+  const double used = use_up(quota, now, seconds(8));
+  const double whole = rate * 8 + rate;
+  CHECK_TEXT(used <= whole / 8 + 10, "more than an eighth of the quota");
+  CHECK_TEXT(used >= rate, "less than an eighth of the rate");
+}
+
+// Guards against daemons that hear one another and each use the whole quota.
+TEST(token_quota, use_of_peers_counts) {
+  time_point now{seconds(1)};
+  std::vector<token_quota> daemons(4);
+  for (auto& each : daemons) {
+    each.set_members(4, 4, now);
+    each.apply(with_rate(rate), now);
+  }
+  double used = 0;
+  for (const time_point until = now + seconds(8); now < until; now += milliseconds(100)) {
+    for (std::size_t i = 0; i < daemons.size(); ++i) {
+      double admitted = 0;
+      while (daemons[i].admit("workshop", 10, now)) {
+        admitted += 10;
+      }
+      used += admitted;
+      for (std::size_t j = 0; j < daemons.size(); ++j) {
+        if (j != i) {
+          daemons[j].note_peer_use("workshop", admitted, now);
+        }
+      }
+    }
+  }
+  CHECK(used <= rate * 9 * 1.1);
+  CHECK(used >= rate * 7);
+}
+
+// Guards against a lowered limit that leaves the old burst in the bucket.
+TEST(token_quota, a_lower_limit_cuts_the_bucket) {
+  time_point now{seconds(1)};
+  token_quota quota;
+  quota.apply(with_rate(rate * 100), now);
+  now += seconds(10);
+  quota.apply(with_rate(rate), now);
+  CHECK(use_up(quota, now, seconds(1)) <= rate * 2 + 10);
+}
+
+// Guards against refused requests that are charged although they never ran.
+TEST(token_quota, units_of_requests_that_never_ran_come_back) {
+  const time_point now{seconds(1)};
+  token_quota quota;
+  quota.apply(with_rate(rate), now);
+  CHECK(quota.admit("workshop", rate, now));
+  CHECK_FALSE(quota.admit("workshop", 1, now));
+  CHECK(quota.time_to_refill("workshop", now) > milliseconds(0));
+  quota.give_back("workshop", rate);
+  CHECK(quota.admit("workshop", 1, now));
+}
+
+// Guards against accounts without a quota that are refused.
+TEST(token_quota, unknown_accounts_are_unlimited) {
+  token_quota quota;
+  CHECK(quota.admit("anybody", 1e12, time_point{seconds(1)}));
+}
+
+TEST_GROUP(retry_budget){};
+
+// Guards against more repeats in any window than its requests and the fixed number allow.
+TEST(retry_budget, repeats_stay_in_the_ratio) {
+  retry_budget budget;
+  budget.set_limits({0.2, 5, seconds(10)});
+  time_point now{seconds(100)};
+  int repeats = 0;
+  for (int i = 0; i < 1000; ++i, now += milliseconds(10)) {
+    budget.note_request(now);
+    repeats += budget.take(now) ? 1 : 0;
+    repeats += budget.take(now) ? 1 : 0;
+  }
+  CHECK(repeats <= 205);
+  CHECK(repeats >= 150);
+}
+
+// Guards against repeats of long ago that still block new ones.
+TEST(retry_budget, old_repeats_are_forgotten) {
+  retry_budget budget;
+  budget.set_limits({0, 1, seconds(10)});
+  CHECK(budget.take(time_point{seconds(100)}));
+  CHECK_FALSE(budget.take(time_point{seconds(105)}));
+  CHECK(budget.take(time_point{seconds(121)}));
+}
--- a/packages/gateway/include/cardamompond/gateway/admission.hpp
+++ b/packages/gateway/include/cardamompond/gateway/admission.hpp
@@ -18,16 +18,16 @@
 
 // Figures that the daemons of a group share; from the settings.
 struct fleet_limits {
-  double m_retry_ratio = 0.2;        // repeats for each request of a service
-  double m_retry_fixed = 50;         // and over all daemons in a window
+  double m_retry_ratio = 0.2; // repeats for each request of a service
+  double m_retry_fixed = 50;  // and over all daemons in a window
   duration m_retry_window = seconds(10);
 };
 
 // Nothing (the wait was cancelled), a backend server, or a refusal.
 using admission_result = std::variant<std::monostate, fleet::dispatch_grant, fleet::dispatch_refusal>;
 
-// The decision state of this daemon: the dispatcher, quotas, retry budgets, rollouts and crash suspicions, kept
-// in step with what is known of the fleet, and the fibers that wait for decisions. Used on one thread.
+// The decision state of this daemon: the dispatcher, quotas, retry budgets, rollouts and crash suspicions,
+// kept in step with what is known of the fleet, and the fibers that wait for decisions. Used on one thread.
 class admission {
 public:
   admission(fleet_knowledge& knowledge, fleet::daemon_place self, fleet_limits limits, std::uint64_t seed);
@@ -40,7 +40,8 @@
 
   fleet::ticket next_ticket() { return ++m_last_ticket; }
 
-  // Runs the dispatcher once and wakes those with a decision. Call it after events and every few milliseconds.
+  // Runs the dispatcher once and wakes those with a decision. Call it after events and every few
+  // milliseconds.
   void run();
 
   // Whether a further dispatch of a request fits the service's budget; takes it.
--- a/packages/gateway/include/cardamompond/gateway/backend_call.hpp
+++ b/packages/gateway/include/cardamompond/gateway/backend_call.hpp
@@ -14,15 +14,15 @@
 
 // How one dispatch of a request to a backend server ended.
 enum class call_end {
-  answered,     // a whole answer of the server's is held in backend_call::answer()
-  relayed,      // a whole stream was passed on
-  refused,      // the server did not run it
-  misdirected,  // another server has the address; not run
-  unreachable,  // nothing was sent
-  broken,       // sent, and the connection broke or the answer was none; may have run
-  silent,       // sent, and nothing came in time; may have run
-  caller_gone,  // the caller closed its connection or does not read
-  out_of_time   // the deadline passed
+  answered,    // a whole answer of the server's is held in backend_call::answer()
+  relayed,     // a whole stream was passed on
+  refused,     // the server did not run it
+  misdirected, // another server has the address; not run
+  unreachable, // nothing was sent
+  broken,      // sent, and the connection broke or the answer was none; may have run
+  silent,      // sent, and nothing came in time; may have run
+  caller_gone, // the caller closed its connection or does not read
+  out_of_time  // the deadline passed
 };
 
 // Returns the end as it appears in logs and metrics, e.g. "caller_gone".
--- a/packages/gateway/include/cardamompond/gateway/collection_feed.hpp
+++ b/packages/gateway/include/cardamompond/gateway/collection_feed.hpp
@@ -55,8 +55,8 @@
   bool m_connected = false;
   bool m_list_next = true;
   std::uint32_t m_failures_in_row = 0;
-  time_point m_lost;          // when the first call of a series failed
-  time_point m_settled_at;    // until then the store may lack entries that lapsed during its outage
+  time_point m_lost;       // when the first call of a series failed
+  time_point m_settled_at; // until then the store may lack entries that lapsed during its outage
 };
 
 } // namespace cardamompond::gateway
--- a/packages/gateway/include/cardamompond/gateway/document_store.hpp
+++ b/packages/gateway/include/cardamompond/gateway/document_store.hpp
@@ -14,9 +14,9 @@
 // What the daemons know from the store, one collection of documents for each kind of object.
 enum class collection_kind { declarations, backend_servers, rollouts, evacuations, members };
 
-inline constexpr std::array all_collections = {collection_kind::declarations, collection_kind::backend_servers,
-                                               collection_kind::rollouts, collection_kind::evacuations,
-                                               collection_kind::members};
+inline constexpr std::array all_collections = {collection_kind::declarations,
+                                               collection_kind::backend_servers, collection_kind::rollouts,
+                                               collection_kind::evacuations, collection_kind::members};
 
 // Returns the kind as it appears in logs and metrics, e.g. "backend_servers".
 std::string_view to_string(collection_kind kind);
@@ -71,7 +71,8 @@
   virtual ~document_store() = default;
 
   // Reads a whole collection. A stale answer is cheaper and may be some seconds old.
-  virtual document_result<collection_snapshot> list(collection_kind kind, bool stale, milliseconds timeout) = 0;
+  virtual document_result<collection_snapshot> list(collection_kind kind, bool stale,
+                                                    milliseconds timeout) = 0;
 
   // Waits up to `wait` for changes after the revision.
   virtual document_result<collection_changes> watch(collection_kind kind, std::uint64_t after,
--- a/packages/gateway/include/cardamompond/gateway/duties.hpp
+++ b/packages/gateway/include/cardamompond/gateway/duties.hpp
@@ -14,7 +14,8 @@
 // conditional writes make a second attempt harmless.
 class duties {
 public:
-  duties(document_store& store, admission& decisions, peer_group& group, const document_reader& reader, member self);
+  duties(document_store& store, admission& decisions, peer_group& group, const document_reader& reader,
+         member self);
 
   // Registers this daemon until the store has its entry, then looks after the members. Never returns.
   void run_membership();
@@ -38,7 +39,8 @@
   member m_self;
   bool m_leaving = false;
   std::map<std::string, time_point, std::less<>> m_silent_since; // members that do not report
-  std::map<std::string, time_point, std::less<>> m_unwritten_since; // services whose state is not in the store
+  std::map<std::string, time_point, std::less<>>
+      m_unwritten_since; // services whose state is not in the store
 };
 
 } // namespace cardamompond::gateway
--- a/packages/gateway/include/cardamompond/gateway/fleet_knowledge.hpp
+++ b/packages/gateway/include/cardamompond/gateway/fleet_knowledge.hpp
@@ -23,7 +23,8 @@
 
   const collection& of(collection_kind kind) const { return m_collections[static_cast<std::size_t>(kind)]; }
 
-  // Takes in a newer state. Observers are called if the content changed. `source` names who told, for the log.
+  // Takes in a newer state. Observers are called if the content changed. `source` names who told, for the
+  // log.
   bool apply(collection_kind kind, const collection_snapshot& snapshot, std::string_view source);
   bool apply(collection_kind kind, const collection_changes& changes, std::string_view source);
 
--- a/packages/gateway/include/cardamompond/gateway/request_handler.hpp
+++ b/packages/gateway/include/cardamompond/gateway/request_handler.hpp
@@ -16,8 +16,8 @@
   std::function<bool(bool streamed)> m_accepts = [](bool /*streamed*/) { return true; };
 };
 
-// Serves the requests of callers: finds the route and the account, keeps the quota, waits for a backend server,
-// sends the request and passes the answer on. Each request runs on the fiber of its connection.
+// Serves the requests of callers: finds the route and the account, keeps the quota, waits for a backend
+// server, sends the request and passes the answer on. Each request runs on the fiber of its connection.
 class request_handler {
 public:
   request_handler(net::http_client& client, admission& decisions, const request_protocol& protocol,
--- a/packages/gateway/include/cardamompond/gateway/request_protocol.hpp
+++ b/packages/gateway/include/cardamompond/gateway/request_protocol.hpp
@@ -38,10 +38,10 @@
 
 // What the head of an answer says about the request and the server.
 struct answer_facts {
-  bool m_signed = false;      // bears the mark of a backend server
-  bool m_not_run = false;     // the server states that it did not run the request
-  bool m_misdirected = false; // another server has the address
-  bool m_encoded = false;     // the body is not the server's own bytes
+  bool m_signed = false;                   // bears the mark of a backend server
+  bool m_not_run = false;                  // the server states that it did not run the request
+  bool m_misdirected = false;              // another server has the address
+  bool m_encoded = false;                  // the body is not the server's own bytes
   std::optional<std::string> m_request_id; // of the request that is answered
   std::optional<fleet::stated_load> m_load;
   std::optional<milliseconds> m_cold_remaining;
@@ -54,8 +54,8 @@
 
   virtual result<caller_request, request_error> read_request(const net::http_request& from) const = 0;
 
-  // The request as a backend server gets it: what the caller sent, less what concerns one connection or is the
-  // system's to set, and the terms.
+  // The request as a backend server gets it: what the caller sent, less what concerns one connection or is
+  // the system's to set, and the terms.
   virtual net::http_request make_backend_request(const net::http_request& from,
                                                  const dispatch_terms& terms) const = 0;
 
--- a/packages/gateway/src/admission.cpp
+++ b/packages/gateway/src/admission.cpp
@@ -1,6 +1,5 @@
 #include "cardamompond/gateway/admission.hpp"
 
-
 #include <algorithm>
 #include <utility>
 
--- a/packages/gateway/src/backend_call.cpp
+++ b/packages/gateway/src/backend_call.cpp
@@ -49,7 +49,8 @@
 
 milliseconds backend_call::wait_time() const {
   const duration left = m_options.m_deadline + answer_margin - monotonic_now();
-  const duration wait = m_options.m_silence_limit > duration::zero() ? std::min(left, m_options.m_silence_limit) : left;
+  const duration wait =
+      m_options.m_silence_limit > duration::zero() ? std::min(left, m_options.m_silence_limit) : left;
   return std::max(milliseconds(1), std::chrono::duration_cast<milliseconds>(wait));
 }
 
--- a/packages/gateway/src/collection.cpp
+++ b/packages/gateway/src/collection.cpp
@@ -5,7 +5,8 @@
 namespace cardamompond::gateway {
 
 std::string_view to_string(collection_kind kind) {
-  constexpr std::string_view names[] = {"declarations", "backend_servers", "rollouts", "evacuations", "members"};
+  constexpr std::string_view names[] = {"declarations", "backend_servers", "rollouts", "evacuations",
+                                        "members"};
   return names[static_cast<std::size_t>(kind)];
 }
 
--- a/packages/gateway/src/collection_feed.cpp
+++ b/packages/gateway/src/collection_feed.cpp
@@ -145,8 +145,10 @@
   if (m_connected) {
     m_connected = false;
     log_event(log_level::warning, "store_lost",
-              {{"collection", to_string(m_kind)}, {"reason", to_string(error.m_kind)},
-               {"message", error.m_message}, {"as_of", m_knowledge.of(m_kind).as_of()}});
+              {{"collection", to_string(m_kind)},
+               {"reason", to_string(error.m_kind)},
+               {"message", error.m_message},
+               {"as_of", m_knowledge.of(m_kind).as_of()}});
   }
   const auto doublings = std::min(m_failures_in_row++, 5U);
   const auto ceiling = std::min(first_backoff * (1U << doublings), max_backoff);
--- a/packages/gateway/src/duties.cpp
+++ b/packages/gateway/src/duties.cpp
@@ -53,10 +53,12 @@
   const auto created =
       m_store.create(collection_kind::members, m_self.m_name, m_reader.write_member(m_self), write_timeout);
   if (!created && created.error().m_kind == document_error_kind::conflict) {
-    // An entry of an earlier process at another address, or of this one that the collection does not show yet.
+    // An entry of an earlier process at another address, or of this one that the collection does not show
+    // yet.
     if (m_admission.knowledge().of(collection_kind::members).documents().contains(m_self.m_name)) {
       const auto removed = m_store.remove(collection_kind::members, m_self.m_name, write_timeout);
-      log_event(log_level::info, "member_replaced", {{"name", m_self.m_name}, {"removed", removed.has_value()}});
+      log_event(log_level::info, "member_replaced",
+                {{"name", m_self.m_name}, {"removed", removed.has_value()}});
     }
   } else {
     log_event(created ? log_level::info : log_level::warning, "member_registered",
@@ -119,8 +121,9 @@
   if (now - since->second < write_turn * static_cast<int>(m_group.rank_for(verdict.m_service))) {
     return;
   }
-  const auto written = m_store.write_rollout_state(verdict.m_service, order->m_revision, verdict.m_target_version,
-                                                   state_name(verdict.m_state), write_timeout);
+  const auto written =
+      m_store.write_rollout_state(verdict.m_service, order->m_revision, verdict.m_target_version,
+                                  state_name(verdict.m_state), write_timeout);
   log_event(log_level::info, "rollout_state_written",
             {{"service", verdict.m_service},
              {"target", verdict.m_target_version},
--- a/packages/gateway/src/fleet_knowledge.cpp
+++ b/packages/gateway/src/fleet_knowledge.cpp
@@ -7,7 +7,8 @@
 fleet_knowledge::fleet_knowledge(const document_reader& reader)
     : m_reader(reader) {}
 
-bool fleet_knowledge::apply(collection_kind kind, const collection_snapshot& snapshot, std::string_view source) {
+bool fleet_knowledge::apply(collection_kind kind, const collection_snapshot& snapshot,
+                            std::string_view source) {
   if (!m_collections[static_cast<std::size_t>(kind)].apply(snapshot)) {
     return false;
   }
@@ -15,7 +16,8 @@
   return true;
 }
 
-bool fleet_knowledge::apply(collection_kind kind, const collection_changes& changes, std::string_view source) {
+bool fleet_knowledge::apply(collection_kind kind, const collection_changes& changes,
+                            std::string_view source) {
   if (!m_collections[static_cast<std::size_t>(kind)].apply(changes)) {
     return false;
   }
@@ -31,7 +33,9 @@
                                       const unreadable_document& error) {
   ++m_unreadable;
   log_event(log_level::warning, "document_unreadable",
-            {{"collection", to_string(kind)}, {"name", each.m_name}, {"revision", each.m_revision},
+            {{"collection", to_string(kind)},
+             {"name", each.m_name},
+             {"revision", each.m_revision},
              {"reason", error.m_reason}});
 }
 
@@ -61,7 +65,9 @@
     m_routes = std::make_shared<const fleet::route_table>(
         std::make_shared<const fleet::declarations>(std::move(*decoded)));
     log_event(log_level::info, "declarations_in_force",
-              {{"version", m_routes->source().m_version}, {"revision", each.m_revision}, {"source", source},
+              {{"version", m_routes->source().m_version},
+               {"revision", each.m_revision},
+               {"source", source},
                {"routes", m_routes->source().m_routes.size()}});
   }
 }
@@ -91,7 +97,9 @@
   }
   if (kind != collection_kind::declarations) {
     log_event(log_level::info, "collection_changed",
-              {{"collection", to_string(kind)}, {"as_of", of(kind).as_of()}, {"source", source},
+              {{"collection", to_string(kind)},
+               {"as_of", of(kind).as_of()},
+               {"source", source},
                {"documents", of(kind).documents().size()}});
   }
   for (const auto& call : m_observers) {
--- a/packages/gateway/src/gateway_settings.cpp
+++ b/packages/gateway/src/gateway_settings.cpp
@@ -117,7 +117,8 @@
     fail(node, "group.seeds", "must be a list of addresses");
     return;
   }
-  const std::string port = exchange_address.substr(std::min(exchange_address.rfind(':'), exchange_address.size()));
+  const std::string port =
+      exchange_address.substr(std::min(exchange_address.rfind(':'), exchange_address.size()));
   for (const auto& each : *list) {
     const auto value = each.value_exact<std::string>();
     if (!value) {
@@ -143,8 +144,8 @@
 }
 
 void parser::check_distinct(const gateway_settings& settings) {
-  const std::array listening = {settings.m_callers_address, settings.m_admin_address, settings.m_metrics_address,
-                                settings.m_exchange_address};
+  const std::array listening = {settings.m_callers_address, settings.m_admin_address,
+                                settings.m_metrics_address, settings.m_exchange_address};
   for (std::size_t i = 0; i < listening.size(); ++i) {
     for (std::size_t j = i + 1; j < listening.size(); ++j) {
       if (listening[i] == listening[j]) {
@@ -179,14 +180,16 @@
   if (m_fault) {
     return *m_fault;
   }
-  settings.m_limits.m_retry_window = std::chrono::duration_cast<duration>(std::chrono::duration<double>(window_s));
+  settings.m_limits.m_retry_window =
+      std::chrono::duration_cast<duration>(std::chrono::duration<double>(window_s));
   settings.m_drain_time = std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>(drain_s));
   return settings;
 }
 
 } // namespace
 
-result<gateway_settings, settings_fault> parse_gateway_settings(std::string_view text, std::string_view file) {
+result<gateway_settings, settings_fault> parse_gateway_settings(std::string_view text,
+                                                                std::string_view file) {
   try {
     const auto root = toml::parse(text);
     return parser(root, file).parse();
@@ -194,7 +197,8 @@
     std::string reason(error.description());
     std::replace_if(
         reason.begin(), reason.end(), [](char c) { return static_cast<unsigned char>(c) < ' '; }, '?');
-    return settings_fault{std::string(file) + ":" + std::to_string(error.source().begin.line) + ": " + reason};
+    return settings_fault{std::string(file) + ":" + std::to_string(error.source().begin.line) + ": " +
+                          reason};
   } catch (const toml_parser_fault&) {
     return settings_fault{std::string(file) + ":" + std::to_string(find_toml_fault_line(text)) +
                           ": not valid TOML"};
--- a/packages/gateway/src/peer_exchange.cpp
+++ b/packages/gateway/src/peer_exchange.cpp
@@ -169,8 +169,9 @@
   }();
   if (!reason.empty()) {
     ++m_counters.m_fetch_failures;
-    log_event(log_level::warning, "peer_fetch_failed",
-              {{"collection", to_string(lagging.m_kind)}, {"peer", lagging.m_peer_address}, {"reason", reason}});
+    log_event(
+        log_level::warning, "peer_fetch_failed",
+        {{"collection", to_string(lagging.m_kind)}, {"peer", lagging.m_peer_address}, {"reason", reason}});
   }
 }
 
--- a/packages/gateway/src/peer_group.cpp
+++ b/packages/gateway/src/peer_group.cpp
@@ -35,16 +35,16 @@
 // Daemons of one zone that read the store for the others of a large group: two, so that one may fail.
 constexpr std::size_t readers_per_zone = 2;
 
-// A daemon for which others read does it itself when what it knows was not confirmed for this long: the time of a
-// watch and of some reports.
+// A daemon for which others read does it itself when what it knows was not confirmed for this long: the time
+// of a watch and of some reports.
 constexpr duration max_unconfirmed = milliseconds(3'000);
 
 // A rarely changing collection is watched for longer.
 constexpr duration max_unconfirmed_members = seconds(14);
 constexpr duration max_unconfirmed_orders = milliseconds(4'800);
 
-// Watches of several daemons return within this time; a daemon that watches fetches from a peer only if it stays
-// behind for longer.
+// Watches of several daemons return within this time; a daemon that watches fetches from a peer only if it
+// stays behind for longer.
 constexpr duration tolerated_lag = milliseconds(250);
 
 // Contents suspected of crashing servers in one report.
@@ -64,9 +64,9 @@
     return;
   }
   const auto known = m_peers.find(report.m_daemon);
-  if (known != m_peers.end() &&
-      (report.m_incarnation < known->second.m_incarnation ||
-       (report.m_incarnation == known->second.m_incarnation && report.m_sequence <= known->second.m_sequence))) {
+  if (known != m_peers.end() && (report.m_incarnation < known->second.m_incarnation ||
+                                 (report.m_incarnation == known->second.m_incarnation &&
+                                  report.m_sequence <= known->second.m_sequence))) {
     return;
   }
   if (report.m_leaving) {
@@ -78,7 +78,8 @@
   }
   const bool restarted = known == m_peers.end() || known->second.m_incarnation != report.m_incarnation;
   if (known == m_peers.end()) {
-    log_event(log_level::info, "peer_heard", {{"peer", report.m_daemon}, {"address", report.m_exchange_address}});
+    log_event(log_level::info, "peer_heard",
+              {{"peer", report.m_daemon}, {"address", report.m_exchange_address}});
   }
   peer& of = m_peers[report.m_daemon];
   of.m_availability_zone = report.m_availability_zone;
@@ -116,15 +117,15 @@
   }
 }
 
-// What a daemon admitted before this one heard of it is not counted: it lies before the window or in the share
-// that was reserved for it.
+// What a daemon admitted before this one heard of it is not counted: it lies before the window or in the
+// share that was reserved for it.
 void peer_group::note_quota_use(peer& of, const peer_report& report, bool restarted, time_point now) {
   std::map<std::string, double, std::less<>> use(report.m_quota_use.begin(), report.m_quota_use.end());
   if (!restarted) {
     for (const auto& [account, units] : use) {
       const auto before = of.m_quota_use.find(account);
-      m_admission.quota().note_peer_use(account, units - (before == of.m_quota_use.end() ? 0 : before->second),
-                                        now);
+      m_admission.quota().note_peer_use(account,
+                                        units - (before == of.m_quota_use.end() ? 0 : before->second), now);
     }
   }
   of.m_quota_use = std::move(use);
@@ -137,8 +138,9 @@
 duration peer_group::silent_after(const peer& of) const {
   const bool near = of.m_availability_zone == m_self.m_availability_zone;
   const std::size_t rounds = near ? m_near_count / max_near_per_round + 1
-                             : small_group() ? far_rounds_small
-                                             : std::max(far_rounds_large, m_far_count / max_far_per_round + 1);
+                             : small_group()
+                                 ? far_rounds_small
+                                 : std::max(far_rounds_large, m_far_count / max_far_per_round + 1);
   return std::max<duration>(min_silence, report_interval * static_cast<int>(rounds) * silent_rounds);
 }
 
@@ -284,7 +286,8 @@
     const duration lag = covered(kind, now) ? duration::zero() : duration(tolerated_lag);
     const peer* best = nullptr;
     for (const auto& [name, each] : m_peers) {
-      const bool ahead = each.m_collections[index].m_changed_at > own && each.m_ahead_since[index] != time_point{} &&
+      const bool ahead = each.m_collections[index].m_changed_at > own &&
+                         each.m_ahead_since[index] != time_point{} &&
                          (own == 0 || now - each.m_ahead_since[index] >= lag);
       // Near before far, since the link to other zones is paid for; then any of those that are ahead.
       const auto preference = [&](const peer& of) {
--- a/packages/gateway/src/peer_report.cpp
+++ b/packages/gateway/src/peer_report.cpp
@@ -24,7 +24,8 @@
   return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
 }
 
-template <typename T, typename Read> result<T, malformed_message> decode(std::span<const char> bytes, Read read) {
+template <typename T, typename Read>
+result<T, malformed_message> decode(std::span<const char> bytes, Read read) {
   try {
     kj::ArrayInputStream in(kj::arrayPtr(reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
     capnp::ReaderOptions options;
@@ -94,11 +95,11 @@
     report.m_quota_use.emplace_back(each.getAccount().cStr(), finite(each.getUnits()));
   }
   for (const auto& each : from.getOutcomes()) {
-    report.m_outcomes.push_back({each.getService().cStr(),
-                                 each.getVersion().cStr(),
-                                 each.getRoute().cStr(),
-                                 {each.getGood(), each.getBad(), finite(each.getFirstAnswerS()),
-                                  finite(each.getTotalS())}});
+    report.m_outcomes.push_back(
+        {each.getService().cStr(),
+         each.getVersion().cStr(),
+         each.getRoute().cStr(),
+         {each.getGood(), each.getBad(), finite(each.getFirstAnswerS()), finite(each.getTotalS())}});
   }
   for (const auto& each : from.getTakenBack()) {
     report.m_taken_back.emplace_back(each.getService().cStr(), each.getCreated());
@@ -128,8 +129,8 @@
   for (unsigned i = 0; i < collections.size(); ++i) {
     collections[i].setAsOf(report.m_collections[i].m_as_of);
     collections[i].setChangedAt(report.m_collections[i].m_changed_at);
-    collections[i].setAgeMs(static_cast<std::uint32_t>(
-        std::clamp<std::int64_t>(report.m_collections[i].m_age.count(), 0, std::numeric_limits<std::uint32_t>::max())));
+    collections[i].setAgeMs(static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+        report.m_collections[i].m_age.count(), 0, std::numeric_limits<std::uint32_t>::max())));
   }
   auto loads = to.initLoads(static_cast<unsigned>(report.m_loads.size()));
   for (unsigned i = 0; i < loads.size(); ++i) {
@@ -169,7 +170,8 @@
   for (unsigned i = 0; i < documents.size(); ++i) {
     documents[i].setName(snapshot.m_documents[i].m_name);
     documents[i].setRevision(snapshot.m_documents[i].m_revision);
-    documents[i].setContent(snapshot.m_documents[i].m_content);
+    const std::string& content = snapshot.m_documents[i].m_content;
+    documents[i].setContent(kj::StringPtr(content.c_str(), content.size()));
   }
   return finish(message);
 }
@@ -179,8 +181,8 @@
     const auto from = message.getRoot<wire::CollectionSnapshot>();
     collection_snapshot snapshot{from.getAsOf(), {}};
     for (const auto& each : from.getDocuments()) {
-      snapshot.m_documents.push_back(
-          {each.getName().cStr(), each.getRevision(), std::string(each.getContent().cStr(), each.getContent().size())});
+      snapshot.m_documents.push_back({each.getName().cStr(), each.getRevision(),
+                                      std::string(each.getContent().cStr(), each.getContent().size())});
     }
     return snapshot;
   });
--- a/packages/gateway/src/request_handler.cpp
+++ b/packages/gateway/src/request_handler.cpp
@@ -15,8 +15,8 @@
 // For callers that state no time of their own, on routes without one.
 constexpr milliseconds default_timeout{60'000};
 
-// Callers of streams leave when nothing comes for two seconds, four times the goal of the first event or eight
-// times that of a pause, whichever is longest.
+// Callers of streams leave when nothing comes for two seconds, four times the goal of the first event or
+// eight times that of a pause, whichever is longest.
 constexpr milliseconds min_caller_patience{2'000};
 constexpr int caller_patience_in_goals = 4;
 constexpr int caller_patience_in_gaps = 8;
@@ -106,7 +106,9 @@
   void pass_answer();
   void report(std::string_view result, int status);
 
-  bool repeatable() const { return m_route->m_repetition == fleet::repetition::idempotent || m_route->m_resumable; }
+  bool repeatable() const {
+    return m_route->m_repetition == fleet::repetition::idempotent || m_route->m_resumable;
+  }
 
   request_handler& m_owner;
   net::http_exchange& m_exchange;
@@ -216,8 +218,8 @@
     return not_run(error_code::crashing_request, "this request has crashed backend servers and is refused");
   }
   if (!m_account.empty() && !decisions.quota().admit(m_account, m_units, m_arrived)) {
-    m_retry_after = std::clamp(decisions.quota().time_to_refill(m_account, m_arrived), min_retry_after,
-                               max_retry_after);
+    m_retry_after =
+        std::clamp(decisions.quota().time_to_refill(m_account, m_arrived), min_retry_after, max_retry_after);
     m_units = 0;
     return not_run(error_code::account_limit, "the account is over its quota");
   }
@@ -242,8 +244,9 @@
   submitted.m_deadline = m_deadline;
   submitted.m_abandoned = m_deadline;
   if (m_route->m_streamed) {
-    const auto patience = std::max({min_caller_patience, m_route->m_first_answer_goal * caller_patience_in_goals,
-                                    m_route->m_event_gap_goal * caller_patience_in_gaps});
+    const auto patience =
+        std::max({min_caller_patience, m_route->m_first_answer_goal * caller_patience_in_goals,
+                  m_route->m_event_gap_goal * caller_patience_in_gaps});
     submitted.m_abandoned = std::min(m_deadline, m_arrived + patience);
   }
   submitted.m_avoid = m_tried;
@@ -268,8 +271,7 @@
     // Before its first event a stream may wait in the server's queue, whose place it would lose.
     options.m_silence_limit = m_relay.m_begun ? stream_silence : first_event_silence;
   } else if (!m_route->m_streamed && repeatable() && !last_attempt) {
-    options.m_silence_limit =
-        std::chrono::duration_cast<duration>((m_deadline - m_arrived) * silent_share);
+    options.m_silence_limit = std::chrono::duration_cast<duration>((m_deadline - m_arrived) * silent_share);
   }
   options.m_on_first_answer = [this, ticket = grant.m_ticket] {
     m_first_answer = monotonic_now();
@@ -312,10 +314,11 @@
       continue;
     }
     if (const auto* refusal = std::get_if<fleet::dispatch_refusal>(&decision)) {
-      m_retry_after = std::clamp(std::chrono::duration_cast<milliseconds>(refusal->m_retry_after), min_retry_after,
-                                 max_retry_after);
-      m_failure = refusal->m_reason == fleet::refusal_reason::no_backend_server ? "no backend server in service"
-                                                                                : "no room on any backend server";
+      m_retry_after = std::clamp(std::chrono::duration_cast<milliseconds>(refusal->m_retry_after),
+                                 min_retry_after, max_retry_after);
+      m_failure = refusal->m_reason == fleet::refusal_reason::no_backend_server
+                      ? "no backend server in service"
+                      : "no room on any backend server";
     } else {
       m_last_end = call_end::caller_gone;
     }
@@ -355,7 +358,8 @@
   const int status = call.answer().m_status;
   m_failure = call.failure();
   m_tried.push_back(grant.m_server.m_id);
-  const bool may_run = end != call_end::refused && end != call_end::misdirected && end != call_end::unreachable;
+  const bool may_run =
+      end != call_end::refused && end != call_end::misdirected && end != call_end::unreachable;
   if (may_run) {
     ++m_runs;
     m_may_have_run = true;
@@ -372,13 +376,18 @@
   if (good || bad) {
     const duration total = now - begun;
     const duration first = m_first_answer > begun ? m_first_answer - begun : total;
-    decisions.judge().note_outcome(m_service, grant.m_server.m_version, m_route->m_name, good, first, first, now);
+    decisions.judge().note_outcome(m_service, grant.m_server.m_version, m_route->m_name, good, first, first,
+                                   now);
   }
   if (!good) {
     log_event(log_level::info, "dispatch_failed",
-              {{"request_id", m_request.m_id}, {"backend_server", grant.m_server.m_id}, {"end", to_string(end)},
-               {"status", end == call_end::answered ? status : 0}, {"reason", m_failure},
-               {"ms", to_ms(now - begun)}, {"may_have_run", may_run}});
+              {{"request_id", m_request.m_id},
+               {"backend_server", grant.m_server.m_id},
+               {"end", to_string(end)},
+               {"status", end == call_end::answered ? status : 0},
+               {"reason", m_failure},
+               {"ms", to_ms(now - begun)},
+               {"may_have_run", may_run}});
   }
   decisions.run(); // a place is free
 }
@@ -389,7 +398,8 @@
       m_deadline - monotonic_now() < min_time_for_repeat) {
     return false;
   }
-  const bool certainly_not_run = end == call_end::refused || end == call_end::misdirected || end == call_end::unreachable;
+  const bool certainly_not_run =
+      end == call_end::refused || end == call_end::misdirected || end == call_end::unreachable;
   if (!certainly_not_run) {
     if (!repeatable() || m_runs >= m_route->m_max_attempts) {
       return false;
@@ -439,7 +449,8 @@
 
 void request_handler::request_run::answer_error(const request_error& error) {
   if (m_relay.m_begun) {
-    m_exchange.close_after(); // without the final chunk, so that the caller sees that the answer is incomplete
+    m_exchange
+        .close_after(); // without the final chunk, so that the caller sees that the answer is incomplete
     report("broken", 0);
     return;
   }
--- /dev/null
+++ b/packages/gateway/tests/gateway_settings_test.cpp
@@ -0,0 +1,58 @@
+#include "cardamompond/gateway/gateway_settings.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+
+using namespace cardamompond;
+using namespace cardamompond::gateway;
+
+namespace {
+
+const std::string complete = R"(scheduling = "local"
+name = "d1"
+availability_zone = "a"
+[listen]
+callers = "127.0.0.1:1"
+admin = "127.0.0.1:2"
+metrics = "127.0.0.1:3"
+exchange = "127.0.0.1:7600"
+[store]
+address = "127.0.0.1:5"
+[group]
+seeds = ["10.0.0.1:99", "10.0.0.2:99"]
+retry_ratio = 0.2
+retry_fixed = 56
+retry_window_s = 10
+[drain]
+time_s = 8
+)";
+
+std::string refused(std::string text, std::string_view from, std::string_view to) {
+  text.replace(text.find(from), from.size(), to);
+  const auto read = parse_gateway_settings(text, "f");
+  return read ? "" : read.error().m_message;
+}
+
+} // namespace
+
+TEST_GROUP(gateway_settings){};
+
+// Guards against seeds that are addressed at a port on which no daemon listens.
+TEST(gateway_settings, reads_a_complete_file) {
+  const auto read = parse_gateway_settings(complete, "f");
+  CHECK(read.has_value());
+  STRCMP_EQUAL("10.0.0.2:7600", read->m_seeds[1].c_str());
+  LONGS_EQUAL(8'000, read->m_drain_time.count());
+  DOUBLES_EQUAL(56, read->m_limits.m_retry_fixed, 0);
+}
+
+// Guards against daemons that start with a setting they do not understand.
+TEST(gateway_settings, faults_name_file_line_and_key) {
+  STRCMP_EQUAL("f:1: store.address: missing", refused(complete, "address = \"127.0.0.1:5\"", "").c_str());
+  STRCMP_EQUAL("f:3: nam: unknown key", refused(complete, "name = ", "name = \"x\"\nnam = ").c_str());
+  CHECK(refused(complete, "retry_ratio = 0.2", "retry_ratio = 3").find("group.retry_ratio: must be") !=
+        std::string::npos);
+  CHECK(refused(complete, "127.0.0.1:2", "127.0.0.1:1").find("given twice") != std::string::npos);
+  CHECK(refused(complete, "[listen]", "[listen").find("f:") == 0);
+}
--- a/packages/net/include/cardamompond/net/http_client.hpp
+++ b/packages/net/include/cardamompond/net/http_client.hpp
@@ -56,8 +56,8 @@
   milliseconds m_connect_timeout{1'000};
   std::uint32_t m_max_header_bytes = 64U << 10U;
   std::size_t m_max_idle_per_address = 64;
-  milliseconds m_max_idle{30'000};    // a shorter time that the server states in Keep-Alive goes first
-  milliseconds m_loss_detection{0};   // without an acknowledgement; 0 leaves it to the system
+  milliseconds m_max_idle{30'000};  // a shorter time that the server states in Keep-Alive goes first
+  milliseconds m_loss_detection{0}; // without an acknowledgement; 0 leaves it to the system
 };
 
 // Which connection a call may use.
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -62,10 +62,7 @@
 std::string serialise_request(const http_request& request, std::string_view address) {
   std::string head;
   head.reserve(256);
-  head.append(request.m_method)
-      .append(" ")
-      .append(request.m_target)
-      .append(" HTTP/1.1\r\n");
+  head.append(request.m_method).append(" ").append(request.m_target).append(" HTTP/1.1\r\n");
   if (!find_header(request.m_headers, "Host")) {
     head.append("Host: ").append(address).append("\r\n");
   }
--- a/packages/net/src/http_message.cpp
+++ b/packages/net/src/http_message.cpp
@@ -20,18 +20,24 @@
 }
 
 http_headers without_connection_headers(const http_headers& headers) {
-  constexpr std::array<std::string_view, 11> dropped = {
-      "Connection", "Keep-Alive",        "Proxy-Connection", "Proxy-Authorization", "Proxy-Authenticate",
-      "TE",         "Trailer",           "Transfer-Encoding", "Upgrade",            "Expect",
-      "Content-Length"};
+  constexpr std::array<std::string_view, 11> dropped = {"Connection",
+                                                        "Keep-Alive",
+                                                        "Proxy-Connection",
+                                                        "Proxy-Authorization",
+                                                        "Proxy-Authenticate",
+                                                        "TE",
+                                                        "Trailer",
+                                                        "Transfer-Encoding",
+                                                        "Upgrade",
+                                                        "Expect",
+                                                        "Content-Length"};
   const std::string_view listed = find_header(headers, "Connection").value_or("");
   http_headers kept;
   for (const auto& header : headers) {
-    const bool drop = std::any_of(dropped.begin(), dropped.end(),
-                                  [&](std::string_view name) {
-                                    return boost::beast::iequals(name, header.m_name);
-                                  }) ||
-                      boost::beast::http::token_list(listed).exists(header.m_name);
+    const bool drop =
+        std::any_of(dropped.begin(), dropped.end(),
+                    [&](std::string_view name) { return boost::beast::iequals(name, header.m_name); }) ||
+        boost::beast::http::token_list(listed).exists(header.m_name);
     if (!drop) {
       kept.push_back(header);
     }
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -1,8 +1,8 @@
 #include "cardamompond/net/http_server.hpp"
 
 #include "address.hpp"
-#include "fiber_stream.hpp"
 #include "cardamompond/net/io_wait.hpp"
+#include "fiber_stream.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -349,12 +349,12 @@
   if (m_buffer.size() > 0) {
     return; // the next request is here already
   }
-  m_stream.socket().async_wait(
-      fiber_stream::socket_type::wait_read, [self = shared_from_this()](boost::system::error_code error) {
-        if (!error && self->m_on_closed && self->client_closed()) {
-          std::exchange(self->m_on_closed, nullptr)();
-        }
-      });
+  m_stream.socket().async_wait(fiber_stream::socket_type::wait_read,
+                               [self = shared_from_this()](boost::system::error_code error) {
+                                 if (!error && self->m_on_closed && self->client_closed()) {
+                                   std::exchange(self->m_on_closed, nullptr)();
+                                 }
+                               });
 }
 
 void http_server::impl::connection::end_watch() {
--- a/packages/telemetry/include/cardamompond/telemetry/log.hpp
+++ b/packages/telemetry/include/cardamompond/telemetry/log.hpp
@@ -37,7 +37,8 @@
 };
 
 // Sets up logging to standard output. Writing never blocks: lines over the rate, or without room at the
-// reader, are dropped and counted in the field dropped_lines of the next line. `level` is debug, info, warning or error; returns false for another one.
+// reader, are dropped and counted in the field dropped_lines of the next line. `level` is debug, info,
+// warning or error; returns false for another one.
 bool start_logging(std::string_view level);
 
 // Returns the line "event=NAME KEY=VALUE ...". Values with spaces, quotes, equal signs or control characters
--- a/packages/telemetry/src/log.cpp
+++ b/packages/telemetry/src/log.cpp
@@ -58,7 +58,8 @@
     if (::poll(&room, 1, 0) != 1 || (room.revents & POLLOUT) == 0) {
       return false;
     }
-    const bool written = ::write(STDOUT_FILENO, line.data(), line.size()) == static_cast<ssize_t>(line.size());
+    const bool written =
+        ::write(STDOUT_FILENO, line.data(), line.size()) == static_cast<ssize_t>(line.size());
     if (written) {
       m_dropped = 0;
     }
--- a/tests/support/src/tcp_relay.cpp
+++ b/tests/support/src/tcp_relay.cpp
@@ -1,8 +1,8 @@
 #include "cardamompond/testing/tcp_relay.hpp"
 
 #include "address.hpp"
-#include "cardamompond/testing/environment.hpp"
 #include "cardamompond/net/io_wait.hpp"
+#include "cardamompond/testing/environment.hpp"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
