--- a/packages/core/include/cardamompond/core/verdict.hpp
+++ b/packages/core/include/cardamompond/core/verdict.hpp
@@ -9,7 +9,7 @@
 // request was written to a backend server and none will be, or the backend server refused it explicitly.
 enum class verdict { not_run, may_have_run };
 
-// Stable codes of the answers that the daemon makes itself. docs/operations.md explains each.
+// Stable codes of the answers that the daemon makes itself. docs/OPERATIONS.md explains each.
 enum class error_code {
   bad_request,          // 400 malformed request, header or deadline
   idempotency_required, // 400 a call that may run once came without Idempotency-Key
--- a/packages/daemon/include/cardamompond/daemon/settings.hpp
+++ b/packages/daemon/include/cardamompond/daemon/settings.hpp
@@ -9,7 +9,7 @@
 
 namespace cardamompond::daemon {
 
-// The settings file of a daemon; docs/operations.md describes each key.
+// The settings file of a daemon; docs/OPERATIONS.md describes each key.
 struct settings {
   std::string m_name;
   std::string m_owner;
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -45,7 +45,7 @@
   try {
     TCLAP::CmdLine command("Request scheduler between callers and backend servers.", ' ', "0.1.0");
     TCLAP::ValueArg<std::string> file("s", "settings",
-                                      "Settings file (TOML); docs/operations.md lists its keys.", true, "",
+                                      "Settings file (TOML); docs/OPERATIONS.md lists its keys.", true, "",
                                       "FILE", command);
     TCLAP::SwitchArg check("c", "check", "Check the settings and exit.", command);
     command.setExceptionHandling(false);
--- a/packages/fleet/include/cardamompond/fleet/declarations.hpp
+++ b/packages/fleet/include/cardamompond/fleet/declarations.hpp
@@ -40,8 +40,6 @@
 // A group of interchangeable backend servers.
 struct service {
   std::string m_name;
-  std::string m_health_path;
-  std::uint32_t m_max_connections = 0;  // of one backend server, from all daemons; 0: unknown
   double m_cold_requests_per_s = 0;     // that one backend server bears while cold; 0: no limit
   std::uint32_t m_tokens_per_event = 1; // of a stream
   bool m_batches = false;               // model engines, which serve requests in batches and cache prompts
--- a/packages/gateway/include/cardamompond/gateway/document_store.hpp
+++ b/packages/gateway/include/cardamompond/gateway/document_store.hpp
@@ -70,9 +70,8 @@
 public:
   virtual ~document_store() = default;
 
-  // Reads a whole collection. A stale answer is cheaper and may be some seconds old.
-  virtual document_result<collection_snapshot> list(collection_kind kind, bool stale,
-                                                    milliseconds timeout) = 0;
+  // Reads a whole collection.
+  virtual document_result<collection_snapshot> list(collection_kind kind, milliseconds timeout) = 0;
 
   // Waits up to `wait` for changes after the revision.
   virtual document_result<collection_changes> watch(collection_kind kind, std::uint64_t after,
--- a/packages/gateway/src/collection_feed.cpp
+++ b/packages/gateway/src/collection_feed.cpp
@@ -80,7 +80,7 @@
 
 bool collection_feed::list() {
   ++m_counters.m_lists;
-  const auto listed = m_store.list(m_kind, false, list_timeout);
+  const auto listed = m_store.list(m_kind, list_timeout);
   if (!listed) {
     note_failure(listed.error());
     return false;
--- a/packages/gateway/src/request_handler.cpp
+++ b/packages/gateway/src/request_handler.cpp
@@ -304,7 +304,6 @@
     if (const auto* grant = std::get_if<fleet::dispatch_grant>(&decision)) {
       m_granted = monotonic_now();
       const call_end end = dispatch(*grant);
-      m_last_end = end;
       if (end == call_end::answered || end == call_end::relayed) {
         return std::nullopt;
       }
@@ -333,9 +332,11 @@
   m_call = &call;
   call_end end = call.run();
   m_call = nullptr;
+  m_last_end = end;
   const int status = call.answer().m_status;
   if (end == call_end::answered && promises_not_run(status)) {
     end = call_end::broken; // the status promises what the server does not state
+    m_last_end = end;
   }
   note_end_of_call(grant, end, call, begun);
   if (end == call_end::relayed) {
