--- a/packages/fleet/include/cardamompond/fleet/crash_register.hpp
+++ b/packages/fleet/include/cardamompond/fleet/crash_register.hpp
@@ -4,7 +4,7 @@
 #include "cardamompond/core/time.hpp"
 
 #include <cstdint>
-#include <map>
+#include <unordered_map>
 #include <vector>
 
 namespace cardamompond::fleet {
@@ -41,10 +41,14 @@
     time_point m_cleared_until; // an answer outweighs older reports of other daemons
   };
 
+  struct content_hash {
+    std::size_t operator()(const hash128& content) const { return content.m_low; }
+  };
+
   void add(const hash128& content, std::uint64_t server, time_point now);
   void forget_old(time_point now);
 
-  std::map<hash128, record> m_records;
+  std::unordered_map<hash128, record, content_hash> m_records;
 };
 
 } // namespace cardamompond::fleet
--- a/packages/fleet/include/cardamompond/fleet/dispatcher.hpp
+++ b/packages/fleet/include/cardamompond/fleet/dispatcher.hpp
@@ -72,10 +72,12 @@
   std::uint32_t m_slots = 0;
 };
 
-// Running requests of one daemon on one backend server, by the hash of its id, and how fast it found the
-// server.
+// Names a backend server in reports, which go out often and are paid for by the byte.
+std::uint32_t server_key(std::string_view id);
+
+// Running requests of one daemon on one backend server and how fast it found the server.
 struct server_load {
-  std::uint64_t m_server = 0;
+  std::uint32_t m_server = 0; // server_key of its id
   std::uint32_t m_running = 0;
   speed_summary m_speed;
   bool m_failing = false; // the daemon keeps away from it because its answers fail
@@ -125,7 +127,7 @@
   // Limits by version during rollouts; outlives the dispatcher.
   void set_rollout_judge(rollout_judge* judge);
 
-  void submit(submission request);
+  void submit(submission request, time_point now);
 
   // The caller of a waiting request went away.
   void cancel(ticket request);
--- a/packages/fleet/include/cardamompond/fleet/retry_budget.hpp
+++ b/packages/fleet/include/cardamompond/fleet/retry_budget.hpp
@@ -27,7 +27,7 @@
   bool take(time_point now);
 
 private:
-  static constexpr std::size_t slices = 20; // of the window
+  static constexpr std::int64_t slices = 20; // of the window
 
   struct slice {
     std::int64_t m_number = -1;
@@ -38,7 +38,7 @@
   slice& current(time_point now);
 
   limits m_limits;
-  std::array<slice, slices> m_slices{};
+  std::array<slice, static_cast<std::size_t>(slices)> m_slices{};
 };
 
 } // namespace cardamompond::fleet
--- a/packages/fleet/include/cardamompond/fleet/token_quota.hpp
+++ b/packages/fleet/include/cardamompond/fleet/token_quota.hpp
@@ -29,13 +29,16 @@
   void give_back(std::string_view account, double units);
 
   // Takes what another daemon admitted since its last report.
-  void note_peer_use(std::string_view account, double units, time_point now);
+  void note_peer_use(std::uint32_t account_key, double units, time_point now);
+
+  // Names an account in reports, which go out often and are paid for by the byte.
+  static std::uint32_t account_key(std::string_view account);
 
   // Time until the account's bucket holds something again; zero if it does.
   milliseconds time_to_refill(std::string_view account, time_point now) const;
 
-  // Units admitted by this daemon since its start, by account, for reports to the others.
-  const std::map<std::string, double, std::less<>>& admitted() const { return m_admitted; }
+  // Units admitted by this daemon since its start, by key of the account, for reports to the others.
+  const std::map<std::uint32_t, double>& admitted() const { return m_admitted; }
 
 private:
   struct bucket {
@@ -48,8 +51,8 @@
   double share() const { return static_cast<double>(m_heard) / static_cast<double>(m_registered); }
   void fill(bucket& of, time_point now) const;
 
-  std::map<std::string, bucket, std::less<>> m_buckets;
-  std::map<std::string, double, std::less<>> m_admitted;
+  std::map<std::uint32_t, bucket> m_buckets; // by key of the account
+  std::map<std::uint32_t, double> m_admitted;
   std::uint32_t m_registered = 1;
   std::uint32_t m_heard = 1;
 };
--- a/packages/fleet/src/crash_register.cpp
+++ b/packages/fleet/src/crash_register.cpp
@@ -66,7 +66,7 @@
 }
 
 std::vector<crash_suspicion> crash_register::recent(std::size_t most, time_point now) const {
-  std::vector<std::map<hash128, record>::const_iterator> places;
+  std::vector<decltype(m_records)::const_iterator> places;
   for (auto each = m_records.begin(); each != m_records.end(); ++each) {
     if (!each->second.m_servers.empty() && now - each->second.m_changed <= retention) {
       places.push_back(each);
--- a/packages/fleet/src/dispatch_tables.hpp
+++ b/packages/fleet/src/dispatch_tables.hpp
@@ -15,8 +15,8 @@
 // One backend server.
 struct server_row {
   backend_server m_entry;
-  std::uint64_t m_hash = 0; // of its id
-  bool m_listed = false;    // else it gets nothing new, and the row ends with its last request
+  std::uint32_t m_key = 0; // server_key of its id
+  bool m_listed = false;   // else it gets nothing new, and the row ends with its last request
   bool m_batches = false;
 
   std::uint32_t m_share = 0; // slots that this daemon fills first
@@ -45,6 +45,17 @@
   bool m_quick = false; // takes a server for a moment only
 };
 
+// How many requests of one service and route rank this daemon gets through, as a moving average.
+class grant_rate {
+public:
+  void note_grant(time_point now);
+  double per_second(time_point now) const;
+
+private:
+  double m_rate = 0;
+  time_point m_updated;
+};
+
 struct running_request {
   std::string m_service;
   std::string m_server_id;
@@ -54,7 +65,7 @@
 
 struct peer_row {
   std::vector<server_load> m_loads;
-  std::unordered_map<std::uint64_t, speed_summary> m_speeds; // reported less often than the loads
+  std::unordered_map<std::uint32_t, speed_summary> m_speeds; // reported less often than the loads
   time_point m_received;
 };
 
@@ -64,6 +75,7 @@
   std::map<std::string, std::map<std::string, server_row, std::less<>>, std::less<>>
       m_servers;                                                             // by service, id
   std::map<std::string, std::deque<waiting_request>, std::less<>> m_waiting; // by service
+  std::map<std::pair<std::string, std::uint32_t>, grant_rate> m_grant_rates; // by service and route rank
   std::unordered_map<ticket, running_request> m_running;
   std::map<std::string, peer_row, std::less<>> m_peers;
   std::set<std::string, std::less<>> m_evacuated;
@@ -96,7 +108,8 @@
 // Grants what can be placed, in the order of tier and arrival, and refuses what has waited too long.
 void run_queue(dispatch_tables& tables, time_point now, std::vector<dispatch_decision>& decisions);
 
-// Adds a request to the queue of its service.
-void enqueue(dispatch_tables& tables, submission request);
+// Adds a request to the queue of its service. One that has no chance of a place in its time is refused by the
+// next run of the queue unless a place is free at once.
+void enqueue(dispatch_tables& tables, submission request, time_point now);
 
 } // namespace cardamompond::fleet
--- a/packages/fleet/src/dispatcher.cpp
+++ b/packages/fleet/src/dispatcher.cpp
@@ -12,6 +12,10 @@
 
 } // namespace
 
+std::uint32_t server_key(std::string_view id) {
+  return static_cast<std::uint32_t>(hash64(id));
+}
+
 server_row* dispatch_tables::find_server(std::string_view id) {
   for (auto& [name, servers] : m_servers) {
     if (const auto found = servers.find(id); found != servers.end()) {
@@ -73,9 +77,9 @@
       found->second.m_own = own;
     }
     server_row& row = found == rows.end() ? rows[entry.m_id] : found->second;
-    const bool changed = row.m_entry.m_cold_remaining != entry.m_cold_remaining || row.m_hash == 0;
+    const bool changed = row.m_entry.m_cold_remaining != entry.m_cold_remaining || row.m_key == 0;
     row.m_entry = entry;
-    row.m_hash = hash64(entry.m_id);
+    row.m_key = server_key(entry.m_id);
     row.m_listed = true;
     if (changed && entry.m_cold_remaining.count() > 0) {
       row.m_cold_until =
@@ -108,8 +112,8 @@
   m_impl->m_tables.m_judge = judge;
 }
 
-void dispatcher::submit(submission request) {
-  enqueue(m_impl->m_tables, std::move(request));
+void dispatcher::submit(submission request, time_point now) {
+  enqueue(m_impl->m_tables, std::move(request), now);
 }
 
 void dispatcher::cancel(ticket request) {
@@ -188,7 +192,7 @@
       const speed_summary speed = server.m_observed.summary();
       const bool failing = now < server.m_failing_until;
       if (server.m_own > 0 || speed.m_samples > 0 || failing) {
-        loads.push_back({server.m_hash, server.m_own, speed, failing});
+        loads.push_back({server.m_key, server.m_own, speed, failing});
       }
     }
   }
--- a/packages/fleet/src/peer_loads.cpp
+++ b/packages/fleet/src/peer_loads.cpp
@@ -24,10 +24,10 @@
 void run_peer_loads(dispatch_tables& tables, time_point now) {
   std::erase_if(tables.m_peers,
                 [&](const auto& peer) { return now - peer.second.m_received > max_report_age; });
-  std::unordered_map<std::uint64_t, server_row*> by_hash;
+  std::unordered_map<std::uint32_t, server_row*> by_key;
   for (auto& [name, servers] : tables.m_servers) {
     for (auto& [id, server] : servers) {
-      by_hash[server.m_hash] = &server;
+      by_key[server.m_key] = &server;
       server.m_peers = 0;
       server.m_accusers = 0;
       server.m_speed = server.m_observed.summary();
@@ -35,13 +35,13 @@
   }
   for (const auto& [name, peer] : tables.m_peers) {
     for (const auto& load : peer.m_loads) {
-      if (const auto found = by_hash.find(load.m_server); found != by_hash.end()) {
+      if (const auto found = by_key.find(load.m_server); found != by_key.end()) {
         found->second->m_peers += load.m_running;
         found->second->m_accusers += load.m_failing ? 1 : 0;
       }
     }
     for (const auto& [server, speed] : peer.m_speeds) {
-      if (const auto found = by_hash.find(server); found != by_hash.end()) {
+      if (const auto found = by_key.find(server); found != by_key.end()) {
         found->second->m_speed = combine(found->second->m_speed, speed);
       }
     }
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -68,9 +68,9 @@
     return static_cast<std::uint32_t>(own);
   }
   // Fewer permits than daemons: those that rank first for this server have one each.
-  const std::uint64_t mine = rendezvous(hash64(tables.m_self.m_name), server.m_hash);
+  const std::uint64_t mine = rendezvous(hash64(tables.m_self.m_name), server.m_key);
   const auto ahead = std::count_if(tables.m_members.begin(), tables.m_members.end(), [&](const auto& each) {
-    return each.m_name != tables.m_self.m_name && rendezvous(hash64(each.m_name), server.m_hash) > mine;
+    return each.m_name != tables.m_self.m_name && rendezvous(hash64(each.m_name), server.m_key) > mine;
   });
   return static_cast<double>(ahead) < std::floor(shared) ? 1 : 0;
 }
@@ -140,14 +140,13 @@
       std::size_t neighbours = 0; // daemons of the server's zone
       std::size_t ahead = 0;
       const bool near = server.m_entry.m_availability_zone == tables.m_self.m_availability_zone;
-      const std::uint64_t mine = rendezvous(hash64(tables.m_self.m_name), server.m_hash);
+      const std::uint64_t mine = rendezvous(hash64(tables.m_self.m_name), server.m_key);
       for (const auto& each : tables.m_members) {
         if (near && each.m_availability_zone == server.m_entry.m_availability_zone) {
           ++neighbours;
-          ahead +=
-              each.m_name != tables.m_self.m_name && rendezvous(hash64(each.m_name), server.m_hash) > mine
-                  ? 1
-                  : 0;
+          ahead += each.m_name != tables.m_self.m_name && rendezvous(hash64(each.m_name), server.m_key) > mine
+                       ? 1
+                       : 0;
         }
       }
       server.m_share = 0;
@@ -194,7 +193,7 @@
       continue;
     }
     if (request.m_affinity != 0) {
-      if (const auto weight = rendezvous(request.m_affinity, server.m_hash); weight >= home_weight) {
+      if (const auto weight = rendezvous(request.m_affinity, server.m_key); weight >= home_weight) {
         home_weight = weight;
         home = &server;
       }
--- a/packages/fleet/src/queueing.cpp
+++ b/packages/fleet/src/queueing.cpp
@@ -1,6 +1,7 @@
 #include "dispatch_tables.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 namespace cardamompond::fleet {
@@ -18,7 +19,13 @@
 
 // When to come back after a refusal for lack of room. The goal is missed by then, and bursts last some
 // seconds.
-constexpr duration retry_pause = milliseconds(2'500);
+constexpr duration retry_pause = milliseconds(4'000);
+
+// Over which time the rate of grants is averaged: some seconds of a burst, and several generations.
+constexpr double rate_window_s = 1.5;
+
+// So many requests of one rank may always wait: they show whether places become free again.
+constexpr std::size_t always_waiting = 2;
 
 // A request that takes a server at most this long goes ahead of longer ones: it delays them little, and many
 // of its kind are served for one of theirs.
@@ -39,6 +46,7 @@
   if (tables.m_judge != nullptr) {
     tables.m_judge->note_grant(request.m_service, server.m_entry.m_version);
   }
+  tables.m_grant_rates[{request.m_service, request.m_route_rank}].note_grant(now);
   tables.m_running[request.m_ticket] = {request.m_service, server.m_entry.m_id, request.m_prompt_tokens, now};
   return {request.m_ticket, server.m_entry};
 }
@@ -56,9 +64,32 @@
             [&](const waiting_request& a, const waiting_request& b) { return key(a) < key(b); });
 }
 
+// Whether those of the same rank that wait already will take longer than this one can wait.
+bool hopeless(dispatch_tables& tables, const std::deque<waiting_request>& queue, const submission& request,
+              duration patience, time_point now) {
+  const auto ahead =
+      static_cast<std::size_t>(std::count_if(queue.begin(), queue.end(), [&](const waiting_request& each) {
+        return each.m_request.m_rank <= request.m_rank && each.m_request.m_route_rank == request.m_route_rank;
+      }));
+  if (ahead < always_waiting) {
+    return false;
+  }
+  const double rate = tables.m_grant_rates[{request.m_service, request.m_route_rank}].per_second(now);
+  return static_cast<double>(ahead) > rate * std::chrono::duration<double>(patience).count();
+}
+
 } // namespace
 
-void enqueue(dispatch_tables& tables, submission request) {
+void grant_rate::note_grant(time_point now) {
+  m_rate = per_second(now) + 1 / rate_window_s;
+  m_updated = now;
+}
+
+double grant_rate::per_second(time_point now) const {
+  return m_rate * std::exp(-std::chrono::duration<double>(now - m_updated).count() / rate_window_s);
+}
+
+void enqueue(dispatch_tables& tables, submission request, time_point now) {
   const auto patience =
       std::chrono::duration_cast<duration>((request.m_abandoned - request.m_arrived) * patience_share);
   const time_point refuse_at = request.m_arrived + patience;
@@ -70,7 +101,8 @@
                          speed.m_event_s * request.m_output_tokens / tokens_per_event <=
                      quick_s;
   auto& queue = tables.m_waiting[request.m_service];
-  queue.push_back({std::move(request), refuse_at, quick});
+  const time_point until = hopeless(tables, queue, request, patience, now) ? now : refuse_at;
+  queue.push_back({std::move(request), until, quick});
 }
 
 void run_queue(dispatch_tables& tables, time_point now, std::vector<dispatch_decision>& decisions) {
--- a/packages/fleet/src/retry_budget.cpp
+++ b/packages/fleet/src/retry_budget.cpp
@@ -4,7 +4,7 @@
 
 retry_budget::slice& retry_budget::current(time_point now) {
   const std::int64_t number = now.time_since_epoch() / (m_limits.m_window / slices);
-  slice& found = m_slices[static_cast<std::size_t>(number) % slices];
+  slice& found = m_slices[static_cast<std::size_t>(number % slices)];
   if (found.m_number != number) {
     found = {number, 0, 0};
   }
@@ -20,7 +20,7 @@
   double requests = 0;
   double repeats = 0;
   for (const auto& each : m_slices) {
-    if (each.m_number > newest.m_number - static_cast<std::int64_t>(slices)) {
+    if (each.m_number > newest.m_number - slices) {
       requests += each.m_requests;
       repeats += each.m_repeats;
     }
--- a/packages/fleet/src/token_quota.cpp
+++ b/packages/fleet/src/token_quota.cpp
@@ -1,5 +1,7 @@
 #include "cardamompond/fleet/token_quota.hpp"
 
+#include "cardamompond/core/hash.hpp"
+
 #include <algorithm>
 
 namespace cardamompond::fleet {
@@ -21,13 +23,13 @@
 }
 
 void token_quota::apply(const declarations& source, time_point now) {
-  std::map<std::string, bucket, std::less<>> next;
+  std::map<std::uint32_t, bucket> next;
   for (const auto& account : source.m_client_accounts) {
     if (account.m_units_per_s <= 0) {
       continue;
     }
     bucket added;
-    if (const auto known = m_buckets.find(account.m_name); known != m_buckets.end()) {
+    if (const auto known = m_buckets.find(account_key(account.m_name)); known != m_buckets.end()) {
       added = known->second;
       fill(added, now);
     } else {
@@ -36,7 +38,7 @@
     }
     added.m_rate = account.m_units_per_s;
     added.m_burst = std::max(account.m_burst_units, account.m_units_per_s);
-    next.emplace(account.m_name, added);
+    next.emplace(account_key(account.m_name), added);
   }
   m_buckets = std::move(next);
 }
@@ -47,7 +49,7 @@
   if (registered == m_registered && heard == m_heard) {
     return;
   }
-  for (auto& [name, each] : m_buckets) {
+  for (auto& [key, each] : m_buckets) {
     fill(each, now);
   }
   m_registered = registered;
@@ -55,40 +57,39 @@
 }
 
 bool token_quota::admit(std::string_view account, double units, time_point now) {
-  const auto found = m_buckets.find(account);
-  if (found != m_buckets.end()) {
+  const std::uint32_t key = account_key(account);
+  if (const auto found = m_buckets.find(key); found != m_buckets.end()) {
     fill(found->second, now);
     if (found->second.m_level <= 0) {
       return false;
     }
     found->second.m_level -= units;
+    m_admitted[key] += units;
   }
-  auto used = m_admitted.find(account);
-  if (used == m_admitted.end()) {
-    used = m_admitted.emplace(std::string(account), 0.0).first;
-  }
-  used->second += units;
   return true;
 }
 
 void token_quota::give_back(std::string_view account, double units) {
-  if (const auto found = m_buckets.find(account); found != m_buckets.end()) {
+  const std::uint32_t key = account_key(account);
+  if (const auto found = m_buckets.find(key); found != m_buckets.end()) {
     found->second.m_level += units;
+    m_admitted[key] -= units;
   }
-  if (const auto used = m_admitted.find(account); used != m_admitted.end()) {
-    used->second -= units;
-  }
 }
 
-void token_quota::note_peer_use(std::string_view account, double units, time_point now) {
-  if (const auto found = m_buckets.find(account); found != m_buckets.end()) {
+std::uint32_t token_quota::account_key(std::string_view account) {
+  return static_cast<std::uint32_t>(hash64(account));
+}
+
+void token_quota::note_peer_use(std::uint32_t account_key, double units, time_point now) {
+  if (const auto found = m_buckets.find(account_key); found != m_buckets.end()) {
     fill(found->second, now);
     found->second.m_level -= units;
   }
 }
 
 milliseconds token_quota::time_to_refill(std::string_view account, time_point now) const {
-  const auto found = m_buckets.find(account);
+  const auto found = m_buckets.find(account_key(account));
   if (found == m_buckets.end()) {
     return milliseconds(0);
   }
--- a/packages/gateway/include/cardamompond/gateway/peer_group.hpp
+++ b/packages/gateway/include/cardamompond/gateway/peer_group.hpp
@@ -75,13 +75,14 @@
     time_point m_heard;
     std::array<collection_state, all_collections.size()> m_collections{};
     std::array<time_point, all_collections.size()> m_ahead_since{}; // epoch: not ahead
-    std::map<std::string, double, std::less<>> m_quota_use;
+    std::map<std::uint32_t, double> m_quota_use;
   };
 
   struct addresses {
     std::vector<std::string> m_near;
     std::vector<std::string> m_far;
   };
+  bool ahead_peer(collection_kind kind) const;
   addresses known_addresses() const;
   bool small_group() const;
   duration silent_after(const peer& of) const;
--- a/packages/gateway/include/cardamompond/gateway/peer_report.hpp
+++ b/packages/gateway/include/cardamompond/gateway/peer_report.hpp
@@ -32,7 +32,7 @@
   bool m_leaving = false;
   std::array<collection_state, all_collections.size()> m_collections{};
   std::vector<fleet::server_load> m_loads;
-  std::vector<std::pair<std::string, double>> m_quota_use; // by account
+  std::vector<std::pair<std::uint32_t, double>> m_quota_use; // by key of the account
   std::vector<fleet::version_observation> m_outcomes;
   std::vector<std::pair<std::string, std::uint64_t>> m_taken_back;
   std::vector<fleet::crash_suspicion> m_crashes;
--- a/packages/gateway/schema/exchange.capnp
+++ b/packages/gateway/schema/exchange.capnp
@@ -14,7 +14,7 @@
 }
 
 struct ServerLoad {
-  server @0 :UInt64;      # hash of the server's id
+  server @0 :UInt32;      # fleet::server_key of the server's id
   running @1 :UInt32;     # requests of the sender there
   baseS @2 :Float32;      # how fast the sender found it, see fleet::speed_summary
   promptSPerToken @3 :Float32;
@@ -24,8 +24,8 @@
 }
 
 struct QuotaUse {
-  account @0 :Text;
-  units @1 :Float64;      # admitted
+  account @0 :UInt32;     # fleet::token_quota::account_key of the account's name
+  units @1 :Float32;      # admitted
 }
 
 struct VersionOutcomes {
--- a/packages/gateway/src/admission.cpp
+++ b/packages/gateway/src/admission.cpp
@@ -54,7 +54,7 @@
   waiter self;
   const fleet::ticket ticket = request.m_ticket;
   m_waiters[ticket] = &self;
-  m_dispatcher.submit(std::move(request));
+  m_dispatcher.submit(std::move(request), monotonic_now());
   run();
   self.m_wait.wait();
   return std::move(self.m_result);
@@ -78,7 +78,12 @@
 
 void admission::run() {
   for (auto& decision : m_dispatcher.tick(monotonic_now())) {
-    std::visit([&](auto& each) { wake(each.m_ticket, std::move(each)); }, decision);
+    std::visit(
+        [&](auto& each) {
+          const fleet::ticket ticket = each.m_ticket;
+          wake(ticket, std::move(each));
+        },
+        decision);
   }
 }
 
--- a/packages/gateway/src/exchange.capnp.h
+++ b/packages/gateway/src/exchange.capnp.h
@@ -71,7 +71,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8eba9f44af54b6ce, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(8eba9f44af54b6ce, 1, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -273,7 +273,7 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getServer() const;
+  inline  ::uint32_t getServer() const;
 
   inline  ::uint32_t getRunning() const;
 
@@ -315,8 +315,8 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getServer();
-  inline void setServer( ::uint64_t value);
+  inline  ::uint32_t getServer();
+  inline void setServer( ::uint32_t value);
 
   inline  ::uint32_t getRunning();
   inline void setRunning( ::uint32_t value);
@@ -379,10 +379,9 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAccount() const;
-  inline  ::capnp::Text::Reader getAccount() const;
+  inline  ::uint32_t getAccount() const;
 
-  inline double getUnits() const;
+  inline float getUnits() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -412,15 +411,11 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAccount();
-  inline  ::capnp::Text::Builder getAccount();
-  inline void setAccount( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAccount(unsigned int size);
-  inline void adoptAccount(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAccount();
+  inline  ::uint32_t getAccount();
+  inline void setAccount( ::uint32_t value);
 
-  inline double getUnits();
-  inline void setUnits(double value);
+  inline float getUnits();
+  inline void setUnits(float value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1149,150 +1144,130 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t ServerLoad::Reader::getServer() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::uint32_t ServerLoad::Reader::getServer() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ServerLoad::Builder::getServer() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::uint32_t ServerLoad::Builder::getServer() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ServerLoad::Builder::setServer( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void ServerLoad::Builder::setServer( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::uint32_t ServerLoad::Reader::getRunning() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
 inline  ::uint32_t ServerLoad::Builder::getRunning() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 inline void ServerLoad::Builder::setRunning( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline float ServerLoad::Reader::getBaseS() const {
   return _reader.getDataField<float>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
 inline float ServerLoad::Builder::getBaseS() {
   return _builder.getDataField<float>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 inline void ServerLoad::Builder::setBaseS(float value) {
   _builder.setDataField<float>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
 inline float ServerLoad::Reader::getPromptSPerToken() const {
   return _reader.getDataField<float>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
 inline float ServerLoad::Builder::getPromptSPerToken() {
   return _builder.getDataField<float>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 inline void ServerLoad::Builder::setPromptSPerToken(float value) {
   _builder.setDataField<float>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
 inline float ServerLoad::Reader::getEventS() const {
   return _reader.getDataField<float>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
 inline float ServerLoad::Builder::getEventS() {
   return _builder.getDataField<float>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 inline void ServerLoad::Builder::setEventS(float value) {
   _builder.setDataField<float>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
 inline float ServerLoad::Reader::getSamples() const {
   return _reader.getDataField<float>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
 inline float ServerLoad::Builder::getSamples() {
   return _builder.getDataField<float>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 inline void ServerLoad::Builder::setSamples(float value) {
   _builder.setDataField<float>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool ServerLoad::Reader::getFailing() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<224>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
 }
 
 inline bool ServerLoad::Builder::getFailing() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<224>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
 }
 inline void ServerLoad::Builder::setFailing(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<224>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool QuotaUse::Reader::hasAccount() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool QuotaUse::Builder::hasAccount() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader QuotaUse::Reader::getAccount() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder QuotaUse::Builder::getAccount() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void QuotaUse::Builder::setAccount( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder QuotaUse::Builder::initAccount(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::uint32_t QuotaUse::Reader::getAccount() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void QuotaUse::Builder::adoptAccount(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint32_t QuotaUse::Builder::getAccount() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> QuotaUse::Builder::disownAccount() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void QuotaUse::Builder::setAccount( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline double QuotaUse::Reader::getUnits() const {
-  return _reader.getDataField<double>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline float QuotaUse::Reader::getUnits() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline double QuotaUse::Builder::getUnits() {
-  return _builder.getDataField<double>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline float QuotaUse::Builder::getUnits() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void QuotaUse::Builder::setUnits(double value) {
-  _builder.setDataField<double>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void QuotaUse::Builder::setUnits(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool VersionOutcomes::Reader::hasService() const {
--- a/packages/gateway/src/peer_group.cpp
+++ b/packages/gateway/src/peer_group.cpp
@@ -26,7 +26,7 @@
 
 // Every far daemon is told once in this many rounds; their link is paid for.
 constexpr std::size_t far_rounds_small = 2;
-constexpr std::size_t far_rounds_large = 7;
+constexpr std::size_t far_rounds_large = 10;
 constexpr std::size_t max_far_per_round = 10;
 
 // Speeds change slowly and are sent once in this many rounds.
@@ -47,6 +47,10 @@
 // stays behind for longer.
 constexpr duration tolerated_lag = milliseconds(250);
 
+// Declarations may be half a megabyte, which takes a link of 10 Mbit/s 0.4 s for each peer that fetches them.
+// They come from the store, and from a peer only if they have not come by then.
+constexpr duration declarations_lag = milliseconds(700);
+
 // Contents suspected of crashing servers in one report.
 constexpr std::size_t max_reported_crashes = 12;
 
@@ -120,7 +124,7 @@
 // What a daemon admitted before this one heard of it is not counted: it lies before the window or in the
 // share that was reserved for it.
 void peer_group::note_quota_use(peer& of, const peer_report& report, bool restarted, time_point now) {
-  std::map<std::string, double, std::less<>> use(report.m_quota_use.begin(), report.m_quota_use.end());
+  std::map<std::uint32_t, double> use(report.m_quota_use.begin(), report.m_quota_use.end());
   if (!restarted) {
     for (const auto& [account, units] : use) {
       const auto before = of.m_quota_use.find(account);
@@ -163,6 +167,7 @@
     zones.emplace(name, each.m_availability_zone);
   }
   std::vector<fleet::daemon_place> registered;
+  registered.reserve(zones.size() + assumed_members);
   for (const auto& [name, zone] : zones) {
     registered.push_back({name, zone});
   }
@@ -260,6 +265,13 @@
   return next;
 }
 
+bool peer_group::ahead_peer(collection_kind kind) const {
+  const auto own = m_admission.knowledge().of(kind).as_of();
+  return std::any_of(m_peers.begin(), m_peers.end(), [&](const auto& each) {
+    return each.second.m_collections[static_cast<std::size_t>(kind)].m_changed_at > own;
+  });
+}
+
 bool peer_group::covered(collection_kind kind, time_point now) const {
   if (small_group()) {
     return false; // so few calls that each daemon reads for itself
@@ -272,6 +284,9 @@
   if (static_cast<std::size_t>(ahead) < readers_per_zone) {
     return false;
   }
+  if (kind == collection_kind::declarations && ahead_peer(kind)) {
+    return false; // the store's link carries them to all daemons at once, those of the peers do not
+  }
   const duration limit = kind == collection_kind::members ? max_unconfirmed_members
                          : kind == collection_kind::declarations || kind == collection_kind::backend_servers
                              ? max_unconfirmed
@@ -283,12 +298,13 @@
   for (const auto kind : all_collections) {
     const auto index = static_cast<std::size_t>(kind);
     const auto own = m_admission.knowledge().of(kind).as_of();
-    const duration lag = covered(kind, now) ? duration::zero() : duration(tolerated_lag);
+    const duration lag = kind == collection_kind::declarations ? duration(declarations_lag)
+                         : own == 0 || covered(kind, now)      ? duration::zero()
+                                                               : duration(tolerated_lag);
     const peer* best = nullptr;
     for (const auto& [name, each] : m_peers) {
       const bool ahead = each.m_collections[index].m_changed_at > own &&
-                         each.m_ahead_since[index] != time_point{} &&
-                         (own == 0 || now - each.m_ahead_since[index] >= lag);
+                         each.m_ahead_since[index] != time_point{} && now - each.m_ahead_since[index] >= lag;
       // Near before far, since the link to other zones is paid for; then any of those that are ahead.
       const auto preference = [&](const peer& of) {
         return std::pair(of.m_availability_zone == m_self.m_availability_zone, hash64(of.m_address, own));
--- a/packages/gateway/src/peer_report.cpp
+++ b/packages/gateway/src/peer_report.cpp
@@ -92,7 +92,7 @@
                               each.getFailing()});
   }
   for (const auto& each : from.getQuotaUse()) {
-    report.m_quota_use.emplace_back(each.getAccount().cStr(), finite(each.getUnits()));
+    report.m_quota_use.emplace_back(each.getAccount(), finite(each.getUnits()));
   }
   for (const auto& each : from.getOutcomes()) {
     report.m_outcomes.push_back(
@@ -146,7 +146,7 @@
   auto use = to.initQuotaUse(static_cast<unsigned>(report.m_quota_use.size()));
   for (unsigned i = 0; i < use.size(); ++i) {
     use[i].setAccount(report.m_quota_use[i].first);
-    use[i].setUnits(report.m_quota_use[i].second);
+    use[i].setUnits(static_cast<float>(report.m_quota_use[i].second));
   }
   encode_outcomes(report.m_outcomes, to);
   auto taken_back = to.initTakenBack(static_cast<unsigned>(report.m_taken_back.size()));
--- a/packages/gateway/src/request_handler.cpp
+++ b/packages/gateway/src/request_handler.cpp
@@ -31,7 +31,7 @@
 
 // Bounds of the time after which a refused caller should come back.
 constexpr milliseconds min_retry_after{50};
-constexpr milliseconds max_retry_after{3'000};
+constexpr milliseconds max_retry_after{4'000};
 
 // A repetition needs at least this much time to be worth a dispatch.
 constexpr milliseconds min_time_for_repeat{60};
