Fetch small declarations from peers again and only large ones from the store

Cause: with every daemon reading new declarations from the store, a storm of small changes cost 1,000 calls.

--- a/packages/gateway/include/cardamompond/gateway/collection.hpp
+++ b/packages/gateway/include/cardamompond/gateway/collection.hpp
@@ -35,6 +35,9 @@
 
   const std::map<std::string, document, std::less<>>& documents() const { return m_documents; }
 
+  // Size of all documents' content.
+  std::size_t bytes() const;
+
   // Everything, for a peer.
   collection_snapshot snapshot() const;
 
--- a/packages/gateway/include/cardamompond/gateway/peer_group.hpp
+++ b/packages/gateway/include/cardamompond/gateway/peer_group.hpp
@@ -82,7 +82,7 @@
     std::vector<std::string> m_near;
     std::vector<std::string> m_far;
   };
-  bool ahead_peer(collection_kind kind) const;
+  bool ahead_with_large_content(collection_kind kind) const;
   addresses known_addresses() const;
   bool small_group() const;
   duration silent_after(const peer& of) const;
--- a/packages/gateway/include/cardamompond/gateway/peer_report.hpp
+++ b/packages/gateway/include/cardamompond/gateway/peer_report.hpp
@@ -19,7 +19,8 @@
 struct collection_state {
   std::uint64_t m_as_of = 0;
   std::uint64_t m_changed_at = 0;
-  milliseconds m_age{0}; // since the sender had that from the store itself
+  milliseconds m_age{0};     // since the sender had that from the store itself
+  std::uint32_t m_bytes = 0; // size of the content
 };
 
 // What one daemon tells the others. Totals count from its start.
--- a/packages/gateway/schema/exchange.capnp
+++ b/packages/gateway/schema/exchange.capnp
@@ -10,6 +10,7 @@
 struct CollectionState {
   asOf @0 :UInt64;        # revision of the store up to which the sender's copy is complete
   changedAt @1 :UInt64;   # revision of its last change
+  bytes @3 :UInt32;       # size of the content
   ageMs @2 :UInt32;       # since the sender had that from the store itself
 }
 
--- a/packages/gateway/src/collection.cpp
+++ b/packages/gateway/src/collection.cpp
@@ -67,6 +67,14 @@
   m_confirmed = std::max(m_confirmed, when);
 }
 
+std::size_t collection::bytes() const {
+  std::size_t sum = 0;
+  for (const auto& [name, each] : m_documents) {
+    sum += each.m_content.size();
+  }
+  return sum;
+}
+
 collection_snapshot collection::snapshot() const {
   collection_snapshot all{m_as_of, {}};
   for (const auto& [name, each] : m_documents) {
--- a/packages/gateway/src/exchange.capnp.h
+++ b/packages/gateway/src/exchange.capnp.h
@@ -193,6 +193,8 @@
 
   inline  ::uint32_t getAgeMs() const;
 
+  inline  ::uint32_t getBytes() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -230,6 +232,9 @@
   inline  ::uint32_t getAgeMs();
   inline void setAgeMs( ::uint32_t value);
 
+  inline  ::uint32_t getBytes();
+  inline void setBytes( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1144,6 +1149,20 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t CollectionState::Reader::getBytes() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CollectionState::Builder::getBytes() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void CollectionState::Builder::setBytes( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t ServerLoad::Reader::getServer() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/packages/gateway/src/peer_group.cpp
+++ b/packages/gateway/src/peer_group.cpp
@@ -47,9 +47,10 @@
 // stays behind for longer.
 constexpr duration tolerated_lag = milliseconds(250);
 
-// Declarations may be half a megabyte, which takes a link of 10 Mbit/s 0.4 s for each peer that fetches them.
-// They come from the store, and from a peer only if they have not come by then.
-constexpr duration declarations_lag = milliseconds(700);
+// Content over this size comes from the store, and from a peer only if it has not come by then: half a
+// megabyte takes a link of 10 Mbit/s 0.4 s for each peer that fetches it.
+constexpr std::uint32_t large_content_bytes = 64'000;
+constexpr duration large_content_lag = milliseconds(700);
 
 // Contents suspected of crashing servers in one report.
 constexpr std::size_t max_reported_crashes = 12;
@@ -191,7 +192,8 @@
   for (const auto kind : all_collections) {
     const auto& from = m_admission.knowledge().of(kind);
     report.m_collections[static_cast<std::size_t>(kind)] = {
-        from.as_of(), from.changed_at(), std::chrono::duration_cast<milliseconds>(now - from.confirmed())};
+        from.as_of(), from.changed_at(), std::chrono::duration_cast<milliseconds>(now - from.confirmed()),
+        static_cast<std::uint32_t>(from.bytes())};
   }
   for (auto& load : m_admission.dispatcher().own_loads(now)) {
     if (!with_speeds) {
@@ -265,10 +267,11 @@
   return next;
 }
 
-bool peer_group::ahead_peer(collection_kind kind) const {
+bool peer_group::ahead_with_large_content(collection_kind kind) const {
   const auto own = m_admission.knowledge().of(kind).as_of();
   return std::any_of(m_peers.begin(), m_peers.end(), [&](const auto& each) {
-    return each.second.m_collections[static_cast<std::size_t>(kind)].m_changed_at > own;
+    const collection_state& theirs = each.second.m_collections[static_cast<std::size_t>(kind)];
+    return theirs.m_changed_at > own && theirs.m_bytes > large_content_bytes;
   });
 }
 
@@ -284,8 +287,8 @@
   if (static_cast<std::size_t>(ahead) < readers_per_zone) {
     return false;
   }
-  if (kind == collection_kind::declarations && ahead_peer(kind)) {
-    return false; // the store's link carries them to all daemons at once, those of the peers do not
+  if (ahead_with_large_content(kind)) {
+    return false; // the store's link carries it to all daemons at once, those of the peers do not
   }
   const duration limit = kind == collection_kind::members ? max_unconfirmed_members
                          : kind == collection_kind::declarations || kind == collection_kind::backend_servers
@@ -298,9 +301,9 @@
   for (const auto kind : all_collections) {
     const auto index = static_cast<std::size_t>(kind);
     const auto own = m_admission.knowledge().of(kind).as_of();
-    const duration lag = kind == collection_kind::declarations ? duration(declarations_lag)
-                         : own == 0 || covered(kind, now)      ? duration::zero()
-                                                               : duration(tolerated_lag);
+    const duration lag = ahead_with_large_content(kind)   ? duration(large_content_lag)
+                         : own == 0 || covered(kind, now) ? duration::zero()
+                                                          : duration(tolerated_lag);
     const peer* best = nullptr;
     for (const auto& [name, each] : m_peers) {
       const bool ahead = each.m_collections[index].m_changed_at > own &&
--- a/packages/gateway/src/peer_report.cpp
+++ b/packages/gateway/src/peer_report.cpp
@@ -82,7 +82,7 @@
   const auto collections = from.getCollections();
   for (unsigned i = 0; i < std::min<unsigned>(collections.size(), report.m_collections.size()); ++i) {
     report.m_collections[i] = {collections[i].getAsOf(), collections[i].getChangedAt(),
-                               milliseconds(collections[i].getAgeMs())};
+                               milliseconds(collections[i].getAgeMs()), collections[i].getBytes()};
   }
   for (const auto& each : from.getLoads()) {
     report.m_loads.push_back({each.getServer(),
@@ -129,6 +129,7 @@
   for (unsigned i = 0; i < collections.size(); ++i) {
     collections[i].setAsOf(report.m_collections[i].m_as_of);
     collections[i].setChangedAt(report.m_collections[i].m_changed_at);
+    collections[i].setBytes(report.m_collections[i].m_bytes);
     collections[i].setAgeMs(static_cast<std::uint32_t>(std::clamp<std::int64_t>(
         report.m_collections[i].m_age.count(), 0, std::numeric_limits<std::uint32_t>::max())));
   }
