--- a/packages/fleet/include/cardamompond/fleet/dispatcher.hpp
+++ b/packages/fleet/include/cardamompond/fleet/dispatcher.hpp
@@ -83,16 +83,6 @@
   bool m_failing = false; // the daemon keeps away from it because its answers fail
 };
 
-// What the dispatcher knows of one backend server, for the administration page and the log.
-struct server_status {
-  std::string m_id;
-  std::string m_service;
-  std::uint32_t m_slots = 0;
-  std::uint32_t m_own = 0;
-  std::uint32_t m_peers = 0;
-  bool m_excluded = false;
-};
-
 // A daemon and its availability zone.
 struct daemon_place {
   std::string m_name;
@@ -158,7 +148,6 @@
 
   std::size_t waiting() const;
   std::size_t running() const;
-  std::vector<server_status> status(time_point now) const;
 
 private:
   class impl;
--- a/packages/fleet/include/cardamompond/fleet/rollout_judge.hpp
+++ b/packages/fleet/include/cardamompond/fleet/rollout_judge.hpp
@@ -52,9 +52,6 @@
   // share is used up; false for the old versions once the order is completed.
   bool allows(std::string_view service, std::string_view version) const;
 
-  // Whether the version is the target of an unfinished order.
-  bool on_trial(std::string_view service, std::string_view version) const;
-
   // Re-evaluates all orders.
   void tick(time_point now);
 
--- a/packages/fleet/src/dispatcher.cpp
+++ b/packages/fleet/src/dispatcher.cpp
@@ -224,15 +224,4 @@
   return m_impl->m_tables.m_running.size();
 }
 
-std::vector<server_status> dispatcher::status(time_point now) const {
-  std::vector<server_status> all;
-  for (const auto& [name, servers] : m_impl->m_tables.m_servers) {
-    for (const auto& [id, server] : servers) {
-      all.push_back({id, name, server.m_entry.m_slots, server.m_own, server.m_peers,
-                     !eligible(m_impl->m_tables, server, now)});
-    }
-  }
-  return all;
-}
-
 } // namespace cardamompond::fleet
--- a/packages/fleet/src/queueing.cpp
+++ b/packages/fleet/src/queueing.cpp
@@ -51,14 +51,13 @@
   return {request.m_ticket, server.m_entry};
 }
 
-// Tiers first; within a tier quick requests that can still be on time, then by the rank of the route, those
-// that can still be on time before the others, and by arrival.
+// Tiers first; within a tier those that can still be on time, then quick ones, then by the rank of the route
+// and by arrival.
 void order(std::deque<waiting_request>& queue, time_point now) {
   const auto key = [&](const waiting_request& each) {
     const submission& request = each.m_request;
     const bool late = now > request.m_goal - hopeless_within;
-    return std::make_tuple(request.m_rank, late || !each.m_quick, request.m_route_rank, late,
-                           request.m_arrived);
+    return std::make_tuple(request.m_rank, late, !each.m_quick, request.m_route_rank, request.m_arrived);
   };
   std::sort(queue.begin(), queue.end(),
             [&](const waiting_request& a, const waiting_request& b) { return key(a) < key(b); });
--- a/packages/fleet/src/rollout_judge.cpp
+++ b/packages/fleet/src/rollout_judge.cpp
@@ -124,12 +124,6 @@
                         static_cast<double>(trial_minimum) + trial_share * static_cast<double>(of.m_granted);
 }
 
-bool rollout_judge::on_trial(std::string_view service, std::string_view version) const {
-  const auto found = m_trials.find(service);
-  return found != m_trials.end() && found->second.m_order.m_target_version == version &&
-         (found->second.m_decided == state::running || found->second.m_decided == state::ordered);
-}
-
 std::map<rollout_judge::outcome_key, version_outcomes> rollout_judge::sums(const std::string& service) const {
   std::map<outcome_key, version_outcomes> total;
   if (const auto own = m_own.find(service); own != m_own.end()) {
--- a/packages/gateway/include/cardamompond/gateway/event_splitter.hpp
+++ b/packages/gateway/include/cardamompond/gateway/event_splitter.hpp
@@ -20,9 +20,6 @@
   // The id of the last whole event; empty if none had one.
   const std::string& last_event_id() const { return m_last_event_id; }
 
-  // Bytes of an event that has begun and is not complete.
-  std::size_t pending() const { return m_buffer.size() - m_complete; }
-
   // Bytes after the last whole event, for an answer that has ended.
   std::string_view rest() const { return std::string_view(m_buffer).substr(m_complete); }
 
--- a/packages/gateway/include/cardamompond/gateway/request_protocol.hpp
+++ b/packages/gateway/include/cardamompond/gateway/request_protocol.hpp
@@ -25,7 +25,6 @@
   std::uint32_t m_max_output_tokens = 0;
   std::uint32_t m_expected_output_tokens = 0; // the caller's estimate; 0: none
   std::uint64_t m_affinity = 0;               // hash of the prompt's shared parts; 0: none
-  std::optional<std::string> m_resume_after;  // id of the last event that the caller has
 };
 
 // What is added to a request on its way to a backend server.
--- a/packages/gateway/src/peer_exchange.cpp
+++ b/packages/gateway/src/peer_exchange.cpp
@@ -1,5 +1,6 @@
 #include "cardamompond/gateway/peer_exchange.hpp"
 
+#include "cardamompond/net/address.hpp"
 #include "cardamompond/net/io_wait.hpp"
 #include "cardamompond/telemetry/log.hpp"
 
@@ -8,7 +9,6 @@
 #include <boost/fiber/operations.hpp>
 
 #include <array>
-#include <charconv>
 #include <map>
 #include <stdexcept>
 #include <tuple>
@@ -27,18 +27,8 @@
 constexpr std::size_t max_datagram_bytes = 16U << 10U;
 
 std::optional<udp::endpoint> parse_endpoint(std::string_view address) {
-  const auto colon = address.rfind(':');
-  if (colon == std::string_view::npos) {
-    return std::nullopt;
-  }
-  std::uint16_t port = 0;
-  const auto digits = address.substr(colon + 1);
-  if (std::from_chars(digits.data(), digits.data() + digits.size(), port).ec != std::errc()) {
-    return std::nullopt;
-  }
-  boost::system::error_code error;
-  const auto host = asio::ip::make_address(std::string(address.substr(0, colon)), error);
-  return error ? std::nullopt : std::optional(udp::endpoint(host, port));
+  const auto parsed = net::parse_address(address);
+  return parsed ? std::optional(udp::endpoint(parsed->address(), parsed->port())) : std::nullopt;
 }
 
 udp::endpoint required_endpoint(const std::string& address) {
--- /dev/null
+++ b/packages/gateway/src/request_outcome.cpp
@@ -0,0 +1,198 @@
+#include "request_run.hpp"
+
+#include "cardamompond/core/hash.hpp"
+#include "cardamompond/telemetry/log.hpp"
+
+#include <tuple>
+#include <utility>
+
+namespace cardamompond::gateway {
+namespace {
+
+// A repetition needs at least this much time to be worth a dispatch.
+constexpr milliseconds min_time_for_repeat{60};
+
+std::int64_t to_ms(duration value) {
+  return std::chrono::duration_cast<milliseconds>(value).count();
+}
+
+fleet::server_outcome to_server_outcome(call_end end, int status) {
+  switch (end) {
+  case call_end::answered:
+    return status >= first_server_failure ? fleet::server_outcome::failed : fleet::server_outcome::answered;
+  case call_end::relayed:
+  case call_end::caller_gone:
+    return fleet::server_outcome::answered;
+  case call_end::refused:
+    return fleet::server_outcome::refused;
+  case call_end::misdirected:
+    return fleet::server_outcome::misdirected;
+  case call_end::unreachable:
+    return fleet::server_outcome::unreachable;
+  case call_end::broken:
+    return fleet::server_outcome::broken;
+  case call_end::silent:
+  case call_end::out_of_time:
+    break;
+  }
+  return fleet::server_outcome::silent;
+}
+
+} // namespace
+
+void request_handler::request_run::note_end_of_call(const fleet::dispatch_grant& grant, call_end end,
+                                                    const backend_call& call, time_point begun) {
+  auto& decisions = m_owner.m_admission;
+  const time_point now = monotonic_now();
+  const int status = call.answer().m_status;
+  m_failure = call.failure();
+  m_tried.push_back(grant.m_server.m_id);
+  const bool may_run =
+      end != call_end::refused && end != call_end::misdirected && end != call_end::unreachable;
+  if (may_run) {
+    ++m_runs;
+    m_may_have_run = true;
+  }
+  decisions.dispatcher().finish(grant.m_ticket, to_server_outcome(end, status), now);
+  const bool good = end == call_end::relayed || (end == call_end::answered && status < first_server_failure);
+  const bool bad = end == call_end::broken || end == call_end::silent ||
+                   (end == call_end::answered && status >= first_server_failure);
+  if (good) {
+    decisions.crashes().note_answer(m_content, now);
+  } else if (end == call_end::broken) {
+    decisions.crashes().note_break(m_content, hash64(grant.m_server.m_id), now);
+  }
+  if (good || bad) {
+    const duration total = now - begun;
+    const duration first = m_first_answer > begun ? m_first_answer - begun : total;
+    decisions.judge().note_outcome(m_service, grant.m_server.m_version, m_route->m_name, good, first, first,
+                                   now);
+  }
+  if (!good) {
+    log_event(log_level::info, "dispatch_failed",
+              {{"request_id", m_request.m_id},
+               {"backend_server", grant.m_server.m_id},
+               {"end", to_string(end)},
+               {"status", end == call_end::answered ? status : 0},
+               {"reason", m_failure},
+               {"ms", to_ms(now - begun)},
+               {"may_have_run", may_run}});
+  }
+  decisions.run(); // a place is free
+}
+
+bool request_handler::request_run::may_repeat(call_end end) {
+  if (m_caller_gone || end == call_end::caller_gone || end == call_end::out_of_time ||
+      m_deadline - monotonic_now() < min_time_for_repeat) {
+    return false;
+  }
+  const bool certainly_not_run =
+      end == call_end::refused || end == call_end::misdirected || end == call_end::unreachable;
+  if (!certainly_not_run) {
+    if (!repeatable() || m_runs >= m_route->m_max_attempts) {
+      return false;
+    }
+    if (m_relay.m_begun && (!m_route->m_resumable || m_relay.m_events.last_event_id().empty())) {
+      return false;
+    }
+  }
+  if (end == call_end::unreachable) {
+    return true; // nothing arrived anywhere
+  }
+  return m_owner.m_admission.take_repeat(m_service);
+}
+
+std::optional<request_error> request_handler::request_run::error_of_end() {
+  if (m_held) {
+    pass_answer();
+    return std::nullopt;
+  }
+  if (!m_may_have_run) {
+    // Never ran, so that the units go back to the account.
+    if (m_units > 0) {
+      m_owner.m_admission.quota().give_back(m_account, m_units);
+    }
+    if (!m_retry_after) {
+      m_retry_after = min_retry_after;
+    }
+    return not_run(error_code::queue_full, m_failure.empty() ? "no capacity" : m_failure);
+  }
+  if (m_last_end == call_end::out_of_time) {
+    return request_error{error_code::deadline_exceeded, verdict::may_have_run,
+                         "the deadline passed before the answer was complete", 0};
+  }
+  return request_error{error_code::backend_failed, verdict::may_have_run,
+                       m_failure.empty() ? "the backend server failed" : m_failure, 0};
+}
+
+void request_handler::request_run::pass_answer() {
+  net::http_response answer;
+  answer.m_status = m_held->m_status;
+  answer.m_headers = m_owner.m_protocol.make_caller_headers(*m_held);
+  answer.m_body = std::move(m_held->m_body);
+  const bool passed = static_cast<bool>(m_exchange.respond(answer));
+  report(passed ? "answered" : "caller_gone", answer.m_status);
+}
+
+void request_handler::request_run::answer_error(const request_error& error) {
+  if (m_relay.m_begun) {
+    m_exchange
+        .close_after(); // without the final chunk, so that the caller sees that the answer is incomplete
+    report("broken", 0);
+    return;
+  }
+  if (m_caller_gone) {
+    m_exchange.close_after();
+    report("caller_gone", 0);
+    return;
+  }
+  const auto answer = m_owner.m_protocol.make_error_answer(error, m_request.m_id, m_retry_after);
+  std::ignore = m_exchange.respond(answer);
+  if (m_route == nullptr || (m_account.empty() && !m_route->m_anonymous)) {
+    m_owner.m_metrics.count_rejected(error.m_code);
+  }
+  m_failure = error.m_message;
+  report(to_string(error.m_code), answer.m_status);
+}
+
+void request_handler::request_run::report(std::string_view result, int status) {
+  const time_point now = monotonic_now();
+  auto& metrics = m_owner.m_metrics;
+  const std::string_view route = m_route == nullptr ? std::string_view() : std::string_view(m_route->m_name);
+  if (m_route != nullptr) {
+    metrics.count_request(m_account, route, result);
+    if (m_granted != time_point{}) {
+      metrics.observe_queue_wait(m_account, route, m_granted - m_arrived);
+    }
+    if (m_first_answer != time_point{}) {
+      metrics.observe_first_token(m_account, route, m_first_answer - m_arrived);
+    }
+    if (result == "answered") {
+      metrics.observe_whole_answer(m_account, route, now - m_arrived);
+    }
+  }
+  const auto& knowledge = m_owner.m_admission.knowledge();
+  log_event(log_level::info, "request_ended",
+            {{"request_id", m_request.m_id},
+             {"result", result},
+             {"status", status},
+             {"verdict", m_may_have_run ? "may-have-run" : "not-run"},
+             {"route", route},
+             {"account", m_account},
+             {"rank", m_rank},
+             {"backend_server", m_server},
+             {"dispatches", m_tried.size()},
+             {"last_end", m_tried.empty() ? std::string_view("none") : to_string(m_last_end)},
+             {"reason", m_failure},
+             {"prompt_tokens", m_request.m_prompt_tokens},
+             {"max_output_tokens", m_request.m_max_output_tokens},
+             {"expected_output_tokens", m_request.m_expected_output_tokens},
+             {"events", m_relay.m_events_passed},
+             {"wait_ms", m_granted == time_point{} ? -1 : to_ms(m_granted - m_arrived)},
+             {"first_ms", m_first_answer == time_point{} ? -1 : to_ms(m_first_answer - m_arrived)},
+             {"total_ms", to_ms(now - m_arrived)},
+             {"declarations", m_routes ? m_routes->source().m_version : 0},
+             {"servers_age_ms", to_ms(now - knowledge.of(collection_kind::backend_servers).confirmed())}});
+}
+
+} // namespace cardamompond::gateway
--- /dev/null
+++ b/packages/gateway/src/request_run.cpp
@@ -0,0 +1,256 @@
+#include "request_run.hpp"
+
+#include "cardamompond/core/hash.hpp"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace cardamompond::gateway {
+namespace {
+
+// For callers that state no time of their own, on routes without one.
+constexpr milliseconds default_timeout{60'000};
+
+// Callers of streams leave when nothing comes for two seconds, four times the goal of the first event or
+// eight times that of a pause, whichever is longest.
+constexpr milliseconds min_caller_patience{2'000};
+constexpr int caller_patience_in_goals = 4;
+constexpr int caller_patience_in_gaps = 8;
+
+// Silence after which a stream goes on at another server. Callers leave a stream after two seconds or more.
+constexpr milliseconds stream_silence{1'300};
+
+constexpr milliseconds first_event_silence{2'200};
+
+// A repeatable call that has waited for this part of its time without an answer is sent to another server.
+constexpr double silent_share = 0.4;
+
+// Statuses that promise that a request has not run; never passed on without the server's own statement.
+bool promises_not_run(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+double uniform_random() {
+  thread_local std::minstd_rand random{std::random_device{}()};
+  return std::generate_canonical<double, 16>(random);
+}
+
+} // namespace
+
+void request_handler::request_run::run() {
+  m_exchange.watch_caller([this] { on_caller_gone(); });
+  auto error = read();
+  if (!error) {
+    error = admit();
+  }
+  if (!error) {
+    error = serve();
+  }
+  if (error) {
+    answer_error(*error);
+  }
+}
+
+void request_handler::request_run::on_caller_gone() {
+  m_caller_gone = true;
+  if (m_waiting_for != 0) {
+    m_owner.m_admission.cancel(m_waiting_for);
+  }
+  // A request that must not be repeated is left to end: its effect is wanted even if nobody hears the answer.
+  if (m_call != nullptr && (m_route->m_streamed || repeatable())) {
+    m_call->abandon();
+  }
+}
+
+std::optional<request_error> request_handler::request_run::read() {
+  auto parsed = m_owner.m_protocol.read_request(m_exchange.request());
+  if (!parsed) {
+    return parsed.error();
+  }
+  m_request = std::move(*parsed);
+  m_routes = m_owner.m_admission.knowledge().routes();
+  if (!m_routes) {
+    m_retry_after = min_retry_after;
+    return not_run(error_code::isolated, "this daemon has no declarations yet");
+  }
+  m_route = m_routes->find_route(m_request.m_host, m_exchange.request().path());
+  if (m_route == nullptr) {
+    return not_run(error_code::not_found, "no route for this host and path");
+  }
+  if (!m_owner.m_options.m_accepts(m_route->m_streamed)) {
+    m_exchange.close_after();
+    m_retry_after = min_retry_after;
+    return not_run(error_code::shutting_down, "this daemon stops; try another one");
+  }
+  m_rank = m_route->m_rank;
+  if (!m_route->m_anonymous && !m_routes->source().m_client_accounts.empty()) {
+    const auto* account = m_request.m_key ? m_routes->find_account(*m_request.m_key) : nullptr;
+    if (account == nullptr) {
+      return not_run(error_code::unauthorized, "the key is missing or unknown");
+    }
+    m_account = account->m_name;
+    if (account->m_has_rank) {
+      m_rank = account->m_rank;
+    }
+    m_units = !account->m_counts_tokens ? 1
+              : m_request.m_states_tokens
+                  ? static_cast<double>(m_request.m_prompt_tokens) + m_request.m_max_output_tokens
+                  : account->m_default_tokens;
+  }
+  return std::nullopt;
+}
+
+std::optional<request_error> request_handler::request_run::admit() {
+  auto& decisions = m_owner.m_admission;
+  milliseconds time = m_route->m_timeout.count() > 0 ? m_route->m_timeout : default_timeout;
+  if (m_request.m_patience) {
+    time = std::min(time, *m_request.m_patience);
+  }
+  m_deadline = m_arrived + time;
+  m_service = fleet::route_table::pick_service(*m_route, uniform_random());
+  const auto& request = m_exchange.request();
+  m_content = hash_content(request.m_target + '\n' + m_account + '\n' + request.m_body);
+  if (decisions.crashes().refused(m_content, m_arrived)) {
+    m_retry_after = max_retry_after;
+    return not_run(error_code::crashing_request, "this request has crashed backend servers and is refused");
+  }
+  if (!m_account.empty() && !decisions.quota().admit(m_account, m_units, m_arrived)) {
+    m_retry_after =
+        std::clamp(decisions.quota().time_to_refill(m_account, m_arrived), min_retry_after, max_retry_after);
+    m_units = 0;
+    return not_run(error_code::account_limit, "the account is over its quota");
+  }
+  decisions.note_request(m_service);
+  m_relay.m_exchange = &m_exchange;
+  return std::nullopt;
+}
+
+fleet::submission request_handler::request_run::make_submission(fleet::ticket ticket) const {
+  fleet::submission submitted;
+  submitted.m_ticket = ticket;
+  submitted.m_service = m_service;
+  submitted.m_rank = m_rank;
+  submitted.m_route_rank = m_route->m_rank;
+  submitted.m_affinity = m_request.m_affinity;
+  submitted.m_prompt_tokens = m_request.m_prompt_tokens;
+  submitted.m_output_tokens = m_request.m_expected_output_tokens > 0 ? m_request.m_expected_output_tokens
+                                                                     : m_request.m_max_output_tokens;
+  submitted.m_body_bytes = static_cast<std::uint32_t>(m_exchange.request().m_body.size());
+  submitted.m_arrived = m_arrived;
+  submitted.m_goal = m_arrived + m_route->m_first_answer_goal;
+  submitted.m_deadline = m_deadline;
+  submitted.m_abandoned = m_deadline;
+  if (m_route->m_streamed) {
+    const auto patience =
+        std::max({min_caller_patience, m_route->m_first_answer_goal * caller_patience_in_goals,
+                  m_route->m_event_gap_goal * caller_patience_in_gaps});
+    submitted.m_abandoned = std::min(m_deadline, m_arrived + patience);
+  }
+  submitted.m_avoid = m_tried;
+  return submitted;
+}
+
+call_options request_handler::request_run::make_call_options(const fleet::dispatch_grant& grant) {
+  call_options options;
+  options.m_from_caller = &m_exchange.request();
+  options.m_terms.m_server = &grant.m_server;
+  options.m_terms.m_client_account = m_account;
+  if (m_relay.m_begun && !m_relay.m_events.last_event_id().empty()) {
+    options.m_terms.m_resume_after = m_relay.m_events.last_event_id();
+  }
+  options.m_request_id = m_request.m_id;
+  options.m_deadline = m_deadline;
+  options.m_streamed = m_route->m_streamed;
+  options.m_idempotent = repeatable();
+  options.m_relay = &m_relay;
+  const bool last_attempt = m_runs + 1 >= m_route->m_max_attempts;
+  if (m_route->m_resumable && !last_attempt) {
+    // Before its first event a stream may wait in the server's queue, whose place it would lose.
+    options.m_silence_limit = m_relay.m_begun ? stream_silence : first_event_silence;
+  } else if (!m_route->m_streamed && repeatable() && !last_attempt) {
+    options.m_silence_limit = std::chrono::duration_cast<duration>((m_deadline - m_arrived) * silent_share);
+  }
+  options.m_on_first_answer = [this, ticket = grant.m_ticket] {
+    m_first_answer = monotonic_now();
+    m_owner.m_admission.dispatcher().note_first_answer(ticket, m_first_answer);
+  };
+  options.m_on_progress = [this, ticket = grant.m_ticket](std::uint64_t events, duration took) {
+    m_owner.m_admission.dispatcher().note_events(ticket, events, took);
+  };
+  options.m_on_facts = [this, &grant](const answer_facts& facts) {
+    const time_point now = monotonic_now();
+    auto& dispatcher = m_owner.m_admission.dispatcher();
+    if (facts.m_load) {
+      dispatcher.note_load(grant.m_server.m_id, *facts.m_load, now);
+    }
+    if (facts.m_cold_remaining) {
+      dispatcher.note_cold(grant.m_server.m_id, *facts.m_cold_remaining, now);
+    }
+  };
+  return options;
+}
+
+std::optional<request_error> request_handler::request_run::serve() {
+  auto& decisions = m_owner.m_admission;
+  while (true) {
+    const fleet::ticket ticket = decisions.next_ticket();
+    m_waiting_for = ticket;
+    const admission_result decision =
+        m_caller_gone ? admission_result{} : decisions.acquire(make_submission(ticket));
+    m_waiting_for = 0;
+    if (const auto* grant = std::get_if<fleet::dispatch_grant>(&decision)) {
+      m_granted = monotonic_now();
+      const call_end end = dispatch(*grant);
+      if (end == call_end::answered || end == call_end::relayed) {
+        return std::nullopt;
+      }
+      if (!may_repeat(end)) {
+        return error_of_end();
+      }
+      continue;
+    }
+    if (const auto* refusal = std::get_if<fleet::dispatch_refusal>(&decision)) {
+      m_retry_after = std::clamp(std::chrono::duration_cast<milliseconds>(refusal->m_retry_after),
+                                 min_retry_after, max_retry_after);
+      m_failure = refusal->m_reason == fleet::refusal_reason::no_backend_server
+                      ? "no backend server in service"
+                      : "no room on any backend server";
+    } else {
+      m_last_end = call_end::caller_gone;
+    }
+    return error_of_end();
+  }
+}
+
+call_end request_handler::request_run::dispatch(const fleet::dispatch_grant& grant) {
+  const time_point begun = monotonic_now();
+  m_server = grant.m_server.m_id;
+  backend_call call(m_owner.m_client, m_owner.m_protocol, make_call_options(grant));
+  m_call = &call;
+  call_end end = call.run();
+  m_call = nullptr;
+  m_last_end = end;
+  const int status = call.answer().m_status;
+  if (end == call_end::answered && promises_not_run(status)) {
+    end = call_end::broken; // the status promises what the server does not state
+    m_last_end = end;
+  }
+  note_end_of_call(grant, end, call, begun);
+  if (end == call_end::relayed) {
+    const bool finished = static_cast<bool>(m_exchange.finish());
+    report(finished ? "answered" : "caller_gone", status);
+  } else if (end == call_end::answered) {
+    m_held = call.answer();
+    if (status >= first_server_failure && repeatable()) {
+      return call_end::broken; // held, and passed on unless another server does better
+    }
+    pass_answer();
+  }
+  return end;
+}
+
+// Decides whether the request is sent again after a dispatch that ended without an answer for the caller.
+// What the caller is told when nothing more is tried; nothing if it has had its answer.
+
+} // namespace cardamompond::gateway
--- a/packages/net/src/address.cpp
+++ b/packages/net/src/address.cpp
@@ -1,4 +1,4 @@
-#include "address.hpp"
+#include "cardamompond/net/address.hpp"
 
 #include <boost/asio/ip/address.hpp>
 
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -1,6 +1,6 @@
 #include "cardamompond/net/http_client.hpp"
 
-#include "address.hpp"
+#include "cardamompond/net/address.hpp"
 #include "fiber_stream.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -1,6 +1,6 @@
 #include "cardamompond/net/http_server.hpp"
 
-#include "address.hpp"
+#include "cardamompond/net/address.hpp"
 #include "cardamompond/net/io_wait.hpp"
 #include "fiber_stream.hpp"
 
--- a/tests/support/src/tcp_relay.cpp
+++ b/tests/support/src/tcp_relay.cpp
@@ -1,6 +1,6 @@
 #include "cardamompond/testing/tcp_relay.hpp"
 
-#include "address.hpp"
+#include "cardamompond/net/address.hpp"
 #include "cardamompond/net/io_wait.hpp"
 #include "cardamompond/testing/environment.hpp"
 
