Reserve a place at the engine before a request is sent

Cause: daemons fill engines by views that are 0.1 to 1 s old. Now the daemon asks the engine to keep a place on the same connection; the engine alone arbitrates, a refusal there costs no repeat of the budget, and an engine without power is noticed before anything was sent.

--- a/packages/fleet/include/cardamompond/fleet/declarations.hpp
+++ b/packages/fleet/include/cardamompond/fleet/declarations.hpp
@@ -43,6 +43,7 @@
   double m_cold_requests_per_s = 0;     // that one backend server bears while cold; 0: no limit
   std::uint32_t m_tokens_per_event = 1; // of a stream
   bool m_batches = false;               // model engines, which serve requests in batches and cache prompts
+  milliseconds m_max_reservation{0};    // for which a server keeps a place when asked; 0: it keeps none
 };
 
 // A caller's organisation, known by its keys.
--- a/packages/fleet/include/cardamompond/fleet/dispatcher.hpp
+++ b/packages/fleet/include/cardamompond/fleet/dispatcher.hpp
@@ -41,6 +41,7 @@
 struct dispatch_grant {
   ticket m_ticket = 0;
   backend_server m_server;
+  milliseconds m_reservation{0}; // ask the server to keep a place for this long before sending; 0: just send
 };
 
 enum class refusal_reason { no_backend_server, no_capacity };
@@ -58,7 +59,7 @@
 enum class server_outcome {
   answered,    // a whole answer, or one that the caller broke off
   failed,      // an error of the server's own
-  refused,     // the server said that it did not run the request
+  refused,     // the server said that it did not run the request, or had no place to keep
   misdirected, // another server has the address
   unreachable, // no connection
   broken,      // the connection broke, or the answer was no answer
--- a/packages/fleet/src/attempt_ages.cpp
+++ b/packages/fleet/src/attempt_ages.cpp
@@ -5,8 +5,8 @@
 namespace cardamompond::fleet {
 namespace {
 
-// First attempts of one route state times that differ by up to 15 parts in 100 on the users' platform; one that
-// states less than this part of the longest was sent before.
+// First attempts of one route state times that differ by up to 15 parts in 100 on the users' platform; one
+// that states less than this part of the longest was sent before.
 constexpr double first_attempt_share = 0.8;
 
 // The longest time is that of this window and the one before: long enough for some hundred attempts, short
@@ -28,8 +28,8 @@
   }
   times.m_current = std::max(times.m_current, time_left);
   const milliseconds longest = std::max(times.m_current, times.m_last);
-  const bool first = static_cast<double>(time_left.count()) >=
-                     first_attempt_share * static_cast<double>(longest.count());
+  const bool first =
+      static_cast<double>(time_left.count()) >= first_attempt_share * static_cast<double>(longest.count());
   return first ? duration::zero() : duration(longest - time_left);
 }
 
--- a/packages/fleet/src/dispatch_tables.hpp
+++ b/packages/fleet/src/dispatch_tables.hpp
@@ -18,6 +18,7 @@
   std::uint32_t m_key = 0; // server_key of its id
   bool m_listed = false;   // else it gets nothing new, and the row ends with its last request
   bool m_batches = false;
+  milliseconds m_max_reservation{0}; // for which it keeps a place when asked
 
   std::uint32_t m_share = 0; // slots that this daemon fills first
   std::uint32_t m_own = 0;   // running requests of this daemon
--- a/packages/fleet/src/dispatcher.cpp
+++ b/packages/fleet/src/dispatcher.cpp
@@ -10,6 +10,12 @@
 // Without a declared rate a cold server counts as cold for what its entry says and not longer than this.
 constexpr duration max_cold = seconds(60);
 
+// Takes over what is declared for all servers of a service.
+void adopt_service(server_row& server, const service& declared) {
+  server.m_batches = declared.m_batches;
+  server.m_max_reservation = declared.m_max_reservation;
+}
+
 } // namespace
 
 std::uint32_t server_key(std::string_view id) {
@@ -54,7 +60,7 @@
     tables.m_services.emplace(each.m_name, each);
     if (const auto servers = tables.m_servers.find(each.m_name); servers != tables.m_servers.end()) {
       for (auto& [id, server] : servers->second) {
-        server.m_batches = each.m_batches;
+        adopt_service(server, each);
       }
     }
   }
@@ -85,8 +91,9 @@
       row.m_cold_until =
           std::max(row.m_cold_until, now + std::min<duration>(entry.m_cold_remaining, max_cold));
     }
-    const auto declared = tables.m_services.find(entry.m_service);
-    row.m_batches = declared != tables.m_services.end() && declared->second.m_batches;
+    if (const auto declared = tables.m_services.find(entry.m_service); declared != tables.m_services.end()) {
+      adopt_service(row, declared->second);
+    }
   }
   m_impl->erase_ended_rows();
   deal_slots(tables);
--- a/packages/fleet/src/queueing.cpp
+++ b/packages/fleet/src/queueing.cpp
@@ -31,6 +31,9 @@
 // of its kind are served for one of theirs.
 constexpr double quick_s = 0.15;
 
+// The request follows on the same connection; the rest covers a lost packet.
+constexpr milliseconds reservation_time{500};
+
 bool any_eligible(const dispatch_tables& tables, const std::string& service, time_point now) {
   const auto servers = tables.m_servers.find(service);
   return servers != tables.m_servers.end() &&
@@ -48,7 +51,7 @@
   }
   tables.m_grant_rates[{request.m_service, request.m_route_rank}].note_grant(now);
   tables.m_running[request.m_ticket] = {request.m_service, server.m_entry.m_id, request.m_prompt_tokens, now};
-  return {request.m_ticket, server.m_entry};
+  return {request.m_ticket, server.m_entry, std::min(server.m_max_reservation, reservation_time)};
 }
 
 // Tiers first; within a tier those that can still be on time, then quick ones, then by the rank of the route
--- a/packages/fleet/tests/dispatcher_test.cpp
+++ b/packages/fleet/tests/dispatcher_test.cpp
@@ -219,6 +219,24 @@
   UNSIGNED_LONGS_EQUAL(2, daemon.m_dispatcher.waiting());
 }
 
+// Guards against daemons that fill a server by views of its load which are some moments old.
+TEST(dispatcher, places_are_reserved_where_the_service_keeps_them) {
+  daemon.set_servers({make_server("s1")});
+  daemon.m_dispatcher.submit(daemon.make_request(1), daemon.m_now);
+  LONGS_EQUAL(0,
+              std::get<dispatch_grant>(daemon.m_dispatcher.tick(daemon.m_now).front()).m_reservation.count());
+  declarations source;
+  service chat;
+  chat.m_name = "chat";
+  chat.m_batches = true;
+  chat.m_max_reservation = milliseconds(200);
+  source.m_services.push_back(chat);
+  daemon.m_dispatcher.apply(source);
+  daemon.m_dispatcher.submit(daemon.make_request(2), daemon.m_now);
+  LONGS_EQUAL(200,
+              std::get<dispatch_grant>(daemon.m_dispatcher.tick(daemon.m_now).front()).m_reservation.count());
+}
+
 // Guards against long answers on servers that cannot finish them in time.
 TEST(dispatcher, long_answers_go_to_servers_that_are_fast_enough) {
   daemon.set_servers({make_server("fast", "a", 8), make_server("slow", "a", 8)});
--- a/packages/gateway/include/cardamompond/gateway/backend_call.hpp
+++ b/packages/gateway/include/cardamompond/gateway/backend_call.hpp
@@ -17,6 +17,7 @@
   answered,    // a whole answer of the server's is held in backend_call::answer()
   relayed,     // a whole stream was passed on
   refused,     // the server did not run it
+  no_room,     // the server had no place to keep; nothing was sent
   misdirected, // another server has the address; not run
   unreachable, // nothing was sent
   broken,      // sent, and the connection broke or the answer was none; may have run
@@ -45,6 +46,8 @@
   std::string_view m_request_id;
   time_point m_deadline;
   duration m_silence_limit{}; // without any part of the answer, after which the call ends as silent
+  milliseconds m_reservation{0};   // ask the server to keep a place for this long first; 0: do not
+  std::uint32_t m_reserved_tokens = 0;
   bool m_streamed = false;
   bool m_idempotent = false;
   stream_relay* m_relay = nullptr; // of a streamed request
@@ -73,6 +76,8 @@
   milliseconds wait_time() const;
   call_end fail(const net::call_error& error);
   std::optional<call_end> connect();
+  std::optional<call_end> reserve();
+  std::optional<call_end> send();
   std::optional<call_end> read_head();
   call_end read_whole();
   call_end relay_events();
--- a/packages/gateway/include/cardamompond/gateway/request_protocol.hpp
+++ b/packages/gateway/include/cardamompond/gateway/request_protocol.hpp
@@ -33,6 +33,7 @@
   std::string_view m_client_account; // empty: anonymous
   milliseconds m_time_left{0};
   std::optional<std::string> m_resume_after; // replaces that of the caller
+  std::string m_reservation;                 // place that the server keeps for the request; empty: none
 };
 
 // What the head of an answer says about the request and the server.
@@ -58,6 +59,12 @@
   virtual net::http_request make_backend_request(const net::http_request& from,
                                                  const dispatch_terms& terms) const = 0;
 
+  // Asks a backend server to keep a place, and memory for so many tokens, for a request that follows at once.
+  virtual net::http_request make_reservation_request(std::uint32_t tokens, milliseconds lifetime) const = 0;
+
+  // The reservation that the server made; nothing if it has no room.
+  virtual std::optional<std::string> read_reservation(const net::http_response& answer) const = 0;
+
   virtual answer_facts read_answer(const net::http_response& head) const = 0;
 
   // The headers of an answer as the caller gets them.
--- a/packages/gateway/src/backend_call.cpp
+++ b/packages/gateway/src/backend_call.cpp
@@ -27,11 +27,16 @@
 
 constexpr int status_misdirected = 421;
 
+// An engine answers a reservation without any work; one that does not answer in this time has lost its
+// connection or its power.
+constexpr milliseconds reservation_timeout{250};
+constexpr std::size_t max_reservation_bytes = 4'096;
+
 } // namespace
 
 std::string_view to_string(call_end end) {
-  constexpr std::string_view names[] = {"answered", "relayed", "refused",     "misdirected", "unreachable",
-                                        "broken",   "silent",  "caller_gone", "out_of_time"};
+  constexpr std::string_view names[] = {"answered",    "relayed", "refused", "no_room",     "misdirected",
+                                        "unreachable", "broken",  "silent",  "caller_gone", "out_of_time"};
   return names[static_cast<std::size_t>(end)];
 }
 
@@ -78,6 +83,55 @@
     m_call->abort();
     return call_end::caller_gone;
   }
+  return std::nullopt;
+}
+
+// Asks the server for a place. Nothing of the request has been sent yet, so that every failure leaves it free
+// to go elsewhere.
+std::optional<call_end> backend_call::reserve() {
+  const auto request =
+      m_protocol.make_reservation_request(m_options.m_reserved_tokens, m_options.m_reservation);
+  const auto failed = [&](const net::call_error& error) {
+    const auto end = fail(error);
+    return end == call_end::caller_gone || end == call_end::out_of_time ? end : call_end::unreachable;
+  };
+  if (const auto sent = m_call->send(request, reservation_timeout); !sent) {
+    return failed(sent.error());
+  }
+  for (int stray = 0; stray <= max_stray_answers; ++stray) {
+    auto head = m_call->read_head(reservation_timeout);
+    if (!head) {
+      return failed(head.error());
+    }
+    std::array<char, 1024> buffer{};
+    while (true) {
+      auto part = m_call->read_some(buffer, reservation_timeout);
+      if (!part) {
+        return failed(part.error());
+      }
+      if (part->empty()) {
+        break;
+      }
+      if (head->m_body.size() + part->size() > max_reservation_bytes) {
+        return failed({"the answer to a reservation is too large", true, false});
+      }
+      head->m_body.append(part->data(), part->size());
+    }
+    if (m_protocol.read_answer(*head).m_request_id) {
+      continue; // a late answer to an earlier request
+    }
+    auto reservation = m_protocol.read_reservation(*head);
+    if (!reservation) {
+      m_failure = "the server has no room";
+      return call_end::no_room;
+    }
+    m_options.m_terms.m_reservation = std::move(*reservation);
+    return std::nullopt;
+  }
+  return failed({"only answers to other requests came", true, false});
+}
+
+std::optional<call_end> backend_call::send() {
   const auto left = std::chrono::duration_cast<milliseconds>(m_options.m_deadline - monotonic_now());
   if (left <= milliseconds(0)) {
     m_call->abort();
@@ -211,6 +265,19 @@
   if (const auto end = connect()) {
     return *end;
   }
+  if (m_options.m_reservation > milliseconds(0)) {
+    if (const auto end = reserve()) {
+      return *end;
+    }
+    if (!m_call->reusable()) {
+      if (const auto end = connect()) {
+        return *end;
+      }
+    }
+  }
+  if (const auto end = send()) {
+    return *end;
+  }
   if (const auto end = read_head()) {
     return *end;
   }
--- a/packages/gateway/src/request_outcome.cpp
+++ b/packages/gateway/src/request_outcome.cpp
@@ -24,6 +24,7 @@
   case call_end::caller_gone:
     return fleet::server_outcome::answered;
   case call_end::refused:
+  case call_end::no_room:
     return fleet::server_outcome::refused;
   case call_end::misdirected:
     return fleet::server_outcome::misdirected;
@@ -38,6 +39,12 @@
   return fleet::server_outcome::silent;
 }
 
+// Whether the server may have run a request that was sent to it.
+bool may_have_run_after(call_end end) {
+  return end != call_end::refused && end != call_end::no_room && end != call_end::misdirected &&
+         end != call_end::unreachable;
+}
+
 } // namespace
 
 void request_handler::request_run::note_end_of_call(const fleet::dispatch_grant& grant, call_end end,
@@ -46,9 +53,11 @@
   const time_point now = monotonic_now();
   const int status = call.answer().m_status;
   m_failure = call.failure();
-  m_tried.push_back(grant.m_server.m_id);
-  const bool may_run =
-      end != call_end::refused && end != call_end::misdirected && end != call_end::unreachable;
+  ++m_dispatches;
+  if (end != call_end::no_room) {
+    m_tried.push_back(grant.m_server.m_id); // one without room now may have some soon
+  }
+  const bool may_run = may_have_run_after(end);
   if (may_run) {
     ++m_runs;
     m_may_have_run = true;
@@ -68,7 +77,7 @@
     decisions.judge().note_outcome(m_service, grant.m_server.m_version, m_route->m_name, good, first, first,
                                    now);
   }
-  if (!good) {
+  if (!good && end != call_end::no_room) {
     log_event(log_level::info, "dispatch_failed",
               {{"request_id", m_request.m_id},
                {"backend_server", grant.m_server.m_id},
@@ -86,9 +95,7 @@
       m_deadline - monotonic_now() < min_time_for_repeat) {
     return false;
   }
-  const bool certainly_not_run =
-      end == call_end::refused || end == call_end::misdirected || end == call_end::unreachable;
-  if (!certainly_not_run) {
+  if (may_have_run_after(end)) {
     if (!repeatable() || m_runs >= m_route->m_max_attempts) {
       return false;
     }
@@ -96,7 +103,7 @@
       return false;
     }
   }
-  if (end == call_end::unreachable) {
+  if (end == call_end::unreachable || end == call_end::no_room) {
     return true; // nothing arrived anywhere
   }
   return m_owner.m_admission.take_repeat(m_service);
@@ -181,8 +188,8 @@
              {"account", m_account},
              {"rank", m_rank},
              {"backend_server", m_server},
-             {"dispatches", m_tried.size()},
-             {"last_end", m_tried.empty() ? std::string_view("none") : to_string(m_last_end)},
+             {"dispatches", m_dispatches},
+             {"last_end", m_dispatches == 0 ? std::string_view("none") : to_string(m_last_end)},
              {"reason", m_failure},
              {"prompt_tokens", m_request.m_prompt_tokens},
              {"max_output_tokens", m_request.m_max_output_tokens},
--- a/packages/gateway/src/request_run.cpp
+++ b/packages/gateway/src/request_run.cpp
@@ -137,8 +137,7 @@
   submitted.m_route_rank = m_route->m_rank;
   submitted.m_affinity = m_request.m_affinity;
   submitted.m_prompt_tokens = m_request.m_prompt_tokens;
-  submitted.m_output_tokens = m_request.m_expected_output_tokens > 0 ? m_request.m_expected_output_tokens
-                                                                     : m_request.m_max_output_tokens;
+  submitted.m_output_tokens = expected_output_tokens();
   submitted.m_body_bytes = static_cast<std::uint32_t>(m_exchange.request().m_body.size());
   submitted.m_arrived = m_arrived;
   submitted.m_goal = m_arrived + m_route->m_first_answer_goal - m_age;
@@ -167,6 +166,8 @@
   options.m_streamed = m_route->m_streamed;
   options.m_idempotent = repeatable();
   options.m_relay = &m_relay;
+  options.m_reservation = grant.m_reservation;
+  options.m_reserved_tokens = m_request.m_prompt_tokens + expected_output_tokens();
   const bool last_attempt = m_runs + 1 >= m_route->m_max_attempts;
   if (m_route->m_resumable && !last_attempt) {
     // Before its first event a stream may wait in the server's queue, whose place it would lose.
--- a/packages/gateway/src/request_run.hpp
+++ b/packages/gateway/src/request_run.hpp
@@ -48,6 +48,11 @@
   void pass_answer();
   void report(std::string_view result, int status);
 
+  std::uint32_t expected_output_tokens() const {
+    return m_request.m_expected_output_tokens > 0 ? m_request.m_expected_output_tokens
+                                                  : m_request.m_max_output_tokens;
+  }
+
   bool repeatable() const {
     return m_route->m_repetition == fleet::repetition::idempotent || m_route->m_resumable;
   }
@@ -73,6 +78,7 @@
 
   stream_relay m_relay;
   std::vector<std::string> m_tried;
+  std::uint32_t m_dispatches = 0; // attempts at a server, those without room included
   std::uint32_t m_runs = 0; // dispatches that may have run
   call_end m_last_end = call_end::refused;
   bool m_may_have_run = false;
--- a/packages/net/include/cardamompond/net/http_client.hpp
+++ b/packages/net/include/cardamompond/net/http_client.hpp
@@ -29,6 +29,10 @@
   // Whether the connection had carried an earlier request.
   virtual bool reused() const = 0;
 
+  // Whether another request may follow on the connection: the last answer was read to its end, and the server
+  // keeps the connection.
+  virtual bool reusable() const = 0;
+
   // Writes the request. After an error with m_sent == false nothing was written. Also ends, without an error,
   // when the server answers before it has read the whole request; the connection then ends with the call.
   virtual call_result<done> send(const http_request& request, milliseconds timeout) = 0;
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -141,6 +141,7 @@
   }
 
   bool reused() const override { return m_reused; }
+  bool reusable() const override { return m_reusable && m_buffer.size() == 0; }
 
   call_result<done> send(const http_request& request, milliseconds timeout) override {
     m_head_request = request.m_method == "HEAD";
