--- a/packages/fleet/src/dispatch_tables.hpp
+++ b/packages/fleet/src/dispatch_tables.hpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <random>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -44,9 +45,10 @@
   submission m_request;
   time_point m_refuse_at;
   bool m_quick = false; // takes a server for a moment only
+  bool m_late = false;  // its answer cannot begin in time any more
 };
 
-// How many requests of one service and route rank this daemon gets through, as a moving average.
+// How many requests of one kind this daemon gets through, as a moving average.
 class grant_rate {
 public:
   void note_grant(time_point now);
@@ -76,7 +78,8 @@
   std::map<std::string, std::map<std::string, server_row, std::less<>>, std::less<>>
       m_servers;                                                             // by service, id
   std::map<std::string, std::deque<waiting_request>, std::less<>> m_waiting; // by service
-  std::map<std::pair<std::string, std::uint32_t>, grant_rate> m_grant_rates; // by service and route rank
+  std::map<std::tuple<std::string, std::uint32_t, bool>, grant_rate>
+      m_grant_rates; // by service, route rank and lateness
   std::unordered_map<ticket, running_request> m_running;
   std::map<std::string, peer_row, std::less<>> m_peers;
   std::set<std::string, std::less<>> m_evacuated;
--- a/packages/fleet/tests/dispatcher_test.cpp
+++ b/packages/fleet/tests/dispatcher_test.cpp
@@ -219,6 +219,30 @@
   UNSIGNED_LONGS_EQUAL(2, daemon.m_dispatcher.waiting());
 }
 
+// Guards against late repetitions that take the places of requests which can still be on time.
+TEST(dispatcher, requests_that_can_be_on_time_go_before_late_ones) {
+  daemon.set_servers({make_server("s1", "a", 1)});
+  daemon.submit(1);
+  auto late = daemon.make_request(11);
+  late.m_goal = daemon.m_now - milliseconds(4'000);
+  daemon.m_dispatcher.submit(late, daemon.m_now);
+  daemon.m_dispatcher.submit(daemon.make_request(12), daemon.m_now);
+  daemon.m_dispatcher.finish(1, server_outcome::answered, daemon.m_now);
+  STRCMP_EQUAL("s1", daemon.tick()[12].c_str());
+}
+
+// Guards against requests that are held for nothing after their goal: the longer they are held, the less
+// their callers can do about it.
+TEST(dispatcher, requests_that_become_late_without_a_chance_are_refused_then) {
+  daemon.set_servers({make_server("s1", "a", 1)});
+  LONGS_EQUAL(1, count(daemon.submit(1), "s1"));
+  LONGS_EQUAL(0, count(daemon.submit(2), "refused"));
+  daemon.m_now += milliseconds(700);
+  LONGS_EQUAL(0, count(daemon.tick(), "refused"));
+  daemon.m_now += milliseconds(95); // the first answer takes longer than what is left
+  LONGS_EQUAL(1, count(daemon.tick(), "refused"));
+}
+
 // Guards against daemons that fill a server by views of its load which are some moments old.
 TEST(dispatcher, places_are_reserved_where_the_service_keeps_them) {
   daemon.set_servers({make_server("s1")});
