Wait up to a second after the first list for others that read the store

Cause: each start of a daemon cost a list and a watch of all five collections, since it had not yet heard which daemons of its zone read for it; where all start together they first have to register.

--- a/packages/gateway/include/cardamompond/gateway/backend_call.hpp
+++ b/packages/gateway/include/cardamompond/gateway/backend_call.hpp
@@ -45,8 +45,8 @@
   dispatch_terms m_terms;
   std::string_view m_request_id;
   time_point m_deadline;
-  duration m_silence_limit{}; // without any part of the answer, after which the call ends as silent
-  milliseconds m_reservation{0};   // ask the server to keep a place for this long first; 0: do not
+  duration m_silence_limit{};    // without any part of the answer, after which the call ends as silent
+  milliseconds m_reservation{0}; // ask the server to keep a place for this long first; 0: do not
   std::uint32_t m_reserved_tokens = 0;
   bool m_streamed = false;
   bool m_idempotent = false;
--- a/packages/gateway/include/cardamompond/gateway/collection_feed.hpp
+++ b/packages/gateway/include/cardamompond/gateway/collection_feed.hpp
@@ -41,6 +41,7 @@
 private:
   void step();
   bool list();
+  void wait_for_readers();
   void watch();
   void note_failure(const document_error& error);
   void note_success();
--- a/packages/gateway/src/collection_feed.cpp
+++ b/packages/gateway/src/collection_feed.cpp
@@ -32,6 +32,11 @@
 // After a change the next watch waits this long, so that changes in quick succession cost one call.
 constexpr milliseconds change_pause{200};
 
+// After its first list a daemon hears within this time whether others read for it: where all daemons start
+// together, they register, learn of one another by a watch and report within some 0.6 s. Changes must be in
+// force within two seconds. Without the pause each start cost a watch of every collection.
+constexpr milliseconds first_pause{1'000};
+
 // How often a daemon for which others read looks whether they still do.
 constexpr milliseconds rest_interval{100};
 
@@ -61,9 +66,13 @@
 
 void collection_feed::step() {
   if (m_list_next) {
+    const bool first = !m_knowledge.of(m_kind).known();
     if (!list()) {
       return;
     }
+    if (first && m_kind != collection_kind::members) {
+      wait_for_readers();
+    }
     m_list_next = monotonic_now() < m_settled_at;
     if (m_list_next) {
       constexpr milliseconds settling_interval{400};
@@ -91,6 +100,13 @@
   return true;
 }
 
+void collection_feed::wait_for_readers() {
+  const time_point until = monotonic_now() + first_pause;
+  while (monotonic_now() < until && !m_peers.m_covered(m_kind)) {
+    boost::this_fiber::sleep_for(rest_interval);
+  }
+}
+
 // Right after an outage, entries that are missing are kept until they have had time to come back.
 void collection_feed::apply_snapshot(const collection_snapshot& snapshot) {
   if (m_kind != collection_kind::backend_servers || monotonic_now() >= m_settled_at) {
--- a/packages/gateway/src/request_run.hpp
+++ b/packages/gateway/src/request_run.hpp
@@ -79,7 +79,7 @@
   stream_relay m_relay;
   std::vector<std::string> m_tried;
   std::uint32_t m_dispatches = 0; // attempts at a server, those without room included
-  std::uint32_t m_runs = 0; // dispatches that may have run
+  std::uint32_t m_runs = 0;       // dispatches that may have run
   call_end m_last_end = call_end::refused;
   bool m_may_have_run = false;
   std::optional<net::http_response> m_held; // a failure of a server's own, passed on if nothing better comes
