Leave totals of accounts that have not changed lately out of reports

Ruled out: telling far daemons less often (quotas would be overdrawn for longer), reports without loads (daemons would ask full engines of other zones).

--- a/packages/gateway/include/cardamompond/gateway/peer_group.hpp
+++ b/packages/gateway/include/cardamompond/gateway/peer_group.hpp
@@ -75,13 +75,21 @@
     time_point m_heard;
     std::array<collection_state, all_collections.size()> m_collections{};
     std::array<time_point, all_collections.size()> m_ahead_since{}; // epoch: not ahead
-    std::map<std::uint32_t, double> m_quota_use;
+    std::map<std::uint32_t, double> m_quota_use;                    // last totals
+    bool m_knows_all_use = false; // an account without a total had none then
+  };
+
+  // What this daemon admitted for an account, and since when.
+  struct account_use {
+    double m_units = 0;
+    time_point m_changed;
   };
 
   struct addresses {
     std::vector<std::string> m_near;
     std::vector<std::string> m_far;
   };
+  void add_quota_use(peer_report& report, time_point now);
   bool ahead_with_large_content(collection_kind kind) const;
   addresses known_addresses() const;
   bool small_group() const;
@@ -95,6 +103,7 @@
   std::uint64_t m_incarnation;
   std::uint64_t m_sequence = 0;
   std::map<std::string, peer, std::less<>> m_peers; // by name
+  std::map<std::uint32_t, account_use> m_own_use;   // by key of the account
   std::uint64_t m_round = 0;
   std::size_t m_next_near = 0;
   std::size_t m_next_far = 0;
--- a/packages/gateway/include/cardamompond/gateway/peer_report.hpp
+++ b/packages/gateway/include/cardamompond/gateway/peer_report.hpp
@@ -34,6 +34,7 @@
   std::array<collection_state, all_collections.size()> m_collections{};
   std::vector<fleet::server_load> m_loads;
   std::vector<std::pair<std::uint32_t, double>> m_quota_use; // by key of the account
+  bool m_recent_use_only = false; // accounts whose total has not changed for a while are left out
   std::vector<fleet::version_observation> m_outcomes;
   std::vector<std::pair<std::string, std::uint64_t>> m_taken_back;
   std::vector<fleet::crash_suspicion> m_crashes;
--- a/packages/gateway/schema/exchange.capnp
+++ b/packages/gateway/schema/exchange.capnp
@@ -63,6 +63,7 @@
   takenBack @9 :List(TakenBack);
   crashes @10 :List(CrashSuspicion);
   availabilityZone @11 :Text;
+  recentUseOnly @12 :Bool; # quotaUse leaves out accounts whose total has not changed for a while
 }
 
 struct Document {
--- a/packages/gateway/src/exchange.capnp.h
+++ b/packages/gateway/src/exchange.capnp.h
@@ -797,6 +797,8 @@
   inline bool hasAvailabilityZone() const;
   inline  ::capnp::Text::Reader getAvailabilityZone() const;
 
+  inline bool getRecentUseOnly() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -897,6 +899,9 @@
   inline void adoptAvailabilityZone(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownAvailabilityZone();
 
+  inline bool getRecentUseOnly();
+  inline void setRecentUseOnly(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1909,6 +1914,20 @@
       ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 
+inline bool Report::Reader::getRecentUseOnly() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+
+inline bool Report::Builder::getRecentUseOnly() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+inline void Report::Builder::setRecentUseOnly(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Document::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/gateway/src/peer_group.cpp
+++ b/packages/gateway/src/peer_group.cpp
@@ -32,6 +32,12 @@
 // Speeds change slowly and are sent once in this many rounds.
 constexpr std::uint64_t speed_rounds = 8;
 
+// Totals of accounts go out for this long after their last change, over several reports since some are lost;
+// in one of so many cycles of reports to far daemons all go out. A daemon serves a few callers and so a few
+// accounts at a time, while all of them made a third of a report.
+constexpr duration recent_use = milliseconds(3'500);
+constexpr std::size_t all_use_rounds = 6;
+
 // Daemons of one zone that read the store for the others of a large group: two, so that one may fail.
 constexpr std::size_t readers_per_zone = 2;
 
@@ -125,15 +131,16 @@
 // What a daemon admitted before this one heard of it is not counted: it lies before the window or in the
 // share that was reserved for it.
 void peer_group::note_quota_use(peer& of, const peer_report& report, bool restarted, time_point now) {
-  std::map<std::uint32_t, double> use(report.m_quota_use.begin(), report.m_quota_use.end());
-  if (!restarted) {
-    for (const auto& [account, units] : use) {
-      const auto before = of.m_quota_use.find(account);
-      m_admission.quota().note_peer_use(account,
-                                        units - (before == of.m_quota_use.end() ? 0 : before->second), now);
-    }
+  if (restarted) {
+    of.m_quota_use.clear();
+    of.m_knows_all_use = false;
+  }
+  for (const auto& [account, units] : report.m_quota_use) {
+    const auto [before, added] = of.m_quota_use.try_emplace(account, of.m_knows_all_use ? 0 : units);
+    m_admission.quota().note_peer_use(account, units - before->second, now);
+    before->second = units;
   }
-  of.m_quota_use = std::move(use);
+  of.m_knows_all_use = of.m_knows_all_use || !report.m_recent_use_only;
 }
 
 bool peer_group::small_group() const {
@@ -203,15 +210,26 @@
       report.m_loads.push_back(load);
     }
   }
-  for (const auto& [account, units] : m_admission.quota().admitted()) {
-    report.m_quota_use.emplace_back(account, units);
-  }
+  add_quota_use(report, now);
   report.m_outcomes = m_admission.judge().own_observations();
   report.m_taken_back = m_admission.judge().taken_back();
   report.m_crashes = m_admission.crashes().recent(max_reported_crashes, now);
   return report;
 }
 
+void peer_group::add_quota_use(peer_report& report, time_point now) {
+  report.m_recent_use_only = m_round % (far_rounds_large * all_use_rounds) >= far_rounds_large;
+  for (const auto& [account, units] : m_admission.quota().admitted()) {
+    auto& told = m_own_use[account];
+    if (told.m_units != units) {
+      told = {units, now};
+    }
+    if (!report.m_recent_use_only || now - told.m_changed < recent_use) {
+      report.m_quota_use.emplace_back(account, units);
+    }
+  }
+}
+
 peer_group::addresses peer_group::known_addresses() const {
   std::map<std::string, bool> near; // by address
   for (const auto& seed : m_seeds) {
--- a/packages/gateway/tests/peer_group_test.cpp
+++ b/packages/gateway/tests/peer_group_test.cpp
@@ -107,6 +107,38 @@
   CHECK_FALSE(daemon.m_admission.quota().admit("workshop", 1, daemon.m_now));
 }
 
+// Guards against use that is counted twice or not at all because reports leave unchanged totals out.
+TEST(peer_group, use_is_counted_from_partial_reports) {
+  const auto key = fleet::token_quota::account_key("workshop");
+  const auto admits = [](group_fixture& daemon) {
+    return daemon.m_admission.quota().admit("workshop", 1, daemon.m_now);
+  };
+  group_fixture late_listener(2); // hears of the daemon by a partial report: what came before is not counted
+  auto report = late_listener.make_report(1, 1);
+  report.m_recent_use_only = true;
+  late_listener.m_group.note_report(report, late_listener.m_now);
+  report.m_sequence = 2;
+  report.m_quota_use = {{key, 10'000}};
+  late_listener.m_group.note_report(report, late_listener.m_now);
+  CHECK(admits(late_listener));
+  group_fixture listener(2); // knows that there was no use, then hears of some, and of none by a later report
+  report = listener.make_report(1, 1);
+  listener.m_group.note_report(report, listener.m_now);
+  report.m_recent_use_only = true;
+  report.m_sequence = 2;
+  report.m_quota_use = {{key, 10'000}};
+  listener.m_group.note_report(report, listener.m_now);
+  CHECK_FALSE(admits(listener));
+  report.m_sequence = 3;
+  report.m_quota_use.clear();
+  listener.m_group.note_report(report, listener.m_now);
+  report.m_sequence = 4;
+  report.m_quota_use = {{key, 10'000}};
+  listener.m_now += seconds(11); // the bucket is filled up again by now
+  listener.m_group.note_report(report, listener.m_now);
+  CHECK(admits(listener));
+}
+
 // Guards against a daemon that the store turns away and that stays behind its peers.
 TEST(peer_group, a_collection_that_a_peer_has_newer_is_fetched_from_it) {
   group_fixture daemon(3);
--- a/packages/gateway/tests/peer_report_test.cpp
+++ b/packages/gateway/tests/peer_report_test.cpp
@@ -20,6 +20,7 @@
   report.m_collections[1] = {10, 8, milliseconds(30)};
   report.m_loads = {{77, 3, {0.05, 1e-5, 0.03, 4}, true}};
   report.m_quota_use = {{11, 1234.5}};
+  report.m_recent_use_only = true;
   report.m_outcomes = {{"chat", "v2", "r1", {3, 1, 0.25, 0.5}}};
   report.m_taken_back = {{"chat", 5}};
   report.m_crashes = {{{1, 2}, {3, 4}}};
@@ -44,6 +45,7 @@
   UNSIGNED_LONGS_EQUAL(3, read->m_loads.front().m_running);
   CHECK(read->m_loads.front().m_failing);
   DOUBLES_EQUAL(0.03, read->m_loads.front().m_speed.m_event_s, 1e-6);
+  CHECK(read->m_recent_use_only);
   UNSIGNED_LONGS_EQUAL(11, read->m_quota_use.front().first);
   DOUBLES_EQUAL(1234.5, read->m_quota_use.front().second, 1e-3);
   UNSIGNED_LONGS_EQUAL(1, read->m_outcomes.front().m_outcomes.m_bad);
