Try engines that refuse against the reports ever more seldom

Ruled out: requests of killed daemons that engines still run (over by 16 s), views between daemons (the same engines refuse all of them). Now an engine that refuses although the reports leave it under 70% of its slots rests for 0.25 s, doubling to 1 s. The new test fails without the pauses: the engine is tried again after 60 ms.

--- a/packages/fleet/src/dispatch_tables.hpp
+++ b/packages/fleet/src/dispatch_tables.hpp
@@ -35,7 +35,8 @@
   std::uint32_t m_accusers = 0; // peers that keep away from it for that reason
   bool m_on_probation = false;  // one request at a time until an answer is good
   time_point m_excluded_until;
-  time_point m_full_until; // it refused a request for lack of room
+  time_point m_full_until;             // it refused a request for lack of room
+  std::uint32_t m_refusals_in_row = 0; // although it seemed to have room
 
   server_speed m_observed;                 // by this daemon
   speed_summary m_speed = assumed_speed(); // by all daemons
--- a/packages/fleet/src/server_health.cpp
+++ b/packages/fleet/src/server_health.cpp
@@ -23,6 +23,22 @@
 // How long a server that refused a request for lack of room gets nothing more.
 constexpr duration full_pause = milliseconds(60);
 
+// A server that refuses although the reports of all daemons leave it at most this part of its slots is full
+// of requests that nobody reports, or leaves and the store cannot say so yet. It is tried ever more seldom.
+constexpr double contradicted_load = 0.7;
+constexpr duration first_contradicted_pause = milliseconds(250);
+constexpr duration max_contradicted_pause = seconds(1);
+
+duration pause_after_refusal(server_row& server) {
+  const double load = static_cast<double>(server.m_own + server.m_peers) / server.m_entry.m_slots;
+  if (!server.m_batches || load > contradicted_load) {
+    server.m_refusals_in_row = 0;
+    return full_pause;
+  }
+  const auto doublings = std::min(server.m_refusals_in_row++, 4U);
+  return std::min<duration>(first_contradicted_pause * (1U << doublings), max_contradicted_pause);
+}
+
 bool counts_as_failure(server_outcome outcome) {
   return outcome == server_outcome::failed || outcome == server_outcome::broken ||
          outcome == server_outcome::silent;
@@ -32,9 +48,10 @@
 
 void record_outcome(server_row& server, server_outcome outcome, time_point now) {
   if (outcome == server_outcome::refused) {
-    server.m_full_until = now + full_pause;
+    server.m_full_until = now + pause_after_refusal(server);
     return;
   }
+  server.m_refusals_in_row = 0;
   if (outcome == server_outcome::unreachable || outcome == server_outcome::misdirected ||
       outcome == server_outcome::broken || outcome == server_outcome::silent) {
     const auto doublings = std::min(server.m_failures_in_row++, 4U);
--- a/packages/fleet/tests/dispatcher_test.cpp
+++ b/packages/fleet/tests/dispatcher_test.cpp
@@ -261,6 +261,29 @@
               std::get<dispatch_grant>(daemon.m_dispatcher.tick(daemon.m_now).front()).m_reservation.count());
 }
 
+// Guards against an idle server that refuses all requests, since it leaves and nobody knows yet, and that
+// every daemon asks first and again and again.
+TEST(dispatcher, servers_that_refuse_against_the_reports_are_tried_ever_more_seldom) {
+  daemon.set_servers({make_server("s1", "a", 8)});
+  const auto refused_again_after = [&](milliseconds pause) {
+    LONGS_EQUAL(1, count(daemon.submit(1), "s1"));
+    daemon.m_dispatcher.finish(daemon.m_last, server_outcome::refused, daemon.m_now);
+    LONGS_EQUAL(0, count(daemon.submit(1), "s1"));
+    daemon.m_dispatcher.cancel(daemon.m_last);
+    daemon.m_now += pause - milliseconds(1);
+    LONGS_EQUAL(0, count(daemon.submit(1), "s1"));
+    daemon.m_dispatcher.cancel(daemon.m_last);
+    daemon.m_now += milliseconds(1);
+  };
+  refused_again_after(milliseconds(250));
+  refused_again_after(milliseconds(500));
+  refused_again_after(milliseconds(1'000));
+  refused_again_after(milliseconds(1'000));
+  LONGS_EQUAL(1, count(daemon.submit(1), "s1"));
+  daemon.m_dispatcher.finish(daemon.m_last, server_outcome::answered, daemon.m_now);
+  refused_again_after(milliseconds(250));
+}
+
 // Guards against long answers on servers that cannot finish them in time.
 TEST(dispatcher, long_answers_go_to_servers_that_are_fast_enough) {
   daemon.set_servers({make_server("fast", "a", 8), make_server("slow", "a", 8)});
