--- a/packages/fleet/src/queueing.cpp
+++ b/packages/fleet/src/queueing.cpp
@@ -31,7 +31,7 @@
 
 // A request that takes a server at most this long goes ahead of longer ones: it delays them little, and many
 // of its kind are served for one of theirs. At 0.15 s requests of the lowest routes took the places of those
-// of the highest on days over capacity; without any, two thirds of the callers were refused.
+// of the highest on days over capacity; without any, over half of the requests were refused.
 constexpr double quick_s = 0.06;
 
 // The request follows on the same connection; the rest covers a lost packet.
--- a/packages/gateway/include/cardamompond/gateway/admission.hpp
+++ b/packages/gateway/include/cardamompond/gateway/admission.hpp
@@ -68,6 +68,7 @@
 
   void wake(fleet::ticket request, admission_result decision);
   void note_change(collection_kind kind);
+  fleet::retry_budget::limits own_repeat_limits() const; // this daemon's part of the group's
 
   fleet_knowledge& m_knowledge;
   fleet::daemon_place m_self;
--- a/packages/gateway/src/admission.cpp
+++ b/packages/gateway/src/admission.cpp
@@ -92,13 +92,16 @@
   return found != m_budgets.end() && found->second.take(monotonic_now());
 }
 
+fleet::retry_budget::limits admission::own_repeat_limits() const {
+  return {m_limits.m_retry_ratio * repeat_ratio_share,
+          m_limits.m_retry_fixed * fixed_repeats_share / m_registered, m_limits.m_retry_window};
+}
+
 void admission::note_request(std::string_view service) {
   auto found = m_budgets.find(service);
   if (found == m_budgets.end()) {
     found = m_budgets.emplace(std::string(service), fleet::retry_budget()).first;
-    found->second.set_limits({m_limits.m_retry_ratio * repeat_ratio_share,
-                              m_limits.m_retry_fixed * fixed_repeats_share / m_registered,
-                              m_limits.m_retry_window});
+    found->second.set_limits(own_repeat_limits());
   }
   found->second.note_request(monotonic_now());
 }
@@ -112,8 +115,7 @@
   }
   m_registered = count;
   for (auto& [service, budget] : m_budgets) {
-    budget.set_limits({m_limits.m_retry_ratio * repeat_ratio_share,
-                       m_limits.m_retry_fixed * fixed_repeats_share / m_registered, m_limits.m_retry_window});
+    budget.set_limits(own_repeat_limits());
   }
 }
 
--- a/packages/gateway/src/request_outcome.cpp
+++ b/packages/gateway/src/request_outcome.cpp
@@ -90,6 +90,7 @@
   decisions.run(); // a place is free
 }
 
+// Decides whether the request is sent again after a dispatch that ended without an answer for the caller.
 bool request_handler::request_run::may_repeat(call_end end) {
   if (m_caller_gone || end == call_end::caller_gone || end == call_end::out_of_time ||
       m_deadline - monotonic_now() < min_time_for_repeat) {
@@ -109,6 +110,7 @@
   return m_owner.m_admission.take_repeat(m_service);
 }
 
+// What the caller is told when nothing more is tried; nothing if it has had its answer.
 std::optional<request_error> request_handler::request_run::error_of_end() {
   if (m_held) {
     pass_answer();
--- a/packages/gateway/src/request_run.cpp
+++ b/packages/gateway/src/request_run.cpp
@@ -254,7 +254,4 @@
   return end;
 }
 
-// Decides whether the request is sent again after a dispatch that ended without an answer for the caller.
-// What the caller is told when nothing more is tried; nothing if it has had its answer.
-
 } // namespace cardamompond::gateway
