Log requests that end without any response, and pauses of the event loop

Of the hypotheses in docs/incidents, two left no trace: a request that the server stops reading because a limit of the declarations has passed, and one whose handler throws. Both close the connection without a response. A pause of the event loop, during which timers and data become due together, left none either.

request_dropped names the cause of the first two, event_loop_paused the length of the third. The server reports drops through an observer, since package net does not log. Test: request_without_a_response_is_reported.

--- a/packages/daemon/src/entry_daemon.cpp
+++ b/packages/daemon/src/entry_daemon.cpp
@@ -25,6 +25,9 @@
 // Interval at which waiting requests are checked even if no event has occurred.
 constexpr milliseconds admission_interval{10};
 
+// A pause of the event loop that is at least this long is logged, because callers and peers notice it.
+constexpr milliseconds logged_event_loop_pause{200};
+
 constexpr milliseconds state_check_interval{20};
 
 // Interval at which the settings file is checked for changes; it may change without a SIGHUP.
@@ -47,6 +50,18 @@
 // A connection to the store or a backend server is closed after this long without a TCP acknowledgement.
 constexpr milliseconds connection_loss_timeout{2'000};
 
+std::string_view to_string(net::request_drop cause) {
+  switch (cause) {
+  case net::request_drop::header_timeout:
+    return "header_timeout";
+  case net::request_drop::body_timeout:
+    return "body_timeout";
+  case net::request_drop::handler_failure:
+    break;
+  }
+  return "handler_failure";
+}
+
 net::http_response make_text_response(int status, std::string text) {
   return {status, {{"Content-Type", "text/plain; charset=utf-8"}}, std::move(text)};
 }
@@ -67,6 +82,7 @@
 
 private:
   void start_fibers();
+  void run_admission();
   void await_signal();
   void reload_settings();
   void watch_settings();
@@ -131,6 +147,9 @@
   m_server.set_parse_failure_responder([this](net::http_parse_failure failure) {
     return m_request_handler.make_parse_failure_response(failure);
   });
+  m_server.set_drop_observer([](net::request_drop cause, std::string_view detail) {
+    log_event(log_level::warning, "request_dropped", {{"cause", to_string(cause)}, {"reason", detail}});
+  });
   m_fleet_view.on_change([this](gateway::collection_kind kind) {
     if (kind == gateway::collection_kind::declarations) {
       apply_http_limits();
@@ -264,12 +283,19 @@
   net::fiber_runtime::spawn([this] { m_group_maintenance.run_membership(); });
   net::fiber_runtime::spawn([this] { m_group_maintenance.run_rollouts(); });
   net::fiber_runtime::spawn([this] { watch_settings(); });
-  net::fiber_runtime::spawn([this] {
-    while (true) {
-      m_admission.deliver_decisions();
-      boost::this_fiber::sleep_for(admission_interval);
+  net::fiber_runtime::spawn([this] { run_admission(); });
+}
+
+void entry_daemon::impl::run_admission() {
+  while (true) {
+    m_admission.deliver_decisions();
+    const time_point resume_at = monotonic_now() + admission_interval;
+    boost::this_fiber::sleep_until(resume_at);
+    if (const duration pause = monotonic_now() - resume_at; pause >= logged_event_loop_pause) {
+      log_event(log_level::warning, "event_loop_paused",
+                {{"ms", std::chrono::duration_cast<milliseconds>(pause).count()}});
     }
-  });
+  }
 }
 
 int entry_daemon::impl::run() {
--- a/packages/net/include/cardamompond/net/http_server.hpp
+++ b/packages/net/include/cardamompond/net/http_server.hpp
@@ -73,11 +73,15 @@
 // Why a request was rejected while it was being read. The parse_failure_responder provides the response.
 enum class http_parse_failure { bad_request, body_too_large, header_too_large };
 
+// Why a connection was closed without a response although a request, or a part of one, had arrived.
+enum class request_drop { header_timeout, body_timeout, handler_failure };
+
 // An HTTP/1.1 server with keep-alive. Each connection has a fiber, which serves its requests in order.
 class http_server {
 public:
   using handler = std::function<void(http_exchange&)>;
   using parse_failure_responder = std::function<http_response(http_parse_failure)>;
+  using drop_observer = std::function<void(request_drop cause, std::string_view detail)>;
 
   // Binds to the address and listens; throws std::runtime_error with the address if that fails.
   http_server(fiber_runtime& runtime, http_server_options options, handler request_handler);
@@ -88,6 +92,9 @@
   // Replaces the default responses, which have no body, to requests that are malformed or too large.
   void set_parse_failure_responder(parse_failure_responder responder);
 
+  // Sets a function that is called for each request that ends without a response, for the log.
+  void set_drop_observer(drop_observer observer);
+
   // Replaces the limits on requests. They apply from the next request of each connection.
   void set_limits(std::uint32_t max_header_bytes, std::uint64_t max_body_bytes, milliseconds header_timeout,
                   milliseconds idle_timeout);
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -83,7 +83,14 @@
 
   http_server_options m_options;
   handler m_handler;
+  void report_drop(request_drop cause, std::string_view detail) const {
+    if (m_drop_observer) {
+      m_drop_observer(cause, detail);
+    }
+  }
+
   parse_failure_responder m_parse_failure_responder;
+  drop_observer m_drop_observer;
   fiber_runtime& m_runtime;
   tcp::acceptor m_acceptor;
   bool m_draining = false;
@@ -165,8 +172,9 @@
   ++m_server->m_active_requests;
   try {
     m_server->m_handler(*this);
-  } catch (const std::exception&) {
+  } catch (const std::exception& error) {
     m_close = true; // the client must not take a partial response for a complete one
+    m_server->report_drop(request_drop::handler_failure, error.what());
   }
   stop_watching_disconnect();
   --m_server->m_active_requests;
@@ -203,6 +211,9 @@
   }
   if (error) {
     if (error == beast::error::timeout) {
+      m_server->report_drop(parser.is_header_done() ? request_drop::body_timeout
+                                                    : request_drop::header_timeout,
+                            error.message());
       return false; // the stream has closed the socket
     }
     if (error == http::error::body_limit) {
@@ -430,6 +441,10 @@
   m_impl->m_parse_failure_responder = std::move(responder);
 }
 
+void http_server::set_drop_observer(drop_observer observer) {
+  m_impl->m_drop_observer = std::move(observer);
+}
+
 void http_server::set_limits(std::uint32_t max_header_bytes, std::uint64_t max_body_bytes,
                              milliseconds header_timeout, milliseconds idle_timeout) {
   auto& options = m_impl->m_options;
--- a/packages/net/tests/http_test.cpp
+++ b/packages/net/tests/http_test.cpp
@@ -5,7 +5,9 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <stdexcept>
 #include <tuple>
+#include <vector>
 
 using namespace cardamompond;
 using namespace cardamompond::net;
@@ -120,3 +122,19 @@
   CHECK_TRUE(!head.has_value() && head.error().m_timeout && head.error().m_sent);
   boost::this_fiber::sleep_for(milliseconds(300)); // waits until the handler of `silent` has returned
 }
+
+// Guards against a request that ends without a response and without a trace in the log.
+TEST(http, request_without_a_response_is_reported) {
+  http_server server(m_runtime, {.m_address = "127.0.0.1:0", .m_idle_timeout = milliseconds(50)},
+                     [](http_exchange&) { throw std::runtime_error("broken handler"); });
+  std::vector<request_drop> causes;
+  server.set_drop_observer([&](request_drop cause, std::string_view) { causes.push_back(cause); });
+  CHECK_FALSE(
+      m_client.fetch(loopback_address(server), {"GET", "/", {}, {}}, milliseconds(1'000)).has_value());
+  auto opened = m_client.open(loopback_address(server));
+  CHECK(opened.has_value());
+  const http_request incomplete{"GET", "/", {{"Content-Length", "9"}}, {}};
+  CHECK((*opened)->send(incomplete, milliseconds(1'000)).has_value());
+  CHECK_FALSE((*opened)->read_head(milliseconds(1'000)).has_value());
+  CHECK(causes == (std::vector{request_drop::handler_failure, request_drop::body_timeout}));
+}
