Read what arrived before the deadline although the event loop was busy

What callers saw: a whole request on a kept connection got neither an answer nor a refusal, and streams of sound engines were cut, when the daemon had just done nothing for a while, for example while it decoded a new configuration on a small share of a core.

Cause: the timer of a fiber_stream closed the socket as soon as its deadline had passed and the fiber had not resumed. After a pause of the event loop the data and the timer become due in the same poll: the read completes, the fiber is scheduled, and the timer runs before the fiber and closes the socket. Class of fault: a timeout is judged by the time at which the daemon looks, not by when the data came.

Evidence: the two new tests block the event loop while data arrives in time. On the code before, the response test fails with "the connection was closed" after the first part of the body, and the request test with a closed connection instead of the response; both pass now.

Change: a call that has completed, although its fiber has not resumed, is left alone. A call that is ready when its deadline passes gets 20 ms for the event loop to complete it, once. A peer that is really silent times out as before (unresponsive_peers_cause_timeouts).

--- a/packages/net/include/cardamompond/net/io_wait.hpp
+++ b/packages/net/include/cardamompond/net/io_wait.hpp
@@ -34,6 +34,9 @@
 
   std::size_t bytes() const { return m_bytes; }
 
+  // Whether the operation has completed. The fiber may not have been resumed yet.
+  bool completed() const { return m_complete; }
+
   void complete(boost::system::error_code error, std::size_t bytes = 0) {
     m_error = error;
     m_bytes = bytes;
--- a/packages/net/src/fiber_stream.cpp
+++ b/packages/net/src/fiber_stream.cpp
@@ -10,6 +10,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
 
@@ -21,6 +22,9 @@
 
 constexpr std::size_t max_buffers = 8;
 
+// Time for the event loop to complete a call that is ready when its deadline passes.
+constexpr duration completion_time = milliseconds(20);
+
 } // namespace
 
 // An armed timer is not changed when the deadline is set to a later time; if it fires before the deadline, it
@@ -52,18 +56,18 @@
   }
 }
 
-void fiber_stream::arm_timer() {
-  if (m_deadline == time_point::max()) {
+void fiber_stream::arm_timer(time_point when) {
+  if (when == time_point::max()) {
     return;
   }
   if (!m_timer) {
     m_timer = std::make_shared<timer_state>(m_socket.get_executor(), this);
   }
-  if (m_timer->m_armed_deadline <= m_deadline) {
+  if (m_timer->m_armed_deadline <= when) {
     return;
   }
-  m_timer->m_armed_deadline = m_deadline;
-  m_timer->m_timer.expires_at(m_deadline);
+  m_timer->m_armed_deadline = when;
+  m_timer->m_timer.expires_at(when);
   m_timer->m_timer.async_wait([state = m_timer, generation = ++m_timer->m_generation](error_code error) {
     if (!error && state->m_stream != nullptr && state->m_generation == generation) {
       state->m_armed_deadline = time_point::max();
@@ -72,12 +76,26 @@
   });
 }
 
+// Whether the operation would complete now, with data or with an error.
+bool fiber_stream::is_ready(readiness awaited) {
+  pollfd descriptor{m_socket.native_handle(),
+                    static_cast<short>(awaited == readiness::input ? POLLIN : POLLOUT), 0};
+  return ::poll(&descriptor, 1, 0) > 0;
+}
+
 void fiber_stream::on_timer() {
-  if (!m_blocked) {
+  if (m_wait == nullptr || m_wait->completed()) {
     return; // the next call that blocks arms the timer again
   }
-  if (monotonic_now() < m_deadline) {
-    arm_timer();
+  const time_point now = monotonic_now();
+  if (now < m_deadline) {
+    arm_timer(m_deadline);
+    return;
+  }
+  // The event loop may have been busy when the operation became ready, and may run this handler first.
+  if (!m_completion_due && is_ready(m_awaited)) {
+    m_completion_due = true;
+    arm_timer(now + completion_time);
     return;
   }
   m_timed_out = true;
@@ -86,13 +104,16 @@
 }
 
 template <typename StartOperation>
-error_code fiber_stream::wait_for(const StartOperation& start_operation, std::size_t* bytes) {
-  m_blocked = true;
-  arm_timer();
+error_code fiber_stream::wait_for(readiness awaited, const StartOperation& start_operation,
+                                  std::size_t* bytes) {
   io_wait wait;
+  m_wait = &wait;
+  m_awaited = awaited;
+  m_completion_due = false;
+  arm_timer(m_deadline);
   start_operation(wait.handler());
   error_code error = wait.wait();
-  m_blocked = false;
+  m_wait = nullptr;
   if (bytes != nullptr) {
     *bytes = wait.bytes();
   }
@@ -103,17 +124,19 @@
 }
 
 error_code fiber_stream::connect(const asio::ip::tcp::endpoint& endpoint) {
-  return wait_for([&](auto handler) { m_socket.async_connect(endpoint, handler); });
+  return wait_for(readiness::output, [&](auto handler) { m_socket.async_connect(endpoint, handler); });
 }
 
 std::size_t fiber_stream::read_some(asio::mutable_buffer buffer, error_code& error) {
   std::size_t bytes = 0;
-  error = wait_for([&](auto handler) { m_socket.async_read_some(buffer, handler); }, &bytes);
+  error = wait_for(
+      readiness::input, [&](auto handler) { m_socket.async_read_some(buffer, handler); }, &bytes);
   return bytes;
 }
 
 error_code fiber_stream::wait_readable() {
-  return wait_for([&](auto handler) { m_socket.async_wait(socket_type::wait_read, handler); });
+  return wait_for(readiness::input,
+                  [&](auto handler) { m_socket.async_wait(socket_type::wait_read, handler); });
 }
 
 void fiber_stream::set_connection_loss_timeout(duration timeout) {
@@ -133,7 +156,8 @@
 // complete resumes the fiber, and the other is cancelled.
 error_code fiber_stream::wait_writable(bool or_readable, bool& readable) {
   if (!or_readable) {
-    return wait_for([&](auto handler) { m_socket.async_wait(socket_type::wait_write, handler); });
+    return wait_for(readiness::output,
+                    [&](auto handler) { m_socket.async_wait(socket_type::wait_write, handler); });
   }
   struct first_completion {
     io_wait::completion_handler m_handler;
@@ -141,7 +165,7 @@
     bool m_readable = false;
   };
   std::shared_ptr<first_completion> first;
-  const auto error = wait_for([&](auto handler) {
+  const auto error = wait_for(readiness::output, [&](auto handler) {
     first = std::make_shared<first_completion>(first_completion{handler});
     const auto complete = [first](bool was_readable) {
       return [first, was_readable](error_code result) {
--- a/packages/net/src/fiber_stream.hpp
+++ b/packages/net/src/fiber_stream.hpp
@@ -14,6 +14,8 @@
 
 namespace cardamompond::net {
 
+class io_wait;
+
 // A TCP connection with a deadline, whose calls block the fiber and not the thread. It models Beast's
 // synchronous stream concepts, so that messages are parsed on the fiber's stack without the allocations and
 // handler dispatches of composed asynchronous operations. Only one fiber may use it at a time, but other
@@ -32,7 +34,8 @@
   socket_type& socket() noexcept { return m_socket; }
 
   // Sets the deadline of all later calls. If it passes during a call, the socket is closed and the call
-  // returns beast::error::timeout.
+  // returns beast::error::timeout. What arrived before the deadline is returned even if the event loop was
+  // too busy to deliver it in time.
   void expires_after(duration timeout) { m_deadline = monotonic_now() + timeout; }
   void expires_at(time_point deadline) { m_deadline = deadline; }
   void expires_never() { m_deadline = time_point::max(); }
@@ -75,15 +78,22 @@
 private:
   struct timer_state;
 
+  // What a blocked call waits for.
+  enum class readiness : short { input, output };
+
   template <typename StartOperation>
-  boost::system::error_code wait_for(const StartOperation& start_operation, std::size_t* bytes = nullptr);
-  void arm_timer();
+  boost::system::error_code wait_for(readiness awaited, const StartOperation& start_operation,
+                                     std::size_t* bytes = nullptr);
+  void arm_timer(time_point when);
   void on_timer();
+  bool is_ready(readiness awaited);
   boost::system::error_code wait_writable(bool or_readable, bool& readable);
 
   socket_type m_socket;
   time_point m_deadline = time_point::max();
-  bool m_blocked = false;
+  const io_wait* m_wait = nullptr; // of the blocked call; null: no call is blocked
+  readiness m_awaited = readiness::input;
+  bool m_completion_due = false; // the deadline has passed, but the blocked call can complete
   bool m_timed_out = false;
   std::shared_ptr<timer_state> m_timer; // created by the first call that blocks
 };
--- a/packages/net/tests/http_test.cpp
+++ b/packages/net/tests/http_test.cpp
@@ -5,7 +5,9 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <array>
 #include <stdexcept>
+#include <thread>
 #include <tuple>
 #include <vector>
 
@@ -138,3 +140,50 @@
   CHECK_FALSE((*opened)->read_head(milliseconds(1'000)).has_value());
   CHECK(causes == (std::vector{request_drop::handler_failure, request_drop::body_timeout}));
 }
+
+// Guards against a response that is lost although it arrived in time, because the event loop was busy until
+// after the deadline. The timer closed the connection before the fiber had read what was there.
+TEST(http, response_that_arrives_while_the_event_loop_is_busy_is_not_a_timeout) {
+  constexpr milliseconds read_timeout{60};
+  http_server server(m_runtime, {.m_address = "127.0.0.1:0"}, [&](http_exchange& exchange) {
+    std::ignore = exchange.begin(200, {});
+    std::ignore = exchange.write(std::string_view("part"));
+    std::this_thread::sleep_for(2 * read_timeout); // blocks the event loop
+    boost::this_fiber::sleep_for(milliseconds(10));
+    std::ignore = exchange.write(std::string_view(" and rest"));
+    std::ignore = exchange.finish();
+  });
+  auto opened = m_client.open(loopback_address(server));
+  CHECK(opened.has_value());
+  http_call& call = **opened;
+  CHECK(call.send({"GET", "/", {}, {}}, milliseconds(1'000)).has_value());
+  CHECK(call.read_head(read_timeout).has_value());
+  std::string body;
+  std::array<char, 64> buffer{};
+  while (true) {
+    auto part = call.read_some(buffer, milliseconds(1'000));
+    CHECK_TEXT(part.has_value(), "the connection was closed");
+    if (part->empty()) {
+      break;
+    }
+    body.append(part->data(), part->size());
+  }
+  STRCMP_EQUAL("part and rest", body.c_str());
+}
+
+// Guards against a whole request that gets no answer, because the event loop was busy when it arrived on an
+// idle connection and the idle timeout passed before the request was read.
+TEST(http, request_that_arrives_before_the_idle_timeout_is_answered_by_a_busy_server) {
+  constexpr milliseconds idle_timeout{60};
+  http_server server(m_runtime, {.m_address = "127.0.0.1:0", .m_idle_timeout = idle_timeout},
+                     [](http_exchange& exchange) {
+                       std::ignore = exchange.respond({200, {}, "ok"});
+                     });
+  CHECK(m_client.fetch(loopback_address(server), {"GET", "/", {}, {}}, milliseconds(1'000)).has_value());
+  boost::this_fiber::sleep_for(idle_timeout / 3);
+  auto opened = m_client.open(loopback_address(server));
+  CHECK(opened.has_value() && (*opened)->reused());
+  CHECK((*opened)->send({"GET", "/", {}, {}}, milliseconds(1'000)).has_value());
+  std::this_thread::sleep_for(idle_timeout); // blocks the event loop
+  CHECK_TEXT((*opened)->read_head(milliseconds(1'000)).has_value(), "the connection was closed");
+}
