Give up a silent engine only when another server is secured

What callers saw: a stream whose engine was sound but silent for a while was cut midway, and an idempotent request got 502, while all other servers were full.

Cause: the inactivity timeout closed the connection first and looked for another server afterwards. When the queue, the reservation or the retry budget then refused, nothing was left to answer with. Class of fault: the only copy is destroyed before its replacement exists.

Evidence: a_silent_stream_goes_on_if_no_other_server_has_room, ..._if_the_other_server_refuses_the_reservation and a_silent_idempotent_request_waits_if_no_other_server_has_room fail on the code before (stream cut, stream cut, 502) and pass now; a_silent_stream_is_continued_by_another_server_with_room passes on both.

Change: while a server is silent, the read asks every 100 ms whether to give up. The request processor then takes a grant that is free at once, connects and reserves, takes the retry, looks once more whether the silent server has sent something, and only then lets the read fail. The timeout is 0.7 of the time that the caller waits for an event, also before the first one; before, it was 2.2 s for every call, because the options were made before the first event. A prepared call that is not needed is released without a mark on the server's health.

--- a/packages/fleet/include/cardamompond/fleet/retry_budget.hpp
+++ b/packages/fleet/include/cardamompond/fleet/retry_budget.hpp
@@ -23,6 +23,9 @@
   // Records that a request for the service has arrived from a caller.
   void record_request(time_point now);
 
+  // Whether a retry is left.
+  bool available(time_point now);
+
   // Takes one retry out of the budget. Returns false if none is left.
   bool try_take(time_point now);
 
--- a/packages/fleet/src/dispatcher.cpp
+++ b/packages/fleet/src/dispatcher.cpp
@@ -39,8 +39,24 @@
   time_point m_speeds_updated;     // last call of update_combined_speeds
 
   void erase_unlisted_servers();
+
+  // Removes a running request. Returns its server, or null if the request is unknown or the server is gone.
+  server_row* erase_running(ticket request);
 };
 
+server_row* dispatcher::impl::erase_running(ticket request) {
+  const auto found = m_tables.m_running.find(request);
+  if (found == m_tables.m_running.end()) {
+    return nullptr;
+  }
+  server_row* const server = m_tables.find_server(found->second.m_server_id);
+  if (server != nullptr && server->m_own_running > 0) {
+    --server->m_own_running;
+  }
+  m_tables.m_running.erase(found);
+  return server;
+}
+
 void dispatcher::impl::erase_unlisted_servers() {
   for (auto& [name, servers] : m_tables.m_servers) {
     std::erase_if(servers,
@@ -170,16 +186,14 @@
 }
 
 void dispatcher::finish(ticket request, server_outcome outcome, time_point now) {
-  auto& tables = m_impl->m_tables;
-  const auto found = tables.m_running.find(request);
-  if (found == tables.m_running.end()) {
-    return;
-  }
-  if (server_row* server = tables.find_server(found->second.m_server_id); server != nullptr) {
-    server->m_own_running -= server->m_own_running > 0 ? 1 : 0;
+  if (server_row* server = m_impl->erase_running(request); server != nullptr) {
     update_health(*server, outcome, now);
   }
-  tables.m_running.erase(found);
+  m_impl->erase_unlisted_servers();
+}
+
+void dispatcher::release(ticket request) {
+  m_impl->erase_running(request);
   m_impl->erase_unlisted_servers();
 }
 
--- a/packages/fleet/src/retry_budget.cpp
+++ b/packages/fleet/src/retry_budget.cpp
@@ -15,8 +15,8 @@
   ++current_slice(now).m_requests;
 }
 
-bool retry_budget::try_take(time_point now) {
-  slice& newest = current_slice(now);
+bool retry_budget::available(time_point now) {
+  const slice& newest = current_slice(now);
   double requests = 0;
   double retries = 0;
   for (const auto& each : m_slices) {
@@ -25,10 +25,14 @@
       retries += each.m_retries;
     }
   }
-  if (retries + 1 > requests * m_limits.m_ratio + m_limits.m_fixed) {
+  return retries + 1 <= requests * m_limits.m_ratio + m_limits.m_fixed;
+}
+
+bool retry_budget::try_take(time_point now) {
+  if (!available(now)) {
     return false;
   }
-  ++newest.m_retries;
+  ++current_slice(now).m_retries;
   return true;
 }
 
--- a/packages/gateway/include/cardamompond/gateway/admission_controller.hpp
+++ b/packages/gateway/include/cardamompond/gateway/admission_controller.hpp
@@ -11,6 +11,7 @@
 #include "cardamompond/net/io_wait.hpp"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <variant>
@@ -39,6 +40,9 @@
   // Submits the request and blocks the fiber until it is granted, refused or cancelled.
   admission_result acquire(fleet::submission request);
 
+  // Submits the request and returns a grant if a server can take it at once. Does not block.
+  std::optional<fleet::dispatch_grant> try_acquire(fleet::submission request);
+
   // Ends the wait of a request; its acquire() returns std::monostate.
   void cancel(fleet::ticket request);
 
@@ -48,6 +52,9 @@
   // event that can change a decision and every few milliseconds.
   void deliver_decisions();
 
+  // Whether take_retry() would succeed now.
+  bool has_retry(std::string_view service);
+
   // Takes one retry from the retry budget of the service. Returns false if the budget is used up.
   bool take_retry(std::string_view service);
 
--- a/packages/gateway/include/cardamompond/gateway/backend_call.hpp
+++ b/packages/gateway/include/cardamompond/gateway/backend_call.hpp
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace cardamompond::gateway {
@@ -46,25 +47,35 @@
   dispatch_parameters m_parameters;
   std::string_view m_request_id;
   time_point m_deadline;
-  duration m_inactivity_timeout{};        // time without data after which the call ends as `silent`; 0: none
+  duration m_inactivity_timeout{};        // time without data after which m_give_up is called; 0: never
   milliseconds m_reservation_lifetime{0}; // lifetime of a reservation to make first; 0: none
   std::uint32_t m_reserved_tokens = 0;
   bool m_streamed = false;
   bool m_idempotent = false;
-  stream_relay* m_relay = nullptr;        // required for streamed requests
+  stream_relay* m_relay = nullptr; // required for streamed requests
+  // Called while the server is silent. If it returns true, the call ends as `silent`.
+  std::function<bool()> m_give_up;
   std::function<void()> m_on_first_token; // called before the first event is relayed, or after a full body
   std::function<void(std::uint64_t events, duration took)> m_on_progress; // called every few events
   std::function<void(const response_metadata&)> m_on_response_metadata;
 };
 
-// One dispatch of a request: opens a connection to the backend server, sends the request, and reads the
-// response or relays its events to the caller.
+// One dispatch of a request: opens a connection to the backend server, reserves room if that is required,
+// sends the request, and reads the response or relays its events to the caller.
 class backend_call {
 public:
   backend_call(net::http_client& client, const request_protocol& protocol, call_options options);
 
+  // Opens the connection and makes the reservation, so that run() can send the request at once. Returns an
+  // outcome if that fails; the request has not been sent then.
+  std::optional<call_outcome> prepare();
+
+  // Carries out the call, with prepare() if it has not been called.
   call_outcome run();
 
+  // Whether the server has sent data that has not been read yet, or has closed the connection.
+  bool has_unread_data() const { return m_call && m_call->has_input(); }
+
   // Makes run() return caller_gone. May be called from another fiber or an event handler.
   void cancel();
 
@@ -96,6 +107,7 @@
   net::http_response m_response;
   std::string m_failure;
   bool m_cancelled = false;
+  bool m_prepared = false;
 };
 
 } // namespace cardamompond::gateway
--- a/packages/gateway/src/admission_controller.cpp
+++ b/packages/gateway/src/admission_controller.cpp
@@ -60,6 +60,19 @@
   return std::move(self.m_result);
 }
 
+std::optional<fleet::dispatch_grant> admission_controller::try_acquire(fleet::submission request) {
+  waiter self;
+  const fleet::ticket ticket = request.m_ticket;
+  m_waiters[ticket] = &self;
+  m_dispatcher.submit(std::move(request), monotonic_now());
+  deliver_decisions();
+  cancel(ticket); // does nothing if the request has been decided
+  if (auto* grant = std::get_if<fleet::dispatch_grant>(&self.m_result)) {
+    return std::move(*grant);
+  }
+  return std::nullopt;
+}
+
 void admission_controller::wake(fleet::ticket request, admission_result decision) {
   const auto found = m_waiters.find(request);
   if (found == m_waiters.end()) {
@@ -87,6 +100,11 @@
   }
 }
 
+bool admission_controller::has_retry(std::string_view service) {
+  const auto found = m_retry_budgets.find(service);
+  return found != m_retry_budgets.end() && found->second.available(monotonic_now());
+}
+
 bool admission_controller::take_retry(std::string_view service) {
   const auto found = m_retry_budgets.find(service);
   return found != m_retry_budgets.end() && found->second.try_take(monotonic_now());
--- a/packages/gateway/src/backend_call.cpp
+++ b/packages/gateway/src/backend_call.cpp
@@ -26,6 +26,9 @@
 // it to arrive.
 constexpr milliseconds response_margin{60};
 
+// Interval at which a silent call is offered to be given up again.
+constexpr milliseconds silence_check_interval{100};
+
 constexpr int status_misdirected = 421;
 
 // A reservation costs the engine no work. If it does not respond within this time, its connection or the
@@ -55,10 +58,7 @@
 
 milliseconds backend_call::io_timeout() const {
   const duration left = m_options.m_deadline + response_margin - monotonic_now();
-  const duration timeout = m_options.m_inactivity_timeout > duration::zero()
-                               ? std::min(left, m_options.m_inactivity_timeout)
-                               : left;
-  return std::max(milliseconds(1), std::chrono::duration_cast<milliseconds>(timeout));
+  return std::max(milliseconds(1), std::chrono::duration_cast<milliseconds>(left));
 }
 
 call_outcome backend_call::abort_after_error(const net::call_error& error) {
@@ -142,6 +142,9 @@
     return call_outcome::out_of_time;
   }
   m_options.m_parameters.m_remaining_time = left;
+  if (m_options.m_inactivity_timeout > duration::zero()) {
+    m_call->on_silence(m_options.m_inactivity_timeout, silence_check_interval, m_options.m_give_up);
+  }
   const auto sent = m_call->send(
       m_protocol.make_backend_request(*m_options.m_caller_request, m_options.m_parameters), io_timeout());
   if (!sent) {
@@ -270,18 +273,26 @@
   }
 }
 
-call_outcome backend_call::run() {
+std::optional<call_outcome> backend_call::prepare() {
+  m_prepared = true;
   if (const auto outcome = connect()) {
-    return *outcome;
+    return outcome;
   }
   if (m_options.m_reservation_lifetime > milliseconds(0)) {
     if (const auto outcome = reserve()) {
-      return *outcome;
+      return outcome;
     }
     if (!m_call->reusable()) {
-      if (const auto outcome = connect()) {
-        return *outcome;
-      }
+      return connect();
+    }
+  }
+  return std::nullopt;
+}
+
+call_outcome backend_call::run() {
+  if (!m_prepared) {
+    if (const auto outcome = prepare()) {
+      return *outcome;
     }
   }
   if (const auto outcome = send()) {
--- a/packages/gateway/src/request_outcome.cpp
+++ b/packages/gateway/src/request_outcome.cpp
@@ -9,13 +9,18 @@
 namespace cardamompond::gateway {
 namespace {
 
-// A retry with less time than this before the deadline is not worth a dispatch.
-constexpr milliseconds min_time_for_retry{60};
-
 std::int64_t to_ms(duration value) {
   return std::chrono::duration_cast<milliseconds>(value).count();
 }
 
+// Whether the server may have run a request that was sent to it.
+bool may_have_run_after(call_outcome outcome) {
+  return outcome != call_outcome::refused && outcome != call_outcome::no_room &&
+         outcome != call_outcome::misdirected && outcome != call_outcome::unreachable;
+}
+
+} // namespace
+
 fleet::server_outcome to_server_outcome(call_outcome outcome, int status) {
   switch (outcome) {
   case call_outcome::answered:
@@ -40,14 +45,6 @@
   return fleet::server_outcome::timed_out;
 }
 
-// Whether the server may have run a request that was sent to it.
-bool may_have_run_after(call_outcome outcome) {
-  return outcome != call_outcome::refused && outcome != call_outcome::no_room &&
-         outcome != call_outcome::misdirected && outcome != call_outcome::unreachable;
-}
-
-} // namespace
-
 void request_handler::request_processor::record_call_outcome(const fleet::dispatch_grant& grant,
                                                              call_outcome outcome, const backend_call& call,
                                                              time_point dispatched_at) {
@@ -82,18 +79,24 @@
                                                   time_to_first_token, time_to_first_token, now);
   }
   if (!good && outcome != call_outcome::no_room) {
-    log_event(log_level::info, "dispatch_failed",
-              {{"request_id", m_request.m_id},
-               {"backend_server", grant.m_server.m_id},
-               {"end", to_string(outcome)},
-               {"status", outcome == call_outcome::answered ? status : 0},
-               {"reason", m_failure_reason},
-               {"ms", to_ms(now - dispatched_at)},
-               {"may_have_run", may_have_run}});
+    log_dispatch_failure(grant, outcome, call, now - dispatched_at);
   }
   admission.deliver_decisions(); // the server has room for another request now
 }
 
+void request_handler::request_processor::log_dispatch_failure(const fleet::dispatch_grant& grant,
+                                                              call_outcome outcome, const backend_call& call,
+                                                              duration took) const {
+  log_event(log_level::info, "dispatch_failed",
+            {{"request_id", m_request.m_id},
+             {"backend_server", grant.m_server.m_id},
+             {"end", to_string(outcome)},
+             {"status", outcome == call_outcome::answered ? call.response().m_status : 0},
+             {"reason", call.failure()},
+             {"ms", to_ms(took)},
+             {"may_have_run", may_have_run_after(outcome)}});
+}
+
 // Decides whether the request is sent again after a dispatch that ended without a response for the caller.
 bool request_handler::request_processor::may_retry(call_outcome outcome) {
   if (m_caller_disconnected || outcome == call_outcome::caller_gone || outcome == call_outcome::out_of_time ||
--- a/packages/gateway/src/request_processor.cpp
+++ b/packages/gateway/src/request_processor.cpp
@@ -18,15 +18,12 @@
 constexpr int first_token_target_factor = 4;
 constexpr int event_gap_target_factor = 8;
 
-// Time without an event after which a stream is continued by another server. Callers abandon a stream after
-// two seconds or more.
-constexpr milliseconds stream_inactivity_timeout{1'300};
+// A stream is sent to another server, if one has room, after this share of the time without an event that its
+// caller tolerates. A sound server may be silent for a second.
+constexpr double stream_inactivity_share = 0.7;
 
-// Time without a first event after which a stream is sent to another server.
-constexpr milliseconds first_event_timeout{2'200};
-
-// A retryable request that is not streamed is sent to another server after this share of its timeout without
-// a response.
+// A retryable request that is not streamed is sent to another server, if one has room, after this share of
+// its timeout without a response.
 constexpr double inactivity_timeout_share = 0.4;
 
 // Whether the status tells a caller that its request has not run. A response with such a status counts as
@@ -113,6 +110,8 @@
     timeout = std::min(timeout, *m_request.m_caller_timeout);
   }
   m_deadline = m_arrived_at + timeout;
+  m_abandon_time = std::max({min_abandon_time, m_route->m_first_token_target * first_token_target_factor,
+                             m_route->m_event_gap_target * event_gap_target_factor});
   if (m_request.m_caller_timeout) {
     m_request_age =
         admission.retry_ages().record_attempt(m_route->m_name, *m_request.m_caller_timeout, m_arrived_at);
@@ -151,10 +150,7 @@
   submission.m_deadline = m_deadline;
   submission.m_abandoned_at = m_deadline;
   if (m_route->m_streamed) {
-    const auto abandon_time =
-        std::max({min_abandon_time, m_route->m_first_token_target * first_token_target_factor,
-                  m_route->m_event_gap_target * event_gap_target_factor});
-    submission.m_abandoned_at = std::min(m_deadline, m_arrived_at + abandon_time);
+    submission.m_abandoned_at = std::min(m_deadline, m_arrived_at + m_abandon_time);
   }
   submission.m_excluded_servers = m_tried_servers;
   return submission;
@@ -175,14 +171,12 @@
   options.m_relay = &m_relay;
   options.m_reservation_lifetime = grant.m_reservation;
   options.m_reserved_tokens = m_request.m_prompt_tokens + expected_output_tokens();
-  const bool last_attempt = m_possible_runs + 1 >= m_route->m_max_attempts;
-  if (m_route->m_resumable && !last_attempt) {
-    // Before its first event, a stream may be waiting in the server's queue and would lose its place there,
-    // so the timeout is longer then.
-    options.m_inactivity_timeout = m_relay.m_head_sent ? stream_inactivity_timeout : first_event_timeout;
-  } else if (!m_route->m_streamed && retryable() && !last_attempt) {
-    options.m_inactivity_timeout =
-        std::chrono::duration_cast<duration>((m_deadline - m_arrived_at) * inactivity_timeout_share);
+  const std::uint32_t earlier_runs = m_possible_runs + (m_current_call != nullptr ? 1 : 0);
+  if (retryable() && earlier_runs + 1 < m_route->m_max_attempts) {
+    options.m_inactivity_timeout = std::chrono::duration_cast<duration>(
+        m_route->m_streamed ? m_abandon_time * stream_inactivity_share
+                            : (m_deadline - m_arrived_at) * inactivity_timeout_share);
+    options.m_give_up = [this] { return prepare_replacement(); };
   }
   options.m_on_first_token = [this, ticket = grant.m_ticket] {
     m_first_token_at = monotonic_now();
@@ -204,42 +198,95 @@
   return options;
 }
 
+std::unique_ptr<request_handler::request_processor::attempt>
+request_handler::request_processor::make_attempt(fleet::dispatch_grant grant) {
+  auto next = std::make_unique<attempt>(attempt{std::move(grant), nullptr});
+  next->m_call = std::make_unique<backend_call>(m_handler.m_client, m_handler.m_protocol,
+                                                make_call_options(next->m_grant));
+  return next;
+}
+
+// Called while the current call is silent. Secures another server that can take over at once. The current
+// call must not be given up before that: its server may be sound and go on.
+bool request_handler::request_processor::prepare_replacement() {
+  auto& admission = m_handler.m_admission;
+  if (m_caller_disconnected || m_deadline - monotonic_now() < min_time_for_retry ||
+      (m_relay.m_head_sent && m_relay.m_splitter.last_event_id().empty()) ||
+      !admission.has_retry(m_service)) {
+    return false;
+  }
+  auto submission = make_submission(admission.next_ticket());
+  submission.m_excluded_servers.push_back(m_server_id);
+  auto grant = admission.try_acquire(std::move(submission));
+  if (!grant) {
+    return false;
+  }
+  auto next = make_attempt(std::move(*grant));
+  if (const auto failure = next->m_call->prepare()) {
+    log_dispatch_failure(next->m_grant, *failure, *next->m_call, {});
+    admission.dispatcher().finish(next->m_grant.m_ticket, to_server_outcome(*failure, 0), monotonic_now());
+    return false;
+  }
+  if (m_caller_disconnected || m_current_call->has_unread_data() || !admission.take_retry(m_service)) {
+    admission.dispatcher().release(next->m_grant.m_ticket);
+    return false;
+  }
+  m_replacement = std::move(next);
+  return true;
+}
+
 std::optional<request_error> request_handler::request_processor::serve() {
   auto& admission = m_handler.m_admission;
   while (true) {
-    const fleet::ticket ticket = admission.next_ticket();
-    m_waiting_ticket = ticket;
-    const admission_result decision =
-        m_caller_disconnected ? admission_result{} : admission.acquire(make_submission(ticket));
-    m_waiting_ticket = 0;
-    if (const auto* grant = std::get_if<fleet::dispatch_grant>(&decision)) {
-      m_granted_at = monotonic_now();
-      const call_outcome outcome = dispatch(*grant);
-      if (outcome == call_outcome::answered || outcome == call_outcome::relayed) {
-        return std::nullopt;
-      }
-      if (!may_retry(outcome)) {
+    auto current = std::exchange(m_replacement, nullptr);
+    if (!current) {
+      const fleet::ticket ticket = admission.next_ticket();
+      m_waiting_ticket = ticket;
+      admission_result decision =
+          m_caller_disconnected ? admission_result{} : admission.acquire(make_submission(ticket));
+      m_waiting_ticket = 0;
+      if (auto* grant = std::get_if<fleet::dispatch_grant>(&decision)) {
+        current = make_attempt(std::move(*grant));
+      } else {
+        handle_refusal(decision);
         return finish_after_failure();
       }
+    }
+    m_granted_at = monotonic_now();
+    const call_outcome outcome = dispatch(*current);
+    if (outcome == call_outcome::answered || outcome == call_outcome::relayed) {
+      return std::nullopt;
+    }
+    if (m_replacement && outcome == call_outcome::silent) {
       continue;
     }
-    if (const auto* refusal = std::get_if<fleet::dispatch_refusal>(&decision)) {
-      m_retry_after = std::clamp(std::chrono::duration_cast<milliseconds>(refusal->m_retry_after),
-                                 min_retry_after, max_retry_after);
-      m_failure_reason = refusal->m_reason == fleet::refusal_reason::no_backend_server
-                             ? "no backend server in service"
-                             : "no room on any backend server";
-    } else {
-      m_last_outcome = call_outcome::caller_gone;
+    if (m_replacement) {
+      admission.dispatcher().release(std::exchange(m_replacement, nullptr)->m_grant.m_ticket);
     }
-    return finish_after_failure();
+    if (!may_retry(outcome)) {
+      return finish_after_failure();
+    }
+  }
+}
+
+void request_handler::request_processor::handle_refusal(const admission_result& decision) {
+  const auto* refusal = std::get_if<fleet::dispatch_refusal>(&decision);
+  if (refusal == nullptr) {
+    m_last_outcome = call_outcome::caller_gone;
+    return;
   }
+  m_retry_after = std::clamp(std::chrono::duration_cast<milliseconds>(refusal->m_retry_after),
+                             min_retry_after, max_retry_after);
+  m_failure_reason = refusal->m_reason == fleet::refusal_reason::no_backend_server
+                         ? "no backend server in service"
+                         : "no room on any backend server";
 }
 
-call_outcome request_handler::request_processor::dispatch(const fleet::dispatch_grant& grant) {
+call_outcome request_handler::request_processor::dispatch(attempt& current) {
   const time_point dispatched_at = monotonic_now();
+  const auto& grant = current.m_grant;
+  backend_call& call = *current.m_call;
   m_server_id = grant.m_server.m_id;
-  backend_call call(m_handler.m_client, m_handler.m_protocol, make_call_options(grant));
   m_current_call = &call;
   call_outcome outcome = call.run();
   m_current_call = nullptr;
--- a/packages/gateway/src/request_processor.hpp
+++ b/packages/gateway/src/request_processor.hpp
@@ -17,6 +17,12 @@
 // Responses with this status or a higher one count as failures of the server.
 inline constexpr int first_server_failure_status = 500;
 
+// A retry with less time than this before the deadline is not worth a dispatch.
+inline constexpr milliseconds min_time_for_retry{60};
+
+// Converts the outcome of a call to what it says about the health of the server.
+fleet::server_outcome to_server_outcome(call_outcome outcome, int status);
+
 // Makes an error for a request that no backend server has run.
 inline request_error make_not_run_error(error_code code, std::string message) {
   return {code, verdict::not_run, std::move(message), 0};
@@ -36,12 +42,23 @@
   std::optional<request_error> parse_and_route();
   std::optional<request_error> admit();
   std::optional<request_error> serve();
+  // A dispatch that the dispatcher has granted.
+  struct attempt {
+    fleet::dispatch_grant m_grant;
+    std::unique_ptr<backend_call> m_call;
+  };
+
   fleet::submission make_submission(fleet::ticket ticket) const;
-  call_outcome dispatch(const fleet::dispatch_grant& grant);
+  std::unique_ptr<attempt> make_attempt(fleet::dispatch_grant grant);
+  call_outcome dispatch(attempt& current);
   call_options make_call_options(const fleet::dispatch_grant& grant);
+  bool prepare_replacement();
+  void handle_refusal(const admission_result& decision);
   bool may_retry(call_outcome outcome);
   void record_call_outcome(const fleet::dispatch_grant& grant, call_outcome outcome, const backend_call& call,
                            time_point dispatched_at);
+  void log_dispatch_failure(const fleet::dispatch_grant& grant, call_outcome outcome,
+                            const backend_call& call, duration took) const;
   std::optional<request_error> finish_after_failure();
   void handle_disconnect();
   void send_error(const request_error& error);
@@ -61,7 +78,8 @@
   net::http_exchange& m_exchange;
   time_point m_arrived_at;
   time_point m_deadline;
-  duration m_request_age{}; // time since the caller's first attempt
+  duration m_abandon_time{}; // a caller of a stream leaves after this time without an event
+  duration m_request_age{};  // time since the caller's first attempt
   caller_request m_request;
   std::shared_ptr<const fleet::route_table> m_routes; // in force when the request arrived
   const fleet::route* m_route = nullptr;
@@ -75,6 +93,7 @@
   bool m_caller_disconnected = false;
   fleet::ticket m_waiting_ticket = 0; // 0: the request is not waiting for a backend server
   backend_call* m_current_call = nullptr;
+  std::unique_ptr<attempt> m_replacement; // takes over from the current call, which is silent
 
   stream_relay m_relay;
   std::vector<std::string> m_tried_servers;
--- a/packages/net/include/cardamompond/net/http_client.hpp
+++ b/packages/net/include/cardamompond/net/http_client.hpp
@@ -5,6 +5,7 @@
 #include "cardamompond/net/http_message.hpp"
 #include "cardamompond/net/http_server.hpp"
 
+#include <functional>
 #include <memory>
 #include <span>
 #include <string>
@@ -47,6 +48,14 @@
   // is reported as an error.
   virtual call_result<std::span<const char>> read_some(std::span<char> buffer, milliseconds timeout) = 0;
 
+  // Sets what reads do while the server is silent: after `timeout`, and again after each `interval`, the read
+  // calls `give_up` on its own fiber. If that returns true, the read fails as timed out; otherwise it goes on
+  // waiting, at most for its own timeout.
+  virtual void on_silence(duration timeout, duration interval, std::function<bool()> give_up) = 0;
+
+  // Whether the server has sent more bytes or has closed the connection since the last read.
+  virtual bool has_input() = 0;
+
   // Closes the connection, so that a pending read fails.
   virtual void abort() = 0;
 
--- a/packages/net/src/fiber_stream.cpp
+++ b/packages/net/src/fiber_stream.cpp
@@ -7,6 +7,8 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <tuple>
+#include <utility>
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -98,6 +100,15 @@
     arm_timer(now + completion_time);
     return;
   }
+  if (m_keeps_open) {
+    m_wait_expired = true;
+    cancel();
+    return;
+  }
+  time_out();
+}
+
+void fiber_stream::time_out() {
   m_timed_out = true;
   error_code ignored;
   m_socket.close(ignored);
@@ -127,7 +138,45 @@
   return wait_for(readiness::output, [&](auto handler) { m_socket.async_connect(endpoint, handler); });
 }
 
+void fiber_stream::on_silence(duration timeout, duration interval, std::function<bool()> give_up) {
+  m_silence_timeout = timeout;
+  m_silence_interval = interval;
+  m_give_up = std::move(give_up);
+}
+
+// Returns whether the stream became readable before the time given. Leaves the socket open.
+bool fiber_stream::wait_readable_until(time_point until) {
+  if (readable()) {
+    return true;
+  }
+  const time_point deadline = std::exchange(m_deadline, until);
+  m_keeps_open = true;
+  m_wait_expired = false;
+  std::ignore = wait_readable(); // the read that follows reports the error
+  m_keeps_open = false;
+  m_deadline = deadline;
+  return !m_wait_expired;
+}
+
+void fiber_stream::wait_during_silence() {
+  time_point check_at = monotonic_now() + m_silence_timeout;
+  while (check_at < m_deadline && !wait_readable_until(check_at)) {
+    if (m_give_up()) {
+      time_out();
+      return;
+    }
+    check_at = monotonic_now() + m_silence_interval;
+  }
+}
+
 std::size_t fiber_stream::read_some(asio::mutable_buffer buffer, error_code& error) {
+  if (m_give_up) {
+    wait_during_silence();
+    if (m_timed_out) {
+      error = boost::beast::error::timeout;
+      return 0;
+    }
+  }
   std::size_t bytes = 0;
   error = wait_for(
       readiness::input, [&](auto handler) { m_socket.async_read_some(buffer, handler); }, &bytes);
--- a/packages/net/src/fiber_stream.hpp
+++ b/packages/net/src/fiber_stream.hpp
@@ -9,6 +9,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/buffer_traits.hpp>
 
+#include <functional>
 #include <memory>
 #include <span>
 
@@ -42,6 +43,14 @@
 
   boost::system::error_code connect(const boost::asio::ip::tcp::endpoint& endpoint);
 
+  // Sets what later reads do when no data arrives: after `timeout`, and again after each `interval`, the read
+  // calls `give_up` on its own fiber. If that returns true, the socket is closed and the read returns
+  // beast::error::timeout; otherwise the read goes on waiting, at most until the deadline.
+  void on_silence(duration timeout, duration interval, std::function<bool()> give_up);
+
+  // Whether a read would return at once, with data or with an error.
+  bool readable() { return is_ready(readiness::input); }
+
   // Waits until data arrives and reads what is available, at least one byte.
   std::size_t read_some(boost::asio::mutable_buffer buffer, boost::system::error_code& error);
 
@@ -86,7 +95,10 @@
                                      std::size_t* bytes = nullptr);
   void arm_timer(time_point when);
   void on_timer();
+  void time_out();
   bool is_ready(readiness awaited);
+  void wait_during_silence();
+  bool wait_readable_until(time_point until);
   boost::system::error_code wait_writable(bool or_readable, bool& readable);
 
   socket_type m_socket;
@@ -95,6 +107,11 @@
   readiness m_awaited = readiness::input;
   bool m_completion_due = false; // the deadline has passed, but the blocked call can complete
   bool m_timed_out = false;
+  bool m_keeps_open = false;   // the blocked call ends at its deadline without closing the socket
+  bool m_wait_expired = false; // it has ended for that reason
+  duration m_silence_timeout{};
+  duration m_silence_interval{};
+  std::function<bool()> m_give_up;      // empty: reads wait until the deadline
   std::shared_ptr<timer_state> m_timer; // created by the first call that blocks
 };
 
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -121,6 +121,7 @@
   auto& idle = m_idle[address];
   if (idle.size() < m_options.m_max_idle_per_address) {
     stream->expires_never();
+    stream->on_silence({}, {}, nullptr);
     idle.push_back(
         {std::move(stream), monotonic_now(), std::min<duration>(max_idle_time, m_options.m_max_idle_time)});
   }
@@ -222,6 +223,12 @@
     return std::span<const char>();
   }
 
+  void on_silence(duration timeout, duration interval, std::function<bool()> give_up) override {
+    m_stream->on_silence(timeout, interval, std::move(give_up));
+  }
+
+  bool has_input() override { return m_stream->readable(); }
+
   void abort() override {
     m_reusable = false;
     boost::system::error_code ignored;
