Let idle connections follow a changed idle limit

What callers saw: after a change of the configuration that raised the idle limit, a request on a kept connection could cross its close: the daemon still closed by the limit that was in force when the connection became idle, while callers reuse connections by the newest one.

Cause: the deadline of the wait for the next request was computed once.

Evidence: idle_connection_follows_a_changed_limit fails before (the connection is gone) and passes now.

Change: when the wait ends, the limit in force is looked up again before the connection is closed.

--- a/packages/net/src/fiber_stream.cpp
+++ b/packages/net/src/fiber_stream.cpp
@@ -144,7 +144,6 @@
   m_give_up = std::move(give_up);
 }
 
-// Returns whether the stream became readable before the time given. Leaves the socket open.
 bool fiber_stream::wait_readable_until(time_point until) {
   if (readable()) {
     return true;
--- a/packages/net/src/fiber_stream.hpp
+++ b/packages/net/src/fiber_stream.hpp
@@ -77,6 +77,10 @@
   // Waits until data can be read or the peer closes the connection.
   boost::system::error_code wait_readable();
 
+  // Waits until data can be read or the connection has ended, at most until the time given. Returns false if
+  // that passes first; the connection stays open then.
+  bool wait_readable_until(time_point until);
+
   // Fails the connection if the peer acknowledges nothing for `timeout`. Also enables keep-alive probes, so
   // that the loss of an idle connection is detected.
   void set_connection_loss_timeout(duration timeout);
@@ -98,7 +102,6 @@
   void time_out();
   bool is_ready(readiness awaited);
   void wait_during_silence();
-  bool wait_readable_until(time_point until);
   boost::system::error_code wait_writable(bool or_readable, bool& readable);
 
   socket_type m_socket;
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -140,6 +140,9 @@
   // Reads and handles one request. Returns whether the connection can serve another one.
   bool serve_one();
 
+  // Waits until the next request begins. Returns false if the connection has been idle for too long.
+  bool wait_for_request();
+
   // Returns false if the client closes the connection, does not complete a request in time or sends an
   // invalid request. To an invalid request, it sends an error response.
   bool read_request();
@@ -183,6 +186,16 @@
   return m_response_state == response_state::finished && m_request_keep_alive && !m_server->m_draining;
 }
 
+bool http_server::impl::connection::wait_for_request() {
+  const time_point idle_since = monotonic_now();
+  while (!m_stream.wait_readable_until(idle_since + m_server->m_options.m_idle_timeout)) {
+    if (monotonic_now() >= idle_since + m_server->m_options.m_idle_timeout) {
+      return false; // the limit may have changed during the wait
+    }
+  }
+  return true;
+}
+
 bool http_server::impl::connection::read_request() {
   http::request_parser<http::string_body> parser;
   parser.header_limit(m_server->m_options.m_max_header_bytes);
@@ -190,11 +203,8 @@
   // The buffer must be able to hold a whole header. Larger bodies pass through it in pieces.
   m_buffer.max_size(m_server->m_options.m_max_header_bytes + (64U << 10U));
   boost::system::error_code error;
-  if (m_buffer.size() == 0) {
-    m_stream.expires_after(m_server->m_options.m_idle_timeout);
-    if (m_stream.wait_readable()) {
-      return false;
-    }
+  if (m_buffer.size() == 0 && !wait_for_request()) {
+    return false;
   }
   m_stream.expires_after(m_server->m_options.m_header_timeout);
   http::read_header(m_stream, m_buffer, parser, error);
--- a/packages/net/tests/http_test.cpp
+++ b/packages/net/tests/http_test.cpp
@@ -187,3 +187,20 @@
   std::this_thread::sleep_for(idle_timeout); // blocks the event loop
   CHECK_TEXT((*opened)->read_head(milliseconds(1'000)).has_value(), "the connection was closed");
 }
+
+// Guards against an idle connection that closes by a limit that is no longer in force. Callers reuse
+// connections by the newest limit, and their request crosses the close.
+TEST(http, idle_connection_follows_a_changed_limit) {
+  http_server server(m_runtime, {.m_address = "127.0.0.1:0", .m_idle_timeout = milliseconds(100)},
+                     [](http_exchange& exchange) {
+                       std::ignore = exchange.respond({200, {}, "ok"});
+                     });
+  CHECK(m_client.fetch(loopback_address(server), {"GET", "/", {}, {}}, milliseconds(1'000)).has_value());
+  server.set_limits(8'192, 8'192, milliseconds(1'000), milliseconds(1'000));
+  boost::this_fiber::sleep_for(milliseconds(200));
+  LONGS_EQUAL(1, server.connections());
+  auto opened = m_client.open(loopback_address(server));
+  CHECK(opened.has_value() && (*opened)->reused());
+  CHECK((*opened)->send({"GET", "/", {}, {}}, milliseconds(1'000)).has_value());
+  CHECK((*opened)->read_head(milliseconds(1'000)).has_value());
+}
