Limit the pause between the parts of a body, not the whole body, by the idle timeout

What callers saw: a large body on a slow link, or one read by a slow host, was closed without any response although it kept coming, once a change of the configuration shortened the idle limit.

The limit bounds how long a caller may stay idle.

Change: each part of the body has the idle limit of its own.

--- a/packages/net/include/cardamompond/net/http_server.hpp
+++ b/packages/net/include/cardamompond/net/http_server.hpp
@@ -64,7 +64,7 @@
   std::uint64_t m_max_body_bytes = 16U << 20U;
   std::uint32_t m_max_header_bytes = 32U << 10U;
   std::uint32_t m_max_connections = 20'000;
-  milliseconds m_idle_timeout{60'000};    // between requests, and for reading a body
+  milliseconds m_idle_timeout{60'000};    // between requests, and between the parts of a body
   milliseconds m_header_timeout{60'000};  // from the first byte of a header to its last
   milliseconds m_write_timeout{60'000};   // for one write to make progress
   std::size_t m_stack_bytes = 128 * 1024; // for the fiber of each connection
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -215,9 +215,9 @@
       return false;
     }
   }
-  if (!error && !parser.is_done()) {
+  while (!error && !parser.is_done()) {
     m_stream.expires_after(m_server->m_options.m_idle_timeout);
-    http::read(m_stream, m_buffer, parser, error);
+    http::read_some(m_stream, m_buffer, parser, error);
   }
   if (error) {
     if (error == beast::error::timeout) {
--- a/packages/net/tests/http_test.cpp
+++ b/packages/net/tests/http_test.cpp
@@ -1,6 +1,10 @@
 #include "cardamompond/net/http_client.hpp"
 #include "cardamompond/net/http_server.hpp"
+#include "cardamompond/net/io_wait.hpp"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/fiber/operations.hpp>
 
 #include <CppUTest/TestHarness.h>
@@ -25,6 +29,44 @@
   return "127.0.0.1:" + std::to_string(server.port());
 }
 
+// A connection that sends any bytes at any time.
+class raw_connection {
+public:
+  explicit raw_connection(std::uint16_t port)
+      : m_socket(test_runtime().context()) {
+    io_wait wait;
+    m_socket.async_connect({boost::asio::ip::make_address("127.0.0.1"), port}, wait.handler());
+    CHECK_FALSE(wait.wait());
+  }
+
+  void write(std::string_view bytes) {
+    io_wait wait;
+    boost::asio::async_write(m_socket, boost::asio::buffer(bytes), wait.handler());
+    std::ignore = wait.wait();
+  }
+
+  // Reads until the text has come. Returns false if the connection ends or a second passes before.
+  bool read_until(std::string_view text) {
+    m_socket.non_blocking(true);
+    const time_point deadline = monotonic_now() + seconds(1);
+    while (m_received.find(text) == std::string::npos && monotonic_now() < deadline) {
+      std::array<char, 1024> bytes{};
+      boost::system::error_code error;
+      const std::size_t count = m_socket.read_some(boost::asio::buffer(bytes), error);
+      if (error && error != boost::asio::error::would_block) {
+        return false;
+      }
+      m_received.append(bytes.data(), count);
+      boost::this_fiber::sleep_for(milliseconds(5));
+    }
+    return m_received.find(text) != std::string::npos;
+  }
+
+private:
+  boost::asio::ip::tcp::socket m_socket;
+  std::string m_received;
+};
+
 } // namespace
 
 TEST_GROUP(http) {
@@ -204,3 +246,20 @@
   CHECK((*opened)->send({"GET", "/", {}, {}}, milliseconds(1'000)).has_value());
   CHECK((*opened)->read_head(milliseconds(1'000)).has_value());
 }
+
+// Guards against a large body that is cut although it keeps coming, because the idle timeout limited the time
+// for the whole body. Slow links and a shorter limit of a new configuration make that happen.
+TEST(http, body_that_keeps_coming_may_take_longer_than_the_idle_timeout) {
+  constexpr milliseconds idle_timeout{80};
+  http_server server(m_runtime, {.m_address = "127.0.0.1:0", .m_idle_timeout = idle_timeout},
+                     [](http_exchange& exchange) {
+                       std::ignore = exchange.respond({200, {}, exchange.request().m_body});
+                     });
+  raw_connection sender(server.port());
+  sender.write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n");
+  for (const char* part : {"b", "o", "d", "y"}) {
+    boost::this_fiber::sleep_for(idle_timeout / 2);
+    sender.write(part);
+  }
+  CHECK_TEXT(sender.read_until("body"), "the connection was closed");
+}
