Cut off backend servers that send bytes without end

What callers saw: one engine that answers with interim (1xx) responses without end ended the whole daemon with a segmentation fault, so all its requests were lost. Other endless answers kept the request and its connection to the deadline (504 instead of 502 or a retry elsewhere), or beyond it.

Cause: the client limited single reads and not the call. read_head() called itself for each interim response, with a fresh timeout each time. The parser's header limit covers only bytes that it has not consumed, so that header lines that arrive in separate reads are stored without limit. Chunk headers, skipped answers to other requests and incomplete events had no limit, and the event splitter searched its whole buffer again after each read. The reservation gave each part of its answer the whole timeout of 250 ms.

Why it works: each call has one deadline, which no byte extends; only a process that was stopped past it may still read what has arrived. Interim responses are skipped in a loop and count, with the head, against the header limit. Chunk headers and trailers are limited in proportion to the body, skipped answers and events in bytes. Each limit ends the call as broken, with its reason in dispatch_failed, and closes the connection. The deadline of the call also holds for fetch() (store, peers, load reports) and for the forwarder of cells.

--- a/packages/daemon/src/forwarder.cpp
+++ b/packages/daemon/src/forwarder.cpp
@@ -167,6 +167,7 @@
 }
 
 forward_result dispatch::run() {
+  m_call->set_deadline(m_request.m_deadline);
   if (const auto sent = m_call->send(m_request.m_backend_request, time_until(m_request.m_deadline)); !sent) {
     return handle_call_error(sent.error(), false);
   }
@@ -279,6 +280,7 @@
       continue;
     }
     m_call = std::move(*opened);
+    m_call->set_deadline(m_request.m_deadline);
     const net::http_request request{"GET",
                                     "/streams/" + m_stream_id + "?offset=" + std::to_string(m_meter.bytes()),
                                     {{"Cardamompond-Request-Id", m_request.m_request_id}},
--- a/packages/gateway/src/backend_call.cpp
+++ b/packages/gateway/src/backend_call.cpp
@@ -19,9 +19,13 @@
 // Number of late responses to other requests that are skipped on a pooled connection.
 constexpr int max_stray_responses = 2;
 
-// Responses that are not streamed are held in memory. Plain services respond with a few kilobytes.
+// Responses that are not streamed are held in memory. Plain services respond with a few kilobytes. The limit
+// also holds for a response that is skipped because it belongs to another request.
 constexpr std::size_t max_response_bytes = 4U << 20U;
 
+// An event is held in memory until it is complete. Engines send events of a few hundred bytes.
+constexpr std::size_t max_event_bytes = 1U << 20U;
+
 // A server ends a request at its deadline with a response of its own. The daemon waits this much longer for
 // it to arrive.
 constexpr milliseconds response_margin{60};
@@ -99,6 +103,7 @@
                ? outcome
                : call_outcome::unreachable;
   };
+  m_call->set_deadline(monotonic_now() + reservation_timeout);
   if (const auto sent = m_call->send(request, reservation_timeout); !sent) {
     return abort_reservation(sent.error());
   }
@@ -142,6 +147,7 @@
     return call_outcome::out_of_time;
   }
   m_options.m_parameters.m_remaining_time = left;
+  m_call->set_deadline(m_options.m_deadline + response_margin);
   const auto sent = m_call->send(
       m_protocol.make_backend_request(*m_options.m_caller_request, m_options.m_parameters), io_timeout());
   if (!sent) {
@@ -162,6 +168,7 @@
     const response_metadata metadata = m_protocol.read_response_metadata(*head);
     if (metadata.m_request_id && *metadata.m_request_id != m_options.m_request_id) {
       std::array<char, 4096> skipped{};
+      std::size_t skipped_bytes = 0;
       while (true) {
         auto part = m_call->read_some(skipped, io_timeout());
         if (!part) {
@@ -170,6 +177,9 @@
         if (part->empty()) {
           break;
         }
+        if ((skipped_bytes += part->size()) > max_response_bytes) {
+          return abort_after_error({"the answer to another request is too large", true, false});
+        }
       }
       continue;
     }
@@ -264,6 +274,9 @@
       m_call->abort();
       return *outcome;
     }
+    if (!stream_ended && relay.m_splitter.remaining_bytes().size() > max_event_bytes) {
+      return abort_after_error({"an event of the answer is too large", true, false});
+    }
     if (stream_ended) {
       return relay.m_head_sent ? call_outcome::relayed : call_outcome::answered;
     }
--- a/packages/gateway/src/event_splitter.cpp
+++ b/packages/gateway/src/event_splitter.cpp
@@ -24,8 +24,11 @@
 
 std::string_view event_splitter::feed(std::string_view bytes) {
   m_buffer.erase(0, m_complete_bytes);
+  // The bytes kept from earlier calls hold no whole separator, but a part of one may be at their end.
+  const std::size_t search_begin = m_buffer.size() - std::min(m_buffer.size(), crlf_separator.size() - 1);
   m_buffer.append(bytes);
-  m_complete_bytes = find_last_event_end(m_buffer);
+  const std::size_t end = find_last_event_end(std::string_view(m_buffer).substr(search_begin));
+  m_complete_bytes = end == 0 ? 0 : search_begin + end;
   const std::string_view events = std::string_view(m_buffer).substr(0, m_complete_bytes);
   update_last_event_id(events);
   count_events(events);
--- a/packages/gateway/tests/event_splitter_test.cpp
+++ b/packages/gateway/tests/event_splitter_test.cpp
@@ -1,9 +1,11 @@
+#include "cardamompond/core/time.hpp"
 #include "cardamompond/gateway/event_splitter.hpp"
 
 #include <CppUTest/TestHarness.h>
 
 #include <string>
 
+using namespace cardamompond;
 using namespace cardamompond::gateway;
 
 TEST_GROUP(event_splitter){};
@@ -49,6 +51,18 @@
   CHECK(splitter.feed("id: 2\ndata: b\n\n") == "id: 2\ndata: b\n\n");
 }
 
+// Guards against a daemon that spends all its processor time on an engine that sends a long event in small
+// pieces, because each read searches all bytes of the event again.
+TEST(event_splitter, endless_event_is_searched_once) {
+  event_splitter splitter;
+  const time_point start = monotonic_now();
+  for (int i = 0; i < 25'000; ++i) {
+    CHECK(splitter.feed("xxxxxxxx").empty());
+  }
+  CHECK(monotonic_now() - start < seconds(1));
+  CHECK(splitter.feed("\n\n").size() == 200'002);
+}
+
 // Guards against losing the last id when a later event has no id or an event begins with another field.
 TEST(event_splitter, the_last_id_is_kept_over_events_without_one) {
   event_splitter splitter;
--- a/packages/net/include/cardamompond/net/http_client.hpp
+++ b/packages/net/include/cardamompond/net/http_client.hpp
@@ -30,6 +30,11 @@
   // Returns whether the connection had already carried a request when this call was opened.
   virtual bool reused() const = 0;
 
+  // Makes all operations fail with a timeout from this time on, even if each of them ends within its own
+  // timeout. A call that first finds the deadline passed, because the process was stopped, may still read for
+  // a short time, so that a response that has already arrived is not lost.
+  virtual void set_deadline(time_point deadline) = 0;
+
   // Returns whether another request may follow on the connection, which requires that the last response was
   // read to its end and that the server keeps the connection open.
   virtual bool reusable() const = 0;
@@ -40,11 +45,12 @@
   virtual call_result<success> send(const http_request& request, milliseconds timeout) = 0;
 
   // Reads the status and headers of the response; m_body stays empty. A call after the end of a response
-  // reads the head of the next one.
+  // reads the head of the next one. Interim (1xx) responses are skipped; together with the head they must not
+  // exceed http_client_options::m_max_header_bytes.
   virtual call_result<http_response> read_head(milliseconds timeout) = 0;
 
-  // Reads a part of the body. An empty span means that the response is complete; a response that is cut short
-  // is reported as an error.
+  // Reads a part of the body. An empty span means that the response is complete; a response that is cut
+  // short, or that consists mostly of chunk headers or trailers, is reported as an error.
   virtual call_result<std::span<const char>> read_some(std::span<char> buffer, milliseconds timeout) = 0;
 
   // Closes the connection, so that a pending read fails.
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -12,6 +12,7 @@
 #include <charconv>
 #include <map>
 #include <optional>
+#include <utility>
 
 #include <sys/socket.h>
 
@@ -27,6 +28,14 @@
 // while the server closes the connection.
 constexpr milliseconds keep_alive_safety_margin{500};
 
+// A call whose deadline passed while the process was stopped may read for this long, so that a response that
+// has already arrived is delivered.
+constexpr milliseconds late_read_time{50};
+
+// Bytes of chunk headers and trailers that a response may have for each byte of its body, beside a fixed
+// number. The header of a chunk with a single byte takes six bytes or more.
+constexpr std::uint64_t max_framing_bytes_per_body_byte = 16;
+
 struct idle_connection {
   std::unique_ptr<fiber_stream> m_stream;
   time_point m_idle_since;
@@ -54,6 +63,46 @@
   return {error.message(), sent, error == beast::error::timeout};
 }
 
+call_error make_framing_error() {
+  return {"the chunk headers or trailers of the response are too large", true};
+}
+
+// Passes reads on to a stream until a limit on their bytes is reached. The parser itself limits only the part
+// of a head that it has not consumed yet.
+class limited_reader {
+public:
+  explicit limited_reader(fiber_stream& stream)
+      : m_stream(stream) {}
+
+  // Sets the number of bytes after which reads fail with http::error::header_limit. The last read may exceed
+  // it.
+  void set_limit(std::size_t bytes) { m_bytes_left = bytes; }
+
+  template <typename Buffers>
+  std::size_t read_some(const Buffers& buffers, boost::system::error_code& error) {
+    if (m_bytes_left == 0) {
+      error = http::error::header_limit;
+      return 0;
+    }
+    const std::size_t bytes = m_stream.read_some(buffers, error);
+    m_bytes_left -= std::min(bytes, m_bytes_left);
+    return bytes;
+  }
+
+  template <typename Buffers> std::size_t read_some(const Buffers& buffers) {
+    boost::system::error_code error;
+    const std::size_t bytes = read_some(buffers, error);
+    if (error) {
+      throw boost::system::system_error(error);
+    }
+    return bytes;
+  }
+
+private:
+  fiber_stream& m_stream;
+  std::size_t m_bytes_left = 0;
+};
+
 // Returns whether the server has closed an idle connection or sent data without a request.
 bool closed_or_has_unexpected_data(fiber_stream::socket_type& socket) {
   char byte = 0;
@@ -149,13 +198,20 @@
     }
   }
 
+  void set_deadline(time_point deadline) override {
+    m_deadline = deadline;
+    m_deadline_extended = false;
+  }
+
   bool reused() const override { return m_reused; }
   bool reusable() const override { return m_reusable && m_buffer.size() == 0; }
 
   call_result<success> send(const http_request& request, milliseconds timeout) override {
     m_is_head_request = request.m_method == "HEAD";
     const std::string head = serialise_request(request, m_address);
-    m_stream->expires_after(timeout);
+    if (monotonic_now() >= m_deadline || !begin_operation(timeout)) {
+      return to_call_error(beast::error::timeout, false);
+    }
     const std::array<asio::const_buffer, 2> buffers = {asio::buffer(head), asio::buffer(request.m_body)};
     std::size_t written = 0;
     if (const auto error = m_stream->write(buffers, written, true); error) {
@@ -177,16 +233,25 @@
     if (m_interrupted) {
       return call_error{"interrupted", true};
     }
-    m_stream->expires_after(timeout);
+    if (!begin_operation(timeout)) {
+      return to_call_error(beast::error::timeout, true);
+    }
+    limited_reader reader(*m_stream);
+    reader.set_limit(m_max_header_bytes);
     boost::system::error_code error;
-    http::read_header(*m_stream, m_buffer, *m_parser, error);
+    http::read_header(reader, m_buffer, *m_parser, error);
+    constexpr unsigned first_final_status = 200;
+    while (!error && m_parser->get().result_int() < first_final_status) {
+      prepare_parser(); // skips interim (1xx) responses, which carry nothing for the caller
+      m_parser->skip(m_is_head_request);
+      http::read_header(reader, m_buffer, *m_parser, error);
+    }
+    if (error == http::error::header_limit || error == http::error::buffer_overflow) {
+      return call_error{"the head of the response is too large", true};
+    }
     if (error) {
       return to_call_error(error, true);
     }
-    constexpr unsigned first_final_status = 200;
-    if (m_parser->get().result_int() < first_final_status) {
-      return read_head(timeout); // skips interim (1xx) responses, which carry nothing for the caller
-    }
     http_response response;
     response.m_status = static_cast<int>(m_parser->get().result_int());
     for (const auto& field : m_parser->get()) {
@@ -205,13 +270,23 @@
       }
       m_parser->get().body().data = buffer.data();
       m_parser->get().body().size = buffer.size();
-      m_stream->expires_after(timeout);
+      if (!begin_operation(timeout)) {
+        return to_call_error(beast::error::timeout, true);
+      }
       boost::system::error_code error;
-      http::read_some(*m_stream, m_buffer, *m_parser, error);
+      const std::size_t consumed = http::read_some(*m_stream, m_buffer, *m_parser, error);
+      if (error == http::error::buffer_overflow) {
+        return make_framing_error();
+      }
       if (error && error != http::error::need_buffer) {
         return to_call_error(error, true);
       }
       const std::size_t received = buffer.size() - m_parser->get().body().size;
+      m_body_bytes += received;
+      m_framing_bytes += consumed - received;
+      if (m_framing_bytes > m_max_header_bytes + max_framing_bytes_per_body_byte * m_body_bytes) {
+        return make_framing_error();
+      }
       if (m_parser->is_done()) {
         on_response_end();
       }
@@ -247,8 +322,23 @@
   }
 
 private:
+  // Sets the timeout of the stream. Returns false if the deadline of the call has passed.
+  bool begin_operation(milliseconds timeout) {
+    const time_point now = monotonic_now();
+    if (now >= m_deadline) {
+      if (std::exchange(m_deadline_extended, true)) {
+        return false;
+      }
+      m_deadline = now + late_read_time;
+    }
+    m_stream->expires_at(std::min<time_point>(now + timeout, m_deadline));
+    return true;
+  }
+
   void prepare_parser() {
     m_reusable = false;
+    m_body_bytes = 0;
+    m_framing_bytes = 0;
     m_parser.emplace();
     m_parser->header_limit(m_max_header_bytes);
     m_parser->body_limit(boost::none);
@@ -266,6 +356,10 @@
   std::uint32_t m_max_header_bytes;
   release_callback m_release_connection;
   duration m_max_idle_time = duration::max();
+  time_point m_deadline = time_point::max();
+  bool m_deadline_extended = false;
+  std::uint64_t m_body_bytes = 0;    // of the current response
+  std::uint64_t m_framing_bytes = 0; // chunk headers and trailers of the current response
   bool m_request_incomplete = false; // the server responded before the whole request was written
   beast::flat_buffer m_buffer;
   std::optional<http::response_parser<http::buffer_body>> m_parser;
@@ -324,25 +418,23 @@
 call_result<http_response> http_client::fetch(std::string_view address, const http_request& request,
                                               milliseconds timeout, std::size_t max_body_bytes) {
   const time_point deadline = monotonic_now() + timeout;
-  const auto time_left = [&] {
-    return std::max(milliseconds(1), std::chrono::duration_cast<milliseconds>(deadline - monotonic_now()));
-  };
   auto opened = open(address);
   if (!opened) {
     return opened.error();
   }
   http_call& call = **opened;
-  if (auto sent = call.send(request, time_left()); !sent) {
+  call.set_deadline(deadline);
+  if (auto sent = call.send(request, timeout); !sent) {
     return sent.error();
   }
-  auto head = call.read_head(time_left());
+  auto head = call.read_head(timeout);
   if (!head) {
     return head.error();
   }
   http_response response = std::move(*head);
   std::array<char, 8192> buffer{};
   while (true) {
-    auto part = call.read_some(buffer, time_left());
+    auto part = call.read_some(buffer, timeout);
     if (!part) {
       return part.error();
     }
