Treat a stream that ends inside an event as broken off

What callers saw: an engine that breaks off a stream without a length or chunks just ends its connection. The daemon passed the bytes of the incomplete event on and ended the caller's answer as complete, also on routes whose streams can be resumed. An engine that crashed before the first event gave an empty 200, which also counted as a good answer of a request that may be crashing engines.

Cause: at the end of a response relay_events() forwarded whatever the event splitter still held.

Why it works: if anything but blank lines and comments follows the last whole event, the call ends as broken, so that the stream is resumed after that event or the caller's answer ends without its final chunk. The bytes of the incomplete event are dropped.

The same holds if a length or a last chunk says that the response is complete, even if only the blank line is missing: readers of event streams drop an event without its blank line, so that the caller would lose the last piece of an answer that looks complete. Only a stream that ends with its connection must have an event; a framed one without events stays an empty answer.

--- a/packages/gateway/include/cardamompond/gateway/backend_call.hpp
+++ b/packages/gateway/include/cardamompond/gateway/backend_call.hpp
@@ -83,6 +83,7 @@
   std::optional<call_outcome> read_head();
   call_outcome read_body();
   call_outcome relay_events();
+  std::optional<call_outcome> check_stream_end();
   std::optional<call_outcome> forward_events(std::string_view events);
 
   void report_progress();
--- a/packages/gateway/include/cardamompond/gateway/event_splitter.hpp
+++ b/packages/gateway/include/cardamompond/gateway/event_splitter.hpp
@@ -6,6 +6,10 @@
 
 namespace cardamompond::gateway {
 
+// Returns whether a stream of server-sent events is inside an event, or inside a line, after these bytes.
+// Blank lines and comments between events belong to no event. The beginning of a long stream may be left out.
+bool is_inside_event(std::string_view stream);
+
 // Splits a stream of server-sent events into complete events. If the stream of a backend server breaks within
 // an event, the caller has received complete events only, and another server can continue after the last of
 // them.
@@ -21,7 +25,8 @@
   // The id of the last complete event that had one; empty if none had.
   const std::string& last_event_id() const { return m_last_event_id; }
 
-  // The bytes after the last complete event; read when the response has ended.
+  // The bytes after the last complete event. At the end of a complete stream, they are at most blank lines
+  // and comments.
   std::string_view remaining_bytes() const { return std::string_view(m_buffer).substr(m_complete_bytes); }
 
   // Discards an incomplete event. Must be called before another server continues the stream.
--- a/packages/gateway/src/backend_call.cpp
+++ b/packages/gateway/src/backend_call.cpp
@@ -254,6 +254,19 @@
   }
 }
 
+// An engine that crashes may end its answer inside an event. If the answer ends with its connection, nothing
+// else tells a crash before the first event from the end of the stream.
+std::optional<call_outcome> backend_call::check_stream_end() {
+  const stream_relay& relay = *m_options.m_relay;
+  if (is_inside_event(relay.m_splitter.remaining_bytes())) {
+    return abort_after_error({"the stream ended inside an event", true, false});
+  }
+  if (!relay.m_head_sent && m_call->ends_with_connection()) {
+    return abort_after_error({"the connection ended before the first event", true, false});
+  }
+  return std::nullopt;
+}
+
 call_outcome backend_call::relay_events() {
   stream_relay& relay = *m_options.m_relay;
   relay.m_splitter.drop_incomplete_event();
@@ -268,6 +281,11 @@
       return call_outcome::caller_gone;
     }
     const bool stream_ended = part->empty();
+    if (stream_ended) {
+      if (const auto outcome = check_stream_end()) {
+        return *outcome;
+      }
+    }
     const std::string_view events = stream_ended ? relay.m_splitter.remaining_bytes()
                                                  : relay.m_splitter.feed({part->data(), part->size()});
     if (const auto outcome = forward_events(events)) {
--- a/packages/gateway/src/event_splitter.cpp
+++ b/packages/gateway/src/event_splitter.cpp
@@ -22,6 +22,22 @@
 
 } // namespace
 
+bool is_inside_event(std::string_view stream) {
+  stream.remove_prefix(find_last_event_end(stream));
+  while (!stream.empty()) {
+    const auto line_end = stream.find('\n');
+    if (line_end == std::string_view::npos) {
+      return true;
+    }
+    const std::string_view line = stream.substr(0, line_end);
+    if (!line.empty() && line != "\r" && !line.starts_with(':')) {
+      return true;
+    }
+    stream.remove_prefix(line_end + 1);
+  }
+  return false;
+}
+
 std::string_view event_splitter::feed(std::string_view bytes) {
   m_buffer.erase(0, m_complete_bytes);
   // The bytes kept from earlier calls hold no whole separator, but a part of one may be at their end.
--- a/packages/gateway/tests/event_splitter_test.cpp
+++ b/packages/gateway/tests/event_splitter_test.cpp
@@ -69,3 +69,15 @@
   splitter.feed("x-versions: 3\nid: 7\ndata: a\n\n: comment\n\n");
   STRCMP_EQUAL("7", splitter.last_event_id().c_str());
 }
+
+// Guards against a broken stream that is taken for a complete one, and the reverse.
+TEST(event_splitter, only_whole_events_blank_lines_and_comments_end_a_stream) {
+  for (const std::string_view complete : {"", "data: a\n\n", "data: a\r\n\r\n", "data: a\n\n\n",
+                                          "data: a\n\n: end\n", ": begin\r\n\r\n: end\r\n"}) {
+    CHECK_FALSE(is_inside_event(complete));
+  }
+  for (const std::string_view broken : {"d", "data: a", "data: a\n", "data: a\r\n\r", "data: a\n\nid: 2\n",
+                                        "data: a\n\n: comm", "data: a\n\n: end\ndata: b\n"}) {
+    CHECK(is_inside_event(broken));
+  }
+}
--- a/packages/net/include/cardamompond/net/http_client.hpp
+++ b/packages/net/include/cardamompond/net/http_client.hpp
@@ -53,6 +53,10 @@
   // short, or that consists mostly of chunk headers or trailers, is reported as an error.
   virtual call_result<std::span<const char>> read_some(std::span<char> buffer, milliseconds timeout) = 0;
 
+  // Returns whether the response has neither a length nor chunks, so that it ends with its connection. Valid
+  // after read_head().
+  virtual bool ends_with_connection() const = 0;
+
   // Closes the connection, so that a pending read fails.
   virtual void abort() = 0;
 
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -204,6 +204,7 @@
   }
 
   bool reused() const override { return m_reused; }
+  bool ends_with_connection() const override { return m_parser->need_eof(); }
   bool reusable() const override { return m_reusable && m_buffer.size() == 0; }
 
   call_result<success> send(const http_request& request, milliseconds timeout) override {
