Send the rest of a body after a skipped response

What callers saw: a request with a body larger than the socket buffers waited until its deadline (504) if the engine sent an interim (1xx) response, or a late response to another request, before it had read the whole body.

Cause: send() stops when the connection becomes readable, since an early answer makes the rest of the body useless. When what had come was skipped, nothing wrote the rest, so that the engine waited for the body and the daemon for the answer.

Why it works: the call keeps the unsent bytes and read_head() writes them after each response that it or its caller has skipped, again until the connection becomes readable. A final answer is not followed by a call of read_head(), so that it still ends the sending, and unsent bytes still keep the connection from being reused.

--- a/packages/net/include/cardamompond/net/http_client.hpp
+++ b/packages/net/include/cardamompond/net/http_client.hpp
@@ -40,8 +40,9 @@
   virtual bool reusable() const = 0;
 
   // Writes the request. If an error has m_sent == false, nothing was written. If the server responds before
-  // it has read the whole request, send() stops writing and returns without an error; the connection is then
-  // closed at the end of the call.
+  // it has read the whole request, send() stops writing and returns without an error. read_head() writes the
+  // rest after an interim response or after a response that the caller has read and skipped; if it is never
+  // written, the connection is closed at the end of the call.
   virtual call_result<success> send(const http_request& request, milliseconds timeout) = 0;
 
   // Reads the status and headers of the response; m_body stays empty. A call after the end of a response
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -12,6 +12,7 @@
 #include <charconv>
 #include <map>
 #include <optional>
+#include <tuple>
 #include <utility>
 
 #include <sys/socket.h>
@@ -213,30 +214,35 @@
     if (monotonic_now() >= m_deadline || !begin_operation(timeout)) {
       return to_call_error(beast::error::timeout, false);
     }
+    if (m_parser->is_done()) {
+      prepare_parser(); // the next response is the one to this request
+    }
     const std::array<asio::const_buffer, 2> buffers = {asio::buffer(head), asio::buffer(request.m_body)};
     std::size_t written = 0;
     if (const auto error = m_stream->write(buffers, written, true); error) {
       return to_call_error(error, written > 0);
     }
-    // After an early response the connection must not be reused: the server would still expect the rest of
-    // this body and would read the next request as part of it.
-    m_request_incomplete = written < head.size() + request.m_body.size();
+    m_unsent_bytes.clear();
+    if (written < head.size()) {
+      m_unsent_bytes.append(head, written).append(request.m_body);
+    } else {
+      m_unsent_bytes.append(request.m_body, written - head.size());
+    }
     return success{};
   }
 
   call_result<http_response> read_head(milliseconds timeout) override {
-    if (m_parser->is_done()) {
-      prepare_parser();
-    }
-    if (m_is_head_request) {
-      m_parser->skip(true);
-    }
     if (m_interrupted) {
       return call_error{"interrupted", true};
     }
     if (!begin_operation(timeout)) {
       return to_call_error(beast::error::timeout, true);
     }
+    if (m_parser->is_done()) {
+      prepare_parser();
+      continue_sending();
+    }
+    m_parser->skip(m_is_head_request);
     limited_reader reader(*m_stream);
     reader.set_limit(m_max_header_bytes);
     boost::system::error_code error;
@@ -245,6 +251,7 @@
     while (!error && m_parser->get().result_int() < first_final_status) {
       prepare_parser(); // skips interim (1xx) responses, which carry nothing for the caller
       m_parser->skip(m_is_head_request);
+      continue_sending();
       http::read_header(reader, m_buffer, *m_parser, error);
     }
     if (error == http::error::header_limit || error == http::error::buffer_overflow) {
@@ -336,6 +343,18 @@
     return true;
   }
 
+  // Writes the rest of a request whose sending stopped for a response that the caller skips. If the server
+  // has closed the connection, its response may still be readable, so errors are left to the next read.
+  void continue_sending() {
+    if (m_unsent_bytes.empty() || m_buffer.size() > 0) {
+      return;
+    }
+    const std::array<asio::const_buffer, 1> buffers = {asio::buffer(m_unsent_bytes)};
+    std::size_t written = 0;
+    std::ignore = m_stream->write(buffers, written, true);
+    m_unsent_bytes.erase(0, written);
+  }
+
   void prepare_parser() {
     m_reusable = false;
     m_body_bytes = 0;
@@ -346,7 +365,7 @@
   }
 
   void on_response_end() {
-    m_reusable = m_parser->keep_alive() && !m_parser->need_eof() && !m_request_incomplete;
+    m_reusable = m_parser->keep_alive() && !m_parser->need_eof() && m_unsent_bytes.empty();
     const auto server_timeout = parse_keep_alive_timeout(m_parser->get()[http::field::keep_alive]);
     m_max_idle_time = server_timeout.value_or(duration::max());
   }
@@ -361,7 +380,9 @@
   bool m_deadline_extended = false;
   std::uint64_t m_body_bytes = 0;    // of the current response
   std::uint64_t m_framing_bytes = 0; // chunk headers and trailers of the current response
-  bool m_request_incomplete = false; // the server responded before the whole request was written
+  // The rest of a request that the server responded to before all of it was written. With such a rest the
+  // connection must not be reused: the server would read the next request as part of this one.
+  std::string m_unsent_bytes;
   beast::flat_buffer m_buffer;
   std::optional<http::response_parser<http::buffer_body>> m_parser;
   bool m_reusable = false;
