Cell mode: treat a stream that ends inside an event as broken off

What callers saw: like on entry daemons, a stream whose backend server broke it off by ending its connection looked complete, was not resumed at the server, and counted as a success of the server.

Cause: the forwarder ended the caller's response whenever the server's response had ended, and knows no events.

Evidence, on the code before: a_stream_that_ends_inside_an_event_is_broken, a_stream_that_ends_inside_an_event_is_resumed_at_its_offset and a_stream_without_progress_is_resumed_once failed; the test of complete unframed responses passed and stays as guard.

Why it works: the meter keeps the last bytes of each response and tells from them whether a text/event-stream ends inside an event. Such an end is handled like a broken connection: resumed at the offset reached, or the caller's response ends without its final chunk. Event streams get no Content-Length, since a response whose bytes have all come would look complete. A server that ends at the same offset again is not asked a third time.

--- a/packages/daemon/include/cardamompond/daemon/response_meter.hpp
+++ b/packages/daemon/include/cardamompond/daemon/response_meter.hpp
@@ -30,6 +30,9 @@
   // reports no usage.
   std::uint32_t events() const { return m_events; }
 
+  // Returns whether a stream of events that ends here ends inside an event.
+  bool is_inside_event() const;
+
   // Returns the last JSON member "usage" of the body, or nothing if there is none or it is malformed.
   std::optional<token_usage> usage() const;
 
--- a/packages/daemon/src/forwarder.cpp
+++ b/packages/daemon/src/forwarder.cpp
@@ -12,12 +12,15 @@
 #include <memory>
 #include <span>
 #include <tuple>
+#include <utility>
 
 namespace cardamompond::daemon {
 namespace {
 
 using scheduler::outcome;
 
+constexpr std::string_view event_stream_type = "text/event-stream";
+
 constexpr std::size_t buffer_bytes = 16U << 10U;
 
 // Maximum number of attempts to resume a stream after one interruption.
@@ -31,6 +34,11 @@
   return boost::beast::iequals(left, right);
 }
 
+bool is_event_stream(const net::http_response& head) {
+  const auto type = net::find_header(head.m_headers, "Content-Type");
+  return type && header_names_equal(type->substr(0, event_stream_type.size()), event_stream_type);
+}
+
 milliseconds time_until(time_point deadline) {
   return std::max(milliseconds(1), std::chrono::ceil<milliseconds>(deadline - monotonic_now()));
 }
@@ -76,6 +84,7 @@
   forward_result run();
 
 private:
+  net::call_result<std::span<const char>> read_body_part(bool event_stream);
   forward_result handle_call_error(const net::call_error& error, bool response_begun);
   forward_result make_backend_refusal();
   forward_result buffer_response(const net::http_response& head);
@@ -97,6 +106,7 @@
   std::optional<duration> m_first_token;
   response_meter m_meter;
   std::string m_stream_id;
+  bool m_ended_inside_event = false; // set by read_body_part()
   // The buffer is left uninitialized, so that a small response touches only one page of it.
   std::unique_ptr<char[]> m_buffer_storage = std::make_unique_for_overwrite<char[]>(buffer_bytes);
   std::span<char> m_buffer{m_buffer_storage.get(), buffer_bytes};
@@ -185,6 +195,18 @@
   return stream_response(*head, {});
 }
 
+// Reads a part of the body. A stream that ends inside an event was broken off by the backend server, even if
+// its connection was closed in an orderly way.
+net::call_result<std::span<const char>> dispatch::read_body_part(bool event_stream) {
+  auto part = m_call->read_some(m_buffer, time_until(m_request.m_deadline));
+  if (part && part->empty() && event_stream && m_meter.is_inside_event()) {
+    m_call->abort();
+    m_ended_inside_event = true;
+    return net::call_error{"the stream ended inside an event", true};
+  }
+  return part;
+}
+
 // Reads the response to a request that may run at most once. It is recorded before the caller receives any of
 // it, so that an immediate retry gets the recorded response.
 forward_result dispatch::buffer_response(const net::http_response& head) {
@@ -192,8 +214,9 @@
   buffered.m_response.m_status = head.m_status;
   buffered.m_response.m_headers = make_response_headers(head);
   std::string& body = buffered.m_response.m_body;
+  const bool event_stream = is_event_stream(head);
   while (true) {
-    const auto chunk = m_call->read_some(m_buffer, time_until(m_request.m_deadline));
+    const auto chunk = read_body_part(event_stream);
     if (!chunk) {
       return handle_call_error(chunk.error(), false);
     }
@@ -228,8 +251,11 @@
 }
 
 forward_result dispatch::stream_response(const net::http_response& head, std::string_view already_read) {
+  const bool event_stream = is_event_stream(head);
   net::http_headers headers = make_response_headers(head);
-  if (const auto length = net::find_header(head.m_headers, "Content-Length")) {
+  // An event stream gets no length, so that the caller can see whether it is complete although all its bytes
+  // came.
+  if (const auto length = net::find_header(head.m_headers, "Content-Length"); length && !event_stream) {
     headers.push_back({"Content-Length", std::string(*length)});
   }
   if (!m_exchange.begin(head.m_status, headers)) {
@@ -240,12 +266,16 @@
     cancel_at_backend();
     return make_result(forward_status::broken, outcome::cancelled, head.m_status);
   }
+  std::optional<std::uint64_t> resumed_at; // offset of the last resumption
   while (true) {
-    const auto chunk = m_call->read_some(m_buffer, time_until(m_request.m_deadline));
+    const auto chunk = read_body_part(event_stream);
     if (!chunk) {
-      if (m_caller_watch.closed() || monotonic_now() >= m_request.m_deadline || !resume()) {
+      // A server that ends the stream at the same offset again has no more of it.
+      const bool has_no_more = std::exchange(m_ended_inside_event, false) && resumed_at == m_meter.bytes();
+      if (m_caller_watch.closed() || monotonic_now() >= m_request.m_deadline || has_no_more || !resume()) {
         return handle_call_error(chunk.error(), true);
       }
+      resumed_at = m_meter.bytes();
       continue;
     }
     if (chunk->empty()) {
--- a/packages/daemon/src/response_meter.cpp
+++ b/packages/daemon/src/response_meter.cpp
@@ -1,5 +1,7 @@
 #include "cardamompond/daemon/response_meter.hpp"
 
+#include "cardamompond/gateway/event_splitter.hpp"
+
 #include <boost/json/parse.hpp>
 
 #include <algorithm>
@@ -40,6 +42,10 @@
   m_tail += text;
 }
 
+bool response_meter::is_inside_event() const {
+  return gateway::is_inside_event(m_tail);
+}
+
 std::optional<token_usage> response_meter::usage() const {
   constexpr std::string_view name = "\"usage\"";
   const auto start = m_tail.rfind(name);
--- /dev/null
+++ b/packages/daemon/tests/forwarder_test.cpp
@@ -0,0 +1,201 @@
+#include "cardamompond/daemon/forwarder.hpp"
+
+#include "cardamompond/net/io_wait.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/fiber/operations.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <array>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+using namespace cardamompond;
+using namespace cardamompond::daemon;
+
+namespace {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+net::fiber_runtime& test_runtime() {
+  static net::fiber_runtime runtime;
+  return runtime;
+}
+
+// A backend server that answers each connection with the next of its responses, byte for byte, and closes it.
+// The last response is used again when the others are used up.
+class raw_backend {
+public:
+  explicit raw_backend(std::vector<std::string> responses)
+      : m_state(std::make_shared<state>(test_runtime(), std::move(responses))) {
+    net::fiber_runtime::spawn([shared_state = m_state] { serve(*shared_state); });
+  }
+  ~raw_backend() {
+    boost::system::error_code ignored;
+    m_state->m_acceptor.close(ignored);
+  }
+  raw_backend(const raw_backend&) = delete;
+  raw_backend& operator=(const raw_backend&) = delete;
+
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(m_state->m_acceptor.local_endpoint().port());
+  }
+  const std::vector<std::string>& requests() const { return m_state->m_requests; }
+
+private:
+  struct state {
+    state(net::fiber_runtime& runtime, std::vector<std::string> responses)
+        : m_acceptor(runtime.context(), {asio::ip::make_address("127.0.0.1"), 0})
+        , m_responses(std::move(responses)) {}
+    tcp::acceptor m_acceptor;
+    std::vector<std::string> m_responses;
+    std::vector<std::string> m_requests;
+  };
+
+  static void serve(state& shared_state) {
+    while (true) {
+      tcp::socket socket(shared_state.m_acceptor.get_executor());
+      net::io_wait accepted;
+      shared_state.m_acceptor.async_accept(socket, accepted.handler());
+      if (accepted.wait()) {
+        return;
+      }
+      std::string request(4'096, '\0');
+      net::io_wait received;
+      socket.async_read_some(asio::buffer(request), received.handler());
+      if (received.wait()) {
+        continue;
+      }
+      request.resize(received.bytes());
+      const auto number = std::min(shared_state.m_requests.size(), shared_state.m_responses.size() - 1);
+      shared_state.m_requests.push_back(std::move(request));
+      net::io_wait written;
+      asio::async_write(socket, asio::buffer(shared_state.m_responses[number]), written.handler());
+      static_cast<void>(written.wait());
+      boost::system::error_code ignored;
+      socket.shutdown(tcp::socket::shutdown_both, ignored);
+    }
+  }
+
+  std::shared_ptr<state> m_state;
+};
+
+// Grants every start and keeps the reported outcome.
+class recording_permits final : public permit_client {
+public:
+  result<scheduler::grant, request_error> acquire(const scheduler::submit_event&) override {
+    return request_error{};
+  }
+  void cancel(request_key) override {}
+  bool start(const scheduler::grant&) override { return true; }
+  void decline(request_key, scheduler::decline_reason) override {}
+  void complete(const scheduler::completed_event& completed) override { m_outcome = completed.m_outcome; }
+  request_key next_key() override { return {}; }
+
+  std::optional<scheduler::outcome> m_outcome;
+};
+
+const std::string head =
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream; charset=utf-8\r\nX-Stream-Id: s1\r\n";
+const std::string unframed_head = head + "\r\n";
+
+// What a caller received of a forwarded response.
+struct received_response {
+  std::string m_body;
+  bool m_complete = false;
+  std::optional<scheduler::outcome> m_outcome;
+};
+
+received_response forward(const raw_backend& backend, milliseconds timeout = seconds(3)) {
+  recording_permits permits;
+  forwarder request_forwarder(test_runtime(), permits);
+  caller_monitor monitor;
+  bool done = false;
+  net::http_server server(test_runtime(), {.m_address = "127.0.0.1:0"}, [&](net::http_exchange& exchange) {
+    caller_monitor::watch watch(monitor, exchange, [] {});
+    const routed_request routed;
+    scheduler::grant permit;
+    permit.m_address = backend.address();
+    forward_request request;
+    request.m_routed = &routed;
+    request.m_permit = &permit;
+    request.m_backend_request = {"POST", "/v1/chat/completions", {}, "b"};
+    request.m_deadline = monotonic_now() + timeout;
+    request_forwarder.forward(exchange, watch, request, [](bool, duration) {});
+    done = true;
+  });
+  received_response received;
+  net::http_client client(test_runtime());
+  auto call = client.open("127.0.0.1:" + std::to_string(server.port()));
+  CHECK((*call)->send({"GET", "/", {}, {}}, seconds(5)).has_value());
+  CHECK((*call)->read_head(seconds(5)).has_value());
+  std::array<char, 4'096> buffer{};
+  while (true) {
+    const auto part = (*call)->read_some(buffer, seconds(5));
+    if (!part || part->empty()) {
+      received.m_complete = part.has_value();
+      break;
+    }
+    if (received.m_body.size() < 10'000) {
+      received.m_body.append(part->data(), part->size());
+    }
+  }
+  while (!done) {
+    boost::this_fiber::sleep_for(milliseconds(5));
+  }
+  received.m_outcome = permits.m_outcome;
+  return received;
+}
+
+} // namespace
+
+TEST_GROUP(forwarder_group){};
+
+// Guards against a stream that looks complete to its caller although the backend server broke it off inside
+// an event: its response ends with its connection, or its last chunk ends inside an event.
+TEST(forwarder_group, a_stream_that_ends_inside_an_event_is_broken) {
+  for (const std::string& response :
+       {unframed_head + "data: a\n\ndata: b", head + "Content-Length: 16\r\n\r\ndata: a\n\ndata: b",
+        head + "Transfer-Encoding: chunked\r\n\r\n10\r\ndata: a\n\ndata: b\r\n0\r\n\r\n"}) {
+    const raw_backend backend({response, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"});
+    const auto received = forward(backend);
+    CHECK_FALSE(received.m_complete);
+    CHECK(received.m_outcome == scheduler::outcome::connection_broken);
+  }
+}
+
+// Guards against a stream that is given up although its backend server still has the rest.
+TEST(forwarder_group, a_stream_that_ends_inside_an_event_is_resumed_at_its_offset) {
+  const raw_backend backend({unframed_head + "data: a\n\ndata: b", unframed_head + "b\n\n"});
+  const auto received = forward(backend);
+  CHECK(received.m_complete);
+  STRCMP_EQUAL("data: a\n\ndata: bb\n\n", received.m_body.c_str());
+  CHECK(received.m_outcome == scheduler::outcome::succeeded);
+  CHECK(backend.requests().at(1).starts_with("GET /streams/s1?offset=16 "));
+}
+
+// Guards against endless resumption of a stream that ends at the same offset each time.
+TEST(forwarder_group, a_stream_without_progress_is_resumed_once) {
+  const raw_backend backend({unframed_head + "data: a\n\ndata: b", unframed_head});
+  CHECK_FALSE(forward(backend).m_complete);
+  UNSIGNED_LONGS_EQUAL(2, backend.requests().size());
+}
+
+// Guards against complete responses without a length or chunks that are taken for broken ones.
+TEST(forwarder_group, an_unframed_response_is_complete_at_the_end_of_its_connection) {
+  for (const std::string& response :
+       {unframed_head + "data: a\n\n",
+        std::string("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\ndata: a")}) {
+    const raw_backend backend({response});
+    const auto received = forward(backend);
+    CHECK(received.m_complete);
+    CHECK(received.m_outcome == scheduler::outcome::succeeded);
+  }
+}
