Guard the deadline of streams in cell mode against endless events

A backend server that always has bytes ready must not keep the forwarder beyond the deadline of the request.

--- a/packages/daemon/tests/forwarder_test.cpp
+++ b/packages/daemon/tests/forwarder_test.cpp
@@ -33,8 +33,9 @@
 // The last response is used again when the others are used up.
 class raw_backend {
 public:
-  explicit raw_backend(std::vector<std::string> responses)
-      : m_state(std::make_shared<state>(test_runtime(), std::move(responses))) {
+  // `endless_bytes` follow each response without end, until the client closes the connection.
+  explicit raw_backend(std::vector<std::string> responses, std::string endless_bytes = {})
+      : m_state(std::make_shared<state>(test_runtime(), std::move(responses), std::move(endless_bytes))) {
     net::fiber_runtime::spawn([shared_state = m_state] { serve(*shared_state); });
   }
   ~raw_backend() {
@@ -51,14 +52,22 @@
 
 private:
   struct state {
-    state(net::fiber_runtime& runtime, std::vector<std::string> responses)
+    state(net::fiber_runtime& runtime, std::vector<std::string> responses, std::string endless_bytes)
         : m_acceptor(runtime.context(), {asio::ip::make_address("127.0.0.1"), 0})
-        , m_responses(std::move(responses)) {}
+        , m_responses(std::move(responses))
+        , m_endless_bytes(std::move(endless_bytes)) {}
     tcp::acceptor m_acceptor;
     std::vector<std::string> m_responses;
+    std::string m_endless_bytes;
     std::vector<std::string> m_requests;
   };
 
+  static bool write(tcp::socket& socket, const std::string& bytes) {
+    net::io_wait written;
+    asio::async_write(socket, asio::buffer(bytes), written.handler());
+    return !written.wait();
+  }
+
   static void serve(state& shared_state) {
     while (true) {
       tcp::socket socket(shared_state.m_acceptor.get_executor());
@@ -76,9 +85,10 @@
       request.resize(received.bytes());
       const auto number = std::min(shared_state.m_requests.size(), shared_state.m_responses.size() - 1);
       shared_state.m_requests.push_back(std::move(request));
-      net::io_wait written;
-      asio::async_write(socket, asio::buffer(shared_state.m_responses[number]), written.handler());
-      static_cast<void>(written.wait());
+      bool connected = write(socket, shared_state.m_responses[number]);
+      while (connected && !shared_state.m_endless_bytes.empty()) {
+        connected = write(socket, shared_state.m_endless_bytes);
+      }
       boost::system::error_code ignored;
       socket.shutdown(tcp::socket::shutdown_both, ignored);
     }
@@ -199,3 +209,14 @@
     CHECK(received.m_outcome == scheduler::outcome::succeeded);
   }
 }
+
+// Guards against a stream that is forwarded beyond its deadline because its backend server always has bytes
+// ready.
+TEST(forwarder_group, endless_events_end_at_the_deadline) {
+  const raw_backend backend({unframed_head}, "data: a\n\n");
+  const time_point start = monotonic_now();
+  const auto received = forward(backend, milliseconds(500));
+  CHECK(monotonic_now() - start < seconds(2));
+  CHECK_FALSE(received.m_complete);
+  CHECK(received.m_outcome == scheduler::outcome::timed_out);
+}
