--- a/packages/gateway/tests/event_splitter_test.cpp
+++ b/packages/gateway/tests/event_splitter_test.cpp
@@ -1,9 +1,11 @@
+#include "cardamompond/core/time.hpp"
 #include "cardamompond/gateway/event_splitter.hpp"
 
 #include <CppUTest/TestHarness.h>
 
 #include <string>
 
+using namespace cardamompond;
 using namespace cardamompond::gateway;
 
 TEST_GROUP(event_splitter){};
@@ -49,9 +51,33 @@
   CHECK(splitter.feed("id: 2\ndata: b\n\n") == "id: 2\ndata: b\n\n");
 }
 
+// Guards against a daemon that spends all its processor time on an engine that sends a long event in small
+// pieces, because each read searches all bytes of the event again.
+TEST(event_splitter, endless_event_is_searched_once) {
+  event_splitter splitter;
+  const time_point start = monotonic_now();
+  for (int i = 0; i < 25'000; ++i) {
+    CHECK(splitter.feed("xxxxxxxx").empty());
+  }
+  CHECK(monotonic_now() - start < seconds(1));
+  CHECK(splitter.feed("\n\n").size() == 200'002);
+}
+
 // Guards against losing the last id when a later event has no id or an event begins with another field.
 TEST(event_splitter, the_last_id_is_kept_over_events_without_one) {
   event_splitter splitter;
   splitter.feed("x-versions: 3\nid: 7\ndata: a\n\n: comment\n\n");
   STRCMP_EQUAL("7", splitter.last_event_id().c_str());
 }
+
+// Guards against a broken stream that is taken for a complete one, and the reverse.
+TEST(event_splitter, only_whole_events_blank_lines_and_comments_end_a_stream) {
+  for (const std::string_view complete : {"", "data: a\n\n", "data: a\r\n\r\n", "data: a\n\n\n",
+                                          "data: a\n\n: end\n", ": begin\r\n\r\n: end\r\n"}) {
+    CHECK_FALSE(is_inside_event(complete));
+  }
+  for (const std::string_view broken : {"d", "data: a", "data: a\n", "data: a\r\n\r", "data: a\n\nid: 2\n",
+                                        "data: a\n\n: comm", "data: a\n\n: end\ndata: b\n"}) {
+    CHECK(is_inside_event(broken));
+  }
+}
