--- a/packages/fleet/include/cardamompond/fleet/dispatcher.hpp
+++ b/packages/fleet/include/cardamompond/fleet/dispatcher.hpp
@@ -141,6 +141,9 @@
   // Ends a granted request.
   void finish(ticket request, server_outcome outcome, time_point now);
 
+  // Takes back the grant of a request that was not sent.
+  void cancel_grant(ticket request);
+
   // Replaces the report of one peer. An empty list means that the peer has no load.
   void set_peer_loads(std::string_view daemon, std::span<const server_load> loads, time_point now);
 
--- /dev/null
+++ b/packages/fleet/include/cardamompond/fleet/part_crash_register.hpp
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "cardamompond/core/time.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+namespace cardamompond::fleet {
+
+// A crash of a backend server that ran a request with a suspected prompt part.
+struct part_crash {
+  std::uint32_t m_server = 0; // server_id_hash of its id
+  milliseconds m_age{0};
+};
+
+// What a daemon knows of one prompt part, for the other daemons. Ages count from the time of the report.
+struct part_suspicion {
+  std::uint64_t m_part = 0;
+  std::uint32_t m_position = 0; // in the prompts, from 0
+  std::vector<part_crash> m_crashes;
+  std::optional<milliseconds>
+      m_answer_age; // age of the last answer to a request with this part; none: no answer
+};
+
+// Detects parts of prompts that crash each backend server that begins to answer a request with them. A crash
+// ends all requests on the server, so it is evidence against every part of those that it had not begun to
+// answer. An answer to a request with a part is evidence against all earlier suspicions of that part.
+//
+// A part is refused after several crashes without an answer. Crashes within a short time count as one,
+// because a common cause, such as the loss of a zone, ends requests on many servers at once. Crashes that a
+// refused part explains do not count against the other parts of the requests on those servers. Of two parts
+// with the same crashes the later one in the prompts is refused, because fewer requests share it.
+class part_crash_register {
+public:
+  // Whether requests with a part may be sent to backend servers.
+  enum class verdict {
+    allowed,
+    test_only, // one daemon of the group may send a request, to find out whether the part still crashes
+               // servers
+    refused
+  };
+
+  // Records that `server` ended the connection of a request with these parts, in the order of the prompt,
+  // before it began to answer.
+  void record_crash(std::span<const std::uint64_t> parts, std::uint32_t server, time_point now);
+
+  // Records that a server answered a request with these parts, or a part of the answer.
+  void record_answer(std::span<const std::uint64_t> parts, time_point now);
+
+  // Records that this daemon sends a request to test a part. Until a crash or an answer follows, or until the
+  // interval between two tests has passed, judge() returns `refused` for this part.
+  void record_test(std::uint64_t part, time_point now);
+
+  // Adds the evidence that another daemon reports.
+  void merge(const part_suspicion& suspicion, time_point now);
+
+  struct judgement {
+    verdict m_verdict = verdict::allowed;
+    std::uint64_t m_part = 0; // the part that the verdict is about
+  };
+
+  // Returns the strictest verdict on any of the parts.
+  judgement judge(std::span<const std::uint64_t> parts, time_point now) const;
+
+  // Returns the strongest suspicions for a report, at most `max_count`. Without `with_unchanged`, those that
+  // did not change recently are left out.
+  std::vector<part_suspicion> recent(std::size_t max_count, bool with_unchanged, time_point now) const;
+
+  // A change of the verdict on a part since the previous call.
+  struct verdict_change {
+    std::uint64_t m_part = 0;
+    verdict m_verdict = verdict::allowed;
+    std::size_t m_crashes = 0; // crashes that count against the part
+  };
+
+  // Updates the verdicts, which also depend on the time, removes expired evidence and returns the changes.
+  // Must be called after each change of the evidence and several times a second.
+  std::vector<verdict_change> update(time_point now);
+
+private:
+  struct crash {
+    std::uint32_t m_server = 0;
+    time_point m_at;
+  };
+
+  struct record {
+    std::uint32_t m_position = 0;
+    std::vector<crash> m_crashes; // after the last answer, in the order of time
+    std::optional<time_point> m_answered_at;
+    std::size_t m_cleared_crashes = 0; // crashes that the last answer disproved
+    time_point m_changed;
+    std::optional<time_point> m_tested_at;
+    verdict m_verdict = verdict::allowed;
+  };
+
+  static bool add_crash(record& to, const crash& added);
+  static bool add_answer(record& to, time_point answered_at);
+  record* find_or_add(std::uint64_t part, time_point now);
+  void remove_expired(time_point now);
+
+  std::unordered_map<std::uint64_t, record> m_records;
+};
+
+// Returns the verdict as it appears in logs, e.g. "refused".
+const char* to_string(part_crash_register::verdict verdict);
+
+} // namespace cardamompond::fleet
--- a/packages/fleet/src/dispatcher.cpp
+++ b/packages/fleet/src/dispatcher.cpp
@@ -183,6 +183,19 @@
   m_impl->erase_unlisted_servers();
 }
 
+void dispatcher::cancel_grant(ticket request) {
+  auto& tables = m_impl->m_tables;
+  const auto found = tables.m_running.find(request);
+  if (found == tables.m_running.end()) {
+    return;
+  }
+  if (server_row* server = tables.find_server(found->second.m_server_id); server != nullptr) {
+    server->m_own_running -= server->m_own_running > 0 ? 1 : 0;
+  }
+  tables.m_running.erase(found);
+  m_impl->erase_unlisted_servers();
+}
+
 void dispatcher::set_peer_loads(std::string_view daemon, std::span<const server_load> loads, time_point now) {
   auto& peer = m_impl->m_tables.m_peers[std::string(daemon)];
   peer.m_loads.assign(loads.begin(), loads.end());
--- /dev/null
+++ b/packages/fleet/src/part_crash_register.cpp
@@ -0,0 +1,278 @@
+#include "cardamompond/fleet/part_crash_register.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace cardamompond::fleet {
+namespace {
+
+// A part is refused after this many crashes without an answer, on at least two servers.
+constexpr std::size_t min_crashes = 3;
+
+// Time after the last of these crashes in which an answer that another daemon received can still arrive in a
+// report.
+constexpr duration confirmation_time = milliseconds(500);
+
+// Crashes within this time count as one.
+constexpr duration common_cause_time = milliseconds(150);
+
+// How long a part is refused after its last crash. Then it is tested, at most once in this time.
+constexpr duration refusal_time = seconds(60);
+
+// Evidence is dropped after this time. It covers several tests.
+constexpr duration retention = seconds(600);
+
+// A suspicion counts as recent for this long, so that it spreads although some reports get lost.
+constexpr duration spreading_time = seconds(5);
+
+// Limits of the memory use. The newest crashes of a part and the most recently changed parts are kept.
+constexpr std::size_t max_crashes_per_part = 8;
+constexpr std::size_t max_records = 2048;
+
+duration difference(time_point a, time_point b) {
+  return a > b ? a - b : b - a;
+}
+
+} // namespace
+
+const char* to_string(part_crash_register::verdict verdict) {
+  switch (verdict) {
+  case part_crash_register::verdict::refused:
+    return "refused";
+  case part_crash_register::verdict::test_only:
+    return "test_only";
+  case part_crash_register::verdict::allowed:
+    break;
+  }
+  return "allowed";
+}
+
+bool part_crash_register::add_crash(record& to, const crash& added) {
+  auto& crashes = to.m_crashes;
+  const bool known = std::any_of(crashes.begin(), crashes.end(), [&](const crash& each) {
+    return difference(each.m_at, added.m_at) <= common_cause_time;
+  });
+  if (known || (to.m_answered_at && added.m_at <= *to.m_answered_at)) {
+    return false;
+  }
+  const auto position =
+      std::find_if(crashes.begin(), crashes.end(), [&](const crash& each) { return each.m_at > added.m_at; });
+  if (crashes.size() >= max_crashes_per_part && position == crashes.begin()) {
+    return false;
+  }
+  crashes.insert(position, added);
+  if (crashes.size() > max_crashes_per_part) {
+    crashes.erase(crashes.begin());
+  }
+  return true;
+}
+
+bool part_crash_register::add_answer(record& to, time_point answered_at) {
+  if (to.m_answered_at && *to.m_answered_at >= answered_at) {
+    return false;
+  }
+  to.m_answered_at = answered_at;
+  const auto cleared =
+      std::erase_if(to.m_crashes, [&](const crash& each) { return each.m_at <= answered_at; });
+  if (cleared > 0) {
+    to.m_cleared_crashes = cleared;
+  }
+  return cleared > 0;
+}
+
+part_crash_register::record* part_crash_register::find_or_add(std::uint64_t part, time_point now) {
+  const auto [found, added] = m_records.try_emplace(part);
+  if (!added) {
+    return &found->second;
+  }
+  found->second.m_changed = now;
+  if (m_records.size() <= max_records) {
+    return &found->second;
+  }
+  const auto oldest = std::min_element(m_records.begin(), m_records.end(), [](const auto& a, const auto& b) {
+    return std::pair(a.second.m_crashes.size(), a.second.m_changed) <
+           std::pair(b.second.m_crashes.size(), b.second.m_changed);
+  });
+  const bool dropped_new = oldest->first == part;
+  m_records.erase(oldest);
+  return dropped_new ? nullptr : &m_records.find(part)->second;
+}
+
+void part_crash_register::record_crash(std::span<const std::uint64_t> parts, std::uint32_t server,
+                                       time_point now) {
+  for (std::size_t i = 0; i < parts.size(); ++i) {
+    record* found = find_or_add(parts[i], now);
+    if (found != nullptr && add_crash(*found, {server, now})) {
+      found->m_position = std::max(found->m_position, static_cast<std::uint32_t>(i));
+      found->m_changed = now;
+      found->m_tested_at.reset();
+    }
+  }
+}
+
+void part_crash_register::record_answer(std::span<const std::uint64_t> parts, time_point now) {
+  if (m_records.empty()) {
+    return;
+  }
+  for (const auto part : parts) {
+    if (const auto found = m_records.find(part); found != m_records.end()) {
+      if (add_answer(found->second, now)) {
+        found->second.m_changed = now;
+      }
+      found->second.m_tested_at.reset();
+    }
+  }
+}
+
+void part_crash_register::record_test(std::uint64_t part, time_point now) {
+  if (const auto found = m_records.find(part); found != m_records.end()) {
+    found->second.m_tested_at = now;
+  }
+}
+
+void part_crash_register::merge(const part_suspicion& suspicion, time_point now) {
+  const auto known = m_records.find(suspicion.m_part);
+  const bool has_crashes = std::any_of(suspicion.m_crashes.begin(), suspicion.m_crashes.end(),
+                                       [](const part_crash& each) { return each.m_age < retention; });
+  if (known == m_records.end() && !has_crashes) {
+    return; // an answer disproves nothing here
+  }
+  record* found = find_or_add(suspicion.m_part, now);
+  if (found == nullptr) {
+    return;
+  }
+  found->m_position = std::max(found->m_position, suspicion.m_position);
+  bool changed = false;
+  if (suspicion.m_answer_age && *suspicion.m_answer_age < retention) {
+    changed = add_answer(*found, now - std::max(*suspicion.m_answer_age, milliseconds(0)));
+  }
+  for (const auto& each : suspicion.m_crashes) {
+    if (each.m_age >= milliseconds(0) && each.m_age < retention) {
+      changed = add_crash(*found, {each.m_server, now - each.m_age}) || changed;
+    }
+  }
+  if (changed) {
+    found->m_changed = now;
+  }
+}
+
+void part_crash_register::remove_expired(time_point now) {
+  for (auto& [part, found] : m_records) {
+    std::erase_if(found.m_crashes, [&](const crash& each) { return now - each.m_at >= retention; });
+  }
+  std::erase_if(m_records, [&](const auto& entry) {
+    const record& found = entry.second;
+    return found.m_crashes.empty() && now - found.m_changed > spreading_time &&
+           found.m_verdict == verdict::allowed;
+  });
+}
+
+std::vector<part_crash_register::verdict_change> part_crash_register::update(time_point now) {
+  remove_expired(now);
+  std::vector<std::pair<std::uint64_t, record*>> suspects;
+  std::vector<verdict_change> changes;
+  const auto apply = [&](std::uint64_t part, record& to, verdict new_verdict, std::size_t crashes) {
+    if (to.m_verdict != new_verdict) {
+      to.m_verdict = new_verdict;
+      changes.push_back({part, new_verdict, crashes});
+    }
+  };
+  for (auto& [part, each] : m_records) {
+    if (each.m_crashes.size() >= min_crashes) {
+      suspects.emplace_back(part, &each);
+    } else {
+      apply(part, each, verdict::allowed, each.m_crashes.size());
+    }
+  }
+  // The part with most crashes explains most of them, so it is judged first.
+  std::sort(suspects.begin(), suspects.end(), [](const auto& a, const auto& b) {
+    return std::tuple(b.second->m_crashes.size(), b.second->m_position, b.first) <
+           std::tuple(a.second->m_crashes.size(), a.second->m_position, a.first);
+  });
+  std::vector<time_point> explained;
+  for (auto& [part, suspect] : suspects) {
+    std::size_t crashes = 0;
+    bool several_servers = false;
+    const crash* first = nullptr;
+    time_point confirmed_from{};
+    for (const auto& each : suspect->m_crashes) {
+      if (std::any_of(explained.begin(), explained.end(),
+                      [&](time_point at) { return difference(at, each.m_at) <= common_cause_time; })) {
+        continue;
+      }
+      first = first == nullptr ? &each : first;
+      several_servers = several_servers || each.m_server != first->m_server;
+      if (++crashes == min_crashes) {
+        confirmed_from = each.m_at + confirmation_time;
+      }
+    }
+    if (crashes < min_crashes || !several_servers || now < confirmed_from) {
+      apply(part, *suspect, verdict::allowed, crashes);
+      continue;
+    }
+    for (const auto& each : suspect->m_crashes) {
+      explained.push_back(each.m_at);
+    }
+    const bool recent_crash = now - suspect->m_crashes.back().m_at < refusal_time;
+    const bool tested = suspect->m_tested_at && now - *suspect->m_tested_at < refusal_time;
+    apply(part, *suspect, recent_crash || tested ? verdict::refused : verdict::test_only, crashes);
+  }
+  return changes;
+}
+
+part_crash_register::judgement part_crash_register::judge(std::span<const std::uint64_t> parts,
+                                                          time_point now) const {
+  judgement strictest;
+  if (m_records.empty()) {
+    return strictest;
+  }
+  for (const auto part : parts) {
+    const auto found = m_records.find(part);
+    if (found == m_records.end()) {
+      continue;
+    }
+    const auto& tested_at = found->second.m_tested_at;
+    const bool being_tested = tested_at && now - *tested_at < refusal_time;
+    const verdict current = found->second.m_verdict == verdict::test_only && being_tested
+                                ? verdict::refused
+                                : found->second.m_verdict;
+    if (current > strictest.m_verdict) {
+      strictest = {current, part};
+    }
+  }
+  return strictest;
+}
+
+std::vector<part_suspicion> part_crash_register::recent(std::size_t max_count, bool with_unchanged,
+                                                        time_point now) const {
+  std::vector<decltype(m_records)::const_iterator> candidates;
+  for (auto each = m_records.begin(); each != m_records.end(); ++each) {
+    if (with_unchanged ? !each->second.m_crashes.empty() || now - each->second.m_changed < spreading_time
+                       : now - each->second.m_changed < spreading_time) {
+      candidates.push_back(each);
+    }
+  }
+  const auto strength = [](const record& of) {
+    return std::pair(std::max(of.m_crashes.size(), of.m_cleared_crashes), of.m_changed);
+  };
+  const auto count = std::min(max_count, candidates.size());
+  std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(count),
+                    candidates.end(),
+                    [&](const auto& a, const auto& b) { return strength(a->second) > strength(b->second); });
+  const auto age = [&](time_point at) { return std::chrono::duration_cast<milliseconds>(now - at); };
+  std::vector<part_suspicion> found;
+  for (std::size_t i = 0; i < count; ++i) {
+    const auto& [part, from] = *candidates[i];
+    part_suspicion suspicion{part, from.m_position, {}, std::nullopt};
+    for (const auto& each : from.m_crashes) {
+      suspicion.m_crashes.push_back({each.m_server, age(each.m_at)});
+    }
+    if (from.m_answered_at) {
+      suspicion.m_answer_age = age(*from.m_answered_at);
+    }
+    found.push_back(std::move(suspicion));
+  }
+  return found;
+}
+
+} // namespace cardamompond::fleet
--- /dev/null
+++ b/packages/fleet/tests/part_crash_register_test.cpp
@@ -0,0 +1,211 @@
+#include "cardamompond/fleet/part_crash_register.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <array>
+
+using namespace cardamompond;
+using namespace cardamompond::fleet;
+
+namespace {
+
+using verdict = part_crash_register::verdict;
+
+constexpr std::uint64_t system_part = 1;
+constexpr std::uint64_t document_part = 2;
+constexpr std::uint64_t deadly_part = 3;
+
+} // namespace
+
+TEST_GROUP(part_crash_register) {
+  part_crash_register m_register;
+  time_point m_now{seconds(1000)};
+  std::uint32_t m_next_server = 1;
+
+  static void crash(part_crash_register & at, std::initializer_list<std::uint64_t> parts,
+                    std::uint32_t server, time_point now) {
+    at.record_crash({parts.begin(), parts.size()}, server, now);
+  }
+  void crash(std::initializer_list<std::uint64_t> parts) {
+    crash(m_register, parts, m_next_server++, m_now);
+  }
+  void answer(std::initializer_list<std::uint64_t> parts) {
+    m_register.record_answer({parts.begin(), parts.size()}, m_now);
+  }
+  static verdict judge(part_crash_register & at, std::uint64_t part, time_point now) {
+    at.update(now);
+    const std::array parts = {part};
+    return at.judge(parts, now).m_verdict;
+  }
+  verdict judge(std::uint64_t part) {
+    return judge(m_register, part, m_now);
+  }
+
+  // Crashes three servers with the deadly part, each time beside an answered request with the other parts.
+  void refuse_deadly_part() {
+    for (int i = 0; i < 3; ++i) {
+      crash({system_part, document_part, deadly_part});
+      m_now += milliseconds(300);
+      answer({system_part, document_part});
+      m_now += milliseconds(300);
+    }
+  }
+};
+
+// Guards against a prompt part that crashes one server after the other because no two requests with it are
+// alike. The parts that it shares its requests with are answered elsewhere and must stay allowed.
+TEST(part_crash_register, only_the_part_without_answers_is_refused) {
+  refuse_deadly_part();
+  CHECK(judge(deadly_part) == verdict::refused);
+  CHECK(judge(system_part) == verdict::allowed);
+  CHECK(judge(document_part) == verdict::allowed);
+}
+
+// Guards against popular parts that are refused because a zone or many servers fail at the same moment, while
+// requests with these parts run on each of them.
+TEST(part_crash_register, servers_that_crash_together_count_once) {
+  for (int i = 0; i < 40; ++i) {
+    crash({system_part});
+    m_now += milliseconds(3);
+  }
+  m_now += seconds(2);
+  CHECK(judge(system_part) == verdict::allowed);
+}
+
+// Guards against parts that are refused because a single faulty server breaks all connections.
+TEST(part_crash_register, crashes_of_one_server_are_not_evidence) {
+  for (int i = 0; i < 5; ++i) {
+    crash(m_register, {document_part}, 7, m_now);
+    m_now += seconds(1);
+  }
+  CHECK(judge(document_part) == verdict::allowed);
+}
+
+// Guards against rare parts that are refused because requests with them were retried on servers which a
+// deadly part crashed. They have no answer of their own to clear them.
+TEST(part_crash_register, crashes_explained_by_a_refused_part_do_not_count_against_others) {
+  crash({deadly_part});
+  m_now += seconds(1);
+  for (int i = 0; i < 3; ++i) {
+    crash({document_part, deadly_part});
+    m_now += seconds(1);
+  }
+  CHECK(judge(deadly_part) == verdict::refused);
+  CHECK(judge(document_part) == verdict::allowed);
+}
+
+// Guards against the refusal of a part that comes before the deadly one in the same prompts, while no other
+// request with it has been answered yet.
+TEST(part_crash_register, the_later_of_two_parts_with_the_same_crashes_is_refused) {
+  for (const std::uint64_t later_part : {std::uint64_t(1), std::uint64_t(1'000)}) {
+    part_crash_register local;
+    part_crash_register other;
+    for (std::uint32_t server = 1; server <= 3; ++server) {
+      crash(local, {document_part, later_part}, server, m_now);
+      m_now += milliseconds(400);
+    }
+    for (const auto& each : local.recent(8, false, m_now)) {
+      other.merge(each, m_now);
+    }
+    for (part_crash_register* each : {&local, &other}) {
+      CHECK(judge(*each, later_part, m_now + seconds(1)) == verdict::refused);
+      CHECK(judge(*each, document_part, m_now + seconds(1)) == verdict::allowed);
+    }
+  }
+}
+
+// Guards against a part that stays refused although requests with it are answered, at this daemon or another.
+TEST(part_crash_register, an_answer_clears_the_part) {
+  refuse_deadly_part();
+  part_crash_register other;
+  for (const auto& each : m_register.recent(8, false, m_now)) {
+    other.merge(each, m_now);
+  }
+  CHECK(judge(other, deadly_part, m_now) == verdict::refused);
+  answer({deadly_part});
+  CHECK(judge(deadly_part) == verdict::allowed);
+  for (const auto& each : m_register.recent(8, false, m_now)) {
+    other.merge(each, m_now);
+  }
+  CHECK(judge(other, deadly_part, m_now) == verdict::allowed);
+}
+
+// Guards against crashes that are spread over the daemons so that none of them sees enough, and against
+// reports that are counted twice because they arrive repeatedly or by way of other daemons.
+TEST(part_crash_register, crashes_seen_by_other_daemons_count_once) {
+  part_crash_register one;
+  part_crash_register other;
+  crash(one, {deadly_part}, 1, m_now);
+  for (int i = 0; i < 10; ++i) {
+    m_now += milliseconds(100);
+    for (const auto& each : one.recent(8, false, m_now)) {
+      other.merge(each, m_now + milliseconds(2));
+    }
+    for (const auto& each : other.recent(8, false, m_now)) {
+      one.merge(each, m_now + milliseconds(2));
+    }
+  }
+  crash(other, {deadly_part}, 2, m_now);
+  m_now += seconds(1);
+  CHECK(judge(other, deadly_part, m_now) == verdict::allowed);
+  crash(one, {deadly_part}, 3, m_now);
+  for (const auto& each : other.recent(8, false, m_now)) {
+    one.merge(each, m_now);
+  }
+  CHECK(judge(one, deadly_part, m_now + seconds(1)) == verdict::refused);
+}
+
+// Guards against old reports that restore a suspicion after an answer, and against evidence that never
+// expires because daemons tell it to each other.
+TEST(part_crash_register, old_reports_do_not_restore_a_suspicion) {
+  refuse_deadly_part();
+  const auto reported = m_register.recent(8, false, m_now);
+  answer({deadly_part});
+  for (const auto& each : reported) {
+    m_register.merge(each, m_now);
+  }
+  CHECK(judge(deadly_part) == verdict::allowed);
+  part_crash_register late;
+  late.merge({deadly_part, 0, {{1, seconds(700)}, {2, seconds(650)}, {3, seconds(601)}}, std::nullopt},
+             m_now);
+  CHECK(late.recent(8, true, m_now).empty());
+}
+
+// Guards against a refused part that is never tried again, and against tests that crash servers often: one
+// request is allowed a minute after the last crash, and another crash refuses the part for a minute more.
+TEST(part_crash_register, a_refused_part_is_tested_rarely) {
+  refuse_deadly_part();
+  CHECK(judge(deadly_part) == verdict::refused);
+  for (int i = 0; i < 4; ++i) {
+    m_now += seconds(60);
+    CHECK(judge(deadly_part) == verdict::test_only);
+    m_register.record_test(deadly_part, m_now);
+    CHECK(judge(deadly_part) == verdict::refused);
+    m_now += milliseconds(200);
+    crash({deadly_part});
+    m_now += seconds(59);
+    CHECK(judge(deadly_part) == verdict::refused);
+  }
+  m_now += seconds(601);
+  CHECK(judge(deadly_part) == verdict::allowed);
+}
+
+// Guards against memory and reports that grow with the number of parts that peers or callers name.
+TEST(part_crash_register, suspicions_are_bounded) {
+  refuse_deadly_part();
+  judge(deadly_part);
+  for (std::uint64_t part = 100; part < 5'000; ++part) {
+    std::vector<part_crash> crashes;
+    for (std::uint32_t i = 0; i < 2; ++i) {
+      crashes.push_back({i, milliseconds(1'000 * i)});
+    }
+    m_register.merge({part, 0, crashes, std::nullopt}, m_now);
+  }
+  CHECK(judge(deadly_part) == verdict::refused);
+  UNSIGNED_LONGS_EQUAL(2048, m_register.recent(10'000, true, m_now).size());
+  std::vector<part_crash> many(100'000, {1, milliseconds(5)});
+  m_register.merge({deadly_part, 0, many, std::nullopt}, m_now);
+  const auto reported = m_register.recent(1, true, m_now);
+  CHECK(reported.front().m_crashes.size() <= 8);
+}
--- a/packages/gateway/include/cardamompond/gateway/admission_controller.hpp
+++ b/packages/gateway/include/cardamompond/gateway/admission_controller.hpp
@@ -4,6 +4,7 @@
 #include "cardamompond/fleet/account_quotas.hpp"
 #include "cardamompond/fleet/crash_register.hpp"
 #include "cardamompond/fleet/dispatcher.hpp"
+#include "cardamompond/fleet/part_crash_register.hpp"
 #include "cardamompond/fleet/retry_age_estimator.hpp"
 #include "cardamompond/fleet/retry_budget.hpp"
 #include "cardamompond/fleet/rollout_controller.hpp"
@@ -11,9 +12,12 @@
 #include "cardamompond/net/io_wait.hpp"
 
 #include <map>
+#include <optional>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <variant>
+#include <vector>
 
 namespace cardamompond::gateway {
 
@@ -59,10 +63,19 @@
   void set_members(std::vector<fleet::daemon_location> registered, std::uint32_t live_count,
                    bool frequent_reports);
 
+  // Returns the part of the prompt for which the request must not be sent to a backend server, if any. Where
+  // a part may only be tested, this daemon sends the request if it is the one of the group that tests this
+  // part.
+  std::optional<std::uint64_t> find_refused_part(std::span<const std::uint64_t> parts, time_point now);
+
+  // Updates the verdicts on prompt parts and logs the changes.
+  void update_part_verdicts(time_point now);
+
   fleet::dispatcher& dispatcher() { return m_dispatcher; }
   fleet::account_quotas& quotas() { return m_quotas; }
   fleet::rollout_controller& rollout_controller() { return m_rollout_controller; }
   fleet::crash_register& crashes() { return m_crashes; }
+  fleet::part_crash_register& part_crashes() { return m_part_crashes; }
   fleet::retry_age_estimator& retry_ages() { return m_retry_ages; }
   fleet_view& known_fleet() { return m_fleet_view; }
 
@@ -73,6 +86,7 @@
   };
 
   void wake(fleet::ticket request, admission_result decision);
+  bool tests_part(std::uint64_t part) const;
   void apply_collection_change(collection_kind kind);
   fleet::retry_budget::limits own_retry_limits() const; // this daemon's share of the group's limits
 
@@ -83,9 +97,12 @@
   fleet::dispatcher m_dispatcher;
   fleet::account_quotas m_quotas;
   fleet::crash_register m_crashes;
+  fleet::part_crash_register m_part_crashes;
   fleet::retry_age_estimator m_retry_ages;
   std::map<std::string, fleet::retry_budget, std::less<>> m_retry_budgets;
   std::uint32_t m_daemon_count = 1;
+  std::vector<std::uint64_t>
+      m_other_daemons; // hashes of the names of the registered daemons without this one
   std::unordered_map<fleet::ticket, waiter*> m_waiters;
   fleet::ticket m_last_ticket = 0;
 };
--- a/packages/gateway/include/cardamompond/gateway/peer_report.hpp
+++ b/packages/gateway/include/cardamompond/gateway/peer_report.hpp
@@ -3,6 +3,7 @@
 #include "cardamompond/core/result.hpp"
 #include "cardamompond/fleet/crash_register.hpp"
 #include "cardamompond/fleet/dispatcher.hpp"
+#include "cardamompond/fleet/part_crash_register.hpp"
 #include "cardamompond/fleet/rollout_controller.hpp"
 #include "cardamompond/gateway/document_store.hpp"
 
@@ -40,6 +41,7 @@
   // was created.
   std::vector<std::pair<std::string, std::uint64_t>> m_rolled_back_orders;
   std::vector<fleet::crash_suspicion> m_crashes;
+  std::vector<fleet::part_suspicion> m_part_suspicions;
 };
 
 // Why a message of a peer could not be decoded.
--- a/packages/gateway/include/cardamompond/gateway/request_protocol.hpp
+++ b/packages/gateway/include/cardamompond/gateway/request_protocol.hpp
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace cardamompond::gateway {
 
@@ -25,6 +26,8 @@
   std::uint32_t m_max_output_tokens = 0;
   std::uint32_t m_expected_output_tokens = 0; // estimate of the caller; 0: none
   std::uint64_t m_shared_prefix_hash = 0; // of the prompt prefix that it shares with other requests; 0: none
+  // The prompt parts that other requests may share, in the order of the prompt: all but the last one.
+  std::vector<std::uint64_t> m_shared_parts;
 };
 
 // What the daemon adds to a request for a backend server.
--- a/packages/gateway/schema/exchange.capnp
+++ b/packages/gateway/schema/exchange.capnp
@@ -54,6 +54,20 @@
   servers @2 :List(UInt64);
 }
 
+struct PartCrash {
+  server @0 :UInt32;      # fleet::server_id_hash of the server's id
+  ageMs @1 :UInt32;       # time since the crash
+}
+
+# A prompt part under suspicion of crashing backend servers, or one that an answer cleared.
+struct PartSuspicion {
+  part @0 :UInt64;
+  crashes @1 :List(PartCrash);
+  answered @2 :Bool;      # a request with this part was answered
+  answerAgeMs @3 :UInt32; # time since the last answer
+  position @4 :UInt32;    # of the part in the prompts, from 0
+}
+
 struct Report {
   daemon @0 :Text;
   exchangeAddress @1 :Text;
@@ -68,6 +82,7 @@
   crashes @10 :List(CrashSuspicion);
   availabilityZone @11 :Text;
   recentUseOnly @12 :Bool; # quotaUse leaves out accounts whose total did not change recently
+  parts @13 :List(PartSuspicion);
 }
 
 struct Document {
--- a/packages/gateway/src/admission_controller.cpp
+++ b/packages/gateway/src/admission_controller.cpp
@@ -1,6 +1,11 @@
 #include "cardamompond/gateway/admission_controller.hpp"
 
+#include "cardamompond/core/hash.hpp"
+#include "cardamompond/telemetry/log.hpp"
+
 #include <algorithm>
+#include <array>
+#include <cstdio>
 #include <utility>
 
 namespace cardamompond::gateway {
@@ -13,6 +18,14 @@
 // The share of the allowed retry ratio that the daemons use, for the same reason.
 constexpr double retry_ratio_share = 0.8;
 
+// Returns the id of a prompt part as callers send it.
+std::string to_part_id(std::uint64_t part) {
+  std::array<char, 24> buffer{};
+  const int length =
+      std::snprintf(buffer.data(), buffer.size(), "%llx", static_cast<unsigned long long>(part));
+  return {buffer.data(), static_cast<std::size_t>(length)};
+}
+
 } // namespace
 
 admission_controller::admission_controller(fleet_view& view, fleet::daemon_location self,
@@ -98,6 +111,40 @@
           m_retry_limits.m_retry_window};
 }
 
+// Whether this daemon is the first of the group in the rendezvous-hash order of the part.
+bool admission_controller::tests_part(std::uint64_t part) const {
+  const auto weight = [&](std::uint64_t daemon) {
+    return hash64({reinterpret_cast<const char*>(&daemon), sizeof daemon}, part);
+  };
+  const auto own_weight = weight(hash64(m_self.m_name));
+  return std::none_of(m_other_daemons.begin(), m_other_daemons.end(),
+                      [&](std::uint64_t each) { return weight(each) > own_weight; });
+}
+
+std::optional<std::uint64_t> admission_controller::find_refused_part(std::span<const std::uint64_t> parts,
+                                                                     time_point now) {
+  using verdict = fleet::part_crash_register::verdict;
+  const auto [strictest, part] = m_part_crashes.judge(parts, now);
+  if (strictest == verdict::allowed) {
+    return std::nullopt;
+  }
+  if (strictest == verdict::test_only && tests_part(part)) {
+    m_part_crashes.record_test(part, now);
+    log_event(log_level::info, "prompt_part_tested", {{"part", to_part_id(part)}});
+    return std::nullopt;
+  }
+  return part;
+}
+
+void admission_controller::update_part_verdicts(time_point now) {
+  for (const auto& change : m_part_crashes.update(now)) {
+    log_event(log_level::info, "prompt_part_judged",
+              {{"part", to_part_id(change.m_part)},
+               {"verdict", to_string(change.m_verdict)},
+               {"crashes", change.m_crashes}});
+  }
+}
+
 void admission_controller::record_request(std::string_view service) {
   auto found = m_retry_budgets.find(service);
   if (found == m_retry_budgets.end()) {
@@ -110,6 +157,12 @@
 void admission_controller::set_members(std::vector<fleet::daemon_location> registered,
                                        std::uint32_t live_count, bool frequent_reports) {
   const auto count = static_cast<std::uint32_t>(std::max<std::size_t>(1, registered.size()));
+  m_other_daemons.clear();
+  for (const auto& each : registered) {
+    if (each.m_name != m_self.m_name) {
+      m_other_daemons.push_back(hash64(each.m_name));
+    }
+  }
   m_quotas.set_member_counts(count, live_count, monotonic_now());
   m_dispatcher.set_members(std::move(registered), m_self, frequent_reports);
   if (count == m_daemon_count) {
--- a/packages/gateway/src/exchange.capnp.h
+++ b/packages/gateway/src/exchange.capnp.h
@@ -22,6 +22,8 @@
 CAPNP_DECLARE_SCHEMA(c0baf3be40494d00);
 CAPNP_DECLARE_SCHEMA(9fa8da4175adce6d);
 CAPNP_DECLARE_SCHEMA(a544bfc4ca3d48f4);
+CAPNP_DECLARE_SCHEMA(8bd76548a75f14c9);
+CAPNP_DECLARE_SCHEMA(b10fb6925e1f412b);
 CAPNP_DECLARE_SCHEMA(9f9f84d4d7a8dc24);
 CAPNP_DECLARE_SCHEMA(fab845e96b66bc98);
 CAPNP_DECLARE_SCHEMA(b7861866a3899f1f);
@@ -123,6 +125,36 @@
   };
 };
 
+struct PartCrash {
+  PartCrash() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8bd76548a75f14c9, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PartSuspicion {
+  PartSuspicion() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b10fb6925e1f412b, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Report {
   Report() = delete;
 
@@ -131,7 +163,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9f9f84d4d7a8dc24, 3, 9)
+    CAPNP_DECLARE_STRUCT_HEADER(9f9f84d4d7a8dc24, 3, 10)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -747,6 +779,188 @@
 };
 #endif  // !CAPNP_LITE
 
+class PartCrash::Reader {
+public:
+  typedef PartCrash Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getServer() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PartCrash::Builder {
+public:
+  typedef PartCrash Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getServer();
+  inline void setServer( ::uint32_t value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PartCrash::Pipeline {
+public:
+  typedef PartCrash Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class PartSuspicion::Reader {
+public:
+  typedef PartSuspicion Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getPart() const;
+
+  inline bool hasCrashes() const;
+  inline  ::capnp::List< ::cardamompond::gateway::wire::PartCrash,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
+
+  inline bool getAnswered() const;
+
+  inline  ::uint32_t getAnswerAgeMs() const;
+
+  inline  ::uint32_t getPosition() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PartSuspicion::Builder {
+public:
+  typedef PartSuspicion Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getPart();
+  inline void setPart( ::uint64_t value);
+
+  inline bool hasCrashes();
+  inline  ::capnp::List< ::cardamompond::gateway::wire::PartCrash,  ::capnp::Kind::STRUCT>::Builder getCrashes();
+  inline void setCrashes( ::capnp::List< ::cardamompond::gateway::wire::PartCrash,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cardamompond::gateway::wire::PartCrash,  ::capnp::Kind::STRUCT>::Builder initCrashes(unsigned int size);
+  inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::PartCrash,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::PartCrash,  ::capnp::Kind::STRUCT>> disownCrashes();
+
+  inline bool getAnswered();
+  inline void setAnswered(bool value);
+
+  inline  ::uint32_t getAnswerAgeMs();
+  inline void setAnswerAgeMs( ::uint32_t value);
+
+  inline  ::uint32_t getPosition();
+  inline void setPosition( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PartSuspicion::Pipeline {
+public:
+  typedef PartSuspicion Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Report::Reader {
 public:
   typedef Report Reads;
@@ -799,6 +1013,9 @@
 
   inline bool getRecentUseOnly() const;
 
+  inline bool hasParts() const;
+  inline  ::capnp::List< ::cardamompond::gateway::wire::PartSuspicion,  ::capnp::Kind::STRUCT>::Reader getParts() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -902,6 +1119,13 @@
   inline bool getRecentUseOnly();
   inline void setRecentUseOnly(bool value);
 
+  inline bool hasParts();
+  inline  ::capnp::List< ::cardamompond::gateway::wire::PartSuspicion,  ::capnp::Kind::STRUCT>::Builder getParts();
+  inline void setParts( ::capnp::List< ::cardamompond::gateway::wire::PartSuspicion,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cardamompond::gateway::wire::PartSuspicion,  ::capnp::Kind::STRUCT>::Builder initParts(unsigned int size);
+  inline void adoptParts(::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::PartSuspicion,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::PartSuspicion,  ::capnp::Kind::STRUCT>> disownParts();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1566,6 +1790,124 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t PartCrash::Reader::getServer() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PartCrash::Builder::getServer() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PartCrash::Builder::setServer( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PartCrash::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PartCrash::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void PartCrash::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PartSuspicion::Reader::getPart() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PartSuspicion::Builder::getPart() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PartSuspicion::Builder::setPart( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PartSuspicion::Reader::hasCrashes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PartSuspicion::Builder::hasCrashes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cardamompond::gateway::wire::PartCrash,  ::capnp::Kind::STRUCT>::Reader PartSuspicion::Reader::getCrashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::PartCrash,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cardamompond::gateway::wire::PartCrash,  ::capnp::Kind::STRUCT>::Builder PartSuspicion::Builder::getCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::PartCrash,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PartSuspicion::Builder::setCrashes( ::capnp::List< ::cardamompond::gateway::wire::PartCrash,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::PartCrash,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cardamompond::gateway::wire::PartCrash,  ::capnp::Kind::STRUCT>::Builder PartSuspicion::Builder::initCrashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::PartCrash,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void PartSuspicion::Builder::adoptCrashes(
+    ::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::PartCrash,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::PartCrash,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::PartCrash,  ::capnp::Kind::STRUCT>> PartSuspicion::Builder::disownCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::PartCrash,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PartSuspicion::Reader::getAnswered() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool PartSuspicion::Builder::getAnswered() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void PartSuspicion::Builder::setAnswered(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PartSuspicion::Reader::getAnswerAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PartSuspicion::Builder::getAnswerAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void PartSuspicion::Builder::setAnswerAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PartSuspicion::Reader::getPosition() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PartSuspicion::Builder::getPosition() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void PartSuspicion::Builder::setPosition( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Report::Reader::hasDaemon() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1928,6 +2270,40 @@
       ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Report::Reader::hasParts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline bool Report::Builder::hasParts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cardamompond::gateway::wire::PartSuspicion,  ::capnp::Kind::STRUCT>::Reader Report::Reader::getParts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::PartSuspicion,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cardamompond::gateway::wire::PartSuspicion,  ::capnp::Kind::STRUCT>::Builder Report::Builder::getParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::PartSuspicion,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline void Report::Builder::setParts( ::capnp::List< ::cardamompond::gateway::wire::PartSuspicion,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::PartSuspicion,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cardamompond::gateway::wire::PartSuspicion,  ::capnp::Kind::STRUCT>::Builder Report::Builder::initParts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::PartSuspicion,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
+}
+inline void Report::Builder::adoptParts(
+    ::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::PartSuspicion,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::PartSuspicion,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::PartSuspicion,  ::capnp::Kind::STRUCT>> Report::Builder::disownParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::PartSuspicion,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+
 inline bool Document::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/gateway/src/peer_group.cpp
+++ b/packages/gateway/src/peer_group.cpp
@@ -67,6 +67,10 @@
 // Number of contents suspected of crashing servers that one report includes.
 constexpr std::size_t max_reported_crashes = 12;
 
+// Number of prompt parts suspected of crashing servers that one report includes. Suspicions that did not
+// change recently are included for daemons that start later, as seldom as the speeds.
+constexpr std::size_t max_reported_parts = 8;
+
 } // namespace
 
 peer_group::peer_group(admission_controller& admission, member self, std::vector<std::string> seeds,
@@ -114,6 +118,9 @@
   for (const auto& suspicion : report.m_crashes) {
     m_admission.crashes().merge(suspicion, now);
   }
+  for (const auto& suspicion : report.m_part_suspicions) {
+    m_admission.part_crashes().merge(suspicion, now);
+  }
 }
 
 void peer_group::compare_collections(peer& remote, const peer_report& report, time_point now) {
@@ -166,6 +173,7 @@
 }
 
 void peer_group::tick(time_point now) {
+  m_admission.update_part_verdicts(now);
   for (auto each = m_peers.begin(); each != m_peers.end();) {
     if (now - each->second.m_last_report_at <= silence_timeout(each->second)) {
       ++each;
@@ -224,6 +232,7 @@
   report.m_outcomes = m_admission.rollout_controller().own_observations();
   report.m_rolled_back_orders = m_admission.rollout_controller().rolled_back_orders();
   report.m_crashes = m_admission.crashes().recent(max_reported_crashes, now);
+  report.m_part_suspicions = m_admission.part_crashes().recent(max_reported_parts, with_speeds, now);
   return report;
 }
 
--- a/packages/gateway/src/peer_report.cpp
+++ b/packages/gateway/src/peer_report.cpp
@@ -70,6 +70,43 @@
   }
 }
 
+std::uint32_t to_wire_ms(milliseconds value) {
+  return static_cast<std::uint32_t>(
+      std::clamp<std::int64_t>(value.count(), 0, std::numeric_limits<std::uint32_t>::max()));
+}
+
+void encode_part_suspicions(const std::vector<fleet::part_suspicion>& from, wire::Report::Builder to) {
+  auto list = to.initParts(static_cast<unsigned>(from.size()));
+  for (unsigned i = 0; i < list.size(); ++i) {
+    list[i].setPart(from[i].m_part);
+    list[i].setPosition(from[i].m_position);
+    auto crashes = list[i].initCrashes(static_cast<unsigned>(from[i].m_crashes.size()));
+    for (unsigned j = 0; j < crashes.size(); ++j) {
+      crashes[j].setServer(from[i].m_crashes[j].m_server);
+      crashes[j].setAgeMs(to_wire_ms(from[i].m_crashes[j].m_age));
+    }
+    if (from[i].m_answer_age) {
+      list[i].setAnswered(true);
+      list[i].setAnswerAgeMs(to_wire_ms(*from[i].m_answer_age));
+    }
+  }
+}
+
+std::vector<fleet::part_suspicion> read_part_suspicions(wire::Report::Reader from) {
+  std::vector<fleet::part_suspicion> suspicions;
+  for (const auto& each : from.getParts()) {
+    fleet::part_suspicion suspicion{each.getPart(), each.getPosition(), {}, std::nullopt};
+    for (const auto& crash : each.getCrashes()) {
+      suspicion.m_crashes.push_back({crash.getServer(), milliseconds(crash.getAgeMs())});
+    }
+    if (each.getAnswered()) {
+      suspicion.m_answer_age = milliseconds(each.getAnswerAgeMs());
+    }
+    suspicions.push_back(std::move(suspicion));
+  }
+  return suspicions;
+}
+
 peer_report read_report(capnp::MessageReader& message) {
   const auto from = message.getRoot<wire::Report>();
   peer_report report;
@@ -113,6 +150,7 @@
     }
     report.m_crashes.push_back(std::move(suspicion));
   }
+  report.m_part_suspicions = read_part_suspicions(from);
   return report;
 }
 
@@ -133,8 +171,7 @@
     collections[i].setAsOf(report.m_collections[i].m_as_of);
     collections[i].setChangedAt(report.m_collections[i].m_changed_at);
     collections[i].setBytes(report.m_collections[i].m_bytes);
-    collections[i].setAgeMs(static_cast<std::uint32_t>(std::clamp<std::int64_t>(
-        report.m_collections[i].m_age.count(), 0, std::numeric_limits<std::uint32_t>::max())));
+    collections[i].setAgeMs(to_wire_ms(report.m_collections[i].m_age));
   }
   auto loads = to.initLoads(static_cast<unsigned>(report.m_loads.size()));
   for (unsigned i = 0; i < loads.size(); ++i) {
@@ -159,6 +196,7 @@
     taken_back[i].setCreated(report.m_rolled_back_orders[i].second);
   }
   encode_crashes(report.m_crashes, to);
+  encode_part_suspicions(report.m_part_suspicions, to);
   return serialize_packed(message);
 }
 
--- a/packages/gateway/src/request_outcome.cpp
+++ b/packages/gateway/src/request_outcome.cpp
@@ -48,6 +48,30 @@
 
 } // namespace
 
+// Records what the end of a call says about the parts of the prompt. A server that crashes may close its
+// connections without an error, so that a stream without events counts as a crash, too. Requests that the
+// server had begun to answer are not suspected.
+void request_handler::request_processor::record_prompt_outcome(const fleet::dispatch_grant& grant,
+                                                               call_outcome outcome, int status,
+                                                               bool has_events) {
+  if (m_request.m_shared_parts.empty()) {
+    return;
+  }
+  constexpr int first_non_success_status = 300;
+  auto& admission = m_handler.m_admission;
+  const time_point now = monotonic_now();
+  const bool empty_stream = m_route->m_streamed && outcome == call_outcome::answered && !has_events &&
+                            status < first_non_success_status;
+  if ((outcome == call_outcome::broken && !has_events) || empty_stream) {
+    admission.part_crashes().record_crash(m_request.m_shared_parts,
+                                          fleet::server_id_hash(grant.m_server.m_id), now);
+    admission.update_part_verdicts(now);
+  } else if (outcome == call_outcome::relayed ||
+             (outcome == call_outcome::answered && status < first_server_failure_status)) {
+    admission.part_crashes().record_answer(m_request.m_shared_parts, now);
+  }
+}
+
 void request_handler::request_processor::record_call_outcome(const fleet::dispatch_grant& grant,
                                                              call_outcome outcome, const backend_call& call,
                                                              time_point dispatched_at) {
--- a/packages/gateway/src/request_processor.cpp
+++ b/packages/gateway/src/request_processor.cpp
@@ -125,6 +125,9 @@
     return make_not_run_error(error_code::crashing_request,
                               "this request has crashed backend servers and is refused");
   }
+  if (auto refusal = refuse_crashing_part()) {
+    return refusal;
+  }
   if (!m_account.empty() && !admission.quotas().admit(m_account, m_quota_units, m_arrived_at)) {
     m_retry_after = std::clamp(admission.quotas().time_to_refill(m_account, m_arrived_at), min_retry_after,
                                max_retry_after);
@@ -136,6 +139,19 @@
   return std::nullopt;
 }
 
+// Refuses the request if a part of its prompt crashes backend servers.
+std::optional<request_error> request_handler::request_processor::refuse_crashing_part() {
+  if (!m_handler.m_admission.find_refused_part(m_request.m_shared_parts, monotonic_now())) {
+    return std::nullopt;
+  }
+  m_retry_after = max_retry_after;
+  constexpr std::string_view message = "a part of this prompt has crashed backend servers and is refused";
+  if (m_may_have_run) {
+    return request_error{error_code::backend_failed, verdict::may_have_run, std::string(message), 0};
+  }
+  return make_not_run_error(error_code::crashing_request, std::string(message));
+}
+
 fleet::submission request_handler::request_processor::make_submission(fleet::ticket ticket) const {
   fleet::submission submission;
   submission.m_ticket = ticket;
@@ -190,6 +206,7 @@
   };
   options.m_on_progress = [this, ticket = grant.m_ticket](std::uint64_t events, duration took) {
     m_handler.m_admission.dispatcher().record_events(ticket, events, took);
+    m_handler.m_admission.part_crashes().record_answer(m_request.m_shared_parts, monotonic_now());
   };
   options.m_on_response_metadata = [this, &grant](const response_metadata& metadata) {
     const time_point now = monotonic_now();
@@ -214,6 +231,15 @@
     m_waiting_ticket = 0;
     if (const auto* grant = std::get_if<fleet::dispatch_grant>(&decision)) {
       m_granted_at = monotonic_now();
+      // The part may have been found to crash servers while the request waited or ran.
+      if (auto refusal = refuse_crashing_part()) {
+        admission.dispatcher().cancel_grant(grant->m_ticket);
+        if (!m_may_have_run && m_quota_units > 0) {
+          admission.quotas().refund(m_account, m_quota_units);
+        }
+        admission.deliver_decisions();
+        return refusal;
+      }
       const call_outcome outcome = dispatch(*grant);
       if (outcome == call_outcome::answered || outcome == call_outcome::relayed) {
         return std::nullopt;
@@ -241,8 +267,10 @@
   m_server_id = grant.m_server.m_id;
   backend_call call(m_handler.m_client, m_handler.m_protocol, make_call_options(grant));
   m_current_call = &call;
+  const std::uint64_t events_before = m_relay.m_events_relayed;
   call_outcome outcome = call.run();
   m_current_call = nullptr;
+  record_prompt_outcome(grant, outcome, call.response().m_status, m_relay.m_events_relayed > events_before);
   m_last_outcome = outcome;
   const int status = call.response().m_status;
   if (outcome == call_outcome::answered && status_implies_not_run(status)) {
--- a/packages/gateway/src/request_processor.hpp
+++ b/packages/gateway/src/request_processor.hpp
@@ -35,11 +35,14 @@
 private:
   std::optional<request_error> parse_and_route();
   std::optional<request_error> admit();
+  std::optional<request_error> refuse_crashing_part();
   std::optional<request_error> serve();
   fleet::submission make_submission(fleet::ticket ticket) const;
   call_outcome dispatch(const fleet::dispatch_grant& grant);
   call_options make_call_options(const fleet::dispatch_grant& grant);
   bool may_retry(call_outcome outcome);
+  void record_prompt_outcome(const fleet::dispatch_grant& grant, call_outcome outcome, int status,
+                             bool has_events);
   void record_call_outcome(const fleet::dispatch_grant& grant, call_outcome outcome, const backend_call& call,
                            time_point dispatched_at);
   std::optional<request_error> finish_after_failure();
--- a/packages/gateway/tests/peer_report_test.cpp
+++ b/packages/gateway/tests/peer_report_test.cpp
@@ -24,6 +24,8 @@
   report.m_outcomes = {{"chat", "v2", "r1", {3, 1, 0.25, 0.5}}};
   report.m_rolled_back_orders = {{"chat", 5}};
   report.m_crashes = {{{1, 2}, {3, 4}}};
+  report.m_part_suspicions = {{0xabc, 2, {{5, milliseconds(40)}}, milliseconds(60)},
+                              {0xdef, 0, {}, std::nullopt}};
   return report;
 }
 
@@ -51,6 +53,30 @@
   UNSIGNED_LONGS_EQUAL(1, read->m_outcomes.front().m_outcomes.m_bad);
   UNSIGNED_LONGS_EQUAL(5, read->m_rolled_back_orders.front().second);
   UNSIGNED_LONGS_EQUAL(4, read->m_crashes.front().m_servers.back());
+  const auto& [part, position, crashes, answer_age] = read->m_part_suspicions.front();
+  UNSIGNED_LONGS_EQUAL(0xabc, part);
+  UNSIGNED_LONGS_EQUAL(2, position);
+  UNSIGNED_LONGS_EQUAL(5, crashes.front().m_server);
+  LONGS_EQUAL(40, crashes.front().m_age.count());
+  LONGS_EQUAL(60, answer_age->count());
+  CHECK_FALSE(read->m_part_suspicions.back().m_answer_age.has_value());
+}
+
+// Guards against reports that become too large for a datagram when many prompt parts are suspected.
+TEST(peer_report, suspicions_of_prompt_parts_are_short) {
+  auto report = make_report();
+  report.m_part_suspicions.clear();
+  const auto size_without = encode_report(report).size();
+  constexpr std::uint64_t id_step = 0x0123'4567'89ab'cdef;
+  for (std::uint64_t part = 1; part <= 8; ++part) {
+    fleet::part_suspicion suspicion{part * id_step, 1, {}, milliseconds(100'000)};
+    for (std::uint32_t crash = 1; crash <= 8; ++crash) {
+      suspicion.m_crashes.push_back({0x89ab'cdef + crash, milliseconds(70'000 + crash)});
+    }
+    report.m_part_suspicions.push_back(std::move(suspicion));
+  }
+  constexpr std::size_t max_bytes = 1'024;
+  CHECK(encode_report(report).size() - size_without <= max_bytes);
 }
 
 // Guards against damaged messages that end the process, and against an empty message being decoded as a
