Do not send a request again when its prompt part has crashed two servers

Cause: the retry of a request ignores what its own crash shows. Fix: after a call without an event, a request is not sent again if one of its parts has crashed two servers without an answer since. Shared parts of sound requests are answered in between, so that their requests are still sent again.

--- a/packages/fleet/include/cardamompond/fleet/part_crash_register.hpp
+++ b/packages/fleet/include/cardamompond/fleet/part_crash_register.hpp
@@ -66,6 +66,10 @@
   // Returns the strictest verdict on any of the parts.
   judgement judge(std::span<const std::uint64_t> parts, time_point now) const;
 
+  // Whether one more crash would refuse one of the parts. A request with such a part that ended without an
+  // answer must not be sent to another server.
+  bool is_suspected(std::span<const std::uint64_t> parts) const;
+
   // Returns the strongest suspicions for a report, at most `max_count`. Without `with_unchanged`, those that
   // did not change recently are left out.
   std::vector<part_suspicion> recent(std::size_t max_count, bool with_unchanged, time_point now) const;
--- a/packages/fleet/src/part_crash_register.cpp
+++ b/packages/fleet/src/part_crash_register.cpp
@@ -243,6 +243,16 @@
   return strictest;
 }
 
+bool part_crash_register::is_suspected(std::span<const std::uint64_t> parts) const {
+  return std::any_of(parts.begin(), parts.end(), [&](std::uint64_t part) {
+    const auto found = m_records.find(part);
+    return found != m_records.end() && found->second.m_crashes.size() + 1 >= min_crashes &&
+           std::any_of(
+               found->second.m_crashes.begin(), found->second.m_crashes.end(),
+               [&](const crash& each) { return each.m_server != found->second.m_crashes.front().m_server; });
+  });
+}
+
 std::vector<part_suspicion> part_crash_register::recent(std::size_t max_count, bool with_unchanged,
                                                         time_point now) const {
   std::vector<decltype(m_records)::const_iterator> candidates;
--- a/packages/fleet/tests/part_crash_register_test.cpp
+++ b/packages/fleet/tests/part_crash_register_test.cpp
@@ -156,6 +156,24 @@
   CHECK(judge(one, deadly_part, m_now + seconds(1)) == verdict::refused);
 }
 
+// Guards against a request that crashes several servers in a row by itself because it is sent again each
+// time, while too few other requests with its part have crashed servers.
+TEST(part_crash_register, a_part_is_suspected_after_two_crashes_without_an_answer) {
+  const std::array parts = {system_part, deadly_part};
+  crash({system_part, deadly_part});
+  CHECK_FALSE(m_register.is_suspected(parts));
+  m_now += milliseconds(10);
+  crash({system_part});
+  CHECK_FALSE(m_register.is_suspected(parts));
+  m_now += milliseconds(300);
+  crash({system_part, deadly_part});
+  CHECK(m_register.is_suspected(parts));
+  answer({system_part});
+  CHECK(m_register.is_suspected(parts));
+  answer({deadly_part});
+  CHECK_FALSE(m_register.is_suspected(parts));
+}
+
 // Guards against old reports that restore a suspicion after an answer, and against evidence that never
 // expires because daemons tell it to each other.
 TEST(part_crash_register, old_reports_do_not_restore_a_suspicion) {
--- a/packages/gateway/src/request_outcome.cpp
+++ b/packages/gateway/src/request_outcome.cpp
@@ -131,6 +131,9 @@
     if (m_relay.m_head_sent && (!m_route->m_resumable || m_relay.m_splitter.last_event_id().empty())) {
       return false;
     }
+    if (!m_relay.m_head_sent && m_handler.m_admission.part_crashes().is_suspected(m_request.m_shared_parts)) {
+      return false;
+    }
   }
   if (outcome == call_outcome::unreachable || outcome == call_outcome::no_room) {
     return true; // no server received the request
