--- a/packages/gateway/src/request_processor.hpp
+++ b/packages/gateway/src/request_processor.hpp
@@ -41,6 +41,7 @@
 private:
   std::optional<request_error> parse_and_route();
   std::optional<request_error> admit();
+  std::optional<request_error> refuse_crashing_part();
   std::optional<request_error> serve();
   // A dispatch that the dispatcher has granted.
   struct attempt {
@@ -55,6 +56,8 @@
   bool prepare_replacement();
   void handle_refusal(const admission_result& decision);
   bool may_retry(call_outcome outcome);
+  void record_prompt_outcome(const fleet::dispatch_grant& grant, call_outcome outcome, int status,
+                             bool has_events);
   void record_call_outcome(const fleet::dispatch_grant& grant, call_outcome outcome, const backend_call& call,
                            time_point dispatched_at);
   void log_dispatch_failure(const fleet::dispatch_grant& grant, call_outcome outcome,
