Send nothing to an engine that states that it leaves

Until the store showed the entry as draining, new, waiting, repeated and resumed requests were still sent there, and those that were cut off at its end failed.

Change: package fleet keeps the statement by process (id and start time) in server_notices, apart from the list of servers, so that it outlasts updates that still say ready and an entry that is missing for a while. is_eligible reads it for every way in; backend_call asks once more right before a reservation and before the request (outcome withheld: nothing was sent, another server is chosen without taking a retry). Every head of an engine's answer counts: successes, failures, refusals, streams before their first event, answers to reservations and late answers to other requests. A 421 comes from another process at the address, so it marks that one. Connections that were opened before a process was listed are not reused for it, so that an answer of an older process cannot mark it.

Peers are told for 10 s in ServerLoad (flag and instance, at most 14 bytes). To them it is a preference among servers with room; it shuts out nothing, so a stale or forged report does no harm.

--- a/packages/daemon/src/entry_daemon.cpp
+++ b/packages/daemon/src/entry_daemon.cpp
@@ -198,6 +198,11 @@
                       static_cast<double>(m_admission.dispatcher().waiting()));
   m_metrics.set_gauge("cardamompond_requests_running",
                       static_cast<double>(m_admission.dispatcher().running()));
+  const auto leaving = m_admission.dispatcher().count_leaving();
+  m_metrics.set_gauge("cardamompond_backend_servers_leaving", "source", "own",
+                      static_cast<double>(leaving.m_stated));
+  m_metrics.set_gauge("cardamompond_backend_servers_leaving", "source", "peers",
+                      static_cast<double>(leaving.m_reported));
   m_metrics.set_counter("cardamompond_backend_connections_total",
                         static_cast<double>(m_backend_connections.connections_opened()));
   m_metrics.set_counter("cardamompond_documents_unreadable_total",
--- a/packages/fleet/include/cardamompond/fleet/dispatcher.hpp
+++ b/packages/fleet/include/cardamompond/fleet/dispatcher.hpp
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -42,6 +43,7 @@
   ticket m_ticket = 0;
   backend_server m_server;
   milliseconds m_reservation{0}; // time for which to reserve a slot before sending; 0: no reservation
+  time_point m_listed_since;     // an older connection to the address leads to an earlier process
 };
 
 enum class refusal_reason { no_backend_server, no_capacity };
@@ -63,7 +65,8 @@
   misdirected, // another server uses the address now
   unreachable, // no connection could be opened
   broken,      // the connection broke, or the response was invalid
-  timed_out    // no response, or no further part of it, arrived in time
+  timed_out,   // no response, or no further part of it, arrived in time
+  not_sent     // the request was held back before any byte was sent
 };
 
 // The load that a backend server states in its responses.
@@ -77,12 +80,17 @@
 // byte, so they carry a hash instead of the id.
 std::uint32_t server_id_hash(std::string_view id);
 
+// Short identifier that distinguishes the processes of a backend server in reports.
+std::uint32_t instance_hash(const backend_server& server);
+
 // Running requests of one daemon on one backend server, and the server's speed as observed by this daemon.
 struct server_load {
   std::uint32_t m_server = 0; // server_id_hash of the server's id
   std::uint32_t m_running = 0;
   speed_estimate m_speed;
-  bool m_failing = false; // the daemon sends it no requests because its responses are failures
+  bool m_failing = false;       // the daemon sends it no requests because its responses are failures
+  bool m_leaving = false;       // the server stated to the daemon, not long ago, that it leaves
+  std::uint32_t m_instance = 0; // instance_hash of the process that leaves; 0 if it does not leave
 };
 
 // A daemon and its availability zone.
@@ -129,6 +137,17 @@
   // Records the load that a server stated in its response to a request of this daemon.
   void record_reported_load(std::string_view server_id, reported_load load, time_point now);
 
+  // Records that the server stated that it leaves. It receives no new requests from now on, whatever its
+  // entry says; a process that starts later with the same id or address does. Returns false if that was
+  // known.
+  bool record_leaving(const backend_server& server, time_point now);
+
+  // Returns the listed server that uses the address, other than the server with that id.
+  std::optional<backend_server> find_other_at(std::string_view address, std::string_view id) const;
+
+  // Whether a granted request may still be sent to the server.
+  bool may_send(const backend_server& server, time_point now) const;
+
   // Records that the server stays cold for the given time, as it stated.
   void extend_cold_period(std::string_view server_id, milliseconds remaining, time_point now);
 
@@ -151,6 +170,13 @@
   // cannot be dispatched in time.
   std::vector<dispatch_decision> tick(time_point now);
 
+  // Numbers of listed servers that stated to this daemon, or only to peers, that they leave.
+  struct leaving_counts {
+    std::size_t m_stated = 0;
+    std::size_t m_reported = 0;
+  };
+  leaving_counts count_leaving() const;
+
   std::size_t waiting() const;
   std::size_t running() const;
 
--- a/packages/fleet/src/dispatch_tables.hpp
+++ b/packages/fleet/src/dispatch_tables.hpp
@@ -3,6 +3,8 @@
 #include "cardamompond/core/hash.hpp"
 #include "cardamompond/fleet/dispatcher.hpp"
 
+#include "server_notices.hpp"
+
 #include <deque>
 #include <map>
 #include <random>
@@ -18,6 +20,7 @@
   backend_server m_entry;
   std::uint32_t m_id_hash = 0; // server_id_hash of its id
   bool m_listed = false;       // false: it receives no new requests and is erased after its last one
+  time_point m_listed_since;   // when this process was first listed
   bool m_uses_batching = false;
   milliseconds m_max_reservation{0}; // longest slot reservation; 0: none
 
@@ -33,6 +36,7 @@
   double m_failure_rate = 0;           // exponential moving average
   time_point m_failing_until;          // excluded until then because its responses are failures
   std::uint32_t m_failure_reports = 0; // number of peers that exclude it for this reason
+  bool m_reported_leaving = false;     // a peer reports that it leaves
   bool m_on_probation = false;         // gets one request at a time until one succeeds
   time_point m_excluded_until;
   time_point m_full_until; // gets no requests until then because it refused one for lack of capacity
@@ -83,6 +87,7 @@
       m_grant_rates; // by service, route rank and lateness
   std::unordered_map<ticket, running_request> m_running;
   std::map<std::string, peer_row, std::less<>> m_peers;
+  server_notices m_notices;
   std::set<std::string, std::less<>> m_evacuated_zones;
   std::vector<daemon_location> m_members;
   daemon_location m_self;
@@ -98,8 +103,8 @@
 // that have not yet received one another's reports from all choosing the same server.
 void assign_slots(dispatch_tables& tables);
 
-// Removes peers whose last report is too old, and recomputes the running requests and failure reports of the
-// other peers by server.
+// Removes peers whose last report is too old, and recomputes what the other peers report by server: running
+// requests, failures and that it leaves.
 void update_peer_loads(dispatch_tables& tables, time_point now);
 
 // Recomputes the speed of each server from the observations of all daemons.
--- a/packages/fleet/src/dispatcher.cpp
+++ b/packages/fleet/src/dispatcher.cpp
@@ -10,6 +10,10 @@
 // Upper bound of the cold period that a server or its entry may state.
 constexpr duration max_cold = seconds(60);
 
+// Time for which peers are told that a server leaves. The store shows it by then, or its own answers to the
+// peers do.
+constexpr duration leaving_report_time = seconds(10);
+
 // Applies the settings that are declared for all servers of a service.
 void apply_service_settings(server_row& server, const service& declared) {
   server.m_uses_batching = declared.m_uses_batching;
@@ -22,6 +26,10 @@
   return static_cast<std::uint32_t>(hash64(id));
 }
 
+std::uint32_t instance_hash(const backend_server& server) {
+  return static_cast<std::uint32_t>(server.m_started_unix_ms);
+}
+
 server_row* dispatch_tables::find_server(std::string_view id) {
   for (auto& [name, servers] : m_servers) {
     if (const auto found = servers.find(id); found != servers.end()) {
@@ -85,6 +93,9 @@
       found->second.m_own_running = own_running;
     }
     server_row& row = found == rows.end() ? rows[entry.m_id] : found->second;
+    if (row.m_listed_since == time_point{}) {
+      row.m_listed_since = now;
+    }
     const bool changed = row.m_entry.m_cold_remaining != entry.m_cold_remaining || row.m_id_hash == 0;
     row.m_entry = entry;
     row.m_id_hash = server_id_hash(entry.m_id);
@@ -97,6 +108,7 @@
       apply_service_settings(row, declared->second);
     }
   }
+  tables.m_notices.update_listed(servers, now);
   m_impl->erase_unlisted_servers();
   assign_slots(tables);
   update_peer_loads(tables, now);
@@ -145,6 +157,39 @@
   }
 }
 
+bool dispatcher::record_leaving(const backend_server& server, time_point now) {
+  return m_impl->m_tables.m_notices.record_leaving(server, now);
+}
+
+std::optional<backend_server> dispatcher::find_other_at(std::string_view address, std::string_view id) const {
+  for (const auto& [name, servers] : m_impl->m_tables.m_servers) {
+    for (const auto& [other_id, server] : servers) {
+      if (server.m_listed && server.m_entry.m_address == address && other_id != id) {
+        return server.m_entry;
+      }
+    }
+  }
+  return std::nullopt;
+}
+
+bool dispatcher::may_send(const backend_server& server, time_point) const {
+  return !m_impl->m_tables.m_notices.is_leaving(server);
+}
+
+dispatcher::leaving_counts dispatcher::count_leaving() const {
+  leaving_counts counts;
+  for (const auto& [name, servers] : m_impl->m_tables.m_servers) {
+    for (const auto& [id, server] : servers) {
+      if (server.m_listed && m_impl->m_tables.m_notices.is_leaving(server.m_entry)) {
+        ++counts.m_stated;
+      } else if (server.m_listed && server.m_reported_leaving) {
+        ++counts.m_reported;
+      }
+    }
+  }
+  return counts;
+}
+
 void dispatcher::extend_cold_period(std::string_view server_id, milliseconds remaining, time_point now) {
   if (server_row* server = m_impl->m_tables.find_server(server_id); server != nullptr) {
     server->m_cold_until = std::max(server->m_cold_until, now + std::min<duration>(remaining, max_cold));
@@ -201,8 +246,11 @@
     for (const auto& [id, server] : servers) {
       const speed_estimate speed = server.m_own_speed.estimate();
       const bool failing = now < server.m_failing_until;
-      if (server.m_own_running > 0 || speed.m_samples > 0 || failing) {
-        loads.push_back({server.m_id_hash, server.m_own_running, speed, failing});
+      const bool leaving = server.m_listed && m_impl->m_tables.m_notices.is_newly_leaving(
+                                                  server.m_entry, leaving_report_time, now);
+      if (server.m_own_running > 0 || speed.m_samples > 0 || failing || leaving) {
+        loads.push_back({server.m_id_hash, server.m_own_running, speed, failing, leaving,
+                         leaving ? instance_hash(server.m_entry) : 0});
       }
     }
   }
--- a/packages/fleet/src/peer_loads.cpp
+++ b/packages/fleet/src/peer_loads.cpp
@@ -42,12 +42,16 @@
   for (const auto& [hash, server] : by_hash) {
     server->m_peer_running = 0;
     server->m_failure_reports = 0;
+    server->m_reported_leaving = false;
   }
   for (const auto& [name, peer] : tables.m_peers) {
     for (const auto& load : peer.m_loads) {
       if (const auto found = by_hash.find(load.m_server); found != by_hash.end()) {
         found->second->m_peer_running += load.m_running;
         found->second->m_failure_reports += load.m_failing ? 1 : 0;
+        if (load.m_leaving && load.m_instance == instance_hash(found->second->m_entry)) {
+          found->second->m_reported_leaving = true;
+        }
       }
     }
   }
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -172,7 +172,8 @@
 bool is_eligible(const dispatch_tables& tables, const server_row& server, time_point now) {
   const bool reported_failing = server.m_failure_reports >= min_failure_reports;
   return server.m_listed && !reported_failing && !(server.m_on_probation && server.m_own_running > 0) &&
-         !server.m_entry.m_draining && now >= server.m_excluded_until &&
+         !server.m_entry.m_draining && !tables.m_notices.is_leaving(server.m_entry) &&
+         now >= server.m_excluded_until &&
          !tables.m_evacuated_zones.contains(server.m_entry.m_availability_zone) &&
          (tables.m_rollout_controller == nullptr ||
           tables.m_rollout_controller->allows(server.m_entry.m_service, server.m_entry.m_version));
@@ -225,6 +226,12 @@
   const double zone_penalty =
       remote_zone_penalty + remote_zone_body_penalty * std::min(1.0, request.m_body_bytes / large_body_bytes);
 
+  // A report that a server leaves may be outdated or wrong, so it only makes the other servers go first.
+  if (std::any_of(candidates.begin(), candidates.end(),
+                  [](const candidate& each) { return !each.m_server->m_reported_leaving; })) {
+    std::erase_if(candidates, [](const candidate& each) { return each.m_server->m_reported_leaving; });
+  }
+
   server_row* best = nullptr;
   fit best_fit = fit::none;
   double best_score = std::numeric_limits<double>::max();
--- a/packages/fleet/src/server_health.cpp
+++ b/packages/fleet/src/server_health.cpp
@@ -52,6 +52,9 @@
 } // namespace
 
 void update_health(server_row& server, server_outcome outcome, time_point now) {
+  if (outcome == server_outcome::not_sent) {
+    return;
+  }
   if (outcome == server_outcome::refused) {
     server.m_full_until = now + record_refusal(server);
     return;
--- /dev/null
+++ b/packages/fleet/src/server_notices.cpp
@@ -0,0 +1,67 @@
+#include "server_notices.hpp"
+
+#include <algorithm>
+
+namespace cardamompond::fleet {
+namespace {
+
+// Time after which the statements of an unlisted server are forgotten. Entries that the store lost during an
+// outage are back within a few seconds of its return.
+constexpr duration unlisted_retention = seconds(60);
+
+} // namespace
+
+const server_notices::record* server_notices::find(const backend_server& server) const {
+  const auto by_start = m_records.find(server.m_id);
+  if (by_start == m_records.end()) {
+    return nullptr;
+  }
+  const auto found = by_start->second.find(server.m_started_unix_ms);
+  return found == by_start->second.end() ? nullptr : &found->second;
+}
+
+server_notices::record& server_notices::find_or_add(const backend_server& server, time_point now) {
+  const auto [found, added] = m_records[server.m_id].try_emplace(server.m_started_unix_ms);
+  if (added) {
+    found->second.m_last_listed = now;
+  }
+  return found->second;
+}
+
+bool server_notices::record_leaving(const backend_server& server, time_point now) {
+  record& notice = find_or_add(server, now);
+  if (notice.m_leaving) {
+    return false;
+  }
+  notice.m_leaving = true;
+  notice.m_leaving_since = now;
+  return true;
+}
+
+bool server_notices::is_leaving(const backend_server& server) const {
+  const record* notice = find(server);
+  return notice != nullptr && notice->m_leaving;
+}
+
+bool server_notices::is_newly_leaving(const backend_server& server, duration period, time_point now) const {
+  const record* notice = find(server);
+  return notice != nullptr && notice->m_leaving && now < notice->m_leaving_since + period;
+}
+
+void server_notices::update_listed(std::span<const backend_server> servers, time_point now) {
+  if (m_records.empty()) {
+    return;
+  }
+  for (const auto& server : servers) {
+    if (find(server) != nullptr) {
+      find_or_add(server, now).m_last_listed = now;
+    }
+  }
+  for (auto& [id, by_start] : m_records) {
+    std::erase_if(by_start,
+                  [&](const auto& each) { return now - each.second.m_last_listed > unlisted_retention; });
+  }
+  std::erase_if(m_records, [](const auto& each) { return each.second.empty(); });
+}
+
+} // namespace cardamompond::fleet
--- a/packages/gateway/include/cardamompond/gateway/admission_controller.hpp
+++ b/packages/gateway/include/cardamompond/gateway/admission_controller.hpp
@@ -8,6 +8,7 @@
 #include "cardamompond/fleet/retry_budget.hpp"
 #include "cardamompond/fleet/rollout_controller.hpp"
 #include "cardamompond/gateway/fleet_view.hpp"
+#include "cardamompond/gateway/request_protocol.hpp"
 #include "cardamompond/net/io_wait.hpp"
 
 #include <map>
@@ -48,6 +49,9 @@
   // event that can change a decision and every few milliseconds.
   void deliver_decisions();
 
+  // Records what the server that was called states about itself in a response.
+  void record_notices(const fleet::backend_server& called, const response_metadata& metadata);
+
   // Takes one retry from the retry budget of the service. Returns false if the budget is used up.
   bool take_retry(std::string_view service);
 
--- a/packages/gateway/include/cardamompond/gateway/backend_call.hpp
+++ b/packages/gateway/include/cardamompond/gateway/backend_call.hpp
@@ -23,7 +23,8 @@
   broken,      // the connection broke after the request was sent, or the response was invalid; may have run
   silent,      // no response, or no further part of it, came in time after the request was sent; may have run
   caller_gone, // the caller closed its connection or stopped reading
-  out_of_time  // the deadline passed
+  out_of_time, // the deadline passed
+  withheld     // the request was not sent because the server had stated in the meantime that it takes no more
 };
 
 // Returns the outcome as it appears in logs and metrics, e.g. "caller_gone".
@@ -47,6 +48,7 @@
   std::string_view m_request_id;
   time_point m_deadline;
   duration m_inactivity_timeout{};        // time without data after which the call ends as `silent`; 0: none
+  time_point m_connected_after;           // connections opened earlier are not reused
   milliseconds m_reservation_lifetime{0}; // lifetime of a reservation to make first; 0: none
   std::uint32_t m_reserved_tokens = 0;
   bool m_streamed = false;
@@ -55,6 +57,10 @@
   std::function<void()> m_on_first_token; // called before the first event is relayed, or after a full body
   std::function<void(std::uint64_t events, duration took)> m_on_progress; // called every few events
   std::function<void(const response_metadata&)> m_on_response_metadata;
+  // Called with each response of the server, also those to reservations and late ones to other requests.
+  std::function<void(const response_metadata&)> m_on_server_notices;
+  // Whether the server still takes requests; asked before each request that is sent to it.
+  std::function<bool()> m_may_send;
 };
 
 // One dispatch of a request: opens a connection to the backend server, sends the request, and reads the
@@ -77,6 +83,7 @@
 private:
   milliseconds io_timeout() const;
   call_outcome abort_after_error(const net::call_error& error);
+  std::optional<call_outcome> check_may_send();
   std::optional<call_outcome> connect();
   std::optional<call_outcome> reserve();
   std::optional<call_outcome> send();
--- a/packages/gateway/include/cardamompond/gateway/request_protocol.hpp
+++ b/packages/gateway/include/cardamompond/gateway/request_protocol.hpp
@@ -42,6 +42,8 @@
   bool m_not_run = false;                  // the server states that it did not run the request
   bool m_misdirected = false;              // another server uses the address now
   bool m_content_encoded = false;          // the body is encoded, so it is not what the server sent
+  bool m_leaving = false;                  // the server leaves and wants no new requests
+  std::optional<std::string> m_server_id;  // id of the server that answers
   std::optional<std::string> m_request_id; // id of the request that is answered
   std::optional<fleet::reported_load> m_load;
   std::optional<milliseconds> m_cold_remaining;
--- a/packages/gateway/schema/exchange.capnp
+++ b/packages/gateway/schema/exchange.capnp
@@ -22,6 +22,8 @@
   eventS @4 :Float32;
   samples @5 :Float32;
   failing @6 :Bool;       # the sender avoids the server because its responses are failures
+  leaving @7 :Bool;       # the server stated to the sender, not long ago, that it leaves
+  instance @8 :UInt32;    # fleet::instance_hash of the process that leaves; 0 if it does not leave
 }
 
 struct QuotaUse {
--- a/packages/gateway/src/admission_controller.cpp
+++ b/packages/gateway/src/admission_controller.cpp
@@ -1,5 +1,7 @@
 #include "cardamompond/gateway/admission_controller.hpp"
 
+#include "cardamompond/telemetry/log.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -87,6 +89,27 @@
   }
 }
 
+void admission_controller::record_notices(const fleet::backend_server& called,
+                                          const response_metadata& metadata) {
+  if (!metadata.m_leaving) {
+    return;
+  }
+  std::optional<fleet::backend_server> leaving = called;
+  if (metadata.m_misdirected && metadata.m_server_id != called.m_id) {
+    // Another server uses the address now and has answered.
+    leaving = m_dispatcher.find_other_at(called.m_address, called.m_id);
+    if (leaving && metadata.m_server_id && leaving->m_id != *metadata.m_server_id) {
+      leaving.reset();
+    }
+  }
+  if (leaving && m_dispatcher.record_leaving(*leaving, monotonic_now())) {
+    log_event(log_level::info, "backend_server_leaving",
+              {{"backend_server", leaving->m_id},
+               {"started_unix_ms", leaving->m_started_unix_ms},
+               {"address", leaving->m_address}});
+  }
+}
+
 bool admission_controller::take_retry(std::string_view service) {
   const auto found = m_retry_budgets.find(service);
   return found != m_retry_budgets.end() && found->second.try_take(monotonic_now());
--- a/packages/gateway/src/backend_call.cpp
+++ b/packages/gateway/src/backend_call.cpp
@@ -36,8 +36,9 @@
 } // namespace
 
 std::string_view to_string(call_outcome outcome) {
-  constexpr std::string_view names[] = {"answered",    "relayed", "refused", "no_room",     "misdirected",
-                                        "unreachable", "broken",  "silent",  "caller_gone", "out_of_time"};
+  constexpr std::string_view names[] = {"answered",    "relayed",     "refused", "no_room",
+                                        "misdirected", "unreachable", "broken",  "silent",
+                                        "caller_gone", "out_of_time", "withheld"};
   return names[static_cast<std::size_t>(outcome)];
 }
 
@@ -73,9 +74,18 @@
   return error.m_timeout ? call_outcome::silent : call_outcome::broken;
 }
 
+std::optional<call_outcome> backend_call::check_may_send() {
+  if (m_options.m_may_send()) {
+    return std::nullopt;
+  }
+  m_failure = "the server stated that it takes no more requests";
+  return call_outcome::withheld;
+}
+
 std::optional<call_outcome> backend_call::connect() {
   const auto idle = m_options.m_idempotent ? max_idle_idempotent : max_idle_at_most_once;
-  auto opened = m_client.open(m_options.m_parameters.m_server->m_address, {idle, connect_timeout});
+  auto opened = m_client.open(m_options.m_parameters.m_server->m_address,
+                              {idle, connect_timeout, m_options.m_connected_after});
   if (!opened) {
     m_failure = opened.error().m_message;
     return m_cancelled ? call_outcome::caller_gone : call_outcome::unreachable;
@@ -91,6 +101,9 @@
 // Reserves room on the server. The request itself has not been sent yet, so after any failure it can still go
 // to another server.
 std::optional<call_outcome> backend_call::reserve() {
+  if (const auto outcome = check_may_send()) {
+    return outcome;
+  }
   const auto request =
       m_protocol.make_reservation_request(m_options.m_reserved_tokens, m_options.m_reservation_lifetime);
   const auto abort_reservation = [&](const net::call_error& error) {
@@ -121,7 +134,9 @@
       }
       head->m_body.append(part->data(), part->size());
     }
-    if (m_protocol.read_response_metadata(*head).m_request_id) {
+    const response_metadata metadata = m_protocol.read_response_metadata(*head);
+    m_options.m_on_server_notices(metadata);
+    if (metadata.m_request_id) {
       continue; // a late response to an earlier request
     }
     auto reservation = m_protocol.read_reservation(*head);
@@ -136,6 +151,9 @@
 }
 
 std::optional<call_outcome> backend_call::send() {
+  if (const auto outcome = check_may_send()) {
+    return outcome;
+  }
   const auto left = std::chrono::duration_cast<milliseconds>(m_options.m_deadline - monotonic_now());
   if (left <= milliseconds(0)) {
     m_call->abort();
@@ -160,6 +178,7 @@
       return abort_after_error(head.error());
     }
     const response_metadata metadata = m_protocol.read_response_metadata(*head);
+    m_options.m_on_server_notices(metadata);
     if (metadata.m_request_id && *metadata.m_request_id != m_options.m_request_id) {
       std::array<char, 4096> skipped{};
       while (true) {
--- a/packages/gateway/src/exchange.capnp.h
+++ b/packages/gateway/src/exchange.capnp.h
@@ -292,6 +292,10 @@
 
   inline bool getFailing() const;
 
+  inline bool getLeaving() const;
+
+  inline  ::uint32_t getInstance() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -341,6 +345,12 @@
   inline bool getFailing();
   inline void setFailing(bool value);
 
+  inline bool getLeaving();
+  inline void setLeaving(bool value);
+
+  inline  ::uint32_t getInstance();
+  inline void setInstance( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1266,6 +1276,34 @@
       ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool ServerLoad::Reader::getLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<193>() * ::capnp::ELEMENTS);
+}
+
+inline bool ServerLoad::Builder::getLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<193>() * ::capnp::ELEMENTS);
+}
+inline void ServerLoad::Builder::setLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<193>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ServerLoad::Reader::getInstance() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ServerLoad::Builder::getInstance() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void ServerLoad::Builder::setInstance( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t QuotaUse::Reader::getAccount() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/packages/gateway/src/peer_report.cpp
+++ b/packages/gateway/src/peer_report.cpp
@@ -91,7 +91,9 @@
          each.getRunning(),
          {non_negative_or_zero(each.getBaseS()), non_negative_or_zero(each.getPromptSPerToken()),
           non_negative_or_zero(each.getEventS()), non_negative_or_zero(each.getSamples())},
-         each.getFailing()});
+         each.getFailing(),
+         each.getLeaving(),
+         each.getInstance()});
   }
   for (const auto& each : from.getQuotaUse()) {
     report.m_quota_use.emplace_back(each.getAccount(), finite_or_zero(each.getUnits()));
@@ -139,13 +141,15 @@
   auto loads = to.initLoads(static_cast<unsigned>(report.m_loads.size()));
   for (unsigned i = 0; i < loads.size(); ++i) {
     loads[i].setServer(report.m_loads[i].m_server);
-    const auto& [server, running, speed, failing] = report.m_loads[i];
+    const auto& [server, running, speed, failing, leaving, instance] = report.m_loads[i];
     loads[i].setRunning(running);
     loads[i].setBaseS(static_cast<float>(speed.m_base_s));
     loads[i].setPromptSPerToken(static_cast<float>(speed.m_prompt_s_per_token));
     loads[i].setEventS(static_cast<float>(speed.m_event_interval_s));
     loads[i].setSamples(static_cast<float>(speed.m_samples));
     loads[i].setFailing(failing);
+    loads[i].setLeaving(leaving);
+    loads[i].setInstance(instance);
   }
   auto quota_use = to.initQuotaUse(static_cast<unsigned>(report.m_quota_use.size()));
   for (unsigned i = 0; i < quota_use.size(); ++i) {
--- a/packages/gateway/src/request_outcome.cpp
+++ b/packages/gateway/src/request_outcome.cpp
@@ -29,6 +29,8 @@
     return fleet::server_outcome::refused;
   case call_outcome::misdirected:
     return fleet::server_outcome::misdirected;
+  case call_outcome::withheld:
+    return fleet::server_outcome::not_sent;
   case call_outcome::unreachable:
     return fleet::server_outcome::unreachable;
   case call_outcome::broken:
@@ -43,7 +45,8 @@
 // Whether the server may have run a request that was sent to it.
 bool may_have_run_after(call_outcome outcome) {
   return outcome != call_outcome::refused && outcome != call_outcome::no_room &&
-         outcome != call_outcome::misdirected && outcome != call_outcome::unreachable;
+         outcome != call_outcome::misdirected && outcome != call_outcome::unreachable &&
+         outcome != call_outcome::withheld;
 }
 
 } // namespace
@@ -108,7 +111,8 @@
       return false;
     }
   }
-  if (outcome == call_outcome::unreachable || outcome == call_outcome::no_room) {
+  if (outcome == call_outcome::unreachable || outcome == call_outcome::no_room ||
+      outcome == call_outcome::withheld) {
     return true; // no server received the request
   }
   return m_handler.m_admission.take_retry(m_service);
--- a/packages/gateway/src/request_processor.cpp
+++ b/packages/gateway/src/request_processor.cpp
@@ -173,6 +173,7 @@
   options.m_streamed = m_route->m_streamed;
   options.m_idempotent = retryable();
   options.m_relay = &m_relay;
+  options.m_connected_after = grant.m_listed_since;
   options.m_reservation_lifetime = grant.m_reservation;
   options.m_reserved_tokens = m_request.m_prompt_tokens + expected_output_tokens();
   const bool last_attempt = m_possible_runs + 1 >= m_route->m_max_attempts;
@@ -201,6 +202,12 @@
       dispatcher.extend_cold_period(grant.m_server.m_id, *metadata.m_cold_remaining, now);
     }
   };
+  options.m_on_server_notices = [this, &grant](const response_metadata& metadata) {
+    m_handler.m_admission.record_notices(grant.m_server, metadata);
+  };
+  options.m_may_send = [this, &grant] {
+    return m_handler.m_admission.dispatcher().may_send(grant.m_server, monotonic_now());
+  };
   return options;
 }
 
--- a/packages/gateway/tests/peer_report_test.cpp
+++ b/packages/gateway/tests/peer_report_test.cpp
@@ -18,7 +18,7 @@
   report.m_incarnation = 7;
   report.m_sequence = 9;
   report.m_collections[1] = {10, 8, milliseconds(30)};
-  report.m_loads = {{77, 3, {0.05, 1e-5, 0.03, 4}, true}};
+  report.m_loads = {{77, 3, {0.05, 1e-5, 0.03, 4}, true, true, 0xfedcba98}};
   report.m_quota_use = {{11, 1234.5}};
   report.m_recent_use_only = true;
   report.m_outcomes = {{"chat", "v2", "r1", {3, 1, 0.25, 0.5}}};
@@ -44,6 +44,8 @@
   LONGS_EQUAL(30, read->m_collections[1].m_age.count());
   UNSIGNED_LONGS_EQUAL(3, read->m_loads.front().m_running);
   CHECK(read->m_loads.front().m_failing);
+  CHECK(read->m_loads.front().m_leaving);
+  UNSIGNED_LONGS_EQUAL(0xfedcba98, read->m_loads.front().m_instance);
   DOUBLES_EQUAL(0.03, read->m_loads.front().m_speed.m_event_interval_s, 1e-6);
   CHECK(read->m_recent_use_only);
   UNSIGNED_LONGS_EQUAL(11, read->m_quota_use.front().first);
@@ -79,6 +81,17 @@
   DOUBLES_EQUAL(0, read->m_loads.front().m_speed.m_event_interval_s, 0);
 }
 
+// Guards against reports that become too large for a datagram when many servers leave at the same time.
+TEST(peer_report, a_leaving_server_adds_few_bytes_to_a_report) {
+  auto report = make_report();
+  const std::size_t bytes_before = encode_report(report).size();
+  constexpr std::uint32_t servers = 30;
+  for (std::uint32_t i = 1; i <= servers; ++i) {
+    report.m_loads.push_back({0x9e3779b9U * i, 0, {}, false, true, 0x85ebca6bU * i});
+  }
+  CHECK(encode_report(report).size() - bytes_before <= std::size_t{14} * servers);
+}
+
 // Guards against document content being truncated at a zero byte.
 TEST(peer_report, snapshot_round_trip) {
   const std::string content("{\"a\":\0}", 7);
--- a/packages/net/include/cardamompond/net/http_client.hpp
+++ b/packages/net/include/cardamompond/net/http_client.hpp
@@ -71,6 +71,7 @@
 struct connection_options {
   milliseconds m_max_idle_time{30'000}; // for reusing an idle connection; 0 forces a new one
   milliseconds m_connect_timeout{1'000};
+  time_point m_opened_after{}; // an idle connection that was opened earlier is closed instead of reused
 };
 
 // An HTTP/1.1 client with a pool of keep-alive connections for each server address ("127.0.0.1:9001"). Before
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -29,6 +29,7 @@
 
 struct idle_connection {
   std::unique_ptr<fiber_stream> m_stream;
+  time_point m_opened_at;
   time_point m_idle_since;
   duration m_max_idle_time{};
 };
@@ -87,12 +88,13 @@
       : m_runtime(runtime)
       , m_options(options) {}
 
-  // Removes and returns an idle connection that can be reused, or returns null if there is none. Drops those
-  // that the server has closed or that have been idle for too long.
-  std::unique_ptr<fiber_stream> take_idle(const std::string& address, duration max_idle_time);
+  // Removes and returns an idle connection that can be reused, if there is one. Drops those that the server
+  // has closed, that have been idle for too long or that were opened too early.
+  std::optional<idle_connection> take_idle(const std::string& address, const connection_options& options);
 
   // Keeps a connection for reuse, or drops it if the address has enough idle connections.
-  void put_idle(const std::string& address, std::unique_ptr<fiber_stream> stream, duration max_idle_time);
+  void put_idle(const std::string& address, std::unique_ptr<fiber_stream> stream, time_point opened_at,
+                duration max_idle_time);
 
   std::uint64_t m_connections_opened = 0;
   fiber_runtime& m_runtime;
@@ -100,29 +102,30 @@
   std::map<std::string, std::vector<idle_connection>> m_idle;
 };
 
-std::unique_ptr<fiber_stream> http_client::impl::take_idle(const std::string& address,
-                                                           duration max_idle_time) {
+std::optional<idle_connection> http_client::impl::take_idle(const std::string& address,
+                                                            const connection_options& options) {
   auto& idle = m_idle[address];
   const time_point now = monotonic_now();
   while (!idle.empty()) {
     idle_connection connection = std::move(idle.back());
     idle.pop_back();
     const duration age = now - connection.m_idle_since;
-    if (age < connection.m_max_idle_time && age < max_idle_time &&
+    if (age < connection.m_max_idle_time && age < options.m_max_idle_time &&
+        connection.m_opened_at >= options.m_opened_after &&
         !closed_or_has_unexpected_data(connection.m_stream->socket())) {
-      return std::move(connection.m_stream);
+      return connection;
     }
   }
-  return nullptr;
+  return std::nullopt;
 }
 
 void http_client::impl::put_idle(const std::string& address, std::unique_ptr<fiber_stream> stream,
-                                 duration max_idle_time) {
+                                 time_point opened_at, duration max_idle_time) {
   auto& idle = m_idle[address];
   if (idle.size() < m_options.m_max_idle_per_address) {
     stream->expires_never();
-    idle.push_back(
-        {std::move(stream), monotonic_now(), std::min<duration>(max_idle_time, m_options.m_max_idle_time)});
+    idle.push_back({std::move(stream), opened_at, monotonic_now(),
+                    std::min<duration>(max_idle_time, m_options.m_max_idle_time)});
   }
 }
 
@@ -288,8 +291,10 @@
 call_result<std::unique_ptr<http_call>> http_client::open(std::string_view address,
                                                           connection_options options) {
   std::string key(address);
-  auto stream = m_impl->take_idle(key, options.m_max_idle_time);
-  const bool reused = stream != nullptr;
+  auto idle = m_impl->take_idle(key, options);
+  const bool reused = idle.has_value();
+  const time_point opened_at = reused ? idle->m_opened_at : monotonic_now();
+  auto stream = reused ? std::move(idle->m_stream) : nullptr;
   if (!stream) {
     const auto endpoint = parse_address(address);
     if (!endpoint) {
@@ -307,10 +312,10 @@
       stream->set_connection_loss_timeout(m_impl->m_options.m_connection_loss_timeout);
     }
   }
-  auto release_connection = [pool = std::weak_ptr<impl>(m_impl), key](std::unique_ptr<fiber_stream> released,
-                                                                      duration max_idle_time) {
+  auto release_connection = [pool = std::weak_ptr<impl>(m_impl), key,
+                             opened_at](std::unique_ptr<fiber_stream> released, duration max_idle_time) {
     if (const auto alive = pool.lock()) {
-      alive->put_idle(key, std::move(released), max_idle_time);
+      alive->put_idle(key, std::move(released), opened_at, max_idle_time);
     }
   };
   return std::unique_ptr<http_call>(std::make_unique<client_call>(
