Observe the pause that an engine asks for with a refusal

Requests and reservations came back to the engine after 60 ms to 1 s, and callers waited in the queue for it.

Change: server_notices keeps the end of the pause by process. Placement treats the engine as one without a free place, and a request that was granted before is held back right before it is sent. At the end the requests of this daemon return one by one for two seconds, at a rate that all daemons share (one a second and slot, ten for plain services, never above the rate of a cold engine), the first at a random moment, since all daemons may have been given the same end. If every engine that a request could go to is paused for more than 100 ms, the request is refused as not run at once, with the end of the first pause plus up to half a second (max_retry_after still bounds it); such a request takes no retry. A request that may have run waits instead, because it can't be refused as not run. The pause is not told to peers: it binds the daemon that got it.

Values: seconds with a fraction. One line backend_server_paused for each pause, a warning if the value was not used as it stood.

--- a/packages/daemon/src/entry_daemon.cpp
+++ b/packages/daemon/src/entry_daemon.cpp
@@ -198,6 +198,10 @@
                       static_cast<double>(m_admission.dispatcher().waiting()));
   m_metrics.set_gauge("cardamompond_requests_running",
                       static_cast<double>(m_admission.dispatcher().running()));
+  m_metrics.set_gauge("cardamompond_backend_servers_paused",
+                      static_cast<double>(m_admission.dispatcher().count_paused(now)));
+  m_metrics.set_counter("cardamompond_backend_server_pauses_total",
+                        static_cast<double>(m_admission.pause_count()));
   const auto leaving = m_admission.dispatcher().count_leaving();
   m_metrics.set_gauge("cardamompond_backend_servers_leaving", "source", "own",
                       static_cast<double>(leaving.m_stated));
--- a/packages/fleet/include/cardamompond/fleet/dispatcher.hpp
+++ b/packages/fleet/include/cardamompond/fleet/dispatcher.hpp
@@ -36,6 +36,7 @@
   time_point m_abandoned_at;    // the caller gives up if the response has not begun by then
   time_point m_deadline;        // deadline of the caller or of the route, whichever is earlier
   std::vector<std::string> m_excluded_servers; // ids of the servers that received it before
+  bool m_may_have_run = false;                 // a refusal could no longer state that it was not run
 };
 
 // Allows the request to be sent to this backend server now.
@@ -46,7 +47,11 @@
   time_point m_listed_since;     // an older connection to the address leads to an earlier process
 };
 
-enum class refusal_reason { no_backend_server, no_capacity };
+enum class refusal_reason {
+  no_backend_server,
+  no_capacity,
+  paused // all servers that could take the request have asked for a pause
+};
 
 // Ends a request that has not been sent.
 struct dispatch_refusal {
@@ -145,6 +150,21 @@
   // Returns the listed server that uses the address, other than the server with that id.
   std::optional<backend_server> find_other_at(std::string_view address, std::string_view id) const;
 
+  // Records that the server refused a request and asked this daemon to send nothing for the given time;
+  // nothing: the time was not readable. Only this daemon observes the pause. Returns the time that is
+  // observed, or nothing if the server was already paused.
+  std::optional<milliseconds> record_pause(const backend_server& server,
+                                           std::optional<milliseconds> requested, time_point now);
+
+  // Returns the time after which a caller should retry if all servers of the service, except the excluded
+  // ones, have asked for a pause; nothing otherwise.
+  std::optional<duration> retry_delay_for_pauses(std::string_view service,
+                                                 std::span<const std::string> excluded_servers,
+                                                 time_point now);
+
+  // Returns the number of listed servers that have asked this daemon for a pause that has not ended.
+  std::size_t count_paused(time_point now) const;
+
   // Whether a granted request may still be sent to the server.
   bool may_send(const backend_server& server, time_point now) const;
 
--- a/packages/fleet/src/dispatch_tables.hpp
+++ b/packages/fleet/src/dispatch_tables.hpp
@@ -116,6 +116,18 @@
 // Whether the server may receive new requests. Its free slots are not considered.
 bool is_eligible(const dispatch_tables& tables, const server_row& server, time_point now);
 
+// Records that the server asked for a pause of the given length. The return from it is spread over time, like
+// the requests to a cold server. Returns false if the server is already paused.
+bool record_pause(dispatch_tables& tables, const backend_server& server, duration pause, time_point now);
+
+// Counts a granted request against the rate at which the requests return to a server after its pause.
+void record_return(dispatch_tables& tables, const server_row& server, time_point now);
+
+// Returns the time after which a caller should retry if all eligible servers of the service, except the
+// excluded ones, are paused for a while; nothing otherwise.
+std::optional<duration> retry_delay_for_pauses(dispatch_tables& tables, std::string_view service,
+                                               std::span<const std::string> excluded_servers, time_point now);
+
 // Returns the best server with capacity for the request, or null.
 server_row* select_server(dispatch_tables& tables, const submission& request, time_point now);
 
--- a/packages/fleet/src/dispatcher.cpp
+++ b/packages/fleet/src/dispatcher.cpp
@@ -14,6 +14,13 @@
 // peers do.
 constexpr duration leaving_report_time = seconds(10);
 
+// Upper bound of the pause that a server may ask for. A server that asks for more has a fault and is tried
+// again once a minute, as one that states a long cold period.
+constexpr milliseconds max_pause{60'000};
+
+// The pause of a server that asks for one but does not state its length readably.
+constexpr milliseconds unreadable_pause{1'000};
+
 // Applies the settings that are declared for all servers of a service.
 void apply_service_settings(server_row& server, const service& declared) {
   server.m_uses_batching = declared.m_uses_batching;
@@ -172,8 +179,34 @@
   return std::nullopt;
 }
 
-bool dispatcher::may_send(const backend_server& server, time_point) const {
-  return !m_impl->m_tables.m_notices.is_leaving(server);
+bool dispatcher::may_send(const backend_server& server, time_point now) const {
+  const server_notices& notices = m_impl->m_tables.m_notices;
+  return !notices.is_leaving(server) && !notices.is_paused(server, now);
+}
+
+std::optional<milliseconds> dispatcher::record_pause(const backend_server& server,
+                                                     std::optional<milliseconds> requested, time_point now) {
+  const milliseconds pause = std::clamp(requested.value_or(unreadable_pause), milliseconds(0), max_pause);
+  if (pause == milliseconds(0) || !fleet::record_pause(m_impl->m_tables, server, pause, now)) {
+    return std::nullopt;
+  }
+  return pause;
+}
+
+std::optional<duration> dispatcher::retry_delay_for_pauses(std::string_view service,
+                                                           std::span<const std::string> excluded_servers,
+                                                           time_point now) {
+  return fleet::retry_delay_for_pauses(m_impl->m_tables, service, excluded_servers, now);
+}
+
+std::size_t dispatcher::count_paused(time_point now) const {
+  std::size_t count = 0;
+  for (const auto& [name, servers] : m_impl->m_tables.m_servers) {
+    for (const auto& [id, server] : servers) {
+      count += server.m_listed && m_impl->m_tables.m_notices.is_paused(server.m_entry, now) ? 1 : 0;
+    }
+  }
+  return count;
 }
 
 dispatcher::leaving_counts dispatcher::count_leaving() const {
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -201,7 +201,7 @@
   double fastest_event_s = std::numeric_limits<double>::max();
   fit best_possible_fit = fit::none; // of all eligible servers, with or without capacity
   for (auto& [id, server] : servers->second) {
-    if (!is_eligible(tables, server, now) ||
+    if (!is_eligible(tables, server, now) || tables.m_notices.is_paused(server.m_entry, now) ||
         std::find(request.m_excluded_servers.begin(), request.m_excluded_servers.end(), id) !=
             request.m_excluded_servers.end()) {
       continue;
@@ -217,7 +217,7 @@
     fastest_event_s = std::min(fastest_event_s, server.m_combined_speed.m_event_interval_s);
     const fit server_fit = evaluate_fit(server, request, events, now);
     best_possible_fit = std::max(best_possible_fit, server_fit);
-    if (now >= server.m_full_until &&
+    if (now >= server.m_full_until && tables.m_notices.allows_request(server.m_entry, now) &&
         server.m_own_running + server.m_peer_running < running_limit(tables, server) &&
         has_cold_capacity(tables, server, cold_rate, now)) {
       candidates.push_back({&server, server_fit});
--- a/packages/fleet/src/queueing.cpp
+++ b/packages/fleet/src/queueing.cpp
@@ -57,6 +57,7 @@
   if (now < server.m_cold_until) {
     ++server.m_cold_sent;
   }
+  record_return(tables, server, now);
   if (tables.m_rollout_controller != nullptr) {
     tables.m_rollout_controller->record_grant(request.m_service, server.m_entry.m_version);
   }
@@ -178,6 +179,13 @@
         decisions.emplace_back(grant(tables, waiting, *server, now));
         continue;
       }
+      // A request that may have run waits, because its caller cannot be told that it was not run.
+      if (const auto delay = request.m_may_have_run
+                                 ? std::nullopt
+                                 : retry_delay_for_pauses(tables, name, request.m_excluded_servers, now)) {
+        decisions.emplace_back(dispatch_refusal{request.m_ticket, refusal_reason::paused, *delay});
+        continue;
+      }
       const bool has_server = has_eligible_server(tables, name, now);
       const time_point refuse_at =
           has_server ? waiting.m_refuse_at
--- a/packages/fleet/src/server_notices.cpp
+++ b/packages/fleet/src/server_notices.cpp
@@ -48,6 +48,35 @@
   return notice != nullptr && notice->m_leaving && now < notice->m_leaving_since + period;
 }
 
+bool server_notices::record_pause(const backend_server& server, time_point end, time_point first_return,
+                                  time_point return_end, time_point now) {
+  record& notice = find_or_add(server, now);
+  const bool already_paused = now < notice.m_paused_until;
+  if (end > notice.m_paused_until) {
+    notice.m_paused_until = end;
+    notice.m_next_request = first_return;
+    notice.m_return_end = return_end;
+    m_last_pause_end = std::max(m_last_pause_end, end);
+  }
+  return !already_paused;
+}
+
+time_point server_notices::pause_end(const backend_server& server) const {
+  const record* notice = find(server);
+  return notice == nullptr ? time_point{} : notice->m_paused_until;
+}
+
+bool server_notices::allows_request(const backend_server& server, time_point now) const {
+  const record* notice = find(server);
+  return notice == nullptr || now >= notice->m_return_end || now >= notice->m_next_request;
+}
+
+void server_notices::record_request(const backend_server& server, duration interval, time_point now) {
+  if (find(server) != nullptr) {
+    find_or_add(server, now).m_next_request = now + interval;
+  }
+}
+
 void server_notices::update_listed(std::span<const backend_server> servers, time_point now) {
   if (m_records.empty()) {
     return;
--- a/packages/fleet/tests/dispatcher_fixture.hpp
+++ b/packages/fleet/tests/dispatcher_fixture.hpp
@@ -21,7 +21,8 @@
 
 // The dispatcher of one daemon, with a simulated clock.
 struct daemon_fixture {
-  daemon_fixture() {
+  explicit daemon_fixture(std::uint64_t seed = 42)
+      : m_dispatcher(seed) {
     declarations source;
     service chat;
     chat.m_name = "chat";
@@ -73,7 +74,7 @@
 
   void set_servers(std::vector<backend_server> servers) { m_dispatcher.set_backend_servers(servers, m_now); }
 
-  dispatcher m_dispatcher{42};
+  dispatcher m_dispatcher;
   time_point m_now{seconds(100)};
   ticket m_last_ticket = 0;
 };
--- a/packages/fleet/tests/server_notices_test.cpp
+++ b/packages/fleet/tests/server_notices_test.cpp
@@ -23,6 +23,12 @@
   bool record_leaving(const backend_server& server) {
     return daemon.m_dispatcher.record_leaving(server, daemon.m_now);
   }
+
+  // Returns the length of the pause in milliseconds, or -1 if the server was already paused.
+  long record_pause(const backend_server& server, std::optional<milliseconds> requested) {
+    const auto pause = daemon.m_dispatcher.record_pause(server, requested, daemon.m_now);
+    return pause ? static_cast<long>(pause->count()) : -1;
+  }
 };
 
 // Guards against new requests to a server that has stated that it leaves, also if it is the only one and if
@@ -138,3 +144,101 @@
   daemon.m_now += seconds(10);
   CHECK(daemon.m_dispatcher.own_loads(daemon.m_now).empty());
 }
+
+// Guards against requests that reach a server during the pause that it asked for: new ones, those that wait,
+// and repeated ones that have been sent to all other servers.
+TEST(server_notices, a_paused_server_gets_no_requests_until_the_end_of_the_pause) {
+  daemon.set_servers({make_instance(1), make_server("s2", "a", 1)});
+  daemon.submit(1);
+  daemon.submit(1);
+  LONGS_EQUAL(2'000, record_pause(make_instance(1), milliseconds(2'000)));
+  daemon.set_servers({make_instance(1), make_server("s2", "a", 1)});
+  CHECK_FALSE(daemon.m_dispatcher.may_send(make_instance(1), daemon.m_now));
+  UNSIGNED_LONGS_EQUAL(1, daemon.m_dispatcher.count_paused(daemon.m_now));
+  auto repeated = daemon.make_request(50);
+  repeated.m_excluded_servers = {"s2"};
+  daemon.m_dispatcher.submit(repeated, daemon.m_now);
+  LONGS_EQUAL(0, count_results(daemon.submit(3), "s1"));
+  daemon.m_now += milliseconds(1'999);
+  LONGS_EQUAL(0, count_results(daemon.submit(3), "s1"));
+  CHECK_FALSE(daemon.m_dispatcher.may_send(make_instance(1), daemon.m_now));
+  daemon.m_now += milliseconds(1);
+  CHECK(daemon.m_dispatcher.may_send(make_instance(1), daemon.m_now));
+}
+
+// Guards against a later answer that ends or shortens a pause, and against a pause that a new process
+// inherits.
+TEST(server_notices, the_longest_pause_of_a_process_holds) {
+  daemon.set_servers({make_instance(1)});
+  LONGS_EQUAL(3'000, record_pause(make_instance(1), milliseconds(3'000)));
+  LONGS_EQUAL(-1, record_pause(make_instance(1), milliseconds(500)));
+  daemon.m_now += milliseconds(2'900);
+  CHECK_FALSE(daemon.m_dispatcher.may_send(make_instance(1), daemon.m_now));
+  LONGS_EQUAL(-1, record_pause(make_instance(1), milliseconds(1'000)));
+  daemon.m_now += milliseconds(200);
+  CHECK_FALSE(daemon.m_dispatcher.may_send(make_instance(1), daemon.m_now));
+  daemon.set_servers({make_instance(2)});
+  LONGS_EQUAL(1, count_results(daemon.submit(1), "s1"));
+}
+
+// Guards against a server that is shut out for long, or not at all, because its pause is absurd or not
+// readable.
+TEST(server_notices, pauses_are_bounded) {
+  daemon.set_servers({make_instance(1)});
+  LONGS_EQUAL(-1, record_pause(make_instance(1), milliseconds(0)));
+  LONGS_EQUAL(-1, record_pause(make_instance(1), milliseconds(-5)));
+  CHECK(daemon.m_dispatcher.may_send(make_instance(1), daemon.m_now));
+  LONGS_EQUAL(1'000, record_pause(make_instance(1), std::nullopt));
+  daemon.m_now += milliseconds(1'000);
+  LONGS_EQUAL(60'000, record_pause(make_instance(1), seconds(86'400)));
+  daemon.m_now += milliseconds(60'000);
+  CHECK(daemon.m_dispatcher.may_send(make_instance(1), daemon.m_now));
+}
+
+// Guards against callers that wait although no server takes requests, and against callers that are told to
+// come back before the first pause has ended.
+TEST(server_notices, requests_are_refused_immediately_while_all_servers_are_paused) {
+  daemon.set_servers({make_instance(1), make_server("s2")});
+  daemon.m_dispatcher.submit(daemon.make_request(1), daemon.m_now);
+  record_pause(make_instance(1), milliseconds(3'000));
+  LONGS_EQUAL(1, count_results(daemon.tick(), "s2"));
+  record_pause(make_server("s2"), milliseconds(1'500));
+  daemon.m_dispatcher.submit(daemon.make_request(2), daemon.m_now);
+  const auto decisions = daemon.m_dispatcher.tick(daemon.m_now);
+  const auto& refusal = std::get<dispatch_refusal>(decisions.front());
+  CHECK(refusal.m_reason == refusal_reason::paused);
+  CHECK(refusal.m_retry_after >= milliseconds(1'500) && refusal.m_retry_after <= milliseconds(2'000));
+  // A request that may have run cannot be refused as not run, so it waits.
+  auto interrupted = daemon.make_request(3);
+  interrupted.m_may_have_run = true;
+  daemon.m_dispatcher.submit(interrupted, daemon.m_now);
+  CHECK(daemon.tick().empty());
+  daemon.m_now += milliseconds(1'450); // the first pause ends sooner than a caller could come back
+  daemon.m_dispatcher.submit(daemon.make_request(4), daemon.m_now);
+  CHECK(daemon.tick().empty());
+}
+
+// Guards against all daemons sending their waiting requests to a server at the moment at which its pause
+// ends. The server has 4 slots; all daemons were asked for the same pause.
+TEST(server_notices, requests_return_gradually_after_a_pause) {
+  constexpr int daemons = 8;
+  int sent_in_100_ms = 0;
+  int sent_in_1_s = 0;
+  int sent = 0;
+  for (int self = 0; self < daemons; ++self) {
+    daemon_fixture each(static_cast<std::uint64_t>(self));
+    each.set_member_count(daemons);
+    each.set_servers({make_instance(1)});
+    each.m_dispatcher.record_pause(make_instance(1), milliseconds(1'000), each.m_now);
+    each.m_now += milliseconds(1'000);
+    for (int ms = 0; ms < 2'100; ms += 10, each.m_now += milliseconds(10)) {
+      const int granted = count_results(each.m_dispatcher.waiting() < 2 ? each.submit(1) : each.tick(), "s1");
+      sent_in_100_ms += ms < 100 ? granted : 0;
+      sent_in_1_s += ms < 1'000 ? granted : 0;
+      sent += granted;
+    }
+  }
+  CHECK(sent_in_100_ms <= 2);
+  CHECK(sent_in_1_s >= 2 && sent_in_1_s <= daemons);
+  CHECK(sent >= 2 * daemons); // the limit ends two seconds after the pause
+}
--- a/packages/gateway/include/cardamompond/gateway/admission_controller.hpp
+++ b/packages/gateway/include/cardamompond/gateway/admission_controller.hpp
@@ -52,6 +52,9 @@
   // Records what the server that was called states about itself in a response.
   void record_notices(const fleet::backend_server& called, const response_metadata& metadata);
 
+  // Returns how many pauses servers have asked for.
+  std::uint64_t pause_count() const { return m_pause_count; }
+
   // Takes one retry from the retry budget of the service. Returns false if the budget is used up.
   bool take_retry(std::string_view service);
 
@@ -92,6 +95,7 @@
   std::uint32_t m_daemon_count = 1;
   std::unordered_map<fleet::ticket, waiter*> m_waiters;
   fleet::ticket m_last_ticket = 0;
+  std::uint64_t m_pause_count = 0;
 };
 
 } // namespace cardamompond::gateway
--- a/packages/gateway/include/cardamompond/gateway/request_protocol.hpp
+++ b/packages/gateway/include/cardamompond/gateway/request_protocol.hpp
@@ -36,13 +36,20 @@
   std::string m_reservation_id;                       // id of the reservation on the server; empty: none
 };
 
+// The time for which a server that refused a request wants no others.
+struct requested_pause {
+  std::optional<milliseconds> m_duration; // nothing if it is not readable
+  std::string m_text;                     // as the server stated it, shortened; for the log
+};
+
 // What the headers of a response state about the request and the server.
 struct response_metadata {
-  bool m_has_server_stamp = false;         // the response carries the stamp that backend servers add
-  bool m_not_run = false;                  // the server states that it did not run the request
-  bool m_misdirected = false;              // another server uses the address now
-  bool m_content_encoded = false;          // the body is encoded, so it is not what the server sent
-  bool m_leaving = false;                  // the server leaves and wants no new requests
+  bool m_has_server_stamp = false; // the response carries the stamp that backend servers add
+  bool m_not_run = false;          // the server states that it did not run the request
+  bool m_misdirected = false;      // another server uses the address now
+  bool m_content_encoded = false;  // the body is encoded, so it is not what the server sent
+  bool m_leaving = false;          // the server leaves and wants no new requests
+  std::optional<requested_pause> m_pause;
   std::optional<std::string> m_server_id;  // id of the server that answers
   std::optional<std::string> m_request_id; // id of the request that is answered
   std::optional<fleet::reported_load> m_load;
--- a/packages/gateway/src/admission_controller.cpp
+++ b/packages/gateway/src/admission_controller.cpp
@@ -91,6 +91,14 @@
 
 void admission_controller::record_notices(const fleet::backend_server& called,
                                           const response_metadata& metadata) {
+  if (metadata.m_pause) {
+    const auto& [requested, text] = *metadata.m_pause;
+    if (const auto pause = m_dispatcher.record_pause(called, requested, monotonic_now())) {
+      ++m_pause_count;
+      log_event(requested == pause ? log_level::info : log_level::warning, "backend_server_paused",
+                {{"backend_server", called.m_id}, {"pause_ms", pause->count()}, {"stated", text}});
+    }
+  }
   if (!metadata.m_leaving) {
     return;
   }
--- a/packages/gateway/src/request_outcome.cpp
+++ b/packages/gateway/src/request_outcome.cpp
@@ -3,6 +3,7 @@
 #include "cardamompond/core/hash.hpp"
 #include "cardamompond/telemetry/log.hpp"
 
+#include <algorithm>
 #include <tuple>
 #include <utility>
 
@@ -115,6 +116,15 @@
       outcome == call_outcome::withheld) {
     return true; // no server received the request
   }
+  if (!m_may_have_run) {
+    // Without a server to send the request to, it is refused instead of taking a retry.
+    if (const auto delay = m_handler.m_admission.dispatcher().retry_delay_for_pauses(
+            m_service, m_tried_servers, monotonic_now())) {
+      m_retry_after =
+          std::clamp(std::chrono::duration_cast<milliseconds>(*delay), min_retry_after, max_retry_after);
+      return false;
+    }
+  }
   return m_handler.m_admission.take_retry(m_service);
 }
 
--- a/packages/gateway/src/request_processor.cpp
+++ b/packages/gateway/src/request_processor.cpp
@@ -157,6 +157,7 @@
     submission.m_abandoned_at = std::min(m_deadline, m_arrived_at + abandon_time);
   }
   submission.m_excluded_servers = m_tried_servers;
+  submission.m_may_have_run = m_may_have_run;
   return submission;
 }
 
@@ -233,9 +234,10 @@
     if (const auto* refusal = std::get_if<fleet::dispatch_refusal>(&decision)) {
       m_retry_after = std::clamp(std::chrono::duration_cast<milliseconds>(refusal->m_retry_after),
                                  min_retry_after, max_retry_after);
-      m_failure_reason = refusal->m_reason == fleet::refusal_reason::no_backend_server
-                             ? "no backend server in service"
-                             : "no room on any backend server";
+      m_failure_reason =
+          refusal->m_reason == fleet::refusal_reason::no_backend_server ? "no backend server in service"
+          : refusal->m_reason == fleet::refusal_reason::paused ? "all backend servers asked for a pause"
+                                                               : "no room on any backend server";
     } else {
       m_last_outcome = call_outcome::caller_gone;
     }
