Let the soak's engines state that they leave and ask for pauses

The soak checks both rules from outside: no request that was sent to a daemon after it had passed on the statement reaches that process, and at most two requests of a daemon reach an engine from half a second after its refusal until the end of the pause, unless that daemon or its connections to the engine were disturbed.

--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -55,6 +55,11 @@
   if (route == "order" || route == "guide") {
     m_history->m_at_most_once_ids.push_back(id);
   }
+  for (const auto& daemon : m_group.daemons()) {
+    if (m_group.callers_address(daemon) == address) {
+      m_history->m_dispatches[id] = {daemon.m_name, daemon.m_start_count, monotonic_now()};
+    }
+  }
   const std::string host = route == "moved" ? m_group.moved_host() : "h";
   const auto response =
       m_group.client().fetch(address,
@@ -69,6 +74,15 @@
   if (!response) {
     return 0;
   }
+  if (const auto stamp = net::find_header(response->m_headers, "X-Cardamompond-Server-Stamp")) {
+    const std::pair<std::string, std::string> answer(id, *stamp);
+    for (const auto& engine : m_group.engines()) {
+      if (engine.m_engine->log().m_leaving_answers.contains(answer)) {
+        const auto& [daemon, start_count, sent_at] = m_history->m_dispatches[id];
+        m_history->m_leaving_known.try_emplace({daemon, start_count, answer.second}, monotonic_now());
+      }
+    }
+  }
   check_response(route, id, *response);
   return response->m_status;
 }
@@ -101,7 +115,49 @@
              [&] { return m_running_callers == 0; });
 }
 
+// A request that was sent after its daemon had passed on the statement of an engine's process that it leaves
+// must not reach that process.
+void soak_callers::check_leaving(const platform::standins::engine_log& log) {
+  for (const auto& arrival : log.m_arrivals) {
+    const auto& [daemon, start_count, sent_at] = m_history->m_dispatches[arrival.m_request_id];
+    const auto known = m_history->m_leaving_known.find({daemon, start_count, arrival.m_stamp});
+    if (known != m_history->m_leaving_known.end() && sent_at > known->second) {
+      m_history->m_violations.push_back(arrival.m_request_id + ": sent by " + daemon +
+                                        " to the leaving engine " + arrival.m_stamp);
+    }
+  }
+}
+
+// At most two requests of a daemon reach an engine from half a second after its refusal until the end of the
+// pause that it asked for, unless the daemon or its connections to the engine were disturbed in the meantime.
+void soak_callers::check_pauses(const platform::standins::engine_log& log, const std::string& engine) {
+  constexpr milliseconds reaction_time{500};
+  constexpr std::ptrdiff_t max_requests = 2;
+  m_history->m_pauses += log.m_pauses.size();
+  for (const auto& pause : log.m_pauses) {
+    const auto asked = m_history->m_dispatches[pause.m_request_id];
+    if (m_group.was_disturbed(asked.m_daemon, pause.m_asked_at, pause.m_until) ||
+        m_group.was_disturbed(engine, pause.m_asked_at, pause.m_until)) {
+      continue;
+    }
+    const auto arrived =
+        std::count_if(log.m_arrivals.begin(), log.m_arrivals.end(), [&](const auto& arrival) {
+          return arrival.m_stamp == pause.m_stamp && arrival.m_at > pause.m_asked_at + reaction_time &&
+                 arrival.m_at < pause.m_until &&
+                 m_history->m_dispatches[arrival.m_request_id].m_daemon == asked.m_daemon;
+        });
+    if (arrived > max_requests) {
+      m_history->m_violations.push_back(std::to_string(arrived) + " requests of " + asked.m_daemon +
+                                        " reached " + pause.m_stamp + " in the pause that it asked for");
+    }
+  }
+}
+
 const soak_history& soak_callers::check_history() {
+  for (const auto& engine : m_group.engines()) {
+    check_leaving(engine.m_engine->log());
+    check_pauses(engine.m_engine->log(), engine.m_relay->address());
+  }
   for (const auto& id : m_history->m_at_most_once_ids) {
     if (const int runs = m_group.run_counter().runs(id); runs > 1) {
       m_history->m_violations.push_back(id + ": ran " + std::to_string(runs) + " times");
--- a/tests/soak/soak_callers.hpp
+++ b/tests/soak/soak_callers.hpp
@@ -3,19 +3,33 @@
 #include "soak_group.hpp"
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace cardamompond::testing {
 
+// A daemon process that a request was sent to, and when.
+struct soak_dispatch {
+  std::string m_daemon;
+  int m_start_count = 0; // of the daemon's processes
+  time_point m_sent_at;
+};
+
 // The requests that the callers sent, by the outcome that they observed, and the violations that were found.
 struct soak_history {
   std::vector<std::string> m_refused_ids;      // ids of requests whose status states that they were not run
   std::vector<std::string> m_at_most_once_ids; // ids of all requests that must run at most once
   std::vector<std::string> m_successful_ids;   // ids of requests with status 200
   std::vector<std::string> m_violations;       // descriptions for the log
-  std::uint64_t m_request_count = 0;           // number of requests that were sent
+  std::map<std::string, soak_dispatch> m_dispatches; // of all requests, by id
+  // By daemon, its start count and the stamp of an engine's process: when the daemon first passed on an
+  // answer that stated that the process leaves.
+  std::map<std::tuple<std::string, int, std::string>, time_point> m_leaving_known;
+  std::uint64_t m_pauses = 0;        // times that engines asked for
+  std::uint64_t m_request_count = 0; // number of requests that were sent
 };
 
 // Concurrent callers that send requests of all kinds to all daemons until stop(), over persistent
@@ -29,6 +43,7 @@
 
   // Checks the requests that must run at most once against the runs that the engines counted. Adds a
   // violation for each that ran more than once, and for each that ran although it was refused as not run.
+  // Also checks that daemons left leaving engines alone and observed the pauses that engines asked for.
   // Returns the history with all violations.
   const soak_history& check_history();
 
@@ -38,6 +53,8 @@
 
 private:
   void run(std::uint64_t seed);
+  void check_leaving(const platform::standins::engine_log& log);
+  void check_pauses(const platform::standins::engine_log& log, const std::string& engine);
   void check_response(std::string_view route, const std::string& id, const net::http_response& response);
 
   soak_group& m_group;
--- a/tests/soak/soak_group.cpp
+++ b/tests/soak/soak_group.cpp
@@ -1,5 +1,6 @@
 #include "soak_group.hpp"
 
+#include <algorithm>
 #include <csignal>
 
 #include <unistd.h>
@@ -80,7 +81,53 @@
   }
 }
 
+void soak_group::restart_engine(soak_engine& engine, bool same_id) {
+  const std::string old_id = engine.m_engine->id();
+  const std::string base = old_id.substr(0, old_id.find('+'));
+  engine.m_engine->start_process(same_id ? old_id : base + "+" + std::to_string(engine.m_engine->started()));
+  if (!same_id) {
+    m_store.remove("servers", old_id);
+  }
+  register_engine(engine, false);
+}
+
+void soak_group::set_relay_faults(soak_engine& engine, bool partitioned, bool refusing) {
+  engine.m_partitioned = partitioned;
+  engine.m_refusing = refusing;
+  if (partitioned || refusing) {
+    begin_disturbance(engine.m_relay->address());
+  }
+  engine.m_relay->set_partitioned(partitioned);
+  engine.m_relay->set_refusing(refusing);
+  if (!partitioned && !refusing) {
+    end_disturbance(engine.m_relay->address());
+  }
+}
+
+void soak_group::begin_disturbance(const std::string& target) {
+  auto& times = m_disturbances[target];
+  if (times.empty() || times.back().second != time_point::max()) {
+    times.emplace_back(monotonic_now(), time_point::max());
+  }
+}
+
+void soak_group::end_disturbance(const std::string& target) {
+  auto& times = m_disturbances[target];
+  if (!times.empty() && times.back().second == time_point::max()) {
+    times.back().second = monotonic_now();
+  }
+}
+
+bool soak_group::was_disturbed(const std::string& target, time_point from, time_point until) const {
+  const auto found = m_disturbances.find(target);
+  return found != m_disturbances.end() &&
+         std::any_of(found->second.begin(), found->second.end(),
+                     [&](const auto& each) { return each.first <= until && each.second >= from; });
+}
+
 void soak_group::start(soak_daemon& daemon) {
+  begin_disturbance(daemon.m_name);
+  end_disturbance(daemon.m_name);
   daemon.m_process.reset();
   daemon.m_process = std::make_unique<child_process>(
       program_path("cardamompondd"), std::vector<std::string>{"--settings", daemon.m_settings_path},
@@ -108,6 +155,7 @@
                {"version", "v1"},
                {"slots", 16},
                {"state", leaving ? "draining" : "ready"},
+               {"born", engine.m_engine->started()},
                {"cold_remaining_ms", 0}});
 }
 
@@ -125,16 +173,16 @@
   m_store.set_fault(platform::standins::store_fault::none);
   for (auto& engine : m_engines) {
     engine.m_engine->set_faults({});
-    engine.m_relay->set_refusing(false);
-    engine.m_relay->set_partitioned(false);
+    set_relay_faults(engine, false, false);
     engine.m_relay->set_delay(milliseconds(0));
-    register_engine(engine, false);
+    restart_engine(engine, true);
   }
   for (auto& daemon : m_daemons) {
     daemon.m_store_relay->set_refusing(false);
     daemon.m_store_relay->set_partitioned(false);
     daemon.m_store_relay->set_delay(milliseconds(0));
     daemon.m_process->signal(SIGCONT);
+    end_disturbance(daemon.m_name);
     if (daemon.m_process->exit_code()) {
       start(daemon);
     }
--- a/tests/soak/soak_group.hpp
+++ b/tests/soak/soak_group.hpp
@@ -7,9 +7,11 @@
 #include "cardamompond/testing/environment.hpp"
 #include "cardamompond/testing/tcp_relay.hpp"
 
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace cardamompond::testing {
@@ -29,6 +31,8 @@
 struct soak_engine {
   std::unique_ptr<platform::standins::backend_engine> m_engine;
   std::unique_ptr<tcp_relay> m_relay;
+  bool m_partitioned = false;
+  bool m_refusing = false;
 };
 
 // A small deployment: the daemons are real processes; the stand-ins of the store and of the engines run in
@@ -48,11 +52,26 @@
   std::string callers_address(const soak_daemon& daemon) const;
   bool is_ready(const soak_daemon& daemon);
 
+  // Starts another process of the engine, with the same id or a new one, and registers it. The old one is
+  // gone without having been shown as draining.
+  void restart_engine(soak_engine& engine, bool same_id);
+
+  // Sets the faults of the connections to the engine.
+  void set_relay_faults(soak_engine& engine, bool partitioned, bool refusing);
+
+  // Records when a daemon (by its name) or the connections to an engine (by the address of its relay) were
+  // disturbed.
+  void begin_disturbance(const std::string& target);
+  void end_disturbance(const std::string& target);
+
+  // Whether the target was disturbed at any time between the two.
+  bool was_disturbed(const std::string& target, time_point from, time_point until) const;
+
   // Registers the engine in the store, with the state draining if it is leaving and the state ready if not.
   void register_engine(const soak_engine& engine, bool leaving);
 
-  // Ends all faults of the relays, the engines and the store, registers the engines as ready, and lets
-  // stopped daemons continue and starts those that have ended.
+  // Ends all faults of the relays, the engines and the store, starts new processes of all engines and
+  // registers them as ready, and lets stopped daemons continue and starts those that have ended.
   void clear_faults();
 
   std::vector<soak_daemon>& daemons() { return m_daemons; }
@@ -71,6 +90,7 @@
   net::http_client m_client;
   std::vector<soak_engine> m_engines;
   std::vector<soak_daemon> m_daemons;
+  std::map<std::string, std::vector<std::pair<time_point, time_point>>> m_disturbances; // by target
   std::uint64_t m_version = 0; // of the newest configuration
 };
 
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -37,16 +37,18 @@
   void inject_fault() {
     auto& daemon = m_group.daemons()[m_random() % m_group.daemons().size()];
     auto& engine = m_group.engines()[m_random() % m_group.engines().size()];
-    switch (m_random() % 13) {
+    switch (m_random() % 16) {
     case 0:
       daemon.m_process->kill();
       m_group.start(daemon);
       break;
     case 1:
       daemon.m_process->signal(SIGSTOP);
+      m_group.begin_disturbance(daemon.m_name);
       break;
     case 2:
       daemon.m_process->signal(SIGTERM);
+      m_group.begin_disturbance(daemon.m_name);
       break;
     case 3:
       daemon.m_process->signal(SIGHUP);
@@ -70,14 +72,19 @@
       m_group.publish();
       break;
     case 10:
-      engine.m_relay->set_partitioned(random_bool());
+      m_group.set_relay_faults(engine, random_bool(), engine.m_refusing);
       break;
     case 11:
-      engine.m_relay->set_refusing(random_bool());
+      m_group.set_relay_faults(engine, engine.m_partitioned, random_bool());
+      break;
+    case 12:
+    case 13:
+      leave_or_restart(engine);
       break;
     default:
       engine.m_engine->set_faults({random_probability(), random_probability(), random_probability(),
-                                   random_probability(), random_probability(), random_probability()});
+                                   random_probability(), random_probability(), random_probability(),
+                                   random_bool() ? 0.15 : 0});
       m_group.register_engine(engine, m_random() % 5 == 0);
       break;
     }
@@ -88,11 +95,25 @@
   bool random_bool() { return m_random() % 2 == 0; }
   double random_probability() { return m_random() % 3 == 0 ? 0.15 : 0; }
 
+  // Makes the engine state that it leaves, while the store still shows it as ready. If it does so already,
+  // another process takes its place. At most two engines leave at a time.
+  void leave_or_restart(soak_engine& engine) {
+    const auto leaving = std::count_if(m_group.engines().begin(), m_group.engines().end(),
+                                       [](const soak_engine& each) { return each.m_engine->leaving(); });
+    constexpr std::ptrdiff_t max_leaving = 2;
+    if (engine.m_engine->leaving()) {
+      m_group.restart_engine(engine, random_bool());
+    } else if (leaving < max_leaving) {
+      engine.m_engine->leave();
+    }
+  }
+
   // Lets each daemon, with a probability of 1/4, continue if it was stopped and start again if it has ended.
   void resume_daemons() {
     for (auto& daemon : m_group.daemons()) {
       if (m_random() % 4 == 0) {
         daemon.m_process->signal(SIGCONT);
+        m_group.end_disturbance(daemon.m_name);
         if (daemon.m_process->exit_code()) {
           m_group.start(daemon);
         }
@@ -140,9 +161,11 @@
   callers.stop();
   const auto& history = callers.check_history();
   std::setvbuf(stdout, nullptr, _IOLBF, 0);
-  std::printf("seed %llu: %llu requests, %zu answered, %zu refused, %zu violations\n",
+  std::printf("seed %llu: %llu requests, %zu answered, %zu refused, %zu violations; "
+              "%zu times known that an engine leaves, %llu pauses\n",
               static_cast<unsigned long long>(seed), static_cast<unsigned long long>(history.m_request_count),
-              history.m_successful_ids.size(), history.m_refused_ids.size(), history.m_violations.size());
+              history.m_successful_ids.size(), history.m_refused_ids.size(), history.m_violations.size(),
+              history.m_leaving_known.size(), static_cast<unsigned long long>(history.m_pauses));
   for (const auto& violation : history.m_violations) {
     std::printf("  %s\n", violation.c_str());
   }
@@ -156,9 +179,9 @@
 TEST_GROUP(soak){};
 
 // Guards against requests that run twice although they must run at most once, requests that run although they
-// were refused as not run, incomplete responses or those to another request, and daemons that do not recover,
-// while several faults are present at the same time. The variables SOAK_SEEDS (a list) and SOAK_SECONDS (for
-// each seed) select other runs.
+// were refused as not run, incomplete responses or those to another request, requests to engines that leave
+// or have asked for a pause, and daemons that do not recover, while several faults are present at the same
+// time. The variables SOAK_SEEDS (a list) and SOAK_SECONDS (for each seed) select other runs.
 TEST(soak, guarantees_hold_under_faults) {
   std::istringstream seeds(read_environment("SOAK_SEEDS", default_seeds));
   const int duration_s = std::atoi(read_environment("SOAK_SECONDS", std::to_string(default_seconds)).c_str());
