Look up what a server stated once a list, and wait for servers without a pause

Placement looked up the statements of each server by id and start time for each waiting request. The rows of the servers now point to them; the pointers are updated with the list and with each new statement.

A request was refused at once when the only server that had not asked for a pause was excluded for a failure, which lasts 0.4 to 3 s; it now waits for that server as before. An answer to a reservation counts from its head on, also if its body does not arrive.

--- a/packages/fleet/src/dispatch_tables.hpp
+++ b/packages/fleet/src/dispatch_tables.hpp
@@ -21,6 +21,7 @@
   std::uint32_t m_id_hash = 0; // server_id_hash of its id
   bool m_listed = false;       // false: it receives no new requests and is erased after its last one
   time_point m_listed_since;   // when this process was first listed
+  const server_notice* m_notice = nullptr; // what it stated about itself, see update_notices; null: nothing
   bool m_uses_batching = false;
   milliseconds m_max_reservation{0}; // longest slot reservation; 0: none
 
@@ -113,9 +114,25 @@
 // Updates the failure statistics of a server after a request, and excludes the server if it fails.
 void update_health(server_row& server, server_outcome outcome, time_point now);
 
-// Whether the server may receive new requests. Its free slots are not considered.
+// Whether the server receives new requests, apart from exclusions for failures, which are short.
+bool is_in_service(const dispatch_tables& tables, const server_row& server);
+
+// Whether the server may receive new requests now. Its free slots are not considered.
 bool is_eligible(const dispatch_tables& tables, const server_row& server, time_point now);
 
+// Updates the pointers from the servers to what they stated about themselves.
+void update_notices(dispatch_tables& tables);
+
+// Whether the server has stated that it leaves.
+inline bool is_leaving(const server_row& server) {
+  return server.m_notice != nullptr && server.m_notice->m_leaving;
+}
+
+// Whether the server has asked for a pause that has not ended.
+inline bool is_paused(const server_row& server, time_point now) {
+  return server.m_notice != nullptr && server.m_notice->is_paused(now);
+}
+
 // Records that the server asked for a pause of the given length. The return from it is spread over time, like
 // the requests to a cold server. Returns false if the server is already paused.
 bool record_pause(dispatch_tables& tables, const backend_server& server, duration pause, time_point now);
@@ -123,8 +140,8 @@
 // Counts a granted request against the rate at which the requests return to a server after its pause.
 void record_return(dispatch_tables& tables, const server_row& server, time_point now);
 
-// Returns the time after which a caller should retry if all eligible servers of the service, except the
-// excluded ones, are paused for a while; nothing otherwise.
+// Returns the time after which a caller should retry if all servers of the service that are in service,
+// except the excluded ones, are paused for a while; nothing otherwise.
 std::optional<duration> retry_delay_for_pauses(dispatch_tables& tables, std::string_view service,
                                                std::span<const std::string> excluded_servers, time_point now);
 
--- a/packages/fleet/src/dispatcher.cpp
+++ b/packages/fleet/src/dispatcher.cpp
@@ -116,6 +116,7 @@
     }
   }
   tables.m_notices.update_listed(servers, now);
+  update_notices(tables);
   m_impl->erase_unlisted_servers();
   assign_slots(tables);
   update_peer_loads(tables, now);
@@ -165,7 +166,9 @@
 }
 
 bool dispatcher::record_leaving(const backend_server& server, time_point now) {
-  return m_impl->m_tables.m_notices.record_leaving(server, now);
+  const bool is_new = m_impl->m_tables.m_notices.record_leaving(server, now);
+  update_notices(m_impl->m_tables);
+  return is_new;
 }
 
 std::optional<backend_server> dispatcher::find_other_at(std::string_view address, std::string_view id) const {
@@ -180,8 +183,8 @@
 }
 
 bool dispatcher::may_send(const backend_server& server, time_point now) const {
-  const server_notices& notices = m_impl->m_tables.m_notices;
-  return !notices.is_leaving(server) && !notices.is_paused(server, now);
+  const server_notice* notice = m_impl->m_tables.m_notices.find(server);
+  return notice == nullptr || (!notice->m_leaving && !notice->is_paused(now));
 }
 
 std::optional<milliseconds> dispatcher::record_pause(const backend_server& server,
@@ -203,7 +206,7 @@
   std::size_t count = 0;
   for (const auto& [name, servers] : m_impl->m_tables.m_servers) {
     for (const auto& [id, server] : servers) {
-      count += server.m_listed && m_impl->m_tables.m_notices.is_paused(server.m_entry, now) ? 1 : 0;
+      count += server.m_listed && is_paused(server, now) ? 1 : 0;
     }
   }
   return count;
@@ -213,7 +216,7 @@
   leaving_counts counts;
   for (const auto& [name, servers] : m_impl->m_tables.m_servers) {
     for (const auto& [id, server] : servers) {
-      if (server.m_listed && m_impl->m_tables.m_notices.is_leaving(server.m_entry)) {
+      if (server.m_listed && is_leaving(server)) {
         ++counts.m_stated;
       } else if (server.m_listed && server.m_reported_leaving) {
         ++counts.m_reported;
@@ -279,8 +282,8 @@
     for (const auto& [id, server] : servers) {
       const speed_estimate speed = server.m_own_speed.estimate();
       const bool failing = now < server.m_failing_until;
-      const bool leaving = server.m_listed && m_impl->m_tables.m_notices.is_newly_leaving(
-                                                  server.m_entry, leaving_report_time, now);
+      const bool leaving = server.m_listed && is_leaving(server) &&
+                           now < server.m_notice->m_leaving_since + leaving_report_time;
       if (server.m_own_running > 0 || speed.m_samples > 0 || failing || leaving) {
         loads.push_back({server.m_id_hash, server.m_own_running, speed, failing, leaving,
                          leaving ? instance_hash(server.m_entry) : 0});
--- a/packages/fleet/src/pauses.cpp
+++ b/packages/fleet/src/pauses.cpp
@@ -33,8 +33,8 @@
   return std::chrono::duration_cast<duration>(std::chrono::duration<double>(members / rate));
 }
 
-// Returns the end of the first pause if all eligible servers of the service, except the excluded ones, are
-// paused; nothing otherwise.
+// Returns the end of the first pause if all servers in service, except the excluded ones, are paused; nothing
+// otherwise.
 std::optional<time_point> find_first_pause_end(const dispatch_tables& tables, std::string_view service,
                                                std::span<const std::string> excluded_servers,
                                                time_point now) {
@@ -44,11 +44,11 @@
   }
   std::optional<time_point> first_end;
   for (const auto& [id, server] : servers->second) {
-    if (!is_eligible(tables, server, now)) {
+    if (!is_in_service(tables, server)) {
       continue;
     }
-    if (tables.m_notices.is_paused(server.m_entry, now)) {
-      const time_point end = tables.m_notices.pause_end(server.m_entry);
+    if (is_paused(server, now)) {
+      const time_point end = server.m_notice->m_paused_until;
       first_end = first_end ? std::min(*first_end, end) : end;
     } else if (std::find(excluded_servers.begin(), excluded_servers.end(), id) == excluded_servers.end()) {
       return std::nullopt;
@@ -59,16 +59,28 @@
 
 } // namespace
 
+void update_notices(dispatch_tables& tables) {
+  for (auto& [name, servers] : tables.m_servers) {
+    for (auto& [id, server] : servers) {
+      server.m_notice = tables.m_notices.find(server.m_entry);
+    }
+  }
+}
+
 bool record_pause(dispatch_tables& tables, const backend_server& server, duration pause, time_point now) {
   const duration spread = std::min(return_interval(tables, server), return_period);
   const double phase = std::generate_canonical<double, 16>(tables.m_random);
   const time_point end = now + pause;
   const auto delay = std::chrono::duration_cast<duration>(spread * phase);
-  return tables.m_notices.record_pause(server, end, end + delay, end + return_period, now);
+  const bool is_new = tables.m_notices.record_pause(server, end, end + delay, end + return_period, now);
+  update_notices(tables);
+  return is_new;
 }
 
 void record_return(dispatch_tables& tables, const server_row& server, time_point now) {
-  tables.m_notices.record_request(server.m_entry, return_interval(tables, server.m_entry), now);
+  if (server.m_notice != nullptr) {
+    tables.m_notices.record_request(server.m_entry, return_interval(tables, server.m_entry), now);
+  }
 }
 
 std::optional<duration> retry_delay_for_pauses(dispatch_tables& tables, std::string_view service,
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -169,16 +169,19 @@
   }
 }
 
-bool is_eligible(const dispatch_tables& tables, const server_row& server, time_point now) {
-  const bool reported_failing = server.m_failure_reports >= min_failure_reports;
-  return server.m_listed && !reported_failing && !(server.m_on_probation && server.m_own_running > 0) &&
-         !server.m_entry.m_draining && !tables.m_notices.is_leaving(server.m_entry) &&
-         now >= server.m_excluded_until &&
+bool is_in_service(const dispatch_tables& tables, const server_row& server) {
+  return server.m_listed && !server.m_entry.m_draining && !is_leaving(server) &&
          !tables.m_evacuated_zones.contains(server.m_entry.m_availability_zone) &&
          (tables.m_rollout_controller == nullptr ||
           tables.m_rollout_controller->allows(server.m_entry.m_service, server.m_entry.m_version));
 }
 
+bool is_eligible(const dispatch_tables& tables, const server_row& server, time_point now) {
+  const bool reported_failing = server.m_failure_reports >= min_failure_reports;
+  return !reported_failing && !(server.m_on_probation && server.m_own_running > 0) &&
+         now >= server.m_excluded_until && is_in_service(tables, server);
+}
+
 server_row* select_server(dispatch_tables& tables, const submission& request, time_point now) {
   const auto servers = tables.m_servers.find(request.m_service);
   if (servers == tables.m_servers.end()) {
@@ -201,7 +204,7 @@
   double fastest_event_s = std::numeric_limits<double>::max();
   fit best_possible_fit = fit::none; // of all eligible servers, with or without capacity
   for (auto& [id, server] : servers->second) {
-    if (!is_eligible(tables, server, now) || tables.m_notices.is_paused(server.m_entry, now) ||
+    if (!is_eligible(tables, server, now) || is_paused(server, now) ||
         std::find(request.m_excluded_servers.begin(), request.m_excluded_servers.end(), id) !=
             request.m_excluded_servers.end()) {
       continue;
@@ -217,7 +220,7 @@
     fastest_event_s = std::min(fastest_event_s, server.m_combined_speed.m_event_interval_s);
     const fit server_fit = evaluate_fit(server, request, events, now);
     best_possible_fit = std::max(best_possible_fit, server_fit);
-    if (now >= server.m_full_until && tables.m_notices.allows_request(server.m_entry, now) &&
+    if (now >= server.m_full_until && (server.m_notice == nullptr || server.m_notice->allows_request(now)) &&
         server.m_own_running + server.m_peer_running < running_limit(tables, server) &&
         has_cold_capacity(tables, server, cold_rate, now)) {
       candidates.push_back({&server, server_fit});
--- a/packages/fleet/src/server_notices.cpp
+++ b/packages/fleet/src/server_notices.cpp
@@ -11,7 +11,7 @@
 
 } // namespace
 
-const server_notices::record* server_notices::find(const backend_server& server) const {
+const server_notice* server_notices::find(const backend_server& server) const {
   const auto by_start = m_records.find(server.m_id);
   if (by_start == m_records.end()) {
     return nullptr;
@@ -20,7 +20,7 @@
   return found == by_start->second.end() ? nullptr : &found->second;
 }
 
-server_notices::record& server_notices::find_or_add(const backend_server& server, time_point now) {
+server_notice& server_notices::find_or_add(const backend_server& server, time_point now) {
   const auto [found, added] = m_records[server.m_id].try_emplace(server.m_started_unix_ms);
   if (added) {
     found->second.m_last_listed = now;
@@ -29,7 +29,7 @@
 }
 
 bool server_notices::record_leaving(const backend_server& server, time_point now) {
-  record& notice = find_or_add(server, now);
+  server_notice& notice = find_or_add(server, now);
   if (notice.m_leaving) {
     return false;
   }
@@ -38,20 +38,10 @@
   return true;
 }
 
-bool server_notices::is_leaving(const backend_server& server) const {
-  const record* notice = find(server);
-  return notice != nullptr && notice->m_leaving;
-}
-
-bool server_notices::is_newly_leaving(const backend_server& server, duration period, time_point now) const {
-  const record* notice = find(server);
-  return notice != nullptr && notice->m_leaving && now < notice->m_leaving_since + period;
-}
-
 bool server_notices::record_pause(const backend_server& server, time_point end, time_point first_return,
                                   time_point return_end, time_point now) {
-  record& notice = find_or_add(server, now);
-  const bool already_paused = now < notice.m_paused_until;
+  server_notice& notice = find_or_add(server, now);
+  const bool already_paused = notice.is_paused(now);
   if (end > notice.m_paused_until) {
     notice.m_paused_until = end;
     notice.m_next_request = first_return;
@@ -61,16 +51,6 @@
   return !already_paused;
 }
 
-time_point server_notices::pause_end(const backend_server& server) const {
-  const record* notice = find(server);
-  return notice == nullptr ? time_point{} : notice->m_paused_until;
-}
-
-bool server_notices::allows_request(const backend_server& server, time_point now) const {
-  const record* notice = find(server);
-  return notice == nullptr || now >= notice->m_return_end || now >= notice->m_next_request;
-}
-
 void server_notices::record_request(const backend_server& server, duration interval, time_point now) {
   if (find(server) != nullptr) {
     find_or_add(server, now).m_next_request = now + interval;
--- a/packages/fleet/tests/server_notices_test.cpp
+++ b/packages/fleet/tests/server_notices_test.cpp
@@ -218,6 +218,17 @@
   CHECK(daemon.tick().empty());
 }
 
+// Guards against refusals because of a pause while another server may take requests again soon.
+TEST(server_notices, requests_wait_if_a_server_without_a_pause_is_excluded_for_a_moment) {
+  daemon.set_servers({make_instance(1), make_server("s2", "a", 1)});
+  record_pause(make_instance(1), milliseconds(3'000));
+  LONGS_EQUAL(1, count_results(daemon.submit(1), "s2"));
+  daemon.m_dispatcher.finish(1, server_outcome::unreachable, daemon.m_now);
+  CHECK(daemon.submit(1).empty());
+  daemon.m_now += milliseconds(400);
+  LONGS_EQUAL(1, count_results(daemon.tick(), "s2"));
+}
+
 // Guards against all daemons sending their waiting requests to a server at the moment at which its pause
 // ends. The server has 4 slots; all daemons were asked for the same pause.
 TEST(server_notices, requests_return_gradually_after_a_pause) {
--- a/packages/gateway/src/backend_call.cpp
+++ b/packages/gateway/src/backend_call.cpp
@@ -120,6 +120,8 @@
     if (!head) {
       return abort_reservation(head.error());
     }
+    const response_metadata metadata = m_protocol.read_response_metadata(*head);
+    m_options.m_on_server_notices(metadata);
     std::array<char, 1024> buffer{};
     while (true) {
       auto part = m_call->read_some(buffer, reservation_timeout);
@@ -134,8 +136,6 @@
       }
       head->m_body.append(part->data(), part->size());
     }
-    const response_metadata metadata = m_protocol.read_response_metadata(*head);
-    m_options.m_on_server_notices(metadata);
     if (metadata.m_request_id) {
       continue; // a late response to an earlier request
     }
