Check that a statement outlasts list updates without the server

The test updated the list only once without the server, so that it passed also if the statement was forgotten at the next update. With the retention set to zero it now fails; with the code as it is, fleet_tests pass (53).

--- a/packages/fleet/tests/server_notices_test.cpp
+++ b/packages/fleet/tests/server_notices_test.cpp
@@ -86,6 +86,7 @@
   record_leaving(make_instance(1));
   daemon.set_servers({});
   daemon.m_now += seconds(5);
+  daemon.set_servers({});
   daemon.set_servers({make_instance(1)});
   LONGS_EQUAL(0, count_results(daemon.submit(1), "s1"));
 }
