--- a/packages/gateway/tests/peer_group_test.cpp
+++ b/packages/gateway/tests/peer_group_test.cpp
@@ -223,3 +223,21 @@
   }
   CHECK(used <= 600); // half of the burst of 1,000, plus one request of 100
 }
+
+// Guards against peers that never learn that a server leaves because reports leave out servers without
+// requests.
+TEST(peer_group, reports_name_leaving_servers_without_requests) {
+  group_fixture group(2);
+  fleet::backend_server server;
+  server.m_id = "s1";
+  server.m_service = "chat";
+  server.m_started_unix_ms = 7;
+  group.m_admission.dispatcher().set_backend_servers(std::span(&server, 1), monotonic_now());
+  response_metadata leaving;
+  leaving.m_leaving = true;
+  group.m_admission.record_notices(server, leaving);
+  const auto report = group.m_group.make_report(false, false);
+  UNSIGNED_LONGS_EQUAL(1, report.m_loads.size());
+  CHECK(report.m_loads.front().m_leaving);
+  UNSIGNED_LONGS_EQUAL(7, report.m_loads.front().m_instance);
+}
