--- a/packages/net/src/fiber_stream.hpp
+++ b/packages/net/src/fiber_stream.hpp
@@ -9,11 +9,14 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/buffer_traits.hpp>
 
+#include <functional>
 #include <memory>
 #include <span>
 
 namespace cardamompond::net {
 
+class io_wait;
+
 // A TCP connection with a deadline, whose calls block the fiber and not the thread. It models Beast's
 // synchronous stream concepts, so that messages are parsed on the fiber's stack without the allocations and
 // handler dispatches of composed asynchronous operations. Only one fiber may use it at a time, but other
@@ -32,13 +35,22 @@
   socket_type& socket() noexcept { return m_socket; }
 
   // Sets the deadline of all later calls. If it passes during a call, the socket is closed and the call
-  // returns beast::error::timeout.
+  // returns beast::error::timeout. What arrived before the deadline is returned even if the event loop was
+  // too busy to deliver it in time.
   void expires_after(duration timeout) { m_deadline = monotonic_now() + timeout; }
   void expires_at(time_point deadline) { m_deadline = deadline; }
   void expires_never() { m_deadline = time_point::max(); }
 
   boost::system::error_code connect(const boost::asio::ip::tcp::endpoint& endpoint);
 
+  // Sets what later reads do when no data arrives: after `timeout`, and again after each `interval`, the read
+  // calls `give_up` on its own fiber. If that returns true, the socket is closed and the read returns
+  // beast::error::timeout; otherwise the read goes on waiting, at most until the deadline.
+  void on_silence(duration timeout, duration interval, std::function<bool()> give_up);
+
+  // Whether a read would return at once, with data or with an error.
+  bool readable() { return is_ready(readiness::input); }
+
   // Waits until data arrives and reads what is available, at least one byte.
   std::size_t read_some(boost::asio::mutable_buffer buffer, boost::system::error_code& error);
 
@@ -65,6 +77,10 @@
   // Waits until data can be read or the peer closes the connection.
   boost::system::error_code wait_readable();
 
+  // Waits until data can be read or the connection has ended, at most until the time given. Returns false if
+  // that passes first; the connection stays open then.
+  bool wait_readable_until(time_point until);
+
   // Fails the connection if the peer acknowledges nothing for `timeout`. Also enables keep-alive probes, so
   // that the loss of an idle connection is detected.
   void set_connection_loss_timeout(duration timeout);
@@ -75,16 +91,30 @@
 private:
   struct timer_state;
 
+  // What a blocked call waits for.
+  enum class readiness : short { input, output };
+
   template <typename StartOperation>
-  boost::system::error_code wait_for(const StartOperation& start_operation, std::size_t* bytes = nullptr);
-  void arm_timer();
+  boost::system::error_code wait_for(readiness awaited, const StartOperation& start_operation,
+                                     std::size_t* bytes = nullptr);
+  void arm_timer(time_point when);
   void on_timer();
+  void time_out();
+  bool is_ready(readiness awaited);
+  void wait_during_silence();
   boost::system::error_code wait_writable(bool or_readable, bool& readable);
 
   socket_type m_socket;
   time_point m_deadline = time_point::max();
-  bool m_blocked = false;
+  const io_wait* m_wait = nullptr; // of the blocked call; null: no call is blocked
+  readiness m_awaited = readiness::input;
+  bool m_completion_due = false; // the deadline has passed, but the blocked call can complete
   bool m_timed_out = false;
+  bool m_keeps_open = false;   // the blocked call ends at its deadline without closing the socket
+  bool m_wait_expired = false; // it has ended for that reason
+  duration m_silence_timeout{};
+  duration m_silence_interval{};
+  std::function<bool()> m_give_up;      // empty: reads wait until the deadline
   std::shared_ptr<timer_state> m_timer; // created by the first call that blocks
 };
 
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -83,7 +83,14 @@
 
   http_server_options m_options;
   handler m_handler;
+  void report_drop(request_drop cause, std::string_view detail) const {
+    if (m_drop_observer) {
+      m_drop_observer(cause, detail);
+    }
+  }
+
   parse_failure_responder m_parse_failure_responder;
+  drop_observer m_drop_observer;
   fiber_runtime& m_runtime;
   tcp::acceptor m_acceptor;
   bool m_draining = false;
@@ -133,6 +140,9 @@
   // Reads and handles one request. Returns whether the connection can serve another one.
   bool serve_one();
 
+  // Waits until the next request begins. Returns false if the connection has been idle for too long.
+  bool wait_for_request();
+
   // Returns false if the client closes the connection, does not complete a request in time or sends an
   // invalid request. To an invalid request, it sends an error response.
   bool read_request();
@@ -165,8 +175,9 @@
   ++m_server->m_active_requests;
   try {
     m_server->m_handler(*this);
-  } catch (const std::exception&) {
+  } catch (const std::exception& error) {
     m_close = true; // the client must not take a partial response for a complete one
+    m_server->report_drop(request_drop::handler_failure, error.what());
   }
   stop_watching_disconnect();
   --m_server->m_active_requests;
@@ -175,6 +186,16 @@
   return m_response_state == response_state::finished && m_request_keep_alive && !m_server->m_draining;
 }
 
+bool http_server::impl::connection::wait_for_request() {
+  const time_point idle_since = monotonic_now();
+  while (!m_stream.wait_readable_until(idle_since + m_server->m_options.m_idle_timeout)) {
+    if (monotonic_now() >= idle_since + m_server->m_options.m_idle_timeout) {
+      return false; // the limit may have changed during the wait
+    }
+  }
+  return true;
+}
+
 bool http_server::impl::connection::read_request() {
   http::request_parser<http::string_body> parser;
   parser.header_limit(m_server->m_options.m_max_header_bytes);
@@ -182,11 +203,8 @@
   // The buffer must be able to hold a whole header. Larger bodies pass through it in pieces.
   m_buffer.max_size(m_server->m_options.m_max_header_bytes + (64U << 10U));
   boost::system::error_code error;
-  if (m_buffer.size() == 0) {
-    m_stream.expires_after(m_server->m_options.m_idle_timeout);
-    if (m_stream.wait_readable()) {
-      return false;
-    }
+  if (m_buffer.size() == 0 && !wait_for_request()) {
+    return false;
   }
   m_stream.expires_after(m_server->m_options.m_header_timeout);
   http::read_header(m_stream, m_buffer, parser, error);
@@ -197,12 +215,15 @@
       return false;
     }
   }
-  if (!error && !parser.is_done()) {
+  while (!error && !parser.is_done()) {
     m_stream.expires_after(m_server->m_options.m_idle_timeout);
-    http::read(m_stream, m_buffer, parser, error);
+    http::read_some(m_stream, m_buffer, parser, error);
   }
   if (error) {
     if (error == beast::error::timeout) {
+      m_server->report_drop(parser.is_header_done() ? request_drop::body_timeout
+                                                    : request_drop::header_timeout,
+                            error.message());
       return false; // the stream has closed the socket
     }
     if (error == http::error::body_limit) {
@@ -430,6 +451,10 @@
   m_impl->m_parse_failure_responder = std::move(responder);
 }
 
+void http_server::set_drop_observer(drop_observer observer) {
+  m_impl->m_drop_observer = std::move(observer);
+}
+
 void http_server::set_limits(std::uint32_t max_header_bytes, std::uint64_t max_body_bytes,
                              milliseconds header_timeout, milliseconds idle_timeout) {
   auto& options = m_impl->m_options;
--- a/packages/net/tests/http_test.cpp
+++ b/packages/net/tests/http_test.cpp
@@ -1,11 +1,19 @@
 #include "cardamompond/net/http_client.hpp"
 #include "cardamompond/net/http_server.hpp"
+#include "cardamompond/net/io_wait.hpp"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/fiber/operations.hpp>
 
 #include <CppUTest/TestHarness.h>
 
+#include <array>
+#include <stdexcept>
+#include <thread>
 #include <tuple>
+#include <vector>
 
 using namespace cardamompond;
 using namespace cardamompond::net;
@@ -21,6 +29,44 @@
   return "127.0.0.1:" + std::to_string(server.port());
 }
 
+// A connection that sends any bytes at any time.
+class raw_connection {
+public:
+  explicit raw_connection(std::uint16_t port)
+      : m_socket(test_runtime().context()) {
+    io_wait wait;
+    m_socket.async_connect({boost::asio::ip::make_address("127.0.0.1"), port}, wait.handler());
+    CHECK_FALSE(wait.wait());
+  }
+
+  void write(std::string_view bytes) {
+    io_wait wait;
+    boost::asio::async_write(m_socket, boost::asio::buffer(bytes), wait.handler());
+    std::ignore = wait.wait();
+  }
+
+  // Reads until the text has come. Returns false if the connection ends or a second passes before.
+  bool read_until(std::string_view text) {
+    m_socket.non_blocking(true);
+    const time_point deadline = monotonic_now() + seconds(1);
+    while (m_received.find(text) == std::string::npos && monotonic_now() < deadline) {
+      std::array<char, 1024> bytes{};
+      boost::system::error_code error;
+      const std::size_t count = m_socket.read_some(boost::asio::buffer(bytes), error);
+      if (error && error != boost::asio::error::would_block) {
+        return false;
+      }
+      m_received.append(bytes.data(), count);
+      boost::this_fiber::sleep_for(milliseconds(5));
+    }
+    return m_received.find(text) != std::string::npos;
+  }
+
+private:
+  boost::asio::ip::tcp::socket m_socket;
+  std::string m_received;
+};
+
 } // namespace
 
 TEST_GROUP(http) {
@@ -120,3 +166,100 @@
   CHECK_TRUE(!head.has_value() && head.error().m_timeout && head.error().m_sent);
   boost::this_fiber::sleep_for(milliseconds(300)); // waits until the handler of `silent` has returned
 }
+
+// Guards against a request that ends without a response and without a trace in the log.
+TEST(http, request_without_a_response_is_reported) {
+  http_server server(m_runtime, {.m_address = "127.0.0.1:0", .m_idle_timeout = milliseconds(50)},
+                     [](http_exchange&) { throw std::runtime_error("broken handler"); });
+  std::vector<request_drop> causes;
+  server.set_drop_observer([&](request_drop cause, std::string_view) { causes.push_back(cause); });
+  CHECK_FALSE(
+      m_client.fetch(loopback_address(server), {"GET", "/", {}, {}}, milliseconds(1'000)).has_value());
+  auto opened = m_client.open(loopback_address(server));
+  CHECK(opened.has_value());
+  const http_request incomplete{"GET", "/", {{"Content-Length", "9"}}, {}};
+  CHECK((*opened)->send(incomplete, milliseconds(1'000)).has_value());
+  CHECK_FALSE((*opened)->read_head(milliseconds(1'000)).has_value());
+  CHECK(causes == (std::vector{request_drop::handler_failure, request_drop::body_timeout}));
+}
+
+// Guards against a response that is lost although it arrived in time, because the event loop was busy until
+// after the deadline. The timer closed the connection before the fiber had read what was there.
+TEST(http, response_that_arrives_while_the_event_loop_is_busy_is_not_a_timeout) {
+  constexpr milliseconds read_timeout{60};
+  http_server server(m_runtime, {.m_address = "127.0.0.1:0"}, [&](http_exchange& exchange) {
+    std::ignore = exchange.begin(200, {});
+    std::ignore = exchange.write(std::string_view("part"));
+    std::this_thread::sleep_for(2 * read_timeout); // blocks the event loop
+    boost::this_fiber::sleep_for(milliseconds(10));
+    std::ignore = exchange.write(std::string_view(" and rest"));
+    std::ignore = exchange.finish();
+  });
+  auto opened = m_client.open(loopback_address(server));
+  CHECK(opened.has_value());
+  http_call& call = **opened;
+  CHECK(call.send({"GET", "/", {}, {}}, milliseconds(1'000)).has_value());
+  CHECK(call.read_head(read_timeout).has_value());
+  std::string body;
+  std::array<char, 64> buffer{};
+  while (true) {
+    auto part = call.read_some(buffer, milliseconds(1'000));
+    CHECK_TEXT(part.has_value(), "the connection was closed");
+    if (part->empty()) {
+      break;
+    }
+    body.append(part->data(), part->size());
+  }
+  STRCMP_EQUAL("part and rest", body.c_str());
+}
+
+// Guards against a whole request that gets no answer, because the event loop was busy when it arrived on an
+// idle connection and the idle timeout passed before the request was read.
+TEST(http, request_that_arrives_before_the_idle_timeout_is_answered_by_a_busy_server) {
+  constexpr milliseconds idle_timeout{60};
+  http_server server(m_runtime, {.m_address = "127.0.0.1:0", .m_idle_timeout = idle_timeout},
+                     [](http_exchange& exchange) {
+                       std::ignore = exchange.respond({200, {}, "ok"});
+                     });
+  CHECK(m_client.fetch(loopback_address(server), {"GET", "/", {}, {}}, milliseconds(1'000)).has_value());
+  boost::this_fiber::sleep_for(idle_timeout / 3);
+  auto opened = m_client.open(loopback_address(server));
+  CHECK(opened.has_value() && (*opened)->reused());
+  CHECK((*opened)->send({"GET", "/", {}, {}}, milliseconds(1'000)).has_value());
+  std::this_thread::sleep_for(idle_timeout); // blocks the event loop
+  CHECK_TEXT((*opened)->read_head(milliseconds(1'000)).has_value(), "the connection was closed");
+}
+
+// Guards against an idle connection that closes by a limit that is no longer in force. Callers reuse
+// connections by the newest limit, and their request crosses the close.
+TEST(http, idle_connection_follows_a_changed_limit) {
+  http_server server(m_runtime, {.m_address = "127.0.0.1:0", .m_idle_timeout = milliseconds(100)},
+                     [](http_exchange& exchange) {
+                       std::ignore = exchange.respond({200, {}, "ok"});
+                     });
+  CHECK(m_client.fetch(loopback_address(server), {"GET", "/", {}, {}}, milliseconds(1'000)).has_value());
+  server.set_limits(8'192, 8'192, milliseconds(1'000), milliseconds(1'000));
+  boost::this_fiber::sleep_for(milliseconds(200));
+  LONGS_EQUAL(1, server.connections());
+  auto opened = m_client.open(loopback_address(server));
+  CHECK(opened.has_value() && (*opened)->reused());
+  CHECK((*opened)->send({"GET", "/", {}, {}}, milliseconds(1'000)).has_value());
+  CHECK((*opened)->read_head(milliseconds(1'000)).has_value());
+}
+
+// Guards against a large body that is cut although it keeps coming, because the idle timeout limited the time
+// for the whole body. Slow links and a shorter limit of a new configuration make that happen.
+TEST(http, body_that_keeps_coming_may_take_longer_than_the_idle_timeout) {
+  constexpr milliseconds idle_timeout{80};
+  http_server server(m_runtime, {.m_address = "127.0.0.1:0", .m_idle_timeout = idle_timeout},
+                     [](http_exchange& exchange) {
+                       std::ignore = exchange.respond({200, {}, exchange.request().m_body});
+                     });
+  raw_connection sender(server.port());
+  sender.write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n");
+  for (const char* part : {"b", "o", "d", "y"}) {
+    boost::this_fiber::sleep_for(idle_timeout / 2);
+    sender.write(part);
+  }
+  CHECK_TEXT(sender.read_until("body"), "the connection was closed");
+}
