--- a/packages/fleet/src/dispatch_tables.hpp
+++ b/packages/fleet/src/dispatch_tables.hpp
@@ -3,6 +3,8 @@
 #include "cardamompond/core/hash.hpp"
 #include "cardamompond/fleet/dispatcher.hpp"
 
+#include "server_notices.hpp"
+
 #include <deque>
 #include <map>
 #include <random>
@@ -18,6 +20,8 @@
   backend_server m_entry;
   std::uint32_t m_id_hash = 0; // server_id_hash of its id
   bool m_listed = false;       // false: it receives no new requests and is erased after its last one
+  time_point m_listed_since;   // when this process was first listed
+  const server_notice* m_notice = nullptr; // what it stated about itself, see update_notices; null: nothing
   bool m_uses_batching = false;
   milliseconds m_max_reservation{0}; // longest slot reservation; 0: none
 
@@ -33,6 +37,7 @@
   double m_failure_rate = 0;           // exponential moving average
   time_point m_failing_until;          // excluded until then because its responses are failures
   std::uint32_t m_failure_reports = 0; // number of peers that exclude it for this reason
+  bool m_reported_leaving = false;     // a peer reports that it leaves
   bool m_on_probation = false;         // gets one request at a time until one succeeds
   time_point m_excluded_until;
   time_point m_full_until; // gets no requests until then because it refused one for lack of capacity
@@ -83,6 +88,7 @@
       m_grant_rates; // by service, route rank and lateness
   std::unordered_map<ticket, running_request> m_running;
   std::map<std::string, peer_row, std::less<>> m_peers;
+  server_notices m_notices;
   std::set<std::string, std::less<>> m_evacuated_zones;
   std::vector<daemon_location> m_members;
   daemon_location m_self;
@@ -98,8 +104,8 @@
 // that have not yet received one another's reports from all choosing the same server.
 void assign_slots(dispatch_tables& tables);
 
-// Removes peers whose last report is too old, and recomputes the running requests and failure reports of the
-// other peers by server.
+// Removes peers whose last report is too old, and recomputes what the other peers report by server: running
+// requests, failures and that it leaves.
 void update_peer_loads(dispatch_tables& tables, time_point now);
 
 // Recomputes the speed of each server from the observations of all daemons.
@@ -108,9 +114,37 @@
 // Updates the failure statistics of a server after a request, and excludes the server if it fails.
 void update_health(server_row& server, server_outcome outcome, time_point now);
 
-// Whether the server may receive new requests. Its free slots are not considered.
+// Whether the server receives new requests, apart from exclusions for failures, which are short.
+bool is_in_service(const dispatch_tables& tables, const server_row& server);
+
+// Whether the server may receive new requests now. Its free slots are not considered.
 bool is_eligible(const dispatch_tables& tables, const server_row& server, time_point now);
 
+// Updates the pointers from the servers to what they stated about themselves.
+void update_notices(dispatch_tables& tables);
+
+// Whether the server has stated that it leaves.
+inline bool is_leaving(const server_row& server) {
+  return server.m_notice != nullptr && server.m_notice->m_leaving;
+}
+
+// Whether the server has asked for a pause that has not ended.
+inline bool is_paused(const server_row& server, time_point now) {
+  return server.m_notice != nullptr && server.m_notice->is_paused(now);
+}
+
+// Records that the server asked for a pause of the given length. The return from it is spread over time, like
+// the requests to a cold server. Returns false if the server is already paused.
+bool record_pause(dispatch_tables& tables, const backend_server& server, duration pause, time_point now);
+
+// Counts a granted request against the rate at which the requests return to a server after its pause.
+void record_return(dispatch_tables& tables, const server_row& server, time_point now);
+
+// Returns the time after which a caller should retry if all servers of the service that are in service,
+// except the excluded ones, are paused for a while; nothing otherwise.
+std::optional<duration> retry_delay_for_pauses(dispatch_tables& tables, std::string_view service,
+                                               std::span<const std::string> excluded_servers, time_point now);
+
 // Returns the best server with capacity for the request, or null.
 server_row* select_server(dispatch_tables& tables, const submission& request, time_point now);
 
--- a/packages/fleet/src/dispatcher.cpp
+++ b/packages/fleet/src/dispatcher.cpp
@@ -10,6 +10,17 @@
 // Upper bound of the cold period that a server or its entry may state.
 constexpr duration max_cold = seconds(60);
 
+// Time for which peers are told that a server leaves. The store shows it by then, or its own answers to the
+// peers do.
+constexpr duration leaving_report_time = seconds(10);
+
+// Upper bound of the pause that a server may ask for. A server that asks for more has a fault and is tried
+// again once a minute, as one that states a long cold period.
+constexpr milliseconds max_pause{60'000};
+
+// The pause of a server that asks for one but does not state its length readably.
+constexpr milliseconds unreadable_pause{1'000};
+
 // Applies the settings that are declared for all servers of a service.
 void apply_service_settings(server_row& server, const service& declared) {
   server.m_uses_batching = declared.m_uses_batching;
@@ -22,6 +33,10 @@
   return static_cast<std::uint32_t>(hash64(id));
 }
 
+std::uint32_t instance_hash(const backend_server& server) {
+  return static_cast<std::uint32_t>(server.m_started_unix_ms);
+}
+
 server_row* dispatch_tables::find_server(std::string_view id) {
   for (auto& [name, servers] : m_servers) {
     if (const auto found = servers.find(id); found != servers.end()) {
@@ -101,6 +116,9 @@
       found->second.m_own_running = own_running;
     }
     server_row& row = found == rows.end() ? rows[entry.m_id] : found->second;
+    if (row.m_listed_since == time_point{}) {
+      row.m_listed_since = now;
+    }
     const bool changed = row.m_entry.m_cold_remaining != entry.m_cold_remaining || row.m_id_hash == 0;
     row.m_entry = entry;
     row.m_id_hash = server_id_hash(entry.m_id);
@@ -113,6 +131,8 @@
       apply_service_settings(row, declared->second);
     }
   }
+  tables.m_notices.update_listed(servers, now);
+  update_notices(tables);
   m_impl->erase_unlisted_servers();
   assign_slots(tables);
   update_peer_loads(tables, now);
@@ -161,6 +181,67 @@
   }
 }
 
+bool dispatcher::record_leaving(const backend_server& server, time_point now) {
+  const bool is_new = m_impl->m_tables.m_notices.record_leaving(server, now);
+  update_notices(m_impl->m_tables);
+  return is_new;
+}
+
+std::optional<backend_server> dispatcher::find_other_at(std::string_view address, std::string_view id) const {
+  for (const auto& [name, servers] : m_impl->m_tables.m_servers) {
+    for (const auto& [other_id, server] : servers) {
+      if (server.m_listed && server.m_entry.m_address == address && other_id != id) {
+        return server.m_entry;
+      }
+    }
+  }
+  return std::nullopt;
+}
+
+bool dispatcher::may_send(const backend_server& server, time_point now) const {
+  const server_notice* notice = m_impl->m_tables.m_notices.find(server);
+  return notice == nullptr || (!notice->m_leaving && !notice->is_paused(now));
+}
+
+std::optional<milliseconds> dispatcher::record_pause(const backend_server& server,
+                                                     std::optional<milliseconds> requested, time_point now) {
+  const milliseconds pause = std::clamp(requested.value_or(unreadable_pause), milliseconds(0), max_pause);
+  if (pause == milliseconds(0) || !fleet::record_pause(m_impl->m_tables, server, pause, now)) {
+    return std::nullopt;
+  }
+  return pause;
+}
+
+std::optional<duration> dispatcher::retry_delay_for_pauses(std::string_view service,
+                                                           std::span<const std::string> excluded_servers,
+                                                           time_point now) {
+  return fleet::retry_delay_for_pauses(m_impl->m_tables, service, excluded_servers, now);
+}
+
+std::size_t dispatcher::count_paused(time_point now) const {
+  std::size_t count = 0;
+  for (const auto& [name, servers] : m_impl->m_tables.m_servers) {
+    for (const auto& [id, server] : servers) {
+      count += server.m_listed && is_paused(server, now) ? 1 : 0;
+    }
+  }
+  return count;
+}
+
+dispatcher::leaving_counts dispatcher::count_leaving() const {
+  leaving_counts counts;
+  for (const auto& [name, servers] : m_impl->m_tables.m_servers) {
+    for (const auto& [id, server] : servers) {
+      if (server.m_listed && is_leaving(server)) {
+        ++counts.m_stated;
+      } else if (server.m_listed && server.m_reported_leaving) {
+        ++counts.m_reported;
+      }
+    }
+  }
+  return counts;
+}
+
 void dispatcher::extend_cold_period(std::string_view server_id, milliseconds remaining, time_point now) {
   if (server_row* server = m_impl->m_tables.find_server(server_id); server != nullptr) {
     server->m_cold_until = std::max(server->m_cold_until, now + std::min<duration>(remaining, max_cold));
@@ -215,8 +296,11 @@
     for (const auto& [id, server] : servers) {
       const speed_estimate speed = server.m_own_speed.estimate();
       const bool failing = now < server.m_failing_until;
-      if (server.m_own_running > 0 || speed.m_samples > 0 || failing) {
-        loads.push_back({server.m_id_hash, server.m_own_running, speed, failing});
+      const bool leaving = server.m_listed && is_leaving(server) &&
+                           now < server.m_notice->m_leaving_since + leaving_report_time;
+      if (server.m_own_running > 0 || speed.m_samples > 0 || failing || leaving) {
+        loads.push_back({server.m_id_hash, server.m_own_running, speed, failing, leaving,
+                         leaving ? instance_hash(server.m_entry) : 0});
       }
     }
   }
--- a/packages/gateway/include/cardamompond/gateway/admission_controller.hpp
+++ b/packages/gateway/include/cardamompond/gateway/admission_controller.hpp
@@ -9,6 +9,7 @@
 #include "cardamompond/fleet/retry_budget.hpp"
 #include "cardamompond/fleet/rollout_controller.hpp"
 #include "cardamompond/gateway/fleet_view.hpp"
+#include "cardamompond/gateway/request_protocol.hpp"
 #include "cardamompond/net/io_wait.hpp"
 
 #include <map>
@@ -55,6 +56,12 @@
   // event that can change a decision and every few milliseconds.
   void deliver_decisions();
 
+  // Records what the server that was called states about itself in a response.
+  void record_notices(const fleet::backend_server& called, const response_metadata& metadata);
+
+  // Returns how many pauses servers have asked for.
+  std::uint64_t pause_count() const { return m_pause_count; }
+
   // Whether take_retry() would succeed now.
   bool has_retry(std::string_view service);
 
@@ -111,6 +118,7 @@
       m_other_daemons; // hashes of the names of the registered daemons without this one
   std::unordered_map<fleet::ticket, waiter*> m_waiters;
   fleet::ticket m_last_ticket = 0;
+  std::uint64_t m_pause_count = 0;
 };
 
 } // namespace cardamompond::gateway
--- a/packages/gateway/src/request_outcome.cpp
+++ b/packages/gateway/src/request_outcome.cpp
@@ -3,6 +3,7 @@
 #include "cardamompond/core/hash.hpp"
 #include "cardamompond/telemetry/log.hpp"
 
+#include <algorithm>
 #include <tuple>
 #include <utility>
 
@@ -16,7 +17,8 @@
 // Whether the server may have run a request that was sent to it.
 bool may_have_run_after(call_outcome outcome) {
   return outcome != call_outcome::refused && outcome != call_outcome::no_room &&
-         outcome != call_outcome::misdirected && outcome != call_outcome::unreachable;
+         outcome != call_outcome::misdirected && outcome != call_outcome::unreachable &&
+         outcome != call_outcome::withheld;
 }
 
 } // namespace
@@ -34,6 +36,8 @@
     return fleet::server_outcome::refused;
   case call_outcome::misdirected:
     return fleet::server_outcome::misdirected;
+  case call_outcome::withheld:
+    return fleet::server_outcome::not_sent;
   case call_outcome::unreachable:
     return fleet::server_outcome::unreachable;
   case call_outcome::broken:
@@ -138,9 +142,19 @@
       return false;
     }
   }
-  if (outcome == call_outcome::unreachable || outcome == call_outcome::no_room) {
+  if (outcome == call_outcome::unreachable || outcome == call_outcome::no_room ||
+      outcome == call_outcome::withheld) {
     return true; // no server received the request
   }
+  if (!m_may_have_run) {
+    // Without a server to send the request to, it is refused instead of taking a retry.
+    if (const auto delay = m_handler.m_admission.dispatcher().retry_delay_for_pauses(
+            m_service, m_tried_servers, monotonic_now())) {
+      m_retry_after =
+          std::clamp(std::chrono::duration_cast<milliseconds>(*delay), min_retry_after, max_retry_after);
+      return false;
+    }
+  }
   return m_handler.m_admission.take_retry(m_service);
 }
 
--- a/packages/gateway/src/request_processor.cpp
+++ b/packages/gateway/src/request_processor.cpp
@@ -169,6 +169,7 @@
     submission.m_abandoned_at = std::min(m_deadline, m_arrived_at + m_abandon_time);
   }
   submission.m_excluded_servers = m_tried_servers;
+  submission.m_may_have_run = m_may_have_run;
   return submission;
 }
 
@@ -185,6 +186,7 @@
   options.m_streamed = m_route->m_streamed;
   options.m_idempotent = retryable();
   options.m_relay = &m_relay;
+  options.m_connected_after = grant.m_listed_since;
   options.m_reservation_lifetime = grant.m_reservation;
   options.m_reserved_tokens = m_request.m_prompt_tokens + expected_output_tokens();
   const std::uint32_t earlier_runs = m_possible_runs + (m_current_call != nullptr ? 1 : 0);
@@ -212,6 +214,12 @@
       dispatcher.extend_cold_period(grant.m_server.m_id, *metadata.m_cold_remaining, now);
     }
   };
+  options.m_on_server_notices = [this, &grant](const response_metadata& metadata) {
+    m_handler.m_admission.record_notices(grant.m_server, metadata);
+  };
+  options.m_may_send = [this, &grant] {
+    return m_handler.m_admission.dispatcher().may_send(grant.m_server, monotonic_now());
+  };
   return options;
 }
 
@@ -306,9 +314,10 @@
   }
   m_retry_after = std::clamp(std::chrono::duration_cast<milliseconds>(refusal->m_retry_after),
                              min_retry_after, max_retry_after);
-  m_failure_reason = refusal->m_reason == fleet::refusal_reason::no_backend_server
-                         ? "no backend server in service"
-                         : "no room on any backend server";
+  m_failure_reason =
+      refusal->m_reason == fleet::refusal_reason::no_backend_server ? "no backend server in service"
+      : refusal->m_reason == fleet::refusal_reason::paused          ? "all backend servers asked for a pause"
+                                                                    : "no room on any backend server";
 }
 
 call_outcome request_handler::request_processor::dispatch(attempt& current) {
