Compare the versions of a rollout by a likelihood ratio of response times

Cause: rollout_controller compared the mean time to the first token of all servers of a version with the fixed factor 2.2, and completed an order whose evidence said nothing.

Now each response of the target is reported as two bins (first token; median time between events, which prompts processed in between hardly change), with the server and the requests that it ran. The model is fitted on the old version: the speeds of its servers, the spread of responses on one server and route, the increase per running request. The order is rolled back when the responses are 1,000 times as likely for a slower version (all or a share of the responses, all routes or one) as for one that is at most as fast. An order without a verdict is decided at its due time by the costs of both mistakes; the reason in the log holds the inputs.

Also mended, since the sums were wrong without it: outcomes of a restarted peer were lost, and rows of an earlier order counted for a later one (rows now carry the order's revision).

slowness_rolls_the_version_back used a single server; with one server a slow version and a slow server look the same, so it now spreads the same numbers of samples over four servers. Regression tests: a_version_with_some_slow_responses_is_rolled_back, a_slow_version_on_idle_servers_is_rolled_back and others.

--- a/packages/fleet/include/cardamompond/fleet/dispatcher.hpp
+++ b/packages/fleet/include/cardamompond/fleet/dispatcher.hpp
@@ -37,11 +37,18 @@
   std::vector<std::string> m_excluded_servers; // ids of the servers that received it before
 };
 
+// What is known of a backend server at the time at which a request is granted.
+struct server_condition {
+  std::uint32_t m_running = 0; // requests that it runs, this one included
+  bool m_cold = false;
+};
+
 // Allows the request to be sent to this backend server now.
 struct dispatch_grant {
   ticket m_ticket = 0;
   backend_server m_server;
   milliseconds m_reservation{0}; // time for which to reserve a slot before sending; 0: no reservation
+  server_condition m_condition;  // of the server when the request was granted
 };
 
 enum class refusal_reason { no_backend_server, no_capacity };
--- a/packages/fleet/include/cardamompond/fleet/rollout_controller.hpp
+++ b/packages/fleet/include/cardamompond/fleet/rollout_controller.hpp
@@ -2,8 +2,11 @@
 
 #include "cardamompond/core/time.hpp"
 #include "cardamompond/fleet/backend_server.hpp"
+#include "cardamompond/fleet/version_evidence.hpp"
 
 #include <cstdint>
+#include <deque>
+#include <limits>
 #include <map>
 #include <string>
 #include <string_view>
@@ -15,17 +18,36 @@
 // Outcomes of the requests of one version and route, as running totals of one daemon.
 struct version_outcomes {
   std::uint64_t m_good = 0;
-  std::uint64_t m_bad = 0;            // failed, or aborted by the server
-  double m_time_to_first_token_s = 0; // sum over the good requests
-  double m_time_per_unit_s = 0;       // sum over the good requests of the time per unit of the response
+  std::uint64_t m_bad = 0; // failed, or aborted by the server
+  // Latest good responses of the target version. Empty for old versions, which each daemon knows well enough
+  // from its own requests.
+  std::vector<response_timing> m_timings;
 };
 
-// One row of a report: the outcomes of one route on one version of a service since the daemon started.
+// One row of a report: the outcomes of one route on one version of a service since the daemon received the
+// order.
 struct version_observation {
   std::string m_service;
   std::string m_version;
   std::string m_route;
   version_outcomes m_outcomes;
+  std::uint64_t m_order = 0; // creation revision of the rollout order
+  // In rows of the target: slowness_evidence::m_log_ratio as computed by the sender, NaN if it cannot tell.
+  double m_log_ratio = std::numeric_limits<double>::quiet_NaN();
+};
+
+// The end of a request that a server answered or failed to answer.
+struct request_sample {
+  std::string_view m_service;
+  std::string_view m_version;
+  std::string_view m_route;
+  std::string_view m_server_id;
+  bool m_good = false;
+  bool m_cold = false;         // the server was cold, so that its times say nothing about its version
+  std::uint32_t m_running = 0; // requests that the server ran, this one included
+  std::uint32_t m_prompt_tokens = 0;
+  duration m_time_to_first_token{};
+  duration m_event_gap{}; // median time between two events of a stream; 0: unknown
 };
 
 // Compares the versions of services during rollouts and decides when a rollout is completed or rolled back.
@@ -36,13 +58,20 @@
   // outcomes of its service.
   void set_orders(const std::vector<rollout_order>& orders, time_point now);
 
-  // Records the end of a request on this daemon. `time_per_unit` is the time per unit of the response, which
-  // makes responses of different lengths comparable between versions.
-  void record_outcome(std::string_view service, std::string_view version, std::string_view route, bool good,
-                      duration time_to_first_token, duration time_per_unit, time_point now);
+  // Sets the number of daemons in the group, which share the requests that the target gets regardless of its
+  // share.
+  void set_daemon_count(std::uint32_t count) { m_daemon_count = count; }
+
+  // Records the end of a request on this daemon.
+  void record_outcome(const request_sample& sample);
 
-  // Replaces the totals reported by another daemon. An empty report removes them.
-  void set_peer_observations(std::string_view daemon, const std::vector<version_observation>& observations);
+  // Whether an order for the service is in force and undecided.
+  bool is_evaluating(std::string_view service) const;
+
+  // Replaces the totals reported by another daemon. After a restart of that daemon, which its incarnation
+  // shows, the totals of its earlier process are kept until the order is gone.
+  void set_peer_observations(std::string_view daemon, std::uint64_t incarnation,
+                             const std::vector<version_observation>& observations);
 
   // Returns the totals of this daemon for services with an order, for reports to the peers.
   std::vector<version_observation> own_observations() const;
@@ -80,17 +109,27 @@
     std::string m_reason;
     std::uint64_t m_granted = 0; // requests that this daemon granted, to all versions
     std::uint64_t m_granted_to_target = 0;
+    time_point m_compared_at; // last comparison of the timings
+    slowness_evidence m_slowness;
+    std::map<std::string, std::deque<response_timing>>
+        m_old_timings; // latest responses of the old version, by route
+  };
+  struct peer_observations {
+    std::uint64_t m_incarnation = 0;
+    std::vector<version_observation> m_current;
+    std::vector<version_observation> m_earlier; // of processes that have ended
   };
   using outcome_key = std::pair<std::string, std::string>; // version, route
 
-  std::map<outcome_key, version_outcomes> total_outcomes(const std::string& service) const;
-  void evaluate(const std::string& service, rollout_progress& progress, time_point now);
+  std::map<outcome_key, version_outcomes> total_outcomes(const rollout_order& order) const;
+  double group_log_ratio(const rollout_progress& progress) const;
+  void evaluate(rollout_progress& progress, time_point now);
 
   std::map<std::string, rollout_progress, std::less<>> m_rollouts; // by service
   std::map<std::string, std::map<outcome_key, version_outcomes>, std::less<>>
       m_own_outcomes; // outcomes of this daemon, by service
-  std::map<std::string, std::vector<version_observation>, std::less<>>
-      m_peer_observations; // reports of other daemons
+  std::map<std::string, peer_observations, std::less<>> m_peer_observations; // reports of other daemons
+  std::uint32_t m_daemon_count = 1;
 };
 
 } // namespace cardamompond::fleet
--- a/packages/fleet/src/queueing.cpp
+++ b/packages/fleet/src/queueing.cpp
@@ -62,7 +62,10 @@
   }
   tables.m_grant_rates[{request.m_service, request.m_route_rank, waiting.m_late}].record_grant(now);
   tables.m_running[request.m_ticket] = {request.m_service, server.m_entry.m_id, request.m_prompt_tokens, now};
-  return {request.m_ticket, server.m_entry, std::min(server.m_max_reservation, reservation_time)};
+  return {request.m_ticket,
+          server.m_entry,
+          std::min(server.m_max_reservation, reservation_time),
+          {server.m_own_running + server.m_peer_running, now < server.m_cold_until}};
 }
 
 // Sorts the queue by tier. Within a tier, requests that can still be answered on time come before late ones,
--- a/packages/fleet/src/rollout_controller.cpp
+++ b/packages/fleet/src/rollout_controller.cpp
@@ -1,6 +1,12 @@
 #include "cardamompond/fleet/rollout_controller.hpp"
 
+#include "cardamompond/core/hash.hpp"
+#include "cardamompond/fleet/speed_estimator.hpp"
+
 #include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdio>
 
 namespace cardamompond::fleet {
 namespace {
@@ -10,8 +16,10 @@
 // Share of a service's requests that the target version gets during a rollout. The platform allows a tenth.
 constexpr double canary_share = 0.07;
 
-// Requests that each daemon may send to the target regardless of the share, so that each daemon observes it.
-constexpr std::uint64_t min_canary_requests = 1;
+// Requests that all daemons together may send to the target regardless of the share, and the most that one
+// daemon may, so that each daemon of a small group observes it.
+constexpr double group_canary_requests = 25;
+constexpr double max_free_canary_requests = 1;
 
 // An order is completed this long before its due time, which leaves time to retry failed writes.
 constexpr duration completion_margin = milliseconds(1500);
@@ -21,23 +29,74 @@
 constexpr std::uint64_t min_failures = 4;
 constexpr double failure_rate_margin = 0.15; // on the same route
 
-// A target is slow if its mean time per unit on a route is over this multiple of that of the old versions.
-constexpr double slow_factor = 2.2;
-constexpr std::uint64_t min_slow_samples = 8;
+// Timings kept of the responses of the target, and of those of the old version, on each route.
+constexpr std::size_t max_target_timings = 32;
+constexpr std::size_t max_old_timings = 192;
+
+// Timings kept of processes that have ended.
+constexpr std::size_t max_earlier_timings = 64;
+
+// Interval between two comparisons of the timings.
+constexpr duration comparison_interval = milliseconds(500);
+
+// A target is rolled back at once if its responses are this many times as likely for a slower version.
+constexpr double rollback_likelihood_ratio = 1000;
+constexpr std::size_t min_slow_samples = 8;
+
+// An order that is undecided at its due time is decided by the costs of both mistakes, relative to that of
+// keeping a bad version, and by the share of bad versions.
+constexpr double cost_of_wrong_rollback = 0.02;
+constexpr double bad_version_share = 0.1;
+
+// With fewer requests of the service in all, a bad version gets too few of them to do harm.
+constexpr std::uint64_t min_harmful_requests = 50;
+
+// A daemon that has seen too few responses of the old version lets the others decide for this long.
+constexpr duration decision_delay_without_evidence = milliseconds(600);
+constexpr std::size_t min_old_samples = 20;
 
 double rate(std::uint64_t count, std::uint64_t total) {
   return total == 0 ? 0.0 : static_cast<double>(count) / static_cast<double>(total);
 }
 
-double mean(double sum, std::uint64_t count) {
-  return count == 0 ? 0.0 : sum / static_cast<double>(count);
-}
-
 void add(version_outcomes& to, const version_outcomes& more) {
   to.m_good += more.m_good;
   to.m_bad += more.m_bad;
-  to.m_time_to_first_token_s += more.m_time_to_first_token_s;
-  to.m_time_per_unit_s += more.m_time_per_unit_s;
+  to.m_timings.insert(to.m_timings.end(), more.m_timings.begin(), more.m_timings.end());
+}
+
+response_timing make_timing(const request_sample& sample) {
+  const auto seconds = [](duration value) { return std::chrono::duration<double>(value).count(); };
+  const speed_estimate reference = assumed_speed();
+  response_timing timing;
+  timing.m_server = static_cast<std::uint16_t>(hash64(sample.m_server_id));
+  timing.m_first = timing_bin(seconds(sample.m_time_to_first_token),
+                              reference.m_base_s + reference.m_prompt_s_per_token * sample.m_prompt_tokens);
+  timing.m_gap = sample.m_event_gap > duration::zero()
+                     ? timing_bin(seconds(sample.m_event_gap), reference.m_event_interval_s)
+                     : no_timing;
+  timing.m_running = static_cast<std::uint8_t>(std::min<std::uint32_t>(sample.m_running, 255));
+  return timing;
+}
+
+// Whether keeping an undecided target costs more than rolling it back, given how many times as likely its
+// responses are for a slower version.
+bool is_rollback_cheaper(double log_likelihood_ratio) {
+  return log_likelihood_ratio + std::log(bad_version_share / (1 - bad_version_share)) >
+         std::log(cost_of_wrong_rollback);
+}
+
+std::string describe(double group_log_ratio, const slowness_evidence& slowness) {
+  std::array<char, 160> text{};
+  std::snprintf(text.data(), text.size(),
+                "log likelihood ratio %.1f, here %.1f from %zu responses of the target and %zu old ones",
+                group_log_ratio, slowness.m_log_ratio, slowness.m_target_samples, slowness.m_old_samples);
+  return text.data();
+}
+
+// Whether this daemon has seen enough of the old version for a comparison.
+bool can_judge(const slowness_evidence& slowness) {
+  return slowness.m_old_samples >= min_old_samples;
 }
 
 } // namespace
@@ -61,38 +120,88 @@
     next.insert_or_assign(order.m_service, std::move(progress));
   }
   m_rollouts = std::move(next);
+  for (auto& [daemon, peer] : m_peer_observations) {
+    for (auto* rows : {&peer.m_current, &peer.m_earlier}) {
+      std::erase_if(*rows, [&](const version_observation& each) {
+        const auto rollout = m_rollouts.find(each.m_service);
+        return rollout == m_rollouts.end() || rollout->second.m_order.m_created_revision > each.m_order;
+      });
+    }
+  }
+  std::erase_if(m_peer_observations, [](const auto& each) {
+    return each.second.m_current.empty() && each.second.m_earlier.empty();
+  });
 }
 
-void rollout_controller::record_outcome(std::string_view service, std::string_view version,
-                                        std::string_view route, bool good, duration time_to_first_token,
-                                        duration time_per_unit, time_point /*now*/) {
-  if (!m_rollouts.contains(service)) {
+void rollout_controller::record_outcome(const request_sample& sample) {
+  const auto found = m_rollouts.find(sample.m_service);
+  if (found == m_rollouts.end()) {
     return;
   }
-  auto& outcomes = m_own_outcomes[std::string(service)][{std::string(version), std::string(route)}];
-  if (!good) {
+  auto& outcomes = m_own_outcomes[std::string(sample.m_service)]
+                                 [{std::string(sample.m_version), std::string(sample.m_route)}];
+  if (!sample.m_good) {
     ++outcomes.m_bad;
     return;
   }
   ++outcomes.m_good;
-  outcomes.m_time_to_first_token_s += std::chrono::duration<double>(time_to_first_token).count();
-  outcomes.m_time_per_unit_s += std::chrono::duration<double>(time_per_unit).count();
+  if (sample.m_cold) {
+    return;
+  }
+  if (sample.m_version == found->second.m_order.m_target_version) {
+    if (outcomes.m_timings.size() >= max_target_timings) {
+      outcomes.m_timings.erase(outcomes.m_timings.begin());
+    }
+    outcomes.m_timings.push_back(make_timing(sample));
+  } else {
+    auto& timings = found->second.m_old_timings[std::string(sample.m_route)];
+    if (timings.size() >= max_old_timings) {
+      timings.pop_front();
+    }
+    timings.push_back(make_timing(sample));
+  }
 }
 
-void rollout_controller::set_peer_observations(std::string_view daemon,
+bool rollout_controller::is_evaluating(std::string_view service) const {
+  const auto found = m_rollouts.find(service);
+  return found != m_rollouts.end() &&
+         (found->second.m_decided_state == state::ordered || found->second.m_decided_state == state::running);
+}
+
+void rollout_controller::set_peer_observations(std::string_view daemon, std::uint64_t incarnation,
                                                const std::vector<version_observation>& observations) {
-  if (observations.empty()) {
-    m_peer_observations.erase(std::string(daemon));
-    return;
+  peer_observations& peer = m_peer_observations[std::string(daemon)];
+  if (peer.m_incarnation != incarnation) {
+    for (auto& each : peer.m_current) {
+      const auto same = std::find_if(peer.m_earlier.begin(), peer.m_earlier.end(), [&](const auto& earlier) {
+        return earlier.m_order == each.m_order && earlier.m_service == each.m_service &&
+               earlier.m_version == each.m_version && earlier.m_route == each.m_route;
+      });
+      if (same == peer.m_earlier.end()) {
+        peer.m_earlier.push_back(std::move(each));
+      } else {
+        add(same->m_outcomes, each.m_outcomes);
+        auto& timings = same->m_outcomes.m_timings;
+        timings.resize(std::min(timings.size(), max_earlier_timings));
+      }
+    }
   }
-  m_peer_observations.insert_or_assign(std::string(daemon), observations);
+  peer.m_incarnation = incarnation;
+  peer.m_current = observations;
 }
 
 std::vector<version_observation> rollout_controller::own_observations() const {
   std::vector<version_observation> all;
   for (const auto& [service, by_key] : m_own_outcomes) {
+    const auto rollout = m_rollouts.find(service);
     for (const auto& [key, outcomes] : by_key) {
-      all.push_back({service, key.first, key.second, outcomes});
+      if (rollout != m_rollouts.end()) {
+        const rollout_progress& progress = rollout->second;
+        all.push_back({service, key.first, key.second, outcomes, progress.m_order.m_created_revision});
+        if (key.first == progress.m_order.m_target_version && can_judge(progress.m_slowness)) {
+          all.back().m_log_ratio = progress.m_slowness.m_log_ratio;
+        }
+      }
     }
   }
   return all;
@@ -123,34 +232,70 @@
   case state::running:
     break;
   }
-  return !is_target || static_cast<double>(progress.m_granted_to_target) <
-                           static_cast<double>(min_canary_requests) +
-                               canary_share * static_cast<double>(progress.m_granted);
+  const double free_requests = std::min(max_free_canary_requests, group_canary_requests / m_daemon_count);
+  return !is_target || static_cast<double>(progress.m_granted_to_target + 1) <=
+                           free_requests + canary_share * static_cast<double>(progress.m_granted + 1);
 }
 
 std::map<rollout_controller::outcome_key, version_outcomes>
-rollout_controller::total_outcomes(const std::string& service) const {
+rollout_controller::total_outcomes(const rollout_order& order) const {
   std::map<outcome_key, version_outcomes> total;
-  if (const auto own = m_own_outcomes.find(service); own != m_own_outcomes.end()) {
+  if (const auto own = m_own_outcomes.find(order.m_service); own != m_own_outcomes.end()) {
     total = own->second;
   }
   for (const auto& [daemon, observations] : m_peer_observations) {
-    for (const auto& each : observations) {
-      if (each.m_service == service) {
-        add(total[{each.m_version, each.m_route}], each.m_outcomes);
+    for (const auto* rows : {&observations.m_current, &observations.m_earlier}) {
+      for (const auto& each : *rows) {
+        if (each.m_service == order.m_service && each.m_order == order.m_created_revision) {
+          add(total[{each.m_version, each.m_route}], each.m_outcomes);
+        }
       }
     }
   }
   return total;
 }
 
-void rollout_controller::evaluate(const std::string& service, rollout_progress& progress, time_point now) {
-  const auto total = total_outcomes(service);
+// Returns the median of the log likelihood ratios of all daemons that can judge. Each daemon compares the
+// timings of the target that all daemons reported with its own requests to the old version, which are a
+// sample.
+double rollout_controller::group_log_ratio(const rollout_progress& progress) const {
+  std::vector<double> ratios;
+  if (can_judge(progress.m_slowness)) {
+    ratios.push_back(progress.m_slowness.m_log_ratio);
+  }
+  for (const auto& [daemon, observations] : m_peer_observations) {
+    const auto row = std::find_if(
+        observations.m_current.begin(), observations.m_current.end(), [&](const version_observation& each) {
+          return each.m_order == progress.m_order.m_created_revision &&
+                 each.m_service == progress.m_order.m_service &&
+                 each.m_version == progress.m_order.m_target_version && std::isfinite(each.m_log_ratio);
+        });
+    if (row != observations.m_current.end()) {
+      ratios.push_back(row->m_log_ratio);
+    }
+  }
+  if (ratios.empty()) {
+    return 0;
+  }
+  const auto middle = ratios.begin() + static_cast<std::ptrdiff_t>(ratios.size() / 2);
+  std::nth_element(ratios.begin(), middle, ratios.end());
+  return *middle;
+}
+
+void rollout_controller::evaluate(rollout_progress& progress, time_point now) {
+  const auto total = total_outcomes(progress.m_order);
   const std::string& target = progress.m_order.m_target_version;
   std::map<std::string, version_outcomes> old_outcomes_by_route;
+  timings_by_route target_timings;
+  std::uint64_t requests = 0;
+  std::uint64_t old_good = 0;
   for (const auto& [key, outcomes] : total) {
+    requests += outcomes.m_good + outcomes.m_bad;
     if (key.first != target) {
+      old_good += outcomes.m_good;
       add(old_outcomes_by_route[key.second], outcomes);
+    } else {
+      target_timings[key.second] = outcomes.m_timings;
     }
   }
   for (const auto& [key, outcomes] : total) {
@@ -165,25 +310,40 @@
       progress.m_reason = "failures on route " + key.second;
       return;
     }
-    const double time_per_unit = mean(outcomes.m_time_per_unit_s, outcomes.m_good);
-    const double old_time_per_unit = mean(old_outcomes.m_time_per_unit_s, old_outcomes.m_good);
-    if (outcomes.m_good >= min_slow_samples && old_outcomes.m_good >= min_slow_samples &&
-        time_per_unit > slow_factor * old_time_per_unit) {
-      progress.m_decided_state = state::rolled_back;
-      progress.m_reason = "slow on route " + key.second;
-      return;
-    }
   }
-  if (now >= progress.m_started + progress.m_order.m_period - completion_margin) {
-    progress.m_decided_state = state::completed;
-    progress.m_reason = "no fault until the due time";
+  const time_point decide_at = progress.m_started + progress.m_order.m_period - completion_margin;
+  if (now - progress.m_compared_at < comparison_interval && now < decide_at) {
+    return;
+  }
+  progress.m_compared_at = now;
+  timings_by_route old_timings;
+  for (const auto& [route, timings] : progress.m_old_timings) {
+    old_timings[route].assign(timings.begin(), timings.end());
+  }
+  progress.m_slowness = compare_timings(old_timings, target_timings);
+  const slowness_evidence& slowness = progress.m_slowness;
+  const double log_ratio = group_log_ratio(progress);
+  if (slowness.m_target_samples >= min_slow_samples && log_ratio > std::log(rollback_likelihood_ratio)) {
+    progress.m_decided_state = state::rolled_back;
+    progress.m_reason = "slow: " + describe(log_ratio, slowness);
+    return;
+  }
+  if (now < decide_at ||
+      (!can_judge(slowness) && old_good > 0 && now < decide_at + decision_delay_without_evidence)) {
+    return;
   }
+  // Without responses of the old version there is nothing to return to.
+  const bool harmless = requests < min_harmful_requests || old_good == 0;
+  const bool roll_back = !harmless && is_rollback_cheaper(log_ratio);
+  progress.m_decided_state = roll_back ? state::rolled_back : state::completed;
+  progress.m_reason = (roll_back ? "undecided at the due time: " : "no fault until the due time: ") +
+                      describe(log_ratio, slowness) + ", " + std::to_string(requests) + " requests";
 }
 
 void rollout_controller::tick(time_point now) {
   for (auto& [service, progress] : m_rollouts) {
     if (progress.m_decided_state == state::running || progress.m_decided_state == state::ordered) {
-      evaluate(service, progress, now);
+      evaluate(progress, now);
     }
   }
 }
--- a/packages/fleet/tests/rollout_controller_test.cpp
+++ b/packages/fleet/tests/rollout_controller_test.cpp
@@ -1,5 +1,7 @@
 #include "cardamompond/fleet/rollout_controller.hpp"
 
+#include "rollout_simulation.hpp"
+
 #include <CppUTest/TestHarness.h>
 
 using namespace cardamompond;
@@ -9,6 +11,8 @@
 
 const time_point start{seconds(10)};
 
+constexpr int servers_per_version = 4;
+
 rollout_order make_order(std::uint64_t created = 5) {
   rollout_order order;
   order.m_service = "chat";
@@ -21,7 +25,10 @@
 void record_outcomes(rollout_controller& controller, std::string_view version, std::string_view route,
                      bool good, milliseconds took, int times) {
   for (int i = 0; i < times; ++i) {
-    controller.record_outcome("chat", version, route, good, took, took, start);
+    const std::string server = std::string(version) + std::to_string(i % servers_per_version);
+    request_sample sample{"chat", version, route, server, good};
+    sample.m_time_to_first_token = took;
+    controller.record_outcome(sample);
   }
 }
 
@@ -88,9 +95,9 @@
 TEST(rollout, outcomes_of_all_daemons_are_added_up) {
   rollout_controller controller;
   controller.set_orders({make_order()}, start);
-  controller.set_peer_observations("b", {{"chat", "v2", "a", {0, 2, 0, 0}}});
-  controller.set_peer_observations("c", {{"chat", "v2", "a", {0, 2, 0, 0}}});
-  controller.set_peer_observations("c", {{"chat", "v2", "a", {0, 2, 0, 0}}});
+  controller.set_peer_observations("b", 1, {{"chat", "v2", "a", {0, 2, {}}, 5}});
+  controller.set_peer_observations("c", 1, {{"chat", "v2", "a", {0, 2, {}}, 5}});
+  controller.set_peer_observations("c", 1, {{"chat", "v2", "a", {0, 2, {}}, 5}});
   controller.tick(start + seconds(1));
   CHECK(decided_state(controller) == rollout_order::state::rolled_back);
 }
@@ -115,3 +122,89 @@
   controller.record_rollback("chat", 9, "new");
   CHECK_FALSE(controller.allows("chat", "v2"));
 }
+
+// Guards against a version that is completed because only a part of its responses is slow, so that their mean
+// hardly differs from that of the old version.
+TEST(rollout, a_version_with_some_slow_responses_is_rolled_back) {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    testing::simulated_rollout rollout;
+    rollout.m_seed = seed;
+    rollout.m_slow_factor = 3;
+    rollout.m_slow_share = 0.3;
+    CHECK(testing::simulate(rollout).m_state == rollout_order::state::rolled_back);
+  }
+}
+
+// Guards against a slow version that is completed because its idle servers are compared with the loaded
+// servers of the old version.
+TEST(rollout, a_slow_version_on_idle_servers_is_rolled_back) {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    testing::simulated_rollout rollout;
+    rollout.m_seed = seed;
+    rollout.m_load = 0.85;
+    rollout.m_slow_factor = 1.6;
+    CHECK(testing::simulate(rollout).m_state == rollout_order::state::rolled_back);
+  }
+}
+
+// Guards against good versions that are rolled back because servers differ in speed or daemons restart.
+TEST(rollout, good_versions_on_unlike_servers_are_completed) {
+  for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+    testing::simulated_rollout rollout;
+    rollout.m_seed = seed;
+    rollout.m_load = seed % 2 == 0 ? 0.85 : 0.5;
+    rollout.m_restart_every = seed % 4 < 2 ? seconds(2) : seconds(0);
+    CHECK(testing::simulate(rollout).m_state == rollout_order::state::completed);
+  }
+}
+
+// Guards against failures that are forgotten because the daemon that saw them restarted.
+TEST(rollout, outcomes_of_a_restarted_daemon_still_count) {
+  rollout_controller controller;
+  controller.set_orders({make_order()}, start);
+  controller.set_peer_observations("b", 1, {{"chat", "v2", "a", {0, 2, {}}, 5}});
+  controller.set_peer_observations("b", 2, {});
+  controller.set_peer_observations("b", 2, {{"chat", "v2", "a", {0, 2, {}}, 5}});
+  controller.tick(start + seconds(1));
+  CHECK(decided_state(controller) == rollout_order::state::rolled_back);
+}
+
+// Guards against a version that is rolled back for the outcomes of an earlier order, which peers still
+// report.
+TEST(rollout, outcomes_of_an_earlier_order_do_not_count) {
+  rollout_controller controller;
+  controller.set_orders({make_order(9)}, start);
+  controller.set_peer_observations("b", 1, {{"chat", "v2", "a", {0, 9, {}}, 5}});
+  controller.tick(start + seconds(1));
+  CHECK(decided_state(controller) == rollout_order::state::running);
+}
+
+// Guards against many daemons that together send more than the allowed requests to the target because each
+// may send some regardless of the share.
+TEST(rollout, the_daemons_of_a_large_group_share_the_free_requests) {
+  constexpr int daemons = 100;
+  constexpr int requests_per_daemon = 5;
+  int to_target = 0;
+  for (int i = 0; i < daemons; ++i) {
+    rollout_controller controller;
+    controller.set_daemon_count(daemons);
+    controller.set_orders({make_order()}, start);
+    for (int j = 0; j < requests_per_daemon; ++j) {
+      const bool allowed = controller.allows("chat", "v2");
+      controller.record_grant("chat", allowed ? "v2" : "v1");
+      to_target += allowed ? 1 : 0;
+    }
+  }
+  CHECK(to_target <= 50);
+}
+
+// Guards against a version being completed although the responses do not tell whether it is slower. Keeping a
+// bad version costs far more than rolling a good one back.
+TEST(rollout, an_undecided_version_is_rolled_back_at_its_due_time) {
+  rollout_controller controller;
+  controller.set_orders({make_order()}, start);
+  record_outcomes(controller, "v1", "a", true, milliseconds(50), 100);
+  record_outcomes(controller, "v2", "a", true, milliseconds(50), 1);
+  controller.tick(start + milliseconds(10'600));
+  CHECK(decided_state(controller) == rollout_order::state::rolled_back);
+}
--- a/packages/gateway/include/cardamompond/gateway/backend_call.hpp
+++ b/packages/gateway/include/cardamompond/gateway/backend_call.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace cardamompond::gateway {
 
@@ -68,6 +69,10 @@
   // Makes run() return caller_gone. May be called from another fiber or an event handler.
   void cancel();
 
+  // The median time between two events of the stream that this call relayed; zero if there were too few.
+  // Unlike the mean, it hardly depends on the prompts that the server processed in between.
+  duration median_event_gap() const;
+
   // The response; its body is complete only if run() returned `answered`.
   const net::http_response& response() const { return m_response; }
 
@@ -86,11 +91,14 @@
   std::optional<call_outcome> forward_events(std::string_view events);
 
   void report_progress();
+  void record_event_gap(std::size_t events);
 
   net::http_client& m_client;
   const request_protocol& m_protocol;
   std::uint64_t m_events_reported = 0; // value of stream_relay::m_events_relayed at the last report
   time_point m_progress_reported_at;
+  time_point m_last_part_at;          // time_point{}: no part was relayed
+  std::vector<duration> m_event_gaps; // of the first events, from part to part
   call_options m_options;
   std::unique_ptr<net::http_call> m_call;
   net::http_response m_response;
--- a/packages/gateway/include/cardamompond/gateway/group_maintenance.hpp
+++ b/packages/gateway/include/cardamompond/gateway/group_maintenance.hpp
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <string>
+#include <utility>
 
 namespace cardamompond::gateway {
 
@@ -32,6 +33,7 @@
   bool is_registered() const;
   void register_self();
   void remove_silent_members(time_point now);
+  void log_decision(const fleet::rollout_controller::order_decision& decision);
   void write_decision(const fleet::rollout_controller::order_decision& decision, time_point now);
 
   document_store& m_store;
@@ -42,6 +44,8 @@
   bool m_deregistering = false;
   std::map<std::string, time_point, std::less<>> m_silent_since;    // by name of the member
   std::map<std::string, time_point, std::less<>> m_unwritten_since; // by service with an unwritten decision
+  std::map<std::string, std::pair<std::string, fleet::rollout_order::state>, std::less<>>
+      m_logged_decisions; // target version and state, by service
 };
 
 } // namespace cardamompond::gateway
--- a/packages/gateway/schema/exchange.capnp
+++ b/packages/gateway/schema/exchange.capnp
@@ -36,8 +36,11 @@
   route @2 :Text;
   good @3 :UInt64;
   bad @4 :UInt64;
-  firstAnswerS @5 :Float64; # m_time_to_first_token_s of fleet::version_outcomes
-  totalS @6 :Float64;       # m_time_per_unit_s of fleet::version_outcomes
+  unused5 @5 :Float64;
+  unused6 @6 :Float64;
+  order @7 :UInt64;       # revision at which the rollout order was created
+  timings @8 :Data;       # five bytes for each fleet::response_timing: server (low byte first), first, gap, running
+  logRatio @9 :Float32 = nan; # m_log_ratio of fleet::version_observation
 }
 
 # A rollout order that the sender knows to be rolled back.
--- a/packages/gateway/src/admission_controller.cpp
+++ b/packages/gateway/src/admission_controller.cpp
@@ -116,6 +116,7 @@
     return;
   }
   m_daemon_count = count;
+  m_rollout_controller.set_daemon_count(count);
   for (auto& [service, budget] : m_retry_budgets) {
     budget.set_limits(own_retry_limits());
   }
--- a/packages/gateway/src/backend_call.cpp
+++ b/packages/gateway/src/backend_call.cpp
@@ -212,7 +212,9 @@
     return std::nullopt;
   }
   relay.m_last_event = monotonic_now();
-  relay.m_events_relayed += relay.m_splitter.event_count();
+  const std::size_t event_count = relay.m_splitter.event_count();
+  relay.m_events_relayed += event_count;
+  record_event_gap(event_count);
   if (!relay.m_head_sent) {
     relay.m_head_sent = true;
     relay.m_first_event = relay.m_last_event;
@@ -244,6 +246,26 @@
   }
 }
 
+void backend_call::record_event_gap(std::size_t events) {
+  constexpr std::size_t max_event_gaps = 32;
+  const time_point now = m_options.m_relay->m_last_event;
+  if (m_last_part_at != time_point{} && events > 0 && m_event_gaps.size() < max_event_gaps) {
+    m_event_gaps.push_back((now - m_last_part_at) / static_cast<std::int64_t>(events));
+  }
+  m_last_part_at = now;
+}
+
+duration backend_call::median_event_gap() const {
+  constexpr std::size_t min_event_gaps = 3;
+  if (m_event_gaps.size() < min_event_gaps) {
+    return duration::zero();
+  }
+  std::vector<duration> gaps = m_event_gaps;
+  const auto middle = gaps.begin() + static_cast<std::ptrdiff_t>(gaps.size() / 2);
+  std::nth_element(gaps.begin(), middle, gaps.end());
+  return *middle;
+}
+
 call_outcome backend_call::relay_events() {
   stream_relay& relay = *m_options.m_relay;
   relay.m_splitter.drop_incomplete_event();
--- a/packages/gateway/src/exchange.capnp.h
+++ b/packages/gateway/src/exchange.capnp.h
@@ -86,7 +86,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c0baf3be40494d00, 4, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(c0baf3be40494d00, 6, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -478,9 +478,16 @@
 
   inline  ::uint64_t getBad() const;
 
-  inline double getFirstAnswerS() const;
+  inline double getUnused5() const;
 
-  inline double getTotalS() const;
+  inline double getUnused6() const;
+
+  inline  ::uint64_t getOrder() const;
+
+  inline bool hasTimings() const;
+  inline  ::capnp::Data::Reader getTimings() const;
+
+  inline float getLogRatio() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -537,11 +544,24 @@
   inline  ::uint64_t getBad();
   inline void setBad( ::uint64_t value);
 
-  inline double getFirstAnswerS();
-  inline void setFirstAnswerS(double value);
+  inline double getUnused5();
+  inline void setUnused5(double value);
+
+  inline double getUnused6();
+  inline void setUnused6(double value);
+
+  inline  ::uint64_t getOrder();
+  inline void setOrder( ::uint64_t value);
+
+  inline bool hasTimings();
+  inline  ::capnp::Data::Builder getTimings();
+  inline void setTimings( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initTimings(unsigned int size);
+  inline void adoptTimings(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownTimings();
 
-  inline double getTotalS();
-  inline void setTotalS(double value);
+  inline float getLogRatio();
+  inline void setLogRatio(float value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1424,34 +1444,96 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline double VersionOutcomes::Reader::getFirstAnswerS() const {
+inline double VersionOutcomes::Reader::getUnused5() const {
   return _reader.getDataField<double>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline double VersionOutcomes::Builder::getFirstAnswerS() {
+inline double VersionOutcomes::Builder::getUnused5() {
   return _builder.getDataField<double>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void VersionOutcomes::Builder::setFirstAnswerS(double value) {
+inline void VersionOutcomes::Builder::setUnused5(double value) {
   _builder.setDataField<double>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline double VersionOutcomes::Reader::getTotalS() const {
+inline double VersionOutcomes::Reader::getUnused6() const {
   return _reader.getDataField<double>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline double VersionOutcomes::Builder::getTotalS() {
+inline double VersionOutcomes::Builder::getUnused6() {
   return _builder.getDataField<double>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void VersionOutcomes::Builder::setTotalS(double value) {
+inline void VersionOutcomes::Builder::setUnused6(double value) {
   _builder.setDataField<double>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t VersionOutcomes::Reader::getOrder() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t VersionOutcomes::Builder::getOrder() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void VersionOutcomes::Builder::setOrder( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool VersionOutcomes::Reader::hasTimings() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool VersionOutcomes::Builder::hasTimings() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader VersionOutcomes::Reader::getTimings() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder VersionOutcomes::Builder::getTimings() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void VersionOutcomes::Builder::setTimings( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder VersionOutcomes::Builder::initTimings(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void VersionOutcomes::Builder::adoptTimings(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> VersionOutcomes::Builder::disownTimings() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline float VersionOutcomes::Reader::getLogRatio() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, 2143289344u);
+}
+
+inline float VersionOutcomes::Builder::getLogRatio() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, 2143289344u);
+}
+inline void VersionOutcomes::Builder::setLogRatio(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value, 2143289344u);
+}
+
 inline bool TakenBack::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/gateway/src/group_maintenance.cpp
+++ b/packages/gateway/src/group_maintenance.cpp
@@ -139,11 +139,25 @@
   since->second = monotonic_now() + write_delay_per_rank;
 }
 
+void group_maintenance::log_decision(const fleet::rollout_controller::order_decision& decision) {
+  auto& logged = m_logged_decisions[decision.m_service];
+  const auto state = std::pair(decision.m_target_version, decision.m_state);
+  if (logged != state && !decision.m_reason.empty()) {
+    log_event(log_level::info, "rollout_decided",
+              {{"service", decision.m_service},
+               {"target", decision.m_target_version},
+               {"state", state_name(decision.m_state)},
+               {"reason", decision.m_reason}});
+  }
+  logged = state;
+}
+
 void group_maintenance::run_rollouts() {
   while (true) {
     const time_point now = monotonic_now();
     m_admission.rollout_controller().tick(now);
     for (const auto& decision : m_admission.rollout_controller().decisions()) {
+      log_decision(decision);
       write_decision(decision, now);
     }
     boost::this_fiber::sleep_for(rollout_interval);
--- a/packages/gateway/src/peer_group.cpp
+++ b/packages/gateway/src/peer_group.cpp
@@ -107,7 +107,8 @@
   compare_collections(remote, report, now);
   apply_quota_use(remote, report, restarted, now);
   m_admission.dispatcher().set_peer_loads(report.m_daemon, report.m_loads, now);
-  m_admission.rollout_controller().set_peer_observations(report.m_daemon, report.m_outcomes);
+  m_admission.rollout_controller().set_peer_observations(report.m_daemon, report.m_incarnation,
+                                                         report.m_outcomes);
   for (const auto& [service, created] : report.m_rolled_back_orders) {
     m_admission.rollout_controller().record_rollback(service, created, "found by " + report.m_daemon);
   }
--- a/packages/gateway/src/peer_report.cpp
+++ b/packages/gateway/src/peer_report.cpp
@@ -8,6 +8,7 @@
 #include <kj/io.h>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <limits>
 
@@ -45,6 +46,21 @@
   return std::max(0.0, finite_or_zero(value));
 }
 
+constexpr std::size_t encoded_timing_bytes = 5;
+
+// A longer list is cut off, since a daemon sends no more timings than this.
+constexpr std::size_t max_decoded_timings = 256;
+
+std::vector<fleet::response_timing> decode_timings(capnp::Data::Reader bytes) {
+  std::vector<fleet::response_timing> timings;
+  const std::size_t count = std::min(bytes.size() / encoded_timing_bytes, max_decoded_timings);
+  for (std::size_t i = 0; i < count; ++i) {
+    const auto* from = bytes.begin() + i * encoded_timing_bytes;
+    timings.push_back({static_cast<std::uint16_t>(from[0] | from[1] << 8U), from[2], from[3], from[4]});
+  }
+  return timings;
+}
+
 void encode_outcomes(const std::vector<fleet::version_observation>& from, wire::Report::Builder to) {
   auto list = to.initOutcomes(static_cast<unsigned>(from.size()));
   for (unsigned i = 0; i < list.size(); ++i) {
@@ -53,8 +69,17 @@
     list[i].setRoute(from[i].m_route);
     list[i].setGood(from[i].m_outcomes.m_good);
     list[i].setBad(from[i].m_outcomes.m_bad);
-    list[i].setFirstAnswerS(from[i].m_outcomes.m_time_to_first_token_s);
-    list[i].setTotalS(from[i].m_outcomes.m_time_per_unit_s);
+    list[i].setOrder(from[i].m_order);
+    list[i].setLogRatio(static_cast<float>(from[i].m_log_ratio));
+    const auto& timings = from[i].m_outcomes.m_timings;
+    auto bytes = list[i].initTimings(static_cast<unsigned>(timings.size() * encoded_timing_bytes));
+    for (std::size_t j = 0; j < timings.size(); ++j) {
+      const auto& [server, first, gap, running] = timings[j];
+      const std::array<std::uint8_t, encoded_timing_bytes> encoded = {
+          static_cast<std::uint8_t>(server & 0xffU), static_cast<std::uint8_t>(server >> 8U), first, gap,
+          running};
+      std::copy(encoded.begin(), encoded.end(), bytes.begin() + j * encoded_timing_bytes);
+    }
   }
 }
 
@@ -100,8 +125,9 @@
     report.m_outcomes.push_back({each.getService().cStr(),
                                  each.getVersion().cStr(),
                                  each.getRoute().cStr(),
-                                 {each.getGood(), each.getBad(), finite_or_zero(each.getFirstAnswerS()),
-                                  finite_or_zero(each.getTotalS())}});
+                                 {each.getGood(), each.getBad(), decode_timings(each.getTimings())},
+                                 each.getOrder(),
+                                 each.getLogRatio()});
   }
   for (const auto& each : from.getTakenBack()) {
     report.m_rolled_back_orders.emplace_back(each.getService().cStr(), each.getCreated());
--- a/packages/gateway/src/request_outcome.cpp
+++ b/packages/gateway/src/request_outcome.cpp
@@ -75,11 +75,7 @@
     admission.crashes().record_broken_connection(m_content_hash, hash64(grant.m_server.m_id), now);
   }
   if (good || bad) {
-    const duration total = now - dispatched_at;
-    const duration time_to_first_token =
-        m_first_token_at > dispatched_at ? m_first_token_at - dispatched_at : total;
-    admission.rollout_controller().record_outcome(m_service, grant.m_server.m_version, m_route->m_name, good,
-                                                  time_to_first_token, time_to_first_token, now);
+    record_version_outcome(grant, good, call, dispatched_at);
   }
   if (!good && outcome != call_outcome::no_room) {
     log_event(log_level::info, "dispatch_failed",
@@ -94,6 +90,40 @@
   admission.deliver_decisions(); // the server has room for another request now
 }
 
+void request_handler::request_processor::record_version_outcome(const fleet::dispatch_grant& grant, bool good,
+                                                                const backend_call& call,
+                                                                time_point dispatched_at) {
+  auto& rollouts = m_handler.m_admission.rollout_controller();
+  if (!rollouts.is_evaluating(m_service)) {
+    return;
+  }
+  const fleet::request_sample sample{
+      .m_service = m_service,
+      .m_version = grant.m_server.m_version,
+      .m_route = m_route->m_name,
+      .m_server_id = grant.m_server.m_id,
+      .m_good = good,
+      .m_cold = grant.m_condition.m_cold,
+      .m_running = grant.m_condition.m_running,
+      .m_prompt_tokens = m_request.m_prompt_tokens,
+      .m_time_to_first_token =
+          (m_first_token_at > dispatched_at ? m_first_token_at : monotonic_now()) - dispatched_at,
+      .m_event_gap = call.median_event_gap()};
+  rollouts.record_outcome(sample);
+  log_event(
+      log_level::info, "rollout_observation",
+      {{"request_id", m_request.m_id},
+       {"backend_server", sample.m_server_id},
+       {"version", sample.m_version},
+       {"route", sample.m_route},
+       {"good", good},
+       {"running", sample.m_running},
+       {"cold", sample.m_cold},
+       {"prompt_tokens", sample.m_prompt_tokens},
+       {"first_ms", to_ms(sample.m_time_to_first_token)},
+       {"event_gap_us", std::chrono::duration_cast<std::chrono::microseconds>(sample.m_event_gap).count()}});
+}
+
 // Decides whether the request is sent again after a dispatch that ended without a response for the caller.
 bool request_handler::request_processor::may_retry(call_outcome outcome) {
   if (m_caller_disconnected || outcome == call_outcome::caller_gone || outcome == call_outcome::out_of_time ||
--- a/packages/gateway/src/request_processor.hpp
+++ b/packages/gateway/src/request_processor.hpp
@@ -42,6 +42,8 @@
   bool may_retry(call_outcome outcome);
   void record_call_outcome(const fleet::dispatch_grant& grant, call_outcome outcome, const backend_call& call,
                            time_point dispatched_at);
+  void record_version_outcome(const fleet::dispatch_grant& grant, bool good, const backend_call& call,
+                              time_point dispatched_at);
   std::optional<request_error> finish_after_failure();
   void handle_disconnect();
   void send_error(const request_error& error);
--- a/packages/gateway/tests/peer_report_test.cpp
+++ b/packages/gateway/tests/peer_report_test.cpp
@@ -21,7 +21,7 @@
   report.m_loads = {{77, 3, {0.05, 1e-5, 0.03, 4}, true}};
   report.m_quota_use = {{11, 1234.5}};
   report.m_recent_use_only = true;
-  report.m_outcomes = {{"chat", "v2", "r1", {3, 1, 0.25, 0.5}}};
+  report.m_outcomes = {{"chat", "v2", "r1", {3, 1, {{513, 7, 255, 2}}}, 6}};
   report.m_rolled_back_orders = {{"chat", 5}};
   report.m_crashes = {{{1, 2}, {3, 4}}};
   return report;
@@ -49,6 +49,9 @@
   UNSIGNED_LONGS_EQUAL(11, read->m_quota_use.front().first);
   DOUBLES_EQUAL(1234.5, read->m_quota_use.front().second, 1e-3);
   UNSIGNED_LONGS_EQUAL(1, read->m_outcomes.front().m_outcomes.m_bad);
+  UNSIGNED_LONGS_EQUAL(6, read->m_outcomes.front().m_order);
+  CHECK(read->m_outcomes.front().m_outcomes.m_timings ==
+        make_report().m_outcomes.front().m_outcomes.m_timings);
   UNSIGNED_LONGS_EQUAL(5, read->m_rolled_back_orders.front().second);
   UNSIGNED_LONGS_EQUAL(4, read->m_crashes.front().m_servers.back());
 }
