Demand more evidence for a rollback while few old responses are known

The ratio for a rollback is 100,000 while a daemon knows fewer than 60 responses of the old version, 1,000 afterwards.

A trial with higher minimum numbers of samples instead (12 and 40) failed slowness_rolls_the_version_back, which is kept as it is.

--- a/packages/fleet/src/rollout_controller.cpp
+++ b/packages/fleet/src/rollout_controller.cpp
@@ -41,6 +41,10 @@
 
 // A target is rolled back at once if its responses are this many times as likely for a slower version.
 constexpr double rollback_likelihood_ratio = 1000;
+
+// With fewer responses of the old version, the model is rough and the ratio has to be higher.
+constexpr std::size_t many_old_samples = 60;
+constexpr double rollback_likelihood_ratio_few_samples = 100'000;
 constexpr std::size_t min_slow_samples = 8;
 
 // An order that is undecided at its due time is decided by the costs of both mistakes, relative to that of
@@ -323,7 +327,10 @@
   progress.m_slowness = compare_timings(old_timings, target_timings);
   const slowness_evidence& slowness = progress.m_slowness;
   const double log_ratio = group_log_ratio(progress);
-  if (slowness.m_target_samples >= min_slow_samples && log_ratio > std::log(rollback_likelihood_ratio)) {
+  const double rollback_ratio = slowness.m_old_samples < many_old_samples
+                                    ? rollback_likelihood_ratio_few_samples
+                                    : rollback_likelihood_ratio;
+  if (slowness.m_target_samples >= min_slow_samples && log_ratio > std::log(rollback_ratio)) {
     progress.m_decided_state = state::rolled_back;
     progress.m_reason = "slow: " + describe(log_ratio, slowness);
     return;
