--- a/packages/fleet/include/cardamompond/fleet/dispatcher.hpp
+++ b/packages/fleet/include/cardamompond/fleet/dispatcher.hpp
@@ -39,12 +39,19 @@
   bool m_may_have_run = false;                 // a refusal could no longer state that it was not run
 };
 
+// What is known of a backend server at the time at which a request is granted.
+struct server_condition {
+  std::uint32_t m_running = 0; // requests that it runs, this one included
+  bool m_cold = false;
+};
+
 // Allows the request to be sent to this backend server now.
 struct dispatch_grant {
   ticket m_ticket = 0;
   backend_server m_server;
   milliseconds m_reservation{0}; // time for which to reserve a slot before sending; 0: no reservation
   time_point m_listed_since;     // an older connection to the address leads to an earlier process
+  server_condition m_condition;  // of the server when the request was granted
 };
 
 enum class refusal_reason {
