Count a request as active from its first byte

What callers saw: at the end of a drain, a request that was still being read was closed without any answer; with stop_accepting(), so was one whose head had arrived in part. A request that must not be repeated is lost that way.

Cause: the drain waits for active requests, and a request became active only when it had been read to its end. Class of fault: a connection is closed on work that nobody has counted.

Evidence: request_that_is_being_read_is_active fails before (0 active requests) and passes now.

Change: the count and the mark that keeps a connection open begin with the first byte.

--- a/packages/net/include/cardamompond/net/http_server.hpp
+++ b/packages/net/include/cardamompond/net/http_server.hpp
@@ -116,7 +116,7 @@
   // Returns the number of open connections.
   std::size_t connections() const;
 
-  // Returns the number of requests whose handler is running.
+  // Returns the number of requests that are being read or whose handler is running.
   std::size_t active_requests() const;
 
 private:
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -169,12 +169,15 @@
 bool http_server::impl::connection::serve_one() {
   m_in_request = false;
   m_response_state = response_state::none;
-  if (!read_request()) {
+  if (m_buffer.size() == 0 && !wait_for_request()) {
     return false;
   }
+  m_in_request = true;
   ++m_server->m_active_requests;
   try {
-    m_server->m_handler(*this);
+    if (read_request()) {
+      m_server->m_handler(*this);
+    }
   } catch (const std::exception& error) {
     m_close = true; // the client must not take a partial response for a complete one
     m_server->report_drop(request_drop::handler_failure, error.what());
@@ -203,12 +206,8 @@
   // The buffer must be able to hold a whole header. Larger bodies pass through it in pieces.
   m_buffer.max_size(m_server->m_options.m_max_header_bytes + (64U << 10U));
   boost::system::error_code error;
-  if (m_buffer.size() == 0 && !wait_for_request()) {
-    return false;
-  }
   m_stream.expires_after(m_server->m_options.m_header_timeout);
   http::read_header(m_stream, m_buffer, parser, error);
-  m_in_request = true;
   if (!error && beast::iequals(parser.get()[http::field::expect], "100-continue")) {
     static constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
     if (!write_buffers(asio::buffer(continue_response.data(), continue_response.size()))) {
--- a/packages/net/tests/http_test.cpp
+++ b/packages/net/tests/http_test.cpp
@@ -263,3 +263,19 @@
   }
   CHECK_TEXT(sender.read_until("body"), "the connection was closed");
 }
+
+// Guards against a request that is lost at the end of a drain, because the daemon did not count it while it
+// was still being read.
+TEST(http, request_that_is_being_read_is_active) {
+  http_server server(m_runtime, {.m_address = "127.0.0.1:0"}, [](http_exchange& exchange) {
+    std::ignore = exchange.respond({200, {}, "ok"});
+  });
+  raw_connection sender(server.port());
+  sender.write("POST / HTTP/1.1\r\nHost: h\r\nContent-Le");
+  boost::this_fiber::sleep_for(milliseconds(20));
+  UNSIGNED_LONGS_EQUAL(1, server.active_requests());
+  server.stop_accepting();
+  sender.write("ngth: 1\r\n\r\nb");
+  CHECK_TEXT(sender.read_until("ok"), "the connection was closed");
+  UNSIGNED_LONGS_EQUAL(0, server.active_requests());
+}
