Ask again whether a call is ready before it times out

The fix of timeouts that pass while the event loop is busy gave a call that is ready 20 ms to complete, once; a round of the loop on a small share of a core can take longer. It is now looked at every 20 ms, ten times at most. A wait for the next request that is cancelled by its timeout also asks whether data has come before the fiber resumed.

--- a/packages/net/src/fiber_stream.cpp
+++ b/packages/net/src/fiber_stream.cpp
@@ -24,8 +24,10 @@
 
 constexpr std::size_t max_buffers = 8;
 
-// Time for the event loop to complete a call that is ready when its deadline passes.
-constexpr duration completion_time = milliseconds(20);
+// A call that is ready when its deadline passes is looked at again after this time, at most so often, until
+// the event loop has completed it.
+constexpr duration completion_check_interval = milliseconds(20);
+constexpr int max_completion_checks = 10;
 
 } // namespace
 
@@ -95,9 +97,9 @@
     return;
   }
   // The event loop may have been busy when the operation became ready, and may run this handler first.
-  if (!m_completion_due && is_ready(m_awaited)) {
-    m_completion_due = true;
-    arm_timer(now + completion_time);
+  if (m_completion_checks < max_completion_checks && is_ready(m_awaited)) {
+    ++m_completion_checks;
+    arm_timer(now + completion_check_interval);
     return;
   }
   if (m_keeps_open) {
@@ -120,7 +122,7 @@
   io_wait wait;
   m_wait = &wait;
   m_awaited = awaited;
-  m_completion_due = false;
+  m_completion_checks = 0;
   arm_timer(m_deadline);
   start_operation(wait.handler());
   error_code error = wait.wait();
@@ -154,7 +156,7 @@
   std::ignore = wait_readable(); // the read that follows reports the error
   m_keeps_open = false;
   m_deadline = deadline;
-  return !m_wait_expired;
+  return !m_wait_expired || readable(); // data may have come before the fiber resumed
 }
 
 void fiber_stream::wait_during_silence() {
--- a/packages/net/src/fiber_stream.hpp
+++ b/packages/net/src/fiber_stream.hpp
@@ -108,7 +108,7 @@
   time_point m_deadline = time_point::max();
   const io_wait* m_wait = nullptr; // of the blocked call; null: no call is blocked
   readiness m_awaited = readiness::input;
-  bool m_completion_due = false; // the deadline has passed, but the blocked call can complete
+  int m_completion_checks = 0; // made since the deadline passed while the blocked call can complete
   bool m_timed_out = false;
   bool m_keeps_open = false;   // the blocked call ends at its deadline without closing the socket
   bool m_wait_expired = false; // it has ended for that reason
