Let a request that lost its server wait as long as a new one

What callers saw: a stream whose new server refused it, or whose old server broke off, was cut at once unless a place was free at that very moment.

Cause: the longest wait counted from the arrival of the request. A stream in its third second had exceeded it already and was refused in the tick in which it came to wait again.

Evidence: a_stream_that_lost_its_server_waits_for_another_one fails before (stream cut) and passes now.

Change: a request that may have run waits from the moment at which it comes to wait again; one that nobody has run keeps its early refusal, which can still state that it has not run.

--- a/packages/fleet/include/cardamompond/fleet/dispatcher.hpp
+++ b/packages/fleet/include/cardamompond/fleet/dispatcher.hpp
@@ -32,6 +32,7 @@
   std::uint32_t m_output_tokens = 0; // estimated
   std::uint32_t m_body_bytes = 0;
   time_point m_arrived;
+  time_point m_waiting_since;   // when it came to wait here, if later than m_arrived
   time_point m_first_token_due; // the response should begin by then; already past for a late retry
   time_point m_abandoned_at;    // the caller gives up if the response has not begun by then
   time_point m_deadline;        // deadline of the caller or of the route, whichever is earlier
--- a/packages/fleet/src/queueing.cpp
+++ b/packages/fleet/src/queueing.cpp
@@ -43,6 +43,10 @@
 // the retransmission of a lost packet.
 constexpr milliseconds reservation_time{500};
 
+time_point waiting_since(const submission& request) {
+  return std::max(request.m_arrived, request.m_waiting_since);
+}
+
 bool has_eligible_server(const dispatch_tables& tables, const std::string& service, time_point now) {
   const auto servers = tables.m_servers.find(service);
   return servers != tables.m_servers.end() &&
@@ -149,9 +153,9 @@
 }
 
 void enqueue(dispatch_tables& tables, submission request, time_point now) {
-  const auto max_wait =
-      std::chrono::duration_cast<duration>((request.m_abandoned_at - request.m_arrived) * max_wait_share);
-  const time_point refuse_at = request.m_arrived + max_wait;
+  const auto max_wait = std::chrono::duration_cast<duration>(
+      (request.m_abandoned_at - waiting_since(request)) * max_wait_share);
+  const time_point refuse_at = waiting_since(request) + max_wait;
   const auto declared_service = tables.m_services.find(request.m_service);
   const double tokens_per_event =
       declared_service == tables.m_services.end() ? 1 : declared_service->second.m_tokens_per_event;
@@ -192,7 +196,7 @@
       const bool has_server = has_eligible_server(tables, name, now);
       const time_point refuse_at =
           has_server ? waiting.m_refuse_at
-                     : std::min(waiting.m_refuse_at, request.m_arrived + max_wait_without_server);
+                     : std::min(waiting.m_refuse_at, waiting_since(request) + max_wait_without_server);
       if (now >= refuse_at) {
         decisions.emplace_back(dispatch_refusal{
             request.m_ticket, has_server ? refusal_reason::no_capacity : refusal_reason::no_backend_server,
--- a/packages/gateway/src/request_processor.cpp
+++ b/packages/gateway/src/request_processor.cpp
@@ -168,6 +168,13 @@
   if (m_route->m_streamed) {
     submission.m_abandoned_at = std::min(m_deadline, m_arrived_at + m_abandon_time);
   }
+  if (m_may_have_run) {
+    // It cannot be refused as not run any more, so it waits for as long as a new request would.
+    submission.m_waiting_since = monotonic_now();
+    submission.m_first_token_due = submission.m_waiting_since + m_route->m_first_token_target;
+    submission.m_abandoned_at =
+        m_route->m_streamed ? std::min(m_deadline, submission.m_waiting_since + m_abandon_time) : m_deadline;
+  }
   submission.m_excluded_servers = m_tried_servers;
   submission.m_may_have_run = m_may_have_run;
   return submission;
