Record the silence of a server that is not given up

What callers saw: with the change that gives up a silent server only for a secured one, a server whose silence lasts would get one new request after another, since its places come free by no other means, and a version that is so slow that it is silent would not be taken for a bad one while all other servers are full.

Cause: the silence had been recorded by the end of the call, which the change put off.

Evidence: silent_server_receives_no_new_requests; without record_silence there is nothing to exclude the server.

--- a/packages/fleet/include/cardamompond/fleet/dispatcher.hpp
+++ b/packages/fleet/include/cardamompond/fleet/dispatcher.hpp
@@ -188,6 +188,10 @@
   // Ends a granted request.
   void finish(ticket request, server_outcome outcome, time_point now);
 
+  // Records that the server of a running request has sent nothing for a long time. The server receives no new
+  // requests for a moment; call it repeatedly while the silence lasts.
+  void record_silence(ticket request, time_point now);
+
   // Withdraws a grant whose request was not sent.
   void release(ticket request);
 
--- a/packages/fleet/src/dispatcher.cpp
+++ b/packages/fleet/src/dispatcher.cpp
@@ -21,6 +21,9 @@
 // The pause of a server that asks for one but does not state its length readably.
 constexpr milliseconds unreadable_pause{1'000};
 
+// How long a silent server receives no new requests. It covers several of the checks that report the silence.
+constexpr duration silence_exclusion = milliseconds(300);
+
 // Applies the settings that are declared for all servers of a service.
 void apply_service_settings(server_row& server, const service& declared) {
   server.m_uses_batching = declared.m_uses_batching;
@@ -273,6 +276,15 @@
   m_impl->erase_unlisted_servers();
 }
 
+void dispatcher::record_silence(ticket request, time_point now) {
+  auto& tables = m_impl->m_tables;
+  if (const auto found = tables.m_running.find(request); found != tables.m_running.end()) {
+    if (server_row* server = tables.find_server(found->second.m_server_id); server != nullptr) {
+      server->m_excluded_until = std::max(server->m_excluded_until, now + silence_exclusion);
+    }
+  }
+}
+
 void dispatcher::release(ticket request) {
   m_impl->erase_running(request);
   m_impl->erase_unlisted_servers();
--- a/packages/fleet/tests/dispatcher_test.cpp
+++ b/packages/fleet/tests/dispatcher_test.cpp
@@ -260,3 +260,16 @@
   daemon.set_servers({restarted});
   LONGS_EQUAL(1, count_results(daemon.tick(), "s1"));
 }
+
+// Guards against new requests that are sent to a server while it is silent. It has free places because its
+// requests do not end, so that they would all go there.
+TEST(dispatcher, silent_server_receives_no_new_requests) {
+  daemon.set_servers({make_server("s1", "a", 8)});
+  daemon.m_dispatcher.submit(daemon.make_request(1), daemon.m_now);
+  LONGS_EQUAL(1, count_results(daemon.tick(), "s1"));
+  daemon.m_dispatcher.record_silence(1, daemon.m_now);
+  daemon.m_dispatcher.submit(daemon.make_request(2), daemon.m_now);
+  LONGS_EQUAL(0, count_results(daemon.tick(), "s1"));
+  daemon.m_now += milliseconds(350);
+  LONGS_EQUAL(1, count_results(daemon.tick(), "s1"));
+}
--- a/packages/gateway/src/request_outcome.cpp
+++ b/packages/gateway/src/request_outcome.cpp
@@ -99,7 +99,8 @@
   } else if (outcome == call_outcome::broken) {
     admission.crashes().record_broken_connection(m_content_hash, hash64(grant.m_server.m_id), now);
   }
-  if (good || bad) {
+  const bool recorded = std::exchange(m_silence_recorded, false);
+  if ((good || bad) && !recorded) {
     record_version_outcome(grant, good, call, dispatched_at);
   }
   if (!good && outcome != call_outcome::no_room) {
--- a/packages/gateway/src/request_processor.cpp
+++ b/packages/gateway/src/request_processor.cpp
@@ -201,7 +201,7 @@
     options.m_inactivity_timeout = std::chrono::duration_cast<duration>(
         m_route->m_streamed ? m_abandon_time * stream_inactivity_share
                             : (m_deadline - m_arrived_at) * inactivity_timeout_share);
-    options.m_give_up = [this] { return prepare_replacement(); };
+    options.m_give_up = [this, &grant] { return handle_silence(grant); };
   }
   options.m_on_first_token = [this, ticket = grant.m_ticket] {
     m_first_token_at = monotonic_now();
@@ -238,7 +238,16 @@
   return next;
 }
 
-// Called while the current call is silent. Secures another server that can take over at once. The current
+// Called while the current call is silent. Returns whether another server takes over.
+bool request_handler::request_processor::handle_silence(const fleet::dispatch_grant& grant) {
+  m_handler.m_admission.dispatcher().record_silence(grant.m_ticket, monotonic_now());
+  if (!std::exchange(m_silence_recorded, true)) {
+    record_version_outcome(grant, false, *m_current_call, m_granted_at);
+  }
+  return prepare_replacement();
+}
+
+// Secures another server that can take over at once. The current
 // call must not be given up before that: its server may be sound and go on.
 bool request_handler::request_processor::prepare_replacement() {
   auto& admission = m_handler.m_admission;
--- a/packages/gateway/src/request_processor.hpp
+++ b/packages/gateway/src/request_processor.hpp
@@ -53,6 +53,7 @@
   std::unique_ptr<attempt> make_attempt(fleet::dispatch_grant grant);
   call_outcome dispatch(attempt& current);
   call_options make_call_options(const fleet::dispatch_grant& grant);
+  bool handle_silence(const fleet::dispatch_grant& grant);
   bool prepare_replacement();
   void handle_refusal(const admission_result& decision);
   bool may_retry(call_outcome outcome);
@@ -98,6 +99,7 @@
   bool m_caller_disconnected = false;
   fleet::ticket m_waiting_ticket = 0; // 0: the request is not waiting for a backend server
   backend_call* m_current_call = nullptr;
+  bool m_silence_recorded = false;        // of the current call, as a bad outcome of the version
   std::unique_ptr<attempt> m_replacement; // takes over from the current call, which is silent
 
   stream_relay m_relay;
