Treat a failure response to a resumed stream as a broken one

What callers saw: a stream that was resumed on another server and got a failure from it was cut, and logged as caller_gone, which hid it from a search for result=broken. A stream whose prompt part came under suspicion was cut by a refusal although it had begun.

Cause: the response was kept to be sent to the caller, whose response had already begun.

Change: such a response counts as broken, so that the next attempt or the end of the stream follows; the refusal of a prompt part applies only before a response has begun.

--- a/packages/gateway/src/request_processor.cpp
+++ b/packages/gateway/src/request_processor.cpp
@@ -291,7 +291,7 @@
       m_waiting_ticket = 0;
       if (auto* grant = std::get_if<fleet::dispatch_grant>(&decision)) {
         // The part may have been found to crash servers while the request waited or ran.
-        if (auto refusal = refuse_crashing_part()) {
+        if (auto refusal = m_relay.m_head_sent ? std::nullopt : refuse_crashing_part()) {
           admission.dispatcher().release(grant->m_ticket);
           if (!m_may_have_run && m_quota_units > 0) {
             admission.quotas().refund(m_account, m_quota_units);
@@ -352,6 +352,10 @@
     outcome = call_outcome::broken; // the status implies not run, but the server does not state this
     m_last_outcome = outcome;
   }
+  if (outcome == call_outcome::answered && m_relay.m_head_sent) {
+    outcome = call_outcome::broken; // a failure response cannot continue a stream
+    m_last_outcome = outcome;
+  }
   record_call_outcome(grant, outcome, call, dispatched_at);
   if (outcome == call_outcome::relayed) {
     const bool finished = static_cast<bool>(m_exchange.finish());
