--- a/packages/gateway/src/request_processor.cpp
+++ b/packages/gateway/src/request_processor.cpp
@@ -247,8 +247,8 @@
   return prepare_replacement();
 }
 
-// Secures another server that can take over at once. The current
-// call must not be given up before that: its server may be sound and go on.
+// Secures another server that can take over at once. The silent call must not be given up before that,
+// because its server may be sound and go on.
 bool request_handler::request_processor::prepare_replacement() {
   auto& admission = m_handler.m_admission;
   if (m_caller_disconnected || m_deadline - monotonic_now() < min_time_for_retry ||
--- a/packages/gateway/src/request_processor.hpp
+++ b/packages/gateway/src/request_processor.hpp
@@ -39,16 +39,16 @@
   void run();
 
 private:
-  std::optional<request_error> parse_and_route();
-  std::optional<request_error> admit();
-  std::optional<request_error> refuse_crashing_part();
-  std::optional<request_error> serve();
-  // A dispatch that the dispatcher has granted.
+  // A dispatch that the dispatcher has granted. The call refers to the grant.
   struct attempt {
     fleet::dispatch_grant m_grant;
     std::unique_ptr<backend_call> m_call;
   };
 
+  std::optional<request_error> parse_and_route();
+  std::optional<request_error> admit();
+  std::optional<request_error> refuse_crashing_part();
+  std::optional<request_error> serve();
   fleet::submission make_submission(fleet::ticket ticket) const;
   std::unique_ptr<attempt> make_attempt(fleet::dispatch_grant grant);
   call_outcome dispatch(attempt& current);
