Keep a statement for a minute from the first list without the server

What callers saw: after a quiet minute, one list that lacked a server, as after an outage of the store, made the daemon forget at once that the server had stated that it leaves; listed again, it got requests.

Cause: the minute counted from the last change of the list that had the server.

Evidence: the_minute_begins_with_the_first_list_without_the_entry fails before and passes now.

--- a/packages/fleet/src/server_notices.cpp
+++ b/packages/fleet/src/server_notices.cpp
@@ -20,16 +20,12 @@
   return found == by_start->second.end() ? nullptr : &found->second;
 }
 
-server_notice& server_notices::find_or_add(const backend_server& server, time_point now) {
-  const auto [found, added] = m_records[server.m_id].try_emplace(server.m_started_unix_ms);
-  if (added) {
-    found->second.m_last_listed = now;
-  }
-  return found->second;
+server_notice& server_notices::find_or_add(const backend_server& server) {
+  return m_records[server.m_id][server.m_started_unix_ms];
 }
 
 bool server_notices::record_leaving(const backend_server& server, time_point now) {
-  server_notice& notice = find_or_add(server, now);
+  server_notice& notice = find_or_add(server);
   if (notice.m_leaving) {
     return false;
   }
@@ -40,7 +36,7 @@
 
 bool server_notices::record_pause(const backend_server& server, time_point end, time_point first_return,
                                   time_point return_end, time_point now) {
-  server_notice& notice = find_or_add(server, now);
+  server_notice& notice = find_or_add(server);
   const bool already_paused = notice.is_paused(now);
   if (end > notice.m_paused_until) {
     notice.m_paused_until = end;
@@ -53,7 +49,7 @@
 
 void server_notices::record_request(const backend_server& server, duration interval, time_point now) {
   if (find(server) != nullptr) {
-    find_or_add(server, now).m_next_request = now + interval;
+    find_or_add(server).m_next_request = now + interval;
   }
 }
 
@@ -61,14 +57,21 @@
   if (m_records.empty()) {
     return;
   }
+  for (auto& [id, by_start] : m_records) {
+    for (auto& [started, notice] : by_start) {
+      notice.m_missing_since = notice.m_missing_since.value_or(now);
+    }
+  }
   for (const auto& server : servers) {
     if (find(server) != nullptr) {
-      find_or_add(server, now).m_last_listed = now;
+      find_or_add(server).m_missing_since.reset();
     }
   }
   for (auto& [id, by_start] : m_records) {
-    std::erase_if(by_start,
-                  [&](const auto& each) { return now - each.second.m_last_listed > unlisted_retention; });
+    std::erase_if(by_start, [&](const auto& each) {
+      const auto& missing_since = each.second.m_missing_since;
+      return missing_since && now - *missing_since > unlisted_retention;
+    });
   }
   std::erase_if(m_records, [](const auto& each) { return each.second.empty(); });
 }
--- a/packages/fleet/src/server_notices.hpp
+++ b/packages/fleet/src/server_notices.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 
@@ -17,7 +18,7 @@
   time_point m_paused_until;
   time_point m_next_request; // not before m_paused_until; without meaning after m_return_end
   time_point m_return_end;
-  time_point m_last_listed;
+  std::optional<time_point> m_missing_since; // first list without the server; none: the last list has it
 
   // Whether the server wants no requests at present.
   bool is_paused(time_point now) const { return now < m_paused_until; }
@@ -54,7 +55,7 @@
   void update_listed(std::span<const backend_server> servers, time_point now);
 
 private:
-  server_notice& find_or_add(const backend_server& server, time_point now);
+  server_notice& find_or_add(const backend_server& server);
 
   std::map<std::string, std::map<std::int64_t, server_notice>, std::less<>> m_records; // by id and start time
   time_point m_last_pause_end;                                                         // of all servers
--- a/packages/fleet/tests/server_notices_test.cpp
+++ b/packages/fleet/tests/server_notices_test.cpp
@@ -91,6 +91,17 @@
   LONGS_EQUAL(0, count_results(daemon.submit(1), "s1"));
 }
 
+// Guards against a statement that is lost with the first list that lacks the server, because the list had not
+// changed for a long time before.
+TEST(server_notices, the_minute_begins_with_the_first_list_without_the_entry) {
+  daemon.set_servers({make_instance(1)});
+  record_leaving(make_instance(1));
+  daemon.m_now += seconds(90);
+  daemon.set_servers({});
+  daemon.set_servers({make_instance(1)});
+  LONGS_EQUAL(0, count_results(daemon.submit(1), "s1"));
+}
+
 // Guards against statements that are kept forever in a fleet whose servers come and go.
 TEST(server_notices, the_statement_is_forgotten_a_minute_after_the_entry_is_gone) {
   daemon.set_servers({make_instance(1)});
