Count late reports of one crash once

What callers saw: after a daemon had stood still, it could refuse a prompt part that had not crashed three servers, and tell the others so.

Cause: reports that arrived during the pause state growing ages of one crash. Read at one moment, they looked like crashes 100 ms apart, and only those within 150 ms count as one.

Evidence: late_reports_of_one_crash_count_once fails before and passes now.

Change: a server that has crashed cannot crash again within 3 s, so its reports within that time are one crash. Pauses of more than 3 s are not covered.

--- a/packages/fleet/src/part_crash_register.cpp
+++ b/packages/fleet/src/part_crash_register.cpp
@@ -13,6 +13,10 @@
 // report.
 constexpr duration confirmation_time = milliseconds(500);
 
+// A server that has crashed needs this long to come back. Reports of its crash that are read late, all at
+// once, have ages that make one crash look like several.
+constexpr duration min_restart_time = seconds(3);
+
 // Crashes within this time count as one.
 constexpr duration common_cause_time = milliseconds(150);
 
@@ -50,7 +54,8 @@
 bool part_crash_register::add_crash(record& to, const crash& added) {
   auto& crashes = to.m_crashes;
   const bool known = std::any_of(crashes.begin(), crashes.end(), [&](const crash& each) {
-    return difference(each.m_at, added.m_at) <= common_cause_time;
+    const duration apart = difference(each.m_at, added.m_at);
+    return apart <= common_cause_time || (each.m_server == added.m_server && apart <= min_restart_time);
   });
   if (known || (to.m_answered_at && added.m_at <= *to.m_answered_at)) {
     return false;
--- a/packages/fleet/tests/part_crash_register_test.cpp
+++ b/packages/fleet/tests/part_crash_register_test.cpp
@@ -227,3 +227,17 @@
   const auto reported = m_register.recent(1, true, m_now);
   CHECK(reported.front().m_crashes.size() <= 8);
 }
+
+// Guards against one crash that counts several times, because a daemon that stood still reads its reports
+// late and takes the ages in them for those of different crashes.
+TEST(part_crash_register, late_reports_of_one_crash_count_once) {
+  m_register.record_crash(std::array{deadly_part}, 7, m_now);
+  m_now += milliseconds(500);
+  m_register.record_crash(std::array{deadly_part}, 8, m_now);
+  m_now += seconds(3);
+  for (int age_ms = 0; age_ms < 700; age_ms += 100) {
+    m_register.merge({deadly_part, 0, {{8, milliseconds(age_ms)}}, std::nullopt}, m_now);
+  }
+  m_now += seconds(1);
+  CHECK(judge(deadly_part) == verdict::allowed);
+}
