Copy what a store call needs before it blocks

What could happen: the daemon ended while it wrote the state of a rollout or removed a member, if its watch delivered that change before the reply: the log line after the call read an order, or the name of a member, from a list that had been replaced. No test: the order of reply and watch cannot be forced in the present fixtures.

Change: the revision and the name are copied before the call.

--- a/packages/gateway/src/group_maintenance.cpp
+++ b/packages/gateway/src/group_maintenance.cpp
@@ -79,11 +79,12 @@
         m_group.rank_for(each.m_name) != 0) {
       continue;
     }
-    const auto removed = m_store.remove(collection_kind::members, each.m_name, write_timeout);
+    const std::string name = each.m_name; // the list of members may change during the call
+    const auto removed = m_store.remove(collection_kind::members, name, write_timeout);
     log_event(log_level::info, "member_removed",
-              {{"name", each.m_name}, {"result", removed ? "done" : to_string(removed.error().m_kind)}});
-    m_silent_since.erase(each.m_name);
-    return; // the list of members may have changed during the call
+              {{"name", name}, {"result", removed ? "done" : to_string(removed.error().m_kind)}});
+    m_silent_since.erase(name);
+    return;
   }
 }
 
@@ -125,15 +126,15 @@
   if (now - since->second < write_delay_per_rank * static_cast<int>(m_group.rank_for(decision.m_service))) {
     return;
   }
-  const auto written =
-      m_store.write_rollout_state(decision.m_service, order->m_revision, decision.m_target_version,
-                                  state_name(decision.m_state), write_timeout);
+  const std::uint64_t revision = order->m_revision; // the list of orders may change during the call
+  const auto written = m_store.write_rollout_state(decision.m_service, revision, decision.m_target_version,
+                                                   state_name(decision.m_state), write_timeout);
   log_event(log_level::info, "rollout_state_written",
             {{"service", decision.m_service},
              {"target", decision.m_target_version},
              {"state", state_name(decision.m_state)},
              {"reason", decision.m_reason},
-             {"revision", order->m_revision},
+             {"revision", revision},
              {"result", written ? "done" : to_string(written.error().m_kind)}});
   // The write is tried again after this time unless the watch shows the new state by then.
   since->second = monotonic_now() + write_delay_per_rank;
