Let the request that tests a refused part reach a server

What callers saw: a prompt part that had been refused by mistake stayed refused for ten minutes.

Cause: the request that was to test it recorded the test on arrival and was then refused itself when its turn came, because a test was under way.

Change: the verdict is looked up without a side effect, and the test begins with the grant, so that a request refused by its quota or in the queue does not use it up either.

--- a/packages/gateway/include/cardamompond/gateway/admission_controller.hpp
+++ b/packages/gateway/include/cardamompond/gateway/admission_controller.hpp
@@ -76,10 +76,13 @@
   void set_members(std::vector<fleet::daemon_location> registered, std::uint32_t live_count,
                    bool frequent_reports);
 
-  // Returns the part of the prompt for which the request must not be sent to a backend server, if any. Where
-  // a part may only be tested, this daemon sends the request if it is the one of the group that tests this
-  // part.
-  std::optional<std::uint64_t> find_refused_part(std::span<const std::uint64_t> parts, time_point now);
+  // Returns the strictest verdict on the parts of a prompt. It is `test_only` only for the daemon of the
+  // group that tests the part, and `refused` for the others.
+  fleet::part_crash_register::judgement judge_parts(std::span<const std::uint64_t> parts,
+                                                    time_point now) const;
+
+  // Records that a request is sent to test a part whose verdict is `test_only`.
+  void begin_part_test(std::uint64_t part, time_point now);
 
   // Updates the verdicts on prompt parts and logs the changes.
   void update_part_verdicts(time_point now);
--- a/packages/gateway/src/admission_controller.cpp
+++ b/packages/gateway/src/admission_controller.cpp
@@ -168,19 +168,19 @@
                       [&](std::uint64_t each) { return weight(each) > own_weight; });
 }
 
-std::optional<std::uint64_t> admission_controller::find_refused_part(std::span<const std::uint64_t> parts,
-                                                                     time_point now) {
+fleet::part_crash_register::judgement admission_controller::judge_parts(std::span<const std::uint64_t> parts,
+                                                                        time_point now) const {
   using verdict = fleet::part_crash_register::verdict;
-  const auto [strictest, part] = m_part_crashes.judge(parts, now);
-  if (strictest == verdict::allowed) {
-    return std::nullopt;
+  auto strictest = m_part_crashes.judge(parts, now);
+  if (strictest.m_verdict == verdict::test_only && !tests_part(strictest.m_part)) {
+    strictest.m_verdict = verdict::refused;
   }
-  if (strictest == verdict::test_only && tests_part(part)) {
-    m_part_crashes.record_test(part, now);
-    log_event(log_level::info, "prompt_part_tested", {{"part", to_part_id(part)}});
-    return std::nullopt;
-  }
-  return part;
+  return strictest;
+}
+
+void admission_controller::begin_part_test(std::uint64_t part, time_point now) {
+  m_part_crashes.record_test(part, now);
+  log_event(log_level::info, "prompt_part_tested", {{"part", to_part_id(part)}});
 }
 
 void admission_controller::update_part_verdicts(time_point now) {
--- a/packages/gateway/src/request_processor.cpp
+++ b/packages/gateway/src/request_processor.cpp
@@ -140,7 +140,8 @@
 
 // Refuses the request if a part of its prompt crashes backend servers.
 std::optional<request_error> request_handler::request_processor::refuse_crashing_part() {
-  if (!m_handler.m_admission.find_refused_part(m_request.m_shared_parts, monotonic_now())) {
+  const auto judgement = m_handler.m_admission.judge_parts(m_request.m_shared_parts, monotonic_now());
+  if (judgement.m_verdict != fleet::part_crash_register::verdict::refused) {
     return std::nullopt;
   }
   m_retry_after = max_retry_after;
@@ -151,6 +152,16 @@
   return make_not_run_error(error_code::crashing_request, std::string(message));
 }
 
+// Records that this request tests a part of its prompt, if that is due.
+void request_handler::request_processor::begin_part_test() {
+  auto& admission = m_handler.m_admission;
+  const time_point now = monotonic_now();
+  if (const auto judgement = admission.judge_parts(m_request.m_shared_parts, now);
+      judgement.m_verdict == fleet::part_crash_register::verdict::test_only) {
+    admission.begin_part_test(judgement.m_part, now);
+  }
+}
+
 fleet::submission request_handler::request_processor::make_submission(fleet::ticket ticket) const {
   fleet::submission submission;
   submission.m_ticket = ticket;
@@ -299,6 +310,7 @@
           admission.deliver_decisions();
           return refusal;
         }
+        begin_part_test();
         current = make_attempt(std::move(*grant));
       } else {
         handle_refusal(decision);
--- a/packages/gateway/src/request_processor.hpp
+++ b/packages/gateway/src/request_processor.hpp
@@ -48,6 +48,7 @@
   std::optional<request_error> parse_and_route();
   std::optional<request_error> admit();
   std::optional<request_error> refuse_crashing_part();
+  void begin_part_test();
   std::optional<request_error> serve();
   fleet::submission make_submission(fleet::ticket ticket) const;
   std::unique_ptr<attempt> make_attempt(fleet::dispatch_grant grant);
