Count only connections that the server closed as crashes

What callers saw: a prompt part, or a whole request, could be refused although no server had crashed: after answers that the daemon itself rejected (unsigned, encoded, too long), after links that were lost, and after a stream that ended properly without an event.

Cause: every call that ended as broken counted. The other way round, a failure status below 500 cleared the crashes of a part.

Change: the client reports whether the server closed or reset the connection, and only that counts; an answer is a stream relayed to its end or a success.

--- a/packages/gateway/include/cardamompond/gateway/backend_call.hpp
+++ b/packages/gateway/include/cardamompond/gateway/backend_call.hpp
@@ -93,6 +93,9 @@
   // The response; its body is complete only if run() returned `answered`.
   const net::http_response& response() const { return m_response; }
 
+  // Whether the call broke because the server closed the connection, as it does when it crashes.
+  bool closed_by_server() const { return m_closed_by_server; }
+
   // Why the call failed, for the log and the error response to the caller.
   const std::string& failure() const { return m_failure; }
 
@@ -123,6 +126,7 @@
   net::http_response m_response;
   std::string m_failure;
   bool m_cancelled = false;
+  bool m_closed_by_server = false;
   bool m_prepared = false;
 };
 
--- a/packages/gateway/src/backend_call.cpp
+++ b/packages/gateway/src/backend_call.cpp
@@ -68,6 +68,7 @@
 
 call_outcome backend_call::abort_after_error(const net::call_error& error) {
   m_failure = error.m_message;
+  m_closed_by_server = error.m_closed_by_server;
   m_call->abort();
   if (m_cancelled) {
     return call_outcome::caller_gone;
@@ -283,10 +284,11 @@
 std::optional<call_outcome> backend_call::check_stream_end() {
   const stream_relay& relay = *m_options.m_relay;
   if (is_inside_event(relay.m_splitter.remaining_bytes())) {
-    return abort_after_error({"the stream ended inside an event", true, false});
+    return abort_after_error(
+        {"the stream ended inside an event", true, false, m_call->ends_with_connection()});
   }
   if (!relay.m_head_sent && m_call->ends_with_connection()) {
-    return abort_after_error({"the connection ended before the first event", true, false});
+    return abort_after_error({"the connection ended before the first event", true, false, true});
   }
   return std::nullopt;
 }
--- a/packages/gateway/src/request_outcome.cpp
+++ b/packages/gateway/src/request_outcome.cpp
@@ -49,11 +49,11 @@
   return fleet::server_outcome::timed_out;
 }
 
-// Records what the end of a call says about the parts of the prompt. A server that crashes may close its
-// connections without an error, so that a stream without events counts as a crash, too. Requests that the
-// server had begun to answer are not suspected.
+// Records what the end of a call says about the parts of the prompt. A server that crashes closes its
+// connections; a call that the daemon ends, or one whose link is lost, says nothing. Requests that the server
+// had begun to answer are not suspected.
 void request_handler::request_processor::record_prompt_outcome(const fleet::dispatch_grant& grant,
-                                                               call_outcome outcome, int status,
+                                                               call_outcome outcome, const backend_call& call,
                                                                bool has_events) {
   if (m_request.m_shared_parts.empty()) {
     return;
@@ -61,14 +61,12 @@
   constexpr int first_non_success_status = 300;
   auto& admission = m_handler.m_admission;
   const time_point now = monotonic_now();
-  const bool empty_stream = m_route->m_streamed && outcome == call_outcome::answered && !has_events &&
-                            status < first_non_success_status;
-  if ((outcome == call_outcome::broken && !has_events) || empty_stream) {
+  if (outcome == call_outcome::broken && !has_events && call.closed_by_server()) {
     admission.part_crashes().record_crash(m_request.m_shared_parts,
                                           fleet::server_id_hash(grant.m_server.m_id), now);
     admission.update_part_verdicts(now);
   } else if (outcome == call_outcome::relayed ||
-             (outcome == call_outcome::answered && status < first_server_failure_status)) {
+             (outcome == call_outcome::answered && call.response().m_status < first_non_success_status)) {
     admission.part_crashes().record_answer(m_request.m_shared_parts, now);
   }
 }
@@ -96,7 +94,7 @@
                    (outcome == call_outcome::answered && status >= first_server_failure_status);
   if (good) {
     admission.crashes().record_response(m_content_hash, now);
-  } else if (outcome == call_outcome::broken) {
+  } else if (outcome == call_outcome::broken && call.closed_by_server()) {
     admission.crashes().record_broken_connection(m_content_hash, hash64(grant.m_server.m_id), now);
   }
   const bool recorded = std::exchange(m_silence_recorded, false);
--- a/packages/gateway/src/request_processor.cpp
+++ b/packages/gateway/src/request_processor.cpp
@@ -357,7 +357,7 @@
   const std::uint64_t events_before = m_relay.m_events_relayed;
   call_outcome outcome = call.run();
   m_current_call = nullptr;
-  record_prompt_outcome(grant, outcome, call.response().m_status, m_relay.m_events_relayed > events_before);
+  record_prompt_outcome(grant, outcome, call, m_relay.m_events_relayed > events_before);
   m_last_outcome = outcome;
   const int status = call.response().m_status;
   if (outcome == call_outcome::answered && status_implies_not_run(status)) {
--- a/packages/net/include/cardamompond/net/http_client.hpp
+++ b/packages/net/include/cardamompond/net/http_client.hpp
@@ -18,6 +18,7 @@
   std::string m_message;
   bool m_sent = false; // if true, the server may have executed the request
   bool m_timeout = false;
+  bool m_closed_by_server = false; // the server closed or reset the connection
 };
 
 template <typename T> using call_result = result<T, call_error>;
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -62,7 +62,10 @@
 }
 
 call_error to_call_error(const boost::system::error_code& error, bool sent) {
-  return {error.message(), sent, error == beast::error::timeout};
+  const bool closed_by_server = error == asio::error::eof || error == asio::error::connection_reset ||
+                                error == asio::error::broken_pipe || error == http::error::end_of_stream ||
+                                error == http::error::partial_message;
+  return {error.message(), sent, error == beast::error::timeout, closed_by_server};
 }
 
 call_error make_framing_error() {
