--- a/packages/gateway/src/request_processor.cpp
+++ b/packages/gateway/src/request_processor.cpp
@@ -252,7 +252,8 @@
 // Called while the current call is silent. Returns whether another server takes over.
 bool request_handler::request_processor::handle_silence(const fleet::dispatch_grant& grant) {
   m_handler.m_admission.dispatcher().record_silence(grant.m_ticket, monotonic_now());
-  if (!std::exchange(m_silence_recorded, true)) {
+  // A response that is not streamed may just be late; its end tells.
+  if (m_route->m_streamed && !std::exchange(m_silence_recorded, true)) {
     record_version_outcome(grant, false, *m_current_call, m_granted_at);
   }
   return prepare_replacement();
