Classify late requests from the daemons' logs

Cause: request_ended lines did not tell where the time of a late request went, so policy was argued from averages.

--- a/packages/ctl/include/cardamompond/ctl/command_line.hpp
+++ b/packages/ctl/include/cardamompond/ctl/command_line.hpp
@@ -13,7 +13,7 @@
 
 enum class exit_code { ok = 0, findings = 1, invalid_arguments = 2, unreachable = 3, conflict = 4 };
 
-enum class verb { check, diff, publish, status, get, usage };
+enum class verb { check, diff, publish, status, get, usage, lateness };
 
 enum class output_format { text, json, csv };
 
@@ -23,7 +23,7 @@
   std::string m_folder;   // check, diff, publish: folder of declarations
   std::string m_kind;     // get: kind of the objects; empty for all kinds
   std::string m_name;     // get: name of the object; empty for all objects of the kind
-  std::string m_platform; // address of the object API, e.g. "127.0.0.1:9001"; may be empty only for check
+  std::string m_platform; // address of the object API, e.g. "127.0.0.1:9001"; may be empty only for check and lateness
   std::string m_owner;    // owner of the declarations; may be empty only for verbs that do not need an owner
   output_format m_output = output_format::text;
   std::string m_change_set;            // publish: id; empty to derive it from the owner, base and content
@@ -31,6 +31,7 @@
   milliseconds m_timeout{2'000};       // of one call to the platform
   cell::utc_day m_from;                // usage: first day
   cell::utc_day m_to;                  // usage: last day
+  std::vector<std::string> m_log_files; // lateness: logs of daemons; none: standard input
 };
 
 // Returned if there is no command to run: help was printed, or the arguments are invalid.
--- a/packages/ctl/include/cardamompond/ctl/verbs.hpp
+++ b/packages/ctl/include/cardamompond/ctl/verbs.hpp
@@ -34,6 +34,9 @@
 // Usage objects that cannot be decoded are reported and not counted; the exit code is then `findings`.
 exit_code run_usage(const command_options& options, object_store& store, const streams& io);
 
+// Shows where the time of late requests went, from the logs of daemons.
+exit_code run_lateness(const command_options& options, const streams& io);
+
 // Runs the command. `store` is null only if the command has no platform address.
 exit_code run(const command_options& options, object_store* store, const streams& io);
 
--- a/packages/ctl/src/command_line.cpp
+++ b/packages/ctl/src/command_line.cpp
@@ -21,7 +21,7 @@
   std::string_view m_help;
 };
 
-constexpr std::array<verb_description, 6> verbs = {{
+constexpr std::array<verb_description, 7> verbs = {{
     {verb::check, "check",
      "Checks a folder of declarations and reports all findings. With --platform and --owner, checks it "
      "together with what the other owner has published; otherwise the folder alone."},
@@ -40,6 +40,9 @@
      "Shows the metered usage of a period by owner of the client account, client account, service and owner "
      "of the backend server, and the split between owners. The owner of a client account is the one that is "
      "published now."},
+    {verb::lateness, "lateness",
+     "Reads logs of daemons and shows, for each route, how many attempts of callers were answered on time, "
+     "late, refused or failed, and where most of the time of the late ones went. Needs no platform."},
 }};
 
 constexpr std::string_view general_help =
@@ -95,6 +98,10 @@
                        "name of an object",
                        false, "KIND [NAME]", m_command_line);
     }
+    if (description.m_verb == verb::lateness) {
+      m_log_files.emplace("LOG", "Files with log lines of daemons (default: standard input)", false, "FILE",
+                          m_command_line);
+    }
     if (description.m_verb == verb::publish) {
       m_change_set.emplace("", "change-set",
                            "Id of the change set (default: hash of owner, base revision and content)", false,
@@ -132,6 +139,7 @@
     }
     options.m_kind = object_arguments.empty() ? "" : object_arguments[0];
     options.m_name = object_arguments.size() < 2 ? "" : object_arguments[1];
+    options.m_log_files = m_log_files ? m_log_files->getValue() : std::vector<std::string>();
     options.m_change_set = m_change_set ? m_change_set->getValue() : "";
     options.m_platform = m_platform.isSet() ? m_platform.getValue() : variables.m_platform;
     options.m_owner = m_owner.isSet() ? m_owner.getValue() : variables.m_owner;
@@ -177,7 +185,7 @@
       options.m_from = *from;
       options.m_to = *to;
     }
-    if (options.m_platform.empty() && options.m_verb != verb::check) {
+    if (options.m_platform.empty() && options.m_verb != verb::check && options.m_verb != verb::lateness) {
       return make_usage_error(
           "the platform address is missing: use --platform IP:PORT or CARDAMOMPOND_PLATFORM");
     }
@@ -195,6 +203,7 @@
   TCLAP::CmdLine m_command_line;
   std::optional<TCLAP::UnlabeledValueArg<std::string>> m_folder;
   std::optional<TCLAP::UnlabeledMultiArg<std::string>> m_object; // kind and name, both optional
+  std::optional<TCLAP::UnlabeledMultiArg<std::string>> m_log_files;
   std::optional<TCLAP::ValueArg<std::string>> m_change_set;
   std::optional<TCLAP::ValueArg<std::string>> m_base;
   std::optional<TCLAP::ValueArg<std::string>> m_from;
@@ -238,7 +247,7 @@
   }
   const std::string problem = verb_name.empty() ? "no verb given" : "unknown verb \"" + verb_name + "\"";
   return make_usage_error(problem +
-                          ": use check, diff, publish, status, get or usage; --help describes them");
+                          ": use check, diff, publish, status, get, usage or lateness; --help describes them");
 }
 
 } // namespace cardamompond::ctl
--- a/packages/ctl/src/run.cpp
+++ b/packages/ctl/src/run.cpp
@@ -7,12 +7,16 @@
   if (options.m_verb == verb::check) {
     return run_check(options, store, io);
   }
+  if (options.m_verb == verb::lateness) {
+    return run_lateness(options, io);
+  }
   if (store == nullptr) {
     report_message("the platform address is missing", io);
     return exit_code::invalid_arguments;
   }
   switch (options.m_verb) {
   case verb::check:
+  case verb::lateness:
     break;
   case verb::diff:
     return run_diff(options, *store, io);
--- a/packages/gateway/include/cardamompond/gateway/backend_call.hpp
+++ b/packages/gateway/include/cardamompond/gateway/backend_call.hpp
@@ -40,6 +40,7 @@
   bool m_head_sent = false; // whether the status and headers were sent to the caller
   time_point m_first_event;
   time_point m_last_event;
+  duration m_longest_pause{}; // between two events
   std::uint64_t m_events_relayed = 0;
 };
 
@@ -90,6 +91,9 @@
   // Unlike the mean, it hardly depends on the prompts that the server processed in between.
   duration median_event_gap() const;
 
+  // Returns the time that prepare() took: the connection and the reservation.
+  duration reservation_time() const { return m_reservation_time; }
+
   // The response; its body is complete only if run() returned `answered`.
   const net::http_response& response() const { return m_response; }
 
@@ -104,6 +108,7 @@
   call_outcome abort_after_error(const net::call_error& error);
   std::optional<call_outcome> check_may_send();
   std::optional<call_outcome> connect();
+  std::optional<call_outcome> connect_and_reserve();
   std::optional<call_outcome> reserve();
   std::optional<call_outcome> send();
   std::optional<call_outcome> read_head();
@@ -128,6 +133,7 @@
   bool m_cancelled = false;
   bool m_closed_by_server = false;
   bool m_prepared = false;
+  duration m_reservation_time{};
 };
 
 } // namespace cardamompond::gateway
--- a/packages/gateway/src/backend_call.cpp
+++ b/packages/gateway/src/backend_call.cpp
@@ -244,7 +244,11 @@
   if (events.empty()) {
     return std::nullopt;
   }
-  relay.m_last_event = monotonic_now();
+  const time_point now = monotonic_now();
+  if (relay.m_head_sent) {
+    relay.m_longest_pause = std::max(relay.m_longest_pause, now - relay.m_last_event);
+  }
+  relay.m_last_event = now;
   const std::size_t event_count = relay.m_splitter.event_count();
   relay.m_events_relayed += event_count;
   record_event_gap(event_count);
@@ -349,6 +353,13 @@
 
 std::optional<call_outcome> backend_call::prepare() {
   m_prepared = true;
+  const time_point started = monotonic_now();
+  const auto outcome = connect_and_reserve();
+  m_reservation_time = monotonic_now() - started;
+  return outcome;
+}
+
+std::optional<call_outcome> backend_call::connect_and_reserve() {
   if (const auto outcome = connect()) {
     return outcome;
   }
--- a/packages/gateway/src/request_processor.cpp
+++ b/packages/gateway/src/request_processor.cpp
@@ -298,9 +298,11 @@
     if (!current) {
       const fleet::ticket ticket = admission.next_ticket();
       m_waiting_ticket = ticket;
+      const time_point queued_since = monotonic_now();
       admission_result decision =
           m_caller_disconnected ? admission_result{} : admission.acquire(make_submission(ticket));
       m_waiting_ticket = 0;
+      m_queued += monotonic_now() - queued_since;
       if (auto* grant = std::get_if<fleet::dispatch_grant>(&decision)) {
         // The part may have been found to crash servers while the request waited or ran.
         if (auto refusal = m_relay.m_head_sent ? std::nullopt : refuse_crashing_part()) {
@@ -358,6 +360,7 @@
   const std::uint64_t events_before = m_relay.m_events_relayed;
   call_outcome outcome = call.run();
   m_current_call = nullptr;
+  m_reserving = call.reservation_time();
   record_prompt_outcome(grant, outcome, call, m_relay.m_events_relayed > events_before);
   m_last_outcome = outcome;
   const int status = call.response().m_status;
--- a/packages/gateway/src/request_processor.hpp
+++ b/packages/gateway/src/request_processor.hpp
@@ -111,6 +111,8 @@
   bool m_may_have_run = false;
   std::optional<net::http_response> m_held_response; // sent to the caller unless a later response replaces it
   time_point m_granted_at;
+  duration m_queued{};    // time in the dispatcher's queue, before all dispatches
+  duration m_reserving{}; // time that the reservation for the last dispatch took
   time_point m_first_token_at;
   std::string m_server_id;
   std::string m_failure_reason;
