Give free slots to urgent requests first, on whichever daemon they wait

Cause: each daemon orders only its own queue. With 24 or 195 daemons a slot that comes free goes to whoever asks next, so in a burst late returns and the least urgent route took slots while the most urgent one was refused. Change: daemons report how many requests found no free slot, by level of urgency; a request leaves as many slots of its zone free as more urgent ones were blocked lately, a late one as many as all together.

--- a/packages/ctl/include/cardamompond/ctl/command_line.hpp
+++ b/packages/ctl/include/cardamompond/ctl/command_line.hpp
@@ -23,14 +23,15 @@
   std::string m_folder;   // check, diff, publish: folder of declarations
   std::string m_kind;     // get: kind of the objects; empty for all kinds
   std::string m_name;     // get: name of the object; empty for all objects of the kind
-  std::string m_platform; // address of the object API, e.g. "127.0.0.1:9001"; may be empty only for check and lateness
+  std::string m_platform; // address of the object API, e.g. "127.0.0.1:9001"; may be empty only for check and
+                          // lateness
   std::string m_owner;    // owner of the declarations; may be empty only for verbs that do not need an owner
   output_format m_output = output_format::text;
-  std::string m_change_set;            // publish: id; empty to derive it from the owner, base and content
-  std::optional<std::uint64_t> m_base; // publish: revision that the folder was last compared with
-  milliseconds m_timeout{2'000};       // of one call to the platform
-  cell::utc_day m_from;                // usage: first day
-  cell::utc_day m_to;                  // usage: last day
+  std::string m_change_set;             // publish: id; empty to derive it from the owner, base and content
+  std::optional<std::uint64_t> m_base;  // publish: revision that the folder was last compared with
+  milliseconds m_timeout{2'000};        // of one call to the platform
+  cell::utc_day m_from;                 // usage: first day
+  cell::utc_day m_to;                   // usage: last day
   std::vector<std::string> m_log_files; // lateness: logs of daemons; none: standard input
 };
 
--- a/packages/ctl/include/cardamompond/ctl/lateness.hpp
+++ b/packages/ctl/include/cardamompond/ctl/lateness.hpp
@@ -14,17 +14,17 @@
 // Where most of the time of a late attempt went, or how an attempt ended without a response.
 enum class attempt_class {
   on_time,
-  late_on_arrival,    // the target had passed before the caller sent this attempt
-  late_waiting,       // it waited in the daemon for a backend server with room
-  late_reserving,     // reservations on backend servers took longest
-  late_dispatches,    // earlier dispatches of the same attempt took longest
-  late_first_event,   // the backend server took longest until the first event
-  late_pause,         // the first event was on time, a later one came after too long a pause
-  refused_quota,      // 429
-  refused_capacity,   // any other refusal of a request that has not run
-  deadline_passed,    // no complete response before the deadline
-  caller_gone,        // the caller disconnected first
-  failed              // anything else
+  late_on_arrival,  // the target had passed before the caller sent this attempt
+  late_waiting,     // it waited in the daemon for a backend server with room
+  late_reserving,   // reservations on backend servers took longest
+  late_dispatches,  // earlier dispatches of the same attempt took longest
+  late_first_event, // the backend server took longest until the first event
+  late_pause,       // the first event was on time, a later one came after too long a pause
+  refused_quota,    // 429
+  refused_capacity, // any other refusal of a request that has not run
+  deadline_passed,  // no complete response before the deadline
+  caller_gone,      // the caller disconnected first
+  failed            // anything else
 };
 
 std::string_view to_string(attempt_class value);
@@ -37,14 +37,14 @@
   int m_status = 0;
   bool m_may_have_run = false;
   std::uint32_t m_dispatches = 0;
-  milliseconds m_age{0};             // from the caller's first attempt to the arrival of this one
-  milliseconds m_wait{0};            // from the arrival to the last dispatch
-  milliseconds m_queued{0};          // part of m_wait in the daemon's queue
-  milliseconds m_reserving{0};       // in reservations of the last dispatch
-  milliseconds m_first{0};           // from the arrival to the first event
-  milliseconds m_longest_pause{0};   // between two events
-  milliseconds m_first_target{0};    // 0: none
-  milliseconds m_pause_target{0};    // 0: none
+  milliseconds m_age{0};           // from the caller's first attempt to the arrival of this one
+  milliseconds m_wait{0};          // from the arrival to the last dispatch
+  milliseconds m_queued{0};        // part of m_wait in the daemon's queue
+  milliseconds m_reserving{0};     // in reservations of the last dispatch
+  milliseconds m_first{0};         // from the arrival to the first event
+  milliseconds m_longest_pause{0}; // between two events
+  milliseconds m_first_target{0};  // 0: none
+  milliseconds m_pause_target{0};  // 0: none
 };
 
 // Reads a line of a daemon's log. Text before the first field is skipped. Returns nothing for other events.
--- a/packages/ctl/src/command_line.cpp
+++ b/packages/ctl/src/command_line.cpp
@@ -246,8 +246,8 @@
     }
   }
   const std::string problem = verb_name.empty() ? "no verb given" : "unknown verb \"" + verb_name + "\"";
-  return make_usage_error(problem +
-                          ": use check, diff, publish, status, get, usage or lateness; --help describes them");
+  return make_usage_error(
+      problem + ": use check, diff, publish, status, get, usage or lateness; --help describes them");
 }
 
 } // namespace cardamompond::ctl
--- a/packages/ctl/src/lateness.cpp
+++ b/packages/ctl/src/lateness.cpp
@@ -30,9 +30,8 @@
     if (equals == std::string_view::npos) {
       break;
     }
-    const auto key_start = line.find_last_of(' ', equals) == std::string_view::npos
-                               ? 0
-                               : line.find_last_of(' ', equals) + 1;
+    const auto key_start =
+        line.find_last_of(' ', equals) == std::string_view::npos ? 0 : line.find_last_of(' ', equals) + 1;
     const std::string_view key = line.substr(key_start, equals - key_start);
     std::string value;
     std::size_t next = equals + 1;
@@ -90,8 +89,7 @@
     if (attempt.m_age >= attempt.m_first_target) {
       return attempt_class::late_on_arrival;
     }
-    const milliseconds earlier_dispatches =
-        std::max(milliseconds(0), attempt.m_wait - attempt.m_queued);
+    const milliseconds earlier_dispatches = std::max(milliseconds(0), attempt.m_wait - attempt.m_queued);
     const milliseconds server =
         std::max(milliseconds(0), attempt.m_first - attempt.m_wait - attempt.m_reserving);
     const std::array<std::pair<milliseconds, attempt_class>, 4> parts = {
@@ -113,9 +111,9 @@
 
 std::string_view to_string(attempt_class value) {
   constexpr std::array<std::string_view, 12> names = {
-      "on time",           "late on arrival",     "late: waiting",    "late: reserving",
-      "late: dispatches",  "late: first event",   "late: pause",      "refused: quota",
-      "refused: capacity", "deadline passed",     "caller gone",      "failed"};
+      "on time",           "late on arrival",   "late: waiting", "late: reserving",
+      "late: dispatches",  "late: first event", "late: pause",   "refused: quota",
+      "refused: capacity", "deadline passed",   "caller gone",   "failed"};
   return names[static_cast<std::size_t>(value)];
 }
 
@@ -191,9 +189,9 @@
   }
   constexpr int class_width = 18;
   std::ostringstream text;
-  text << std::left << std::setw(static_cast<int>(route_width)) << "route" << "  " << std::setw(class_width)
-       << "class" << std::right << std::setw(9) << "attempts" << std::setw(8) << "share" << std::setw(11)
-       << "median ms" << '\n';
+  text << std::left << std::setw(static_cast<int>(route_width)) << "route"
+       << "  " << std::setw(class_width) << "class" << std::right << std::setw(9) << "attempts"
+       << std::setw(8) << "share" << std::setw(11) << "median ms" << '\n';
   for (const auto& each : rows()) {
     text << std::left << std::setw(static_cast<int>(route_width)) << each.m_route << "  "
          << std::setw(class_width) << to_string(each.m_class) << std::right << std::setw(9) << each.m_count
--- a/packages/ctl/tests/lateness_test.cpp
+++ b/packages/ctl/tests/lateness_test.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-// A line as the daemon writes it, with the given fields at the end. Of two fields with one name the last counts.
+// A line as the daemon writes it, with the given fields at the end. Of two fields with one name the last
+// counts.
 std::string ended(const std::string& fields) {
   return "   1.5 front-1 time=2026-09-19T09:53:28.107Z level=INFO event=request_ended request_id=a "
          "result=answered status=200 verdict=may-have-run route=chat dispatches=1 reason=\"a b=c \\\" d\" "
@@ -24,7 +25,7 @@
 
 } // namespace
 
-TEST_GROUP(lateness) {};
+TEST_GROUP(lateness){};
 
 // Guards against answered requests that count as late although they met both targets, or the reverse, and
 // against time that is charged to the wrong part of the request's path.
--- a/packages/fleet/include/cardamompond/fleet/dispatcher.hpp
+++ b/packages/fleet/include/cardamompond/fleet/dispatcher.hpp
@@ -2,6 +2,7 @@
 
 #include "cardamompond/core/time.hpp"
 #include "cardamompond/fleet/backend_server.hpp"
+#include "cardamompond/fleet/blocked_requests.hpp"
 #include "cardamompond/fleet/declarations.hpp"
 #include "cardamompond/fleet/rollout_controller.hpp"
 #include "cardamompond/fleet/speed_estimator.hpp"
@@ -198,6 +199,13 @@
   // Replaces the report of one peer. An empty list means that the peer has no load.
   void set_peer_loads(std::string_view daemon, std::span<const server_load> loads, time_point now);
 
+  // Replaces the totals of blocked requests of a peer in this daemon's availability zone, or of any peer in a
+  // small group. Totals below the previous ones belong to a new process of the peer.
+  void set_peer_blocked(std::string_view daemon, const blocked_totals& totals, time_point now);
+
+  // Returns the totals of blocked requests of this daemon, for reports to the peers.
+  blocked_totals own_blocked() const;
+
   // Returns this daemon's running requests and speed observations by server, for reports to the peers.
   std::vector<server_load> own_loads(time_point now) const;
 
--- a/packages/fleet/src/dispatch_tables.hpp
+++ b/packages/fleet/src/dispatch_tables.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cardamompond/core/hash.hpp"
+#include "cardamompond/fleet/blocked_requests.hpp"
 #include "cardamompond/fleet/dispatcher.hpp"
 
 #include "server_notices.hpp"
@@ -50,8 +51,9 @@
 struct waiting_request {
   submission m_request;
   time_point m_refuse_at;
-  bool m_short = false; // occupies a server only briefly
-  bool m_late = false;  // its response can no longer begin by m_first_token_due
+  bool m_short = false;   // occupies a server only briefly
+  bool m_late = false;    // its response can no longer begin by m_first_token_due
+  bool m_blocked = false; // was counted as blocked
 };
 
 // Rate at which this daemon dispatches requests of one kind, as an exponential moving average.
@@ -73,6 +75,7 @@
 };
 
 struct peer_row {
+  std::optional<blocked_totals> m_blocked; // last reported totals
   std::vector<server_load> m_loads;
   std::unordered_map<std::uint32_t, speed_estimate> m_speeds; // reported less often than the loads
   time_point m_received;
@@ -81,6 +84,8 @@
 // The whole state of the dispatcher. It is changed only by the dispatcher and by the functions below.
 struct dispatch_tables {
   std::map<std::string, service, std::less<>> m_services;
+  std::set<std::uint32_t> m_tier_ranks;  // of the client accounts
+  std::set<std::uint32_t> m_route_ranks; // of the routes that lead to batching services
   std::map<std::string, std::map<std::string, server_row, std::less<>>, std::less<>>
       m_servers;                                                             // by service and id
   std::map<std::string, std::deque<waiting_request>, std::less<>> m_waiting; // by service
@@ -89,6 +94,8 @@
   std::unordered_map<ticket, running_request> m_running;
   std::map<std::string, peer_row, std::less<>> m_peers;
   server_notices m_notices;
+  blocked_requests m_blocked;     // of this daemon and its peers
+  blocked_totals m_own_blocked{}; // totals of this daemon, for its reports
   std::set<std::string, std::less<>> m_evacuated_zones;
   std::vector<daemon_location> m_members;
   daemon_location m_self;
@@ -145,8 +152,12 @@
 std::optional<duration> retry_delay_for_pauses(dispatch_tables& tables, std::string_view service,
                                                std::span<const std::string> excluded_servers, time_point now);
 
-// Returns the best server with capacity for the request, or null.
-server_row* select_server(dispatch_tables& tables, const submission& request, time_point now);
+class spare_capacity;
+
+// Returns the best server with capacity for the request, or null. The request leaves `required_free`
+// slots free.
+server_row* select_server(dispatch_tables& tables, const submission& request, const spare_capacity& spare,
+                          double required_free, time_point now);
 
 // Grants the waiting requests that a server can take and refuses those that have waited too long. Requests
 // are tried in the order of tier, lateness, length, route rank and arrival.
--- a/packages/fleet/src/dispatcher.cpp
+++ b/packages/fleet/src/dispatcher.cpp
@@ -92,6 +92,30 @@
 void dispatcher::apply(const declarations& source) {
   auto& tables = m_impl->m_tables;
   tables.m_services.clear();
+  tables.m_tier_ranks.clear();
+  tables.m_route_ranks.clear();
+  const bool accounts_without_rank =
+      std::any_of(source.m_client_accounts.begin(), source.m_client_accounts.end(),
+                  [](const client_account& each) { return !each.m_has_rank; });
+  for (const auto& account : source.m_client_accounts) {
+    if (account.m_has_rank) {
+      tables.m_tier_ranks.insert(account.m_rank);
+    }
+  }
+  for (const auto& route : source.m_routes) {
+    const bool batching =
+        std::any_of(source.m_services.begin(), source.m_services.end(), [&](const service& declared) {
+          return declared.m_uses_batching &&
+                 std::any_of(route.m_services.begin(), route.m_services.end(),
+                             [&](const weighted_service& each) { return each.m_service == declared.m_name; });
+        });
+    if (batching) {
+      tables.m_route_ranks.insert(route.m_rank);
+      if (accounts_without_rank) {
+        tables.m_tier_ranks.insert(route.m_rank);
+      }
+    }
+  }
   for (const auto& each : source.m_services) {
     tables.m_services.emplace(each.m_name, each);
     if (const auto servers = tables.m_servers.find(each.m_name); servers != tables.m_servers.end()) {
@@ -302,6 +326,21 @@
   m_impl->m_peer_loads_changed = true;
 }
 
+void dispatcher::set_peer_blocked(std::string_view daemon, const blocked_totals& totals, time_point now) {
+  auto& tables = m_impl->m_tables;
+  auto& previous = tables.m_peers[std::string(daemon)].m_blocked;
+  for (std::size_t level = 0; previous && level < urgency_levels; ++level) {
+    if (totals[level] > (*previous)[level]) {
+      tables.m_blocked.record(level, totals[level] - (*previous)[level], now);
+    }
+  }
+  previous = totals;
+}
+
+blocked_totals dispatcher::own_blocked() const {
+  return m_impl->m_tables.m_own_blocked;
+}
+
 std::vector<server_load> dispatcher::own_loads(time_point now) const {
   std::vector<server_load> loads;
   for (const auto& [name, servers] : m_impl->m_tables.m_servers) {
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -1,4 +1,5 @@
 #include "dispatch_tables.hpp"
+#include "spare_capacity.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -182,7 +183,8 @@
          now >= server.m_excluded_until && is_in_service(tables, server);
 }
 
-server_row* select_server(dispatch_tables& tables, const submission& request, time_point now) {
+server_row* select_server(dispatch_tables& tables, const submission& request, const spare_capacity& spare,
+                          double required_free, time_point now) {
   const auto servers = tables.m_servers.find(request.m_service);
   if (servers == tables.m_servers.end()) {
     return nullptr;
@@ -222,7 +224,7 @@
     best_possible_fit = std::max(best_possible_fit, server_fit);
     if (now >= server.m_full_until && (server.m_notice == nullptr || server.m_notice->allows_request(now)) &&
         server.m_own_running + server.m_peer_running < running_limit(tables, server) &&
-        has_cold_capacity(tables, server, cold_rate, now)) {
+        spare.allows(server, required_free) && has_cold_capacity(tables, server, cold_rate, now)) {
       candidates.push_back({&server, server_fit});
     }
   }
--- a/packages/fleet/src/queueing.cpp
+++ b/packages/fleet/src/queueing.cpp
@@ -1,4 +1,5 @@
 #include "dispatch_tables.hpp"
+#include "spare_capacity.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -141,6 +142,19 @@
   }
 }
 
+// Counts a request that finds no free slot, once.
+void record_blocked(dispatch_tables& tables, waiting_request& waiting, time_point now) {
+  const auto declared = tables.m_services.find(waiting.m_request.m_service);
+  if (waiting.m_late || waiting.m_blocked || declared == tables.m_services.end() ||
+      !declared->second.m_uses_batching) {
+    return;
+  }
+  waiting.m_blocked = true;
+  const std::size_t level = urgency_level(tables, waiting.m_request);
+  ++tables.m_own_blocked[level];
+  tables.m_blocked.record(level, 1, now);
+}
+
 } // namespace
 
 void grant_rate::record_grant(time_point now) {
@@ -174,18 +188,25 @@
 
 void process_queues(dispatch_tables& tables, time_point now, std::vector<dispatch_decision>& decisions) {
   for (auto& [name, queue] : tables.m_waiting) {
+    if (queue.empty()) {
+      continue;
+    }
     const speed_estimate best_speed = find_best_speed(tables, name);
     for (auto& waiting : queue) {
       update_lateness(tables, queue, waiting, best_speed, now);
     }
     sort_queue(queue);
+    spare_capacity spare(tables, name, now);
     std::deque<waiting_request> remaining;
     for (auto& waiting : queue) {
       const submission& request = waiting.m_request;
-      if (server_row* server = select_server(tables, request, now)) {
+      if (server_row* server =
+              select_server(tables, request, spare, required_free_slots(tables, waiting, now), now)) {
+        spare.take(*server);
         decisions.emplace_back(grant(tables, waiting, *server, now));
         continue;
       }
+      record_blocked(tables, waiting, now);
       // A request that may have run waits, because its caller cannot be told that it was not run.
       if (const auto delay = request.m_may_have_run
                                  ? std::nullopt
--- a/packages/gateway/include/cardamompond/gateway/peer_report.hpp
+++ b/packages/gateway/include/cardamompond/gateway/peer_report.hpp
@@ -42,6 +42,7 @@
   std::vector<std::pair<std::string, std::uint64_t>> m_rolled_back_orders;
   std::vector<fleet::crash_suspicion> m_crashes;
   std::vector<fleet::part_suspicion> m_part_suspicions;
+  fleet::blocked_totals m_blocked{};
 };
 
 // Why a message of a peer could not be decoded.
--- a/packages/gateway/schema/exchange.capnp
+++ b/packages/gateway/schema/exchange.capnp
@@ -88,6 +88,7 @@
   availabilityZone @11 :Text;
   recentUseOnly @12 :Bool; # quotaUse leaves out accounts whose total did not change recently
   parts @13 :List(PartSuspicion);
+  blocked @14 :List(UInt32); # fleet::blocked_totals
 }
 
 struct Document {
--- a/packages/gateway/src/exchange.capnp.h
+++ b/packages/gateway/src/exchange.capnp.h
@@ -163,7 +163,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9f9f84d4d7a8dc24, 3, 10)
+    CAPNP_DECLARE_STRUCT_HEADER(9f9f84d4d7a8dc24, 3, 11)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1046,6 +1046,9 @@
   inline bool hasParts() const;
   inline  ::capnp::List< ::cardamompond::gateway::wire::PartSuspicion,  ::capnp::Kind::STRUCT>::Reader getParts() const;
 
+  inline bool hasBlocked() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getBlocked() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1156,6 +1159,14 @@
   inline void adoptParts(::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::PartSuspicion,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::PartSuspicion,  ::capnp::Kind::STRUCT>> disownParts();
 
+  inline bool hasBlocked();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getBlocked();
+  inline void setBlocked( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setBlocked(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initBlocked(unsigned int size);
+  inline void adoptBlocked(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownBlocked();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2424,6 +2435,44 @@
       ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
 
+inline bool Report::Reader::hasBlocked() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline bool Report::Builder::hasBlocked() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader Report::Reader::getBlocked() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Report::Builder::getBlocked() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline void Report::Builder::setBlocked( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), value);
+}
+inline void Report::Builder::setBlocked(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Report::Builder::initBlocked(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), size);
+}
+inline void Report::Builder::adoptBlocked(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> Report::Builder::disownBlocked() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+
 inline bool Document::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/gateway/src/peer_group.cpp
+++ b/packages/gateway/src/peer_group.cpp
@@ -111,6 +111,9 @@
   compare_collections(remote, report, now);
   apply_quota_use(remote, report, restarted, now);
   m_admission.dispatcher().set_peer_loads(report.m_daemon, report.m_loads, now);
+  if (is_small_group() || report.m_availability_zone == m_self.m_availability_zone) {
+    m_admission.dispatcher().set_peer_blocked(report.m_daemon, report.m_blocked, now);
+  }
   m_admission.rollout_controller().set_peer_observations(report.m_daemon, report.m_incarnation,
                                                          report.m_outcomes);
   for (const auto& [service, created] : report.m_rolled_back_orders) {
@@ -230,6 +233,7 @@
     }
   }
   add_quota_use(report, now);
+  report.m_blocked = m_admission.dispatcher().own_blocked();
   report.m_outcomes = m_admission.rollout_controller().own_observations();
   report.m_rolled_back_orders = m_admission.rollout_controller().rolled_back_orders();
   report.m_crashes = m_admission.crashes().recent(max_reported_crashes, now);
--- a/packages/gateway/src/peer_report.cpp
+++ b/packages/gateway/src/peer_report.cpp
@@ -179,6 +179,10 @@
     report.m_crashes.push_back(std::move(suspicion));
   }
   report.m_part_suspicions = read_part_suspicions(from);
+  const auto blocked = from.getBlocked();
+  for (unsigned i = 0; i < std::min<unsigned>(blocked.size(), report.m_blocked.size()); ++i) {
+    report.m_blocked[i] = blocked[i];
+  }
   return report;
 }
 
@@ -227,6 +231,10 @@
   }
   encode_crashes(report.m_crashes, to);
   encode_part_suspicions(report.m_part_suspicions, to);
+  auto blocked = to.initBlocked(static_cast<unsigned>(report.m_blocked.size()));
+  for (unsigned i = 0; i < blocked.size(); ++i) {
+    blocked.set(i, report.m_blocked[i]);
+  }
   return serialize_packed(message);
 }
 
