Judge lateness by the typical server instead of the best one

Cause: a request counted as on time until the fastest server could no longer begin its response in time, so that many were granted a slot and then answered late. Change: the mean speed of the listed servers decides.

--- a/packages/fleet/src/queueing.cpp
+++ b/packages/fleet/src/queueing.cpp
@@ -87,26 +87,32 @@
             [&](const waiting_request& a, const waiting_request& b) { return key(a) < key(b); });
 }
 
-// Returns the lowest base time and the lowest time per prompt token of the servers of the service, or the
-// assumed values if these are lower.
-speed_estimate find_best_speed(const dispatch_tables& tables, const std::string& service) {
-  speed_estimate best_speed = assumed_speed();
+// Returns the mean base time and the mean time per prompt token of the listed servers of the service, or the
+// assumed values without any.
+speed_estimate find_typical_speed(const dispatch_tables& tables, const std::string& service) {
   const auto servers = tables.m_servers.find(service);
   if (servers == tables.m_servers.end()) {
-    return best_speed;
+    return assumed_speed();
   }
+  speed_estimate sum{};
+  double count = 0;
   for (const auto& [id, server] : servers->second) {
-    best_speed.m_base_s = std::min(best_speed.m_base_s, server.m_combined_speed.m_base_s);
-    best_speed.m_prompt_s_per_token =
-        std::min(best_speed.m_prompt_s_per_token, server.m_combined_speed.m_prompt_s_per_token);
+    if (server.m_listed) {
+      ++count;
+      sum.m_base_s += server.m_combined_speed.m_base_s;
+      sum.m_prompt_s_per_token += server.m_combined_speed.m_prompt_s_per_token;
+    }
+  }
+  if (count == 0) {
+    return assumed_speed();
   }
-  return best_speed;
+  return {sum.m_base_s / count, sum.m_prompt_s_per_token / count, assumed_speed().m_event_interval_s, 0};
 }
 
 // Returns the latest time at which the request can be sent so that its response begins on time.
-time_point latest_dispatch_time(const submission& request, const speed_estimate& best_speed) {
+time_point latest_dispatch_time(const submission& request, const speed_estimate& typical_speed) {
   const std::chrono::duration<double> time_to_first_token(
-      best_speed.m_base_s + best_speed.m_prompt_s_per_token * request.m_prompt_tokens);
+      typical_speed.m_base_s + typical_speed.m_prompt_s_per_token * request.m_prompt_tokens);
   return request.m_first_token_due - network_time - std::chrono::duration_cast<duration>(time_to_first_token);
 }
 
@@ -132,8 +138,8 @@
 // Marks the request as late when its response can no longer begin on time. A late request that exceeds its
 // wait limit is refused by this or the next call of process_queues unless a server can take it immediately.
 void update_lateness(dispatch_tables& tables, const std::deque<waiting_request>& queue,
-                     waiting_request& waiting, const speed_estimate& best_speed, time_point now) {
-  if (waiting.m_late || now <= latest_dispatch_time(waiting.m_request, best_speed)) {
+                     waiting_request& waiting, const speed_estimate& typical_speed, time_point now) {
+  if (waiting.m_late || now <= latest_dispatch_time(waiting.m_request, typical_speed)) {
     return;
   }
   waiting.m_late = true;
@@ -179,7 +185,7 @@
                         max_short_request_s;
   auto& queue = tables.m_waiting[request.m_service];
   waiting_request waiting{std::move(request), refuse_at, is_short, false};
-  update_lateness(tables, queue, waiting, find_best_speed(tables, waiting.m_request.m_service), now);
+  update_lateness(tables, queue, waiting, find_typical_speed(tables, waiting.m_request.m_service), now);
   if (!waiting.m_late && exceeds_wait_limit(tables, queue, waiting, now)) {
     waiting.m_refuse_at = now;
   }
@@ -191,9 +197,9 @@
     if (queue.empty()) {
       continue;
     }
-    const speed_estimate best_speed = find_best_speed(tables, name);
+    const speed_estimate typical_speed = find_typical_speed(tables, name);
     for (auto& waiting : queue) {
-      update_lateness(tables, queue, waiting, best_speed, now);
+      update_lateness(tables, queue, waiting, typical_speed, now);
     }
     sort_queue(queue);
     spare_capacity spare(tables, name, now);
