Send reports to other zones in digests

Ruled out: a lower rate for each pair (the view would be 3 to 6 s old for half or a quarter of the bytes); a fixed relay for each zone (one that is cut off but heard in its zone would stop all news). Change: the daemons of a zone take turns, twice a second for the zone, in sending its latest reports to one daemon of each other zone, which forwards them in its zone; relayed reports carry their age. Loads of a silent peer are dropped at once.

--- a/packages/fleet/src/peer_loads.cpp
+++ b/packages/fleet/src/peer_loads.cpp
@@ -9,6 +9,10 @@
 // obsolete.
 constexpr duration max_report_age = seconds(2);
 
+// In a large group, reports of other zones arrive less often. The mean load that they show is still better
+// than none, since their servers would seem to be free.
+constexpr duration max_report_age_large_group = seconds(5);
+
 // Discards the failure reports for a service if they concern more than half of its servers: the reporting
 // peers then probably have a bad network link themselves.
 void ignore_widespread_failure_reports(std::map<std::string, server_row, std::less<>>& servers) {
@@ -36,8 +40,8 @@
 } // namespace
 
 void update_peer_loads(dispatch_tables& tables, time_point now) {
-  std::erase_if(tables.m_peers,
-                [&](const auto& peer) { return now - peer.second.m_received > max_report_age; });
+  const duration max_age = tables.m_frequent_reports ? max_report_age : max_report_age_large_group;
+  std::erase_if(tables.m_peers, [&](const auto& peer) { return now - peer.second.m_received > max_age; });
   const servers_by_hash by_hash = index_servers(tables);
   for (const auto& [hash, server] : by_hash) {
     server->m_peer_running = 0;
--- a/packages/gateway/include/cardamompond/gateway/peer_group.hpp
+++ b/packages/gateway/include/cardamompond/gateway/peer_group.hpp
@@ -25,8 +25,17 @@
   peer_group(admission_controller& admission, member self, std::vector<std::string> seeds,
              std::uint64_t incarnation);
 
-  // Processes a report. A report that is older than the last one of the same daemon is dropped.
-  void handle_report(const peer_report& report, time_point now);
+  // Processes a report that was received at the given time. A report that is older than the last one of the
+  // same daemon is dropped. `encoded` is the report as received, for relaying; empty: it is not relayed.
+  void handle_report(const peer_report& report, time_point received, std::string_view encoded = {});
+
+  // Processes the reports of a digest from another zone. Returns the number of reports that could not be
+  // decoded.
+  std::size_t handle_digest(const report_digest& digest, time_point now);
+
+  // Returns the latest reports of the daemons of this zone, this one included, in digests of the size of a
+  // datagram.
+  std::vector<report_digest> make_digests(time_point now);
 
   // Removes peers that stopped reporting and updates the members of the admission controller. Must be called
   // with each round of reports.
@@ -40,13 +49,20 @@
   struct round {
     std::vector<std::string> m_same_zone;   // addresses of daemons in the zone of this daemon
     std::vector<std::string> m_other_zones; // addresses of daemons in other zones
+    std::vector<std::string> m_digests;     // addresses of daemons in other zones that get digests instead
     bool m_with_speeds = false;
   };
 
-  // Returns the recipients of the next round. Daemons in the same zone are sent a report in every round,
-  // those in other zones less often; where there are too many for one round, they take turns.
+  // Returns the recipients of the next round. Daemons in the same zone are sent a report in every round;
+  // where there are too many for one round, they take turns. In a small group, those in other zones are sent
+  // one less often. In a large group, the daemons of a zone take turns in sending a digest of its reports to
+  // one daemon of each other zone, which forwards it to its zone. So the traffic between zones does not grow
+  // with the product of their sizes, and no daemon is needed for it.
   round next_round();
 
+  // Returns the addresses of the daemons in the same zone, to which a digest is forwarded.
+  std::vector<std::string> same_zone_addresses() const { return known_addresses().m_same_zone; }
+
   // The recipients of a report that must not wait: all daemons in the same zone, and in a small group those
   // in other zones, too.
   std::vector<std::string> announcement_addresses() const;
@@ -80,6 +96,8 @@
   struct peer {
     std::string m_availability_zone;
     std::string m_address;
+    std::string m_encoded_report; // the last one without speeds, for digests; empty: none
+    time_point m_encoded_report_at;
     std::uint64_t m_incarnation = 0;
     std::uint64_t m_sequence = 0;
     time_point m_last_report_at;
@@ -98,11 +116,13 @@
   struct zone_addresses {
     std::vector<std::string> m_same_zone;
     std::vector<std::string> m_other_zones;
+    std::map<std::string, std::vector<std::string>> m_by_other_zone; // m_other_zones by their zone
   };
   void add_quota_use(peer_report& report, time_point now);
   bool has_peer_ahead_with_large_content(collection_kind kind) const;
   zone_addresses known_addresses() const;
   bool is_small_group() const;
+  bool has_digest_turn() const;
   duration silence_timeout(const peer& remote) const;
   void apply_quota_use(peer& remote, const peer_report& report, bool restarted, time_point now);
   void compare_collections(peer& remote, const peer_report& report, time_point now);
@@ -117,6 +137,7 @@
   std::uint64_t m_round_number = 0;
   std::size_t m_next_same_zone_index = 0;
   std::size_t m_next_other_zones_index = 0;
+  std::size_t m_next_digest_target = 0;
   // Numbers of other daemons whose addresses were known at the last round.
   std::size_t m_same_zone_count = 0;
   std::size_t m_other_zones_count = 0;
--- a/packages/gateway/include/cardamompond/gateway/peer_report.hpp
+++ b/packages/gateway/include/cardamompond/gateway/peer_report.hpp
@@ -12,6 +12,7 @@
 #include <span>
 #include <string>
 #include <utility>
+#include <variant>
 #include <vector>
 
 namespace cardamompond::gateway {
@@ -45,12 +46,31 @@
   fleet::blocked_totals m_blocked{};
 };
 
+// A report that a daemon passes on.
+struct relayed_report {
+  milliseconds m_age{0}; // time since the relaying daemon received it
+  std::string m_encoded; // as received
+};
+
+// Reports of the daemons of one availability zone, for the daemons of another one.
+struct report_digest {
+  std::vector<relayed_report> m_reports;
+  bool m_forwarded = false; // passed on within the zone of the receiver
+};
+
 // Why a message of a peer could not be decoded.
 struct malformed_message {
   std::string m_reason;
 };
 
 std::string encode_report(const peer_report& report);
+std::string encode_digest(const report_digest& digest);
+
+// A datagram is a report or a digest of reports.
+using peer_message = std::variant<peer_report, report_digest>;
+result<peer_message, malformed_message> decode_message(std::span<const char> bytes);
+
+// Fails if the message is not a report.
 result<peer_report, malformed_message> decode_report(std::span<const char> bytes);
 
 std::string encode_snapshot(const collection_snapshot& snapshot);
--- a/packages/gateway/schema/exchange.capnp
+++ b/packages/gateway/schema/exchange.capnp
@@ -73,6 +73,13 @@
   position @4 :UInt32;    # of the part in the prompts, from 0
 }
 
+# A report that a daemon passes on.
+struct RelayedReport {
+  ageMs @0 :UInt32;       # time since the relaying daemon received it
+  report @1 :Data;        # as received
+}
+
+# A report of one daemon, or, if `relayed` is not empty, reports that its sender passes on to another zone.
 struct Report {
   daemon @0 :Text;
   exchangeAddress @1 :Text;
@@ -89,6 +96,8 @@
   recentUseOnly @12 :Bool; # quotaUse leaves out accounts whose total did not change recently
   parts @13 :List(PartSuspicion);
   blocked @14 :List(UInt32); # fleet::blocked_totals
+  relayed @15 :List(RelayedReport);
+  forwarded @16 :Bool;       # the relayed reports were passed on within the zone of the receiver
 }
 
 struct Document {
--- a/packages/gateway/src/exchange.capnp.h
+++ b/packages/gateway/src/exchange.capnp.h
@@ -24,6 +24,7 @@
 CAPNP_DECLARE_SCHEMA(a544bfc4ca3d48f4);
 CAPNP_DECLARE_SCHEMA(8bd76548a75f14c9);
 CAPNP_DECLARE_SCHEMA(b10fb6925e1f412b);
+CAPNP_DECLARE_SCHEMA(90a1451c77e7f9c8);
 CAPNP_DECLARE_SCHEMA(9f9f84d4d7a8dc24);
 CAPNP_DECLARE_SCHEMA(fab845e96b66bc98);
 CAPNP_DECLARE_SCHEMA(b7861866a3899f1f);
@@ -155,6 +156,21 @@
   };
 };
 
+struct RelayedReport {
+  RelayedReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(90a1451c77e7f9c8, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Report {
   Report() = delete;
 
@@ -163,7 +179,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9f9f84d4d7a8dc24, 3, 11)
+    CAPNP_DECLARE_STRUCT_HEADER(9f9f84d4d7a8dc24, 3, 12)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -991,6 +1007,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class RelayedReport::Reader {
+public:
+  typedef RelayedReport Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getAgeMs() const;
+
+  inline bool hasReport() const;
+  inline  ::capnp::Data::Reader getReport() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RelayedReport::Builder {
+public:
+  typedef RelayedReport Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+  inline bool hasReport();
+  inline  ::capnp::Data::Builder getReport();
+  inline void setReport( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initReport(unsigned int size);
+  inline void adoptReport(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownReport();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RelayedReport::Pipeline {
+public:
+  typedef RelayedReport Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Report::Reader {
 public:
   typedef Report Reads;
@@ -1049,6 +1151,11 @@
   inline bool hasBlocked() const;
   inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getBlocked() const;
 
+  inline bool hasRelayed() const;
+  inline  ::capnp::List< ::cardamompond::gateway::wire::RelayedReport,  ::capnp::Kind::STRUCT>::Reader getRelayed() const;
+
+  inline bool getForwarded() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1167,6 +1274,16 @@
   inline void adoptBlocked(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownBlocked();
 
+  inline bool hasRelayed();
+  inline  ::capnp::List< ::cardamompond::gateway::wire::RelayedReport,  ::capnp::Kind::STRUCT>::Builder getRelayed();
+  inline void setRelayed( ::capnp::List< ::cardamompond::gateway::wire::RelayedReport,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cardamompond::gateway::wire::RelayedReport,  ::capnp::Kind::STRUCT>::Builder initRelayed(unsigned int size);
+  inline void adoptRelayed(::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::RelayedReport,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::RelayedReport,  ::capnp::Kind::STRUCT>> disownRelayed();
+
+  inline bool getForwarded();
+  inline void setForwarded(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2039,6 +2156,54 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t RelayedReport::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RelayedReport::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RelayedReport::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RelayedReport::Reader::hasReport() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RelayedReport::Builder::hasReport() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader RelayedReport::Reader::getReport() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder RelayedReport::Builder::getReport() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RelayedReport::Builder::setReport( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder RelayedReport::Builder::initReport(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RelayedReport::Builder::adoptReport(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> RelayedReport::Builder::disownReport() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool Report::Reader::hasDaemon() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2473,6 +2638,54 @@
       ::capnp::bounded<10>() * ::capnp::POINTERS));
 }
 
+inline bool Report::Reader::hasRelayed() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS).isNull();
+}
+inline bool Report::Builder::hasRelayed() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cardamompond::gateway::wire::RelayedReport,  ::capnp::Kind::STRUCT>::Reader Report::Reader::getRelayed() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::RelayedReport,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cardamompond::gateway::wire::RelayedReport,  ::capnp::Kind::STRUCT>::Builder Report::Builder::getRelayed() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::RelayedReport,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+inline void Report::Builder::setRelayed( ::capnp::List< ::cardamompond::gateway::wire::RelayedReport,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::RelayedReport,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cardamompond::gateway::wire::RelayedReport,  ::capnp::Kind::STRUCT>::Builder Report::Builder::initRelayed(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::RelayedReport,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), size);
+}
+inline void Report::Builder::adoptRelayed(
+    ::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::RelayedReport,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::RelayedReport,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::RelayedReport,  ::capnp::Kind::STRUCT>> Report::Builder::disownRelayed() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::RelayedReport,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+
+inline bool Report::Reader::getForwarded() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<130>() * ::capnp::ELEMENTS);
+}
+
+inline bool Report::Builder::getForwarded() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<130>() * ::capnp::ELEMENTS);
+}
+inline void Report::Builder::setForwarded(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<130>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Document::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/gateway/src/peer_exchange.cpp
+++ b/packages/gateway/src/peer_exchange.cpp
@@ -12,6 +12,8 @@
 #include <map>
 #include <stdexcept>
 #include <tuple>
+#include <utility>
+#include <variant>
 
 namespace cardamompond::gateway {
 namespace {
@@ -63,6 +65,8 @@
 
 private:
   void send(const std::string& bytes, const std::vector<std::string>& addresses);
+  void receive_digest(report_digest& digest, const udp::endpoint& sender);
+  void count_malformed(const udp::endpoint& sender, std::string_view reason);
   void serve(net::http_exchange& exchange);
   void fetch(const peer_group::lagging_collection& lagging);
 
@@ -99,7 +103,14 @@
   m_group.tick(monotonic_now());
   const auto round = m_group.next_round();
   send(encode_report(m_group.make_report(round.m_with_speeds, false)), round.m_same_zone);
-  send(encode_report(m_group.make_report(false, false)), round.m_other_zones);
+  if (!round.m_other_zones.empty()) {
+    send(encode_report(m_group.make_report(false, false)), round.m_other_zones);
+  }
+  if (!round.m_digests.empty()) {
+    for (const auto& digest : m_group.make_digests(monotonic_now())) {
+      send(encode_digest(digest), round.m_digests);
+    }
+  }
 }
 
 void peer_exchange::impl::send_announcement(bool leaving) {
@@ -117,16 +128,34 @@
       continue;
     }
     ++m_counters.m_reports_received;
-    const auto report = decode_report({buffer.data(), wait.bytes()});
-    if (report) {
-      m_group.handle_report(*report, monotonic_now());
-    } else if (++m_counters.m_malformed_reports == 1) {
-      log_event(log_level::warning, "report_malformed",
-                {{"sender", sender.address().to_string()}, {"reason", report.error().m_reason}});
+    const std::string_view bytes(buffer.data(), wait.bytes());
+    auto message = decode_message(bytes);
+    if (!message) {
+      count_malformed(sender, message.error().m_reason);
+    } else if (const auto* report = std::get_if<peer_report>(&*message)) {
+      m_group.handle_report(*report, monotonic_now(), bytes);
+    } else {
+      receive_digest(std::get<report_digest>(*message), sender);
     }
   }
 }
 
+void peer_exchange::impl::receive_digest(report_digest& digest, const udp::endpoint& sender) {
+  if (m_group.handle_digest(digest, monotonic_now()) > 0) {
+    count_malformed(sender, "a relayed report");
+  }
+  if (!std::exchange(digest.m_forwarded, true)) {
+    send(encode_digest(digest), m_group.same_zone_addresses());
+  }
+}
+
+void peer_exchange::impl::count_malformed(const udp::endpoint& sender, std::string_view reason) {
+  if (++m_counters.m_malformed_reports == 1) {
+    log_event(log_level::warning, "report_malformed",
+              {{"sender", sender.address().to_string()}, {"reason", reason}});
+  }
+}
+
 void peer_exchange::impl::serve(net::http_exchange& exchange) {
   const std::string_view path = exchange.request().path();
   if (path.starts_with(collections_path)) {
--- a/packages/gateway/src/peer_group.cpp
+++ b/packages/gateway/src/peer_group.cpp
@@ -26,11 +26,22 @@
 // per daemon does not grow with the group.
 constexpr std::size_t max_same_zone_targets = 14;
 
-// Each daemon in another zone is sent a report once in this many rounds, since traffic between zones is
-// charged.
-constexpr std::size_t other_zones_period_small_group = 2;
-constexpr std::size_t other_zones_period_large_group = 10;
-constexpr std::size_t max_other_zones_targets = 10;
+// In a small group, each daemon in another zone is sent a report once in this many rounds, since traffic
+// between zones is charged.
+constexpr std::size_t other_zones_period = 2;
+
+// In a large group, a zone sends a digest to each other zone once in this many rounds. Its daemons do so in
+// turns that are not coordinated, so that several seconds may pass between two digests.
+constexpr std::size_t digest_period = 5;
+
+// Reports older than this are left out of digests.
+constexpr duration max_digest_age = seconds(2);
+
+// Reports in one datagram together have at most this size.
+constexpr std::size_t max_digest_bytes = 8'000;
+
+// A daemon of another zone of a large group counts as silent after this time.
+constexpr duration other_zones_silence_timeout = seconds(8);
 
 // Speeds change slowly; they are included once in this many rounds.
 constexpr std::uint64_t speed_report_period = 8;
@@ -42,6 +53,7 @@
 // report.
 constexpr duration recent_use_window = milliseconds(3'500);
 constexpr std::size_t full_use_report_period = 6;
+constexpr std::size_t use_report_cycle = 10;
 
 // In a large group, this many daemons of a zone read the store for the others of the zone. With two, one may
 // fail.
@@ -78,9 +90,10 @@
     : m_admission(admission)
     , m_self(std::move(self))
     , m_seeds(std::move(seeds))
-    , m_incarnation(incarnation) {}
+    , m_incarnation(incarnation)
+    , m_next_digest_target(hash64(m_self.m_name)) {}
 
-void peer_group::handle_report(const peer_report& report, time_point now) {
+void peer_group::handle_report(const peer_report& report, time_point received, std::string_view encoded) {
   if (report.m_daemon == m_self.m_name || report.m_daemon.empty()) {
     return;
   }
@@ -93,7 +106,7 @@
   if (report.m_leaving) {
     if (known != m_peers.end()) {
       m_peers.erase(known);
-      m_admission.dispatcher().set_peer_loads(report.m_daemon, {}, now);
+      m_admission.dispatcher().set_peer_loads(report.m_daemon, {}, received);
     }
     return;
   }
@@ -107,12 +120,18 @@
   remote.m_address = report.m_exchange_address;
   remote.m_incarnation = report.m_incarnation;
   remote.m_sequence = report.m_sequence;
-  remote.m_last_report_at = now;
-  compare_collections(remote, report, now);
-  apply_quota_use(remote, report, restarted, now);
-  m_admission.dispatcher().set_peer_loads(report.m_daemon, report.m_loads, now);
+  remote.m_last_report_at = received;
+  const bool has_speeds = std::any_of(report.m_loads.begin(), report.m_loads.end(),
+                                      [](const auto& each) { return each.m_speed.m_samples > 0; });
+  if (!encoded.empty() && !has_speeds) {
+    remote.m_encoded_report = encoded;
+    remote.m_encoded_report_at = received;
+  }
+  compare_collections(remote, report, received);
+  apply_quota_use(remote, report, restarted, received);
+  m_admission.dispatcher().set_peer_loads(report.m_daemon, report.m_loads, received);
   if (is_small_group() || report.m_availability_zone == m_self.m_availability_zone) {
-    m_admission.dispatcher().set_peer_blocked(report.m_daemon, report.m_blocked, now);
+    m_admission.dispatcher().set_peer_blocked(report.m_daemon, report.m_blocked, received);
   }
   m_admission.rollout_controller().set_peer_observations(report.m_daemon, report.m_incarnation,
                                                          report.m_outcomes);
@@ -120,11 +139,43 @@
     m_admission.rollout_controller().record_rollback(service, created, "found by " + report.m_daemon);
   }
   for (const auto& suspicion : report.m_crashes) {
-    m_admission.crashes().merge(suspicion, now);
+    m_admission.crashes().merge(suspicion, received);
   }
   for (const auto& suspicion : report.m_part_suspicions) {
-    m_admission.part_crashes().merge(suspicion, now);
+    m_admission.part_crashes().merge(suspicion, received);
+  }
+}
+
+std::size_t peer_group::handle_digest(const report_digest& digest, time_point now) {
+  std::size_t malformed = 0;
+  for (const auto& [age, encoded] : digest.m_reports) {
+    if (const auto report = decode_report(encoded); !report) {
+      ++malformed;
+    } else if (report->m_availability_zone != m_self.m_availability_zone) {
+      handle_report(*report, now - std::clamp<duration>(age, duration::zero(), max_digest_age));
+    }
+  }
+  return malformed;
+}
+
+std::vector<report_digest> peer_group::make_digests(time_point now) {
+  std::vector<report_digest> digests = {{{{milliseconds(0), encode_report(make_report(false, false))}}}};
+  std::size_t bytes = digests.back().m_reports.back().m_encoded.size();
+  for (const auto& [name, each] : m_peers) {
+    const duration age = now - each.m_encoded_report_at;
+    if (each.m_availability_zone != m_self.m_availability_zone || each.m_encoded_report.empty() ||
+        age > max_digest_age) {
+      continue;
+    }
+    if (bytes + each.m_encoded_report.size() > max_digest_bytes) {
+      digests.emplace_back();
+      bytes = 0;
+    }
+    bytes += each.m_encoded_report.size();
+    digests.back().m_reports.push_back(
+        {std::chrono::duration_cast<milliseconds>(age), each.m_encoded_report});
   }
+  return digests;
 }
 
 void peer_group::compare_collections(peer& remote, const peer_report& report, time_point now) {
@@ -162,16 +213,30 @@
   remote.m_has_full_quota_use = remote.m_has_full_quota_use || !report.m_recent_use_only;
 }
 
+// The daemons of a zone start at about the same time, so their round numbers agree roughly. After restarts
+// they do not, and the turns are spread at random.
+bool peer_group::has_digest_turn() const {
+  std::size_t zone_daemons = 1;
+  std::size_t rank = 0;
+  for (const auto& [name, each] : m_peers) {
+    if (each.m_availability_zone == m_self.m_availability_zone) {
+      ++zone_daemons;
+      rank += name < m_self.m_name ? 1 : 0;
+    }
+  }
+  return m_round_number % (digest_period * zone_daemons) == rank * digest_period;
+}
+
 bool peer_group::is_small_group() const {
   return m_same_zone_count + m_other_zones_count < small_group_size;
 }
 
 duration peer_group::silence_timeout(const peer& remote) const {
   const bool same_zone = remote.m_availability_zone == m_self.m_availability_zone;
-  const std::size_t rounds = same_zone          ? m_same_zone_count / max_same_zone_targets + 1
-                             : is_small_group() ? other_zones_period_small_group
-                                                : std::max(other_zones_period_large_group,
-                                                           m_other_zones_count / max_other_zones_targets + 1);
+  if (!same_zone && !is_small_group()) {
+    return other_zones_silence_timeout;
+  }
+  const std::size_t rounds = same_zone ? m_same_zone_count / max_same_zone_targets + 1 : other_zones_period;
   return std::max<duration>(min_silence_timeout,
                             report_interval * static_cast<int>(rounds) * max_missed_rounds);
 }
@@ -187,6 +252,7 @@
               {{"peer", each->first},
                {"silent_ms",
                 std::chrono::duration_cast<milliseconds>(now - each->second.m_last_report_at).count()}});
+    m_admission.dispatcher().set_peer_loads(each->first, {}, now); // its requests ended with it
     each = m_peers.erase(each);
   }
   std::map<std::string, std::string> zones = {{m_self.m_name, m_self.m_availability_zone}}; // by daemon name
@@ -242,8 +308,7 @@
 }
 
 void peer_group::add_quota_use(peer_report& report, time_point now) {
-  report.m_recent_use_only = m_round_number % (other_zones_period_large_group * full_use_report_period) >=
-                             other_zones_period_large_group;
+  report.m_recent_use_only = m_round_number % (use_report_cycle * full_use_report_period) >= use_report_cycle;
   for (const auto& [account, units] : m_admission.quotas().admitted_units()) {
     auto& reported_use = m_own_quota_use[account];
     if (reported_use.m_units != units) {
@@ -256,20 +321,25 @@
 }
 
 peer_group::zone_addresses peer_group::known_addresses() const {
-  std::map<std::string, bool> same_zone_by_address;
+  std::map<std::string, std::string> zone_by_address;
   for (const auto& seed : m_seeds) {
-    same_zone_by_address.emplace(seed, false);
+    zone_by_address.emplace(seed, std::string()); // not known yet
   }
   for (const auto& each : m_admission.known_fleet().members()) {
-    same_zone_by_address[each.m_exchange_address] = each.m_availability_zone == m_self.m_availability_zone;
+    zone_by_address[each.m_exchange_address] = each.m_availability_zone;
   }
   for (const auto& [name, each] : m_peers) {
-    same_zone_by_address[each.m_address] = each.m_availability_zone == m_self.m_availability_zone;
+    zone_by_address[each.m_address] = each.m_availability_zone;
   }
-  same_zone_by_address.erase(m_self.m_exchange_address);
+  zone_by_address.erase(m_self.m_exchange_address);
   zone_addresses known;
-  for (const auto& [address, same_zone] : same_zone_by_address) {
-    (same_zone ? known.m_same_zone : known.m_other_zones).push_back(address);
+  for (const auto& [address, zone] : zone_by_address) {
+    if (zone == m_self.m_availability_zone) {
+      known.m_same_zone.push_back(address);
+    } else {
+      known.m_other_zones.push_back(address);
+      known.m_by_other_zone[zone].push_back(address);
+    }
   }
   return known;
 }
@@ -295,13 +365,17 @@
     next_index = from.empty() ? 0 : (next_index + selected.size()) % from.size();
     return selected;
   };
-  const std::size_t other_zones_period =
-      is_small_group() ? other_zones_period_small_group : other_zones_period_large_group;
-  const std::size_t other_zones_targets =
-      std::min(max_other_zones_targets, (m_other_zones_count + other_zones_period - 1) / other_zones_period);
   round next;
   next.m_same_zone = select_in_turn(known.m_same_zone, max_same_zone_targets, m_next_same_zone_index);
-  next.m_other_zones = select_in_turn(known.m_other_zones, other_zones_targets, m_next_other_zones_index);
+  if (is_small_group()) {
+    const std::size_t targets = (m_other_zones_count + other_zones_period - 1) / other_zones_period;
+    next.m_other_zones = select_in_turn(known.m_other_zones, targets, m_next_other_zones_index);
+  } else if (has_digest_turn()) {
+    for (const auto& [zone, addresses] : known.m_by_other_zone) {
+      next.m_digests.push_back(addresses[m_next_digest_target % addresses.size()]);
+    }
+    ++m_next_digest_target;
+  }
   // Where the daemons of the zone take turns, the speeds are sent for a full turn, so that each daemon gets
   // them.
   const std::uint64_t same_zone_turns = m_same_zone_count / max_same_zone_targets + 1;
--- a/packages/gateway/src/peer_report.cpp
+++ b/packages/gateway/src/peer_report.cpp
@@ -238,8 +238,44 @@
   return serialize_packed(message);
 }
 
+std::string encode_digest(const report_digest& digest) {
+  capnp::MallocMessageBuilder message;
+  auto to = message.initRoot<wire::Report>();
+  to.setForwarded(digest.m_forwarded);
+  auto relayed = to.initRelayed(static_cast<unsigned>(digest.m_reports.size()));
+  for (unsigned i = 0; i < relayed.size(); ++i) {
+    const auto& [age, encoded] = digest.m_reports[i];
+    relayed[i].setAgeMs(to_wire_ms(age));
+    relayed[i].setReport(kj::arrayPtr(reinterpret_cast<const kj::byte*>(encoded.data()), encoded.size()));
+  }
+  return serialize_packed(message);
+}
+
+result<peer_message, malformed_message> decode_message(std::span<const char> bytes) {
+  return decode<peer_message>(bytes, [](capnp::MessageReader& message) -> peer_message {
+    const auto from = message.getRoot<wire::Report>();
+    if (from.getRelayed().size() == 0) {
+      return read_report(message);
+    }
+    report_digest digest{{}, from.getForwarded()};
+    for (const auto& each : from.getRelayed()) {
+      const auto encoded = each.getReport();
+      digest.m_reports.push_back(
+          {milliseconds(each.getAgeMs()), {reinterpret_cast<const char*>(encoded.begin()), encoded.size()}});
+    }
+    return digest;
+  });
+}
+
 result<peer_report, malformed_message> decode_report(std::span<const char> bytes) {
-  return decode<peer_report>(bytes, [](capnp::MessageReader& message) { return read_report(message); });
+  auto message = decode_message(bytes);
+  if (!message) {
+    return message.error();
+  }
+  if (auto* report = std::get_if<peer_report>(&*message)) {
+    return std::move(*report);
+  }
+  return malformed_message{"a digest instead of a report"};
 }
 
 std::string encode_snapshot(const collection_snapshot& snapshot) {
