Pace digests between zones and keep them within one packet

A receiver forwarded 39 datagrams of 8 KB at once, which fills a link of 20 Mbit/s for 125 ms and overflows its queue; a datagram of six packets is lost with any of them. Change: digests leave out what their sender knows as well, hold 1.2 KB, go out once a second for each zone to a live daemon, and are forwarded 20 in a round.

Also: daemons share a sample of their responses of the old version of a rollout. Cause: in groups of 60 and 195 daemons each fits its comparison on too few of them.

--- a/packages/fleet/include/cardamompond/fleet/rollout_controller.hpp
+++ b/packages/fleet/include/cardamompond/fleet/rollout_controller.hpp
@@ -30,8 +30,8 @@
   std::string m_service;
   std::string m_version;
   std::string m_route;
-  version_outcomes m_outcomes;
-  std::uint64_t m_order = 0; // creation revision of the rollout order
+  version_outcomes m_outcomes; // with timings of the target, or a sample of those of the old versions
+  std::uint64_t m_order = 0;   // creation revision of the rollout order
   // In rows of the target: slowness_evidence::m_log_ratio as computed by the sender, NaN if it cannot tell.
   double m_log_ratio = std::numeric_limits<double>::quiet_NaN();
 };
@@ -122,6 +122,8 @@
   using outcome_key = std::pair<std::string, std::string>; // version, route
 
   std::map<outcome_key, version_outcomes> total_outcomes(const rollout_order& order) const;
+  void add_old_timings(const rollout_progress& progress, const std::string& route,
+                       std::vector<response_timing>& to) const;
   double group_log_ratio(const rollout_progress& progress) const;
   void evaluate(rollout_progress& progress, time_point now);
 
--- a/packages/fleet/src/rollout_controller.cpp
+++ b/packages/fleet/src/rollout_controller.cpp
@@ -33,6 +33,13 @@
 constexpr std::size_t max_target_timings = 32;
 constexpr std::size_t max_old_timings = 192;
 
+// Timings of the old version on each route that all daemons together share with one another, and the most and
+// the fewest that one reports. In a large group a daemon sees too few responses of the old version to know
+// its servers.
+constexpr std::size_t shared_old_timings = 600;
+constexpr std::size_t max_reported_old_timings = 32;
+constexpr std::size_t min_reported_old_timings = 2;
+
 // Timings kept of processes that have ended.
 constexpr std::size_t max_earlier_timings = 64;
 
@@ -194,6 +201,18 @@
   peer.m_current = observations;
 }
 
+// Adds the latest timings of the old versions on the route to a row of a report. If several old versions
+// serve the route, each of their rows has the same timings.
+void rollout_controller::add_old_timings(const rollout_progress& progress, const std::string& route,
+                                         std::vector<response_timing>& to) const {
+  if (const auto known = progress.m_old_timings.find(route); known != progress.m_old_timings.end()) {
+    const auto limit = std::clamp(shared_old_timings / static_cast<std::size_t>(m_daemon_count),
+                                  min_reported_old_timings, max_reported_old_timings);
+    const auto count = std::min(limit, known->second.size());
+    to.assign(known->second.end() - static_cast<std::ptrdiff_t>(count), known->second.end());
+  }
+}
+
 std::vector<version_observation> rollout_controller::own_observations() const {
   std::vector<version_observation> all;
   for (const auto& [service, by_key] : m_own_outcomes) {
@@ -202,7 +221,9 @@
       if (rollout != m_rollouts.end()) {
         const rollout_progress& progress = rollout->second;
         all.push_back({service, key.first, key.second, outcomes, progress.m_order.m_created_revision});
-        if (key.first == progress.m_order.m_target_version && can_judge(progress.m_slowness)) {
+        if (key.first != progress.m_order.m_target_version) {
+          add_old_timings(progress, key.second, all.back().m_outcomes.m_timings);
+        } else if (can_judge(progress.m_slowness)) {
           all.back().m_log_ratio = progress.m_slowness.m_log_ratio;
         }
       }
@@ -297,7 +318,7 @@
     requests += outcomes.m_good + outcomes.m_bad;
     if (key.first != target) {
       old_good += outcomes.m_good;
-      add(old_outcomes_by_route[key.second], outcomes);
+      add(old_outcomes_by_route[key.second], outcomes); // with the timings that peers reported
     } else {
       target_timings[key.second] = outcomes.m_timings;
     }
@@ -324,6 +345,10 @@
   for (const auto& [route, timings] : progress.m_old_timings) {
     old_timings[route].assign(timings.begin(), timings.end());
   }
+  for (const auto& [route, outcomes] : old_outcomes_by_route) {
+    auto& timings = old_timings[route];
+    timings.insert(timings.end(), outcomes.m_timings.begin(), outcomes.m_timings.end());
+  }
   progress.m_slowness = compare_timings(old_timings, target_timings);
   const slowness_evidence& slowness = progress.m_slowness;
   const double log_ratio = group_log_ratio(progress);
--- a/packages/gateway/include/cardamompond/gateway/peer_group.hpp
+++ b/packages/gateway/include/cardamompond/gateway/peer_group.hpp
@@ -26,8 +26,8 @@
              std::uint64_t incarnation);
 
   // Processes a report that was received at the given time. A report that is older than the last one of the
-  // same daemon is dropped. `encoded` is the report as received, for relaying; empty: it is not relayed.
-  void handle_report(const peer_report& report, time_point received, std::string_view encoded = {});
+  // same daemon is dropped.
+  void handle_report(const peer_report& report, time_point received);
 
   // Processes the reports of a digest from another zone. Returns the number of reports that could not be
   // decoded.
@@ -96,8 +96,7 @@
   struct peer {
     std::string m_availability_zone;
     std::string m_address;
-    std::string m_encoded_report; // the last one without speeds, for digests; empty: none
-    time_point m_encoded_report_at;
+    peer_report m_last_report; // kept for digests if the peer is in the same zone
     std::uint64_t m_incarnation = 0;
     std::uint64_t m_sequence = 0;
     time_point m_last_report_at;
@@ -116,13 +115,13 @@
   struct zone_addresses {
     std::vector<std::string> m_same_zone;
     std::vector<std::string> m_other_zones;
-    std::map<std::string, std::vector<std::string>> m_by_other_zone; // m_other_zones by their zone
   };
   void add_quota_use(peer_report& report, time_point now);
   bool has_peer_ahead_with_large_content(collection_kind kind) const;
   zone_addresses known_addresses() const;
   bool is_small_group() const;
   bool has_digest_turn() const;
+  std::vector<std::string> next_digest_targets();
   duration silence_timeout(const peer& remote) const;
   void apply_quota_use(peer& remote, const peer_report& report, bool restarted, time_point now);
   void compare_collections(peer& remote, const peer_report& report, time_point now);
--- a/packages/gateway/include/cardamompond/gateway/peer_report.hpp
+++ b/packages/gateway/include/cardamompond/gateway/peer_report.hpp
@@ -49,11 +49,12 @@
 // A report that a daemon passes on.
 struct relayed_report {
   milliseconds m_age{0}; // time since the relaying daemon received it
-  std::string m_encoded; // as received
+  std::string m_encoded; // without the availability zone; most leave out the collections
 };
 
 // Reports of the daemons of one availability zone, for the daemons of another one.
 struct report_digest {
+  std::string m_availability_zone; // of all daemons that it contains
   std::vector<relayed_report> m_reports;
   bool m_forwarded = false; // passed on within the zone of the receiver
 };
--- a/packages/gateway/schema/exchange.capnp
+++ b/packages/gateway/schema/exchange.capnp
@@ -76,7 +76,7 @@
 # A report that a daemon passes on.
 struct RelayedReport {
   ageMs @0 :UInt32;       # time since the relaying daemon received it
-  report @1 :Data;        # as received
+  report @1 :Data;        # a Report without the availability zone; most leave out the collections
 }
 
 # A report of one daemon, or, if `relayed` is not empty, reports that its sender passes on to another zone.
@@ -98,6 +98,7 @@
   blocked @14 :List(UInt32); # fleet::blocked_totals
   relayed @15 :List(RelayedReport);
   forwarded @16 :Bool;       # the relayed reports were passed on within the zone of the receiver
+                             # availabilityZone is then that of all relayed reports
 }
 
 struct Document {
--- a/packages/gateway/src/peer_exchange.cpp
+++ b/packages/gateway/src/peer_exchange.cpp
@@ -9,7 +9,9 @@
 #include <boost/fiber/operations.hpp>
 
 #include <array>
+#include <deque>
 #include <map>
+#include <span>
 #include <stdexcept>
 #include <tuple>
 #include <utility>
@@ -28,6 +30,13 @@
 // Larger datagrams do not arrive complete on all links.
 constexpr std::size_t max_datagram_bytes = 16U << 10U;
 
+// Datagrams that a daemon forwards in one round of reports. The digests of a zone, sent to all daemons of
+// another one at once, would fill a link of 20 Mbit/s for over 100 ms.
+constexpr std::size_t max_forwards_per_round = 20;
+
+// Datagrams that wait to be forwarded; the oldest is dropped.
+constexpr std::size_t max_queued_forwards = 64;
+
 std::optional<udp::endpoint> parse_endpoint(std::string_view address) {
   const auto parsed = net::parse_address(address);
   return parsed ? std::optional(udp::endpoint(parsed->address(), parsed->port())) : std::nullopt;
@@ -64,7 +73,8 @@
   exchange_counters m_counters;
 
 private:
-  void send(const std::string& bytes, const std::vector<std::string>& addresses);
+  void send(const std::string& bytes, std::span<const std::string> addresses);
+  void send_forwards();
   void receive_digest(report_digest& digest, const udp::endpoint& sender);
   void count_malformed(const udp::endpoint& sender, std::string_view reason);
   void serve(net::http_exchange& exchange);
@@ -76,9 +86,16 @@
   udp::socket m_socket;
   net::http_server m_server;
   std::map<std::string, udp::endpoint> m_endpoints; // parsed addresses, by their text
+
+  // A digest and the addresses that it has not been forwarded to.
+  struct forward {
+    std::string m_bytes;
+    std::vector<std::string> m_addresses;
+  };
+  std::deque<forward> m_forwards;
 };
 
-void peer_exchange::impl::send(const std::string& bytes, const std::vector<std::string>& addresses) {
+void peer_exchange::impl::send(const std::string& bytes, std::span<const std::string> addresses) {
   if (bytes.size() > max_datagram_bytes) {
     log_event(log_level::warning, "report_too_large", {{"bytes", bytes.size()}});
     return;
@@ -106,6 +123,7 @@
   if (!round.m_other_zones.empty()) {
     send(encode_report(m_group.make_report(false, false)), round.m_other_zones);
   }
+  send_forwards();
   if (!round.m_digests.empty()) {
     for (const auto& digest : m_group.make_digests(monotonic_now())) {
       send(encode_digest(digest), round.m_digests);
@@ -133,7 +151,7 @@
     if (!message) {
       count_malformed(sender, message.error().m_reason);
     } else if (const auto* report = std::get_if<peer_report>(&*message)) {
-      m_group.handle_report(*report, monotonic_now(), bytes);
+      m_group.handle_report(*report, monotonic_now());
     } else {
       receive_digest(std::get<report_digest>(*message), sender);
     }
@@ -145,7 +163,25 @@
     count_malformed(sender, "a relayed report");
   }
   if (!std::exchange(digest.m_forwarded, true)) {
-    send(encode_digest(digest), m_group.same_zone_addresses());
+    m_forwards.push_back({encode_digest(digest), m_group.same_zone_addresses()});
+    if (m_forwards.size() > max_queued_forwards) {
+      m_forwards.pop_front();
+    }
+  }
+}
+
+// Sends some of the datagrams that wait to be forwarded.
+void peer_exchange::impl::send_forwards() {
+  std::size_t count = 0;
+  while (!m_forwards.empty() && count < max_forwards_per_round) {
+    auto& [bytes, addresses] = m_forwards.front();
+    if (addresses.empty()) {
+      m_forwards.pop_front();
+      continue;
+    }
+    send(bytes, std::span(&addresses.back(), 1));
+    addresses.pop_back();
+    ++count;
   }
 }
 
--- a/packages/gateway/src/peer_group.cpp
+++ b/packages/gateway/src/peer_group.cpp
@@ -32,13 +32,14 @@
 
 // In a large group, a zone sends a digest to each other zone once in this many rounds. Its daemons do so in
 // turns that are not coordinated, so that several seconds may pass between two digests.
-constexpr std::size_t digest_period = 5;
+constexpr std::size_t digest_period = 10;
 
 // Reports older than this are left out of digests.
 constexpr duration max_digest_age = seconds(2);
 
-// Reports in one datagram together have at most this size.
-constexpr std::size_t max_digest_bytes = 8'000;
+// The reports in one datagram have at most this size together, unless a single one is larger. Such a datagram
+// is not fragmented: a fragment that is lost on a bad link would lose all of them.
+constexpr std::size_t max_digest_bytes = 1'200;
 
 // A daemon of another zone of a large group counts as silent after this time.
 constexpr duration other_zones_silence_timeout = seconds(8);
@@ -93,7 +94,7 @@
     , m_incarnation(incarnation)
     , m_next_digest_target(hash64(m_self.m_name)) {}
 
-void peer_group::handle_report(const peer_report& report, time_point received, std::string_view encoded) {
+void peer_group::handle_report(const peer_report& report, time_point received) {
   if (report.m_daemon == m_self.m_name || report.m_daemon.empty()) {
     return;
   }
@@ -121,11 +122,8 @@
   remote.m_incarnation = report.m_incarnation;
   remote.m_sequence = report.m_sequence;
   remote.m_last_report_at = received;
-  const bool has_speeds = std::any_of(report.m_loads.begin(), report.m_loads.end(),
-                                      [](const auto& each) { return each.m_speed.m_samples > 0; });
-  if (!encoded.empty() && !has_speeds) {
-    remote.m_encoded_report = encoded;
-    remote.m_encoded_report_at = received;
+  if (report.m_availability_zone == m_self.m_availability_zone) {
+    remote.m_last_report = report;
   }
   compare_collections(remote, report, received);
   apply_quota_use(remote, report, restarted, received);
@@ -147,11 +145,15 @@
 }
 
 std::size_t peer_group::handle_digest(const report_digest& digest, time_point now) {
+  if (digest.m_availability_zone == m_self.m_availability_zone) {
+    return 0;
+  }
   std::size_t malformed = 0;
   for (const auto& [age, encoded] : digest.m_reports) {
-    if (const auto report = decode_report(encoded); !report) {
+    if (auto report = decode_report(encoded); !report) {
       ++malformed;
-    } else if (report->m_availability_zone != m_self.m_availability_zone) {
+    } else {
+      report->m_availability_zone = digest.m_availability_zone;
       handle_report(*report, now - std::clamp<duration>(age, duration::zero(), max_digest_age));
     }
   }
@@ -159,21 +161,33 @@
 }
 
 std::vector<report_digest> peer_group::make_digests(time_point now) {
-  std::vector<report_digest> digests = {{{{milliseconds(0), encode_report(make_report(false, false))}}}};
-  std::size_t bytes = digests.back().m_reports.back().m_encoded.size();
+  std::vector<report_digest> digests;
+  std::size_t bytes = max_digest_bytes;
+  const auto add = [&](peer_report report, duration age) {
+    report.m_availability_zone.clear();
+    std::string encoded = encode_report(report);
+    if (bytes + encoded.size() > max_digest_bytes) {
+      digests.push_back({m_self.m_availability_zone, {}, false});
+      bytes = 0;
+    }
+    bytes += encoded.size();
+    digests.back().m_reports.push_back({std::chrono::duration_cast<milliseconds>(age), std::move(encoded)});
+  };
+  add(make_report(false, false), duration::zero());
   for (const auto& [name, each] : m_peers) {
-    const duration age = now - each.m_encoded_report_at;
-    if (each.m_availability_zone != m_self.m_availability_zone || each.m_encoded_report.empty() ||
-        age > max_digest_age) {
+    const duration age = now - each.m_last_report_at;
+    if (each.m_availability_zone != m_self.m_availability_zone || age > max_digest_age) {
       continue;
     }
-    if (bytes + each.m_encoded_report.size() > max_digest_bytes) {
-      digests.emplace_back();
-      bytes = 0;
+    peer_report shortened = each.m_last_report;
+    shortened.m_collections = {}; // those of this daemon are about the same
+    std::erase_if(shortened.m_loads, [](const fleet::server_load& load) {
+      return load.m_running == 0 && !load.m_failing && !load.m_leaving;
+    });
+    for (auto& load : shortened.m_loads) {
+      load.m_speed = {};
     }
-    bytes += each.m_encoded_report.size();
-    digests.back().m_reports.push_back(
-        {std::chrono::duration_cast<milliseconds>(age), each.m_encoded_report});
+    add(std::move(shortened), age);
   }
   return digests;
 }
@@ -334,12 +348,7 @@
   zone_by_address.erase(m_self.m_exchange_address);
   zone_addresses known;
   for (const auto& [address, zone] : zone_by_address) {
-    if (zone == m_self.m_availability_zone) {
-      known.m_same_zone.push_back(address);
-    } else {
-      known.m_other_zones.push_back(address);
-      known.m_by_other_zone[zone].push_back(address);
-    }
+    (zone == m_self.m_availability_zone ? known.m_same_zone : known.m_other_zones).push_back(address);
   }
   return known;
 }
@@ -371,10 +380,7 @@
     const std::size_t targets = (m_other_zones_count + other_zones_period - 1) / other_zones_period;
     next.m_other_zones = select_in_turn(known.m_other_zones, targets, m_next_other_zones_index);
   } else if (has_digest_turn()) {
-    for (const auto& [zone, addresses] : known.m_by_other_zone) {
-      next.m_digests.push_back(addresses[m_next_digest_target % addresses.size()]);
-    }
-    ++m_next_digest_target;
+    next.m_digests = next_digest_targets();
   }
   // Where the daemons of the zone take turns, the speeds are sent for a full turn, so that each daemon gets
   // them.
@@ -388,6 +394,26 @@
   return next;
 }
 
+// Returns one daemon of each other zone, in turns: a live one, or any that is registered if none is live.
+std::vector<std::string> peer_group::next_digest_targets() {
+  std::map<std::string, std::vector<std::string>> by_zone;
+  for (const auto& [name, each] : m_peers) {
+    by_zone[each.m_availability_zone].push_back(each.m_address);
+  }
+  std::map<std::string, std::vector<std::string>> registered;
+  for (const auto& each : m_admission.known_fleet().members()) {
+    registered[each.m_availability_zone].push_back(each.m_exchange_address);
+  }
+  by_zone.merge(registered); // adds the zones without live peers
+  by_zone.erase(m_self.m_availability_zone);
+  std::vector<std::string> targets;
+  for (const auto& [zone, addresses] : by_zone) {
+    targets.push_back(addresses[m_next_digest_target % addresses.size()]);
+  }
+  ++m_next_digest_target;
+  return targets;
+}
+
 bool peer_group::has_peer_ahead_with_large_content(collection_kind kind) const {
   const auto own_revision = m_admission.known_fleet().collection(kind).as_of();
   return std::any_of(m_peers.begin(), m_peers.end(), [&](const auto& each) {
--- a/packages/gateway/src/peer_report.cpp
+++ b/packages/gateway/src/peer_report.cpp
@@ -241,6 +241,7 @@
 std::string encode_digest(const report_digest& digest) {
   capnp::MallocMessageBuilder message;
   auto to = message.initRoot<wire::Report>();
+  to.setAvailabilityZone(digest.m_availability_zone);
   to.setForwarded(digest.m_forwarded);
   auto relayed = to.initRelayed(static_cast<unsigned>(digest.m_reports.size()));
   for (unsigned i = 0; i < relayed.size(); ++i) {
@@ -257,7 +258,7 @@
     if (from.getRelayed().size() == 0) {
       return read_report(message);
     }
-    report_digest digest{{}, from.getForwarded()};
+    report_digest digest{from.getAvailabilityZone().cStr(), {}, from.getForwarded()};
     for (const auto& each : from.getRelayed()) {
       const auto encoded = each.getReport();
       digest.m_reports.push_back(
--- a/packages/gateway/tests/peer_group_test.cpp
+++ b/packages/gateway/tests/peer_group_test.cpp
@@ -284,7 +284,7 @@
     auto message = decode_message(bytes);
     if (const auto* report = std::get_if<peer_report>(&*message)) {
       note(to, *report, milliseconds(0));
-      group.handle_report(*report, m_now, bytes);
+      group.handle_report(*report, m_now);
       return;
     }
     auto& digest = std::get<report_digest>(*message);
