--- a/packages/fleet/tests/rollout_controller_test.cpp
+++ b/packages/fleet/tests/rollout_controller_test.cpp
@@ -158,6 +158,19 @@
   }
 }
 
+// Guards against good versions that are rolled back in a large group, where each daemon sees about one
+// response of each server of the old version.
+TEST(rollout, good_versions_in_a_large_group_are_completed) {
+  testing::simulated_rollout rollout;
+  rollout.m_daemons = 30;
+  rollout.m_servers_per_version = 90;
+  rollout.m_requests_per_s = 500;
+  rollout.m_period = seconds(6);
+  CHECK(testing::simulate(rollout).m_state == rollout_order::state::completed);
+  rollout.m_slow_factor = 2;
+  CHECK(testing::simulate(rollout).m_state == rollout_order::state::rolled_back);
+}
+
 // Guards against failures that are forgotten because the daemon that saw them restarted.
 TEST(rollout, outcomes_of_a_restarted_daemon_still_count) {
   rollout_controller controller;
