Collect the timings of a rollout only for comparisons

Cause: in a group of 195 daemons the shared timings are some 10,000 bytes; they were copied with each check of the failures, ten times a second. Change: they are collected when a comparison is due, twice a second. Result: fleet_tests pass; no figure measured.

--- a/packages/fleet/include/cardamompond/fleet/rollout_controller.hpp
+++ b/packages/fleet/include/cardamompond/fleet/rollout_controller.hpp
@@ -121,7 +121,7 @@
   };
   using outcome_key = std::pair<std::string, std::string>; // version, route
 
-  std::map<outcome_key, version_outcomes> total_outcomes(const rollout_order& order) const;
+  std::map<outcome_key, version_outcomes> total_outcomes(const rollout_order& order, bool with_timings) const;
   void add_old_timings(const rollout_progress& progress, const std::string& route,
                        std::vector<response_timing>& to) const;
   double group_log_ratio(const rollout_progress& progress) const;
--- a/packages/fleet/src/rollout_controller.cpp
+++ b/packages/fleet/src/rollout_controller.cpp
@@ -70,9 +70,13 @@
   return total == 0 ? 0.0 : static_cast<double>(count) / static_cast<double>(total);
 }
 
-void add(version_outcomes& to, const version_outcomes& more) {
+void add_counts(version_outcomes& to, const version_outcomes& more) {
   to.m_good += more.m_good;
   to.m_bad += more.m_bad;
+}
+
+void add(version_outcomes& to, const version_outcomes& more) {
+  add_counts(to, more);
   to.m_timings.insert(to.m_timings.end(), more.m_timings.begin(), more.m_timings.end());
 }
 
@@ -263,16 +267,19 @@
 }
 
 std::map<rollout_controller::outcome_key, version_outcomes>
-rollout_controller::total_outcomes(const rollout_order& order) const {
+rollout_controller::total_outcomes(const rollout_order& order, bool with_timings) const {
+  const auto add_row = with_timings ? add : add_counts;
   std::map<outcome_key, version_outcomes> total;
   if (const auto own = m_own_outcomes.find(order.m_service); own != m_own_outcomes.end()) {
-    total = own->second;
+    for (const auto& [key, outcomes] : own->second) {
+      add_row(total[key], outcomes);
+    }
   }
   for (const auto& [daemon, observations] : m_peer_observations) {
     for (const auto* rows : {&observations.m_current, &observations.m_earlier}) {
       for (const auto& each : *rows) {
         if (each.m_service == order.m_service && each.m_order == order.m_created_revision) {
-          add(total[{each.m_version, each.m_route}], each.m_outcomes);
+          add_row(total[{each.m_version, each.m_route}], each.m_outcomes);
         }
       }
     }
@@ -308,7 +315,9 @@
 }
 
 void rollout_controller::evaluate(rollout_progress& progress, time_point now) {
-  const auto total = total_outcomes(progress.m_order);
+  const time_point decide_at = progress.m_started + progress.m_order.m_period - completion_margin;
+  const bool compares = now - progress.m_compared_at >= comparison_interval || now >= decide_at;
+  const auto total = total_outcomes(progress.m_order, compares);
   const std::string& target = progress.m_order.m_target_version;
   std::map<std::string, version_outcomes> old_outcomes_by_route;
   timings_by_route target_timings;
@@ -336,8 +345,7 @@
       return;
     }
   }
-  const time_point decide_at = progress.m_started + progress.m_order.m_period - completion_margin;
-  if (now - progress.m_compared_at < comparison_interval && now < decide_at) {
+  if (!compares) {
     return;
   }
   progress.m_compared_at = now;
