Make the cost of a request independent of other zones' engines

Change: reports change the sums of the engines that they name; requests try the engines of their own zone first (large groups); free slots of other zones are counted only when asked for.

--- a/packages/fleet/include/cardamompond/fleet/speed_estimator.hpp
+++ b/packages/fleet/include/cardamompond/fleet/speed_estimator.hpp
@@ -26,6 +26,9 @@
 
   speed_estimate estimate() const;
 
+  // Whether the estimate differs from the assumed speed.
+  bool has_observations() const { return m_weight > 0 || m_event_weight > 0; }
+
 private:
   // Sums of a weighted linear regression of the time to the first part of the response over the prompt
   // length.
--- a/packages/fleet/src/dispatch_tables.hpp
+++ b/packages/fleet/src/dispatch_tables.hpp
@@ -9,6 +9,7 @@
 #include <deque>
 #include <map>
 #include <random>
+#include <span>
 #include <string>
 #include <tuple>
 #include <unordered_map>
@@ -35,11 +36,12 @@
   std::uint32_t m_cold_sent = 0;
 
   std::uint32_t m_consecutive_failures = 0;
-  double m_failure_rate = 0;           // exponential moving average
-  time_point m_failing_until;          // excluded until then because its responses are failures
-  std::uint32_t m_failure_reports = 0; // number of peers that exclude it for this reason
-  bool m_reported_leaving = false;     // a peer reports that it leaves
-  bool m_on_probation = false;         // gets one request at a time until one succeeds
+  double m_failure_rate = 0;              // exponential moving average
+  time_point m_failing_until;             // excluded until then because its responses are failures
+  std::uint32_t m_failure_reports = 0;    // number of peers that exclude it for this reason
+  bool m_failure_reports_ignored = false; // see update_failure_reports
+  std::uint32_t m_leaving_reports = 0;    // number of peers that report that it leaves
+  bool m_on_probation = false;            // gets one request at a time until one succeeds
   time_point m_excluded_until;
   time_point m_full_until; // gets no requests until then because it refused one for lack of capacity
   std::uint32_t m_consecutive_refusals = 0; // unexplained ones, see server_health.cpp
@@ -81,13 +83,22 @@
   time_point m_received;
 };
 
+// The servers of a service in an order for iteration, which is much faster than over the map.
+struct server_lists {
+  std::vector<server_row*> m_all;
+  std::vector<server_row*> m_own_zone; // those in the zone of this daemon
+};
+
 // The whole state of the dispatcher. It is changed only by the dispatcher and by the functions below.
 struct dispatch_tables {
   std::map<std::string, service, std::less<>> m_services;
   std::set<std::uint32_t> m_tier_ranks;  // of the client accounts
   std::set<std::uint32_t> m_route_ranks; // of the routes that lead to batching services
   std::map<std::string, std::map<std::string, server_row, std::less<>>, std::less<>>
-      m_servers;                                                             // by service and id
+      m_servers; // by service and id
+  // Refer to the rows of m_servers; rebuilt by index_servers.
+  std::unordered_map<std::uint32_t, server_row*> m_servers_by_hash;
+  std::map<std::string, server_lists, std::less<>> m_lists;                  // by service
   std::map<std::string, std::deque<waiting_request>, std::less<>> m_waiting; // by service
   std::map<std::tuple<std::string, std::uint32_t, bool>, grant_rate>
       m_grant_rates; // by service, route rank and lateness
@@ -111,9 +122,16 @@
 // that have not yet received one another's reports from all choosing the same server.
 void assign_slots(dispatch_tables& tables);
 
-// Removes peers whose last report is too old, and recomputes what the other peers report by server: running
-// requests, failures and that it leaves.
-void update_peer_loads(dispatch_tables& tables, time_point now);
+// Rebuilds the index and the lists of the servers, and adds up anew what the peers report about them. Must be
+// called when rows were added or removed, and when the zone of this daemon changed.
+void index_servers(dispatch_tables& tables);
+
+// Replaces what a peer reports: running requests, failures and leaving servers. Only the servers in the old
+// and the new report are touched.
+void replace_peer_loads(dispatch_tables& tables, peer_row& peer, std::span<const server_load> loads);
+
+// Removes peers whose last report is too old.
+void expire_peer_loads(dispatch_tables& tables, time_point now);
 
 // Recomputes the speed of each server from the observations of all daemons.
 void update_combined_speeds(dispatch_tables& tables);
@@ -156,7 +174,7 @@
 
 // Returns the best server with capacity for the request, or null. The request leaves `required_free`
 // slots free.
-server_row* select_server(dispatch_tables& tables, const submission& request, const spare_capacity& spare,
+server_row* select_server(dispatch_tables& tables, const submission& request, spare_capacity& spare,
                           double required_free, time_point now);
 
 // Grants the waiting requests that a server can take and refuses those that have waited too long. Requests
--- a/packages/fleet/src/dispatcher.cpp
+++ b/packages/fleet/src/dispatcher.cpp
@@ -52,12 +52,18 @@
 class dispatcher::impl {
 public:
   dispatch_tables m_tables;
-  bool m_peer_loads_changed = false;
-  time_point m_peer_loads_updated; // last call of update_peer_loads
+  time_point m_peer_loads_expired; // last call of expire_peer_loads
   time_point m_speeds_updated;     // last call of update_combined_speeds
 
   void erase_unlisted_servers();
 
+  // Erases the row of a server that is no longer listed, after its last request.
+  void erase_if_unused(const server_row& server) {
+    if (!server.m_listed && server.m_own_running == 0) {
+      erase_unlisted_servers();
+    }
+  }
+
   // Removes a running request. Returns its server, or null if the request is unknown or the server is gone.
   server_row* erase_running(ticket request);
 };
@@ -76,9 +82,13 @@
 }
 
 void dispatcher::impl::erase_unlisted_servers() {
+  std::size_t erased = 0;
   for (auto& [name, servers] : m_tables.m_servers) {
-    std::erase_if(servers,
-                  [](const auto& each) { return !each.second.m_listed && each.second.m_own_running == 0; });
+    erased += std::erase_if(
+        servers, [](const auto& each) { return !each.second.m_listed && each.second.m_own_running == 0; });
+  }
+  if (erased > 0) {
+    index_servers(m_tables);
   }
 }
 
@@ -162,7 +172,7 @@
   update_notices(tables);
   m_impl->erase_unlisted_servers();
   assign_slots(tables);
-  update_peer_loads(tables, now);
+  index_servers(tables);
   update_combined_speeds(tables);
 }
 
@@ -180,6 +190,7 @@
   tables.m_members = std::move(members);
   tables.m_self = std::move(self);
   assign_slots(tables);
+  index_servers(tables);
 }
 
 void dispatcher::set_rollout_controller(rollout_controller* controller) {
@@ -261,7 +272,7 @@
     for (const auto& [id, server] : servers) {
       if (server.m_listed && is_leaving(server)) {
         ++counts.m_stated;
-      } else if (server.m_listed && server.m_reported_leaving) {
+      } else if (server.m_listed && server.m_leaving_reports > 0) {
         ++counts.m_reported;
       }
     }
@@ -296,8 +307,8 @@
 void dispatcher::finish(ticket request, server_outcome outcome, time_point now) {
   if (server_row* server = m_impl->erase_running(request); server != nullptr) {
     update_health(*server, outcome, now);
+    m_impl->erase_if_unused(*server);
   }
-  m_impl->erase_unlisted_servers();
 }
 
 void dispatcher::record_silence(ticket request, time_point now) {
@@ -310,20 +321,20 @@
 }
 
 void dispatcher::release(ticket request) {
-  m_impl->erase_running(request);
-  m_impl->erase_unlisted_servers();
+  if (server_row* server = m_impl->erase_running(request); server != nullptr) {
+    m_impl->erase_if_unused(*server);
+  }
 }
 
 void dispatcher::set_peer_loads(std::string_view daemon, std::span<const server_load> loads, time_point now) {
   auto& peer = m_impl->m_tables.m_peers[std::string(daemon)];
-  peer.m_loads.assign(loads.begin(), loads.end());
+  replace_peer_loads(m_impl->m_tables, peer, loads);
   peer.m_received = now;
   for (const auto& load : loads) {
     if (load.m_speed.m_samples > 0) {
       peer.m_speeds[load.m_server] = load.m_speed;
     }
   }
-  m_impl->m_peer_loads_changed = true;
 }
 
 void dispatcher::set_peer_blocked(std::string_view daemon, const blocked_totals& totals, time_point now) {
@@ -345,7 +356,8 @@
   std::vector<server_load> loads;
   for (const auto& [name, servers] : m_impl->m_tables.m_servers) {
     for (const auto& [id, server] : servers) {
-      const speed_estimate speed = server.m_own_speed.estimate();
+      const speed_estimate speed =
+          server.m_own_speed.has_observations() ? server.m_own_speed.estimate() : speed_estimate{};
       const bool failing = now < server.m_failing_until;
       const bool leaving = server.m_listed && is_leaving(server) &&
                            now < server.m_notice->m_leaving_since + leaving_report_time;
@@ -360,12 +372,10 @@
 
 std::vector<dispatch_decision> dispatcher::tick(time_point now) {
   std::vector<dispatch_decision> decisions;
-  // The sums also change as reports expire, but slowly.
-  constexpr duration load_update_interval = milliseconds(100);
-  if (m_impl->m_peer_loads_changed || now - m_impl->m_peer_loads_updated >= load_update_interval) {
-    m_impl->m_peer_loads_changed = false;
-    m_impl->m_peer_loads_updated = now;
-    update_peer_loads(m_impl->m_tables, now);
+  constexpr duration expiry_interval = milliseconds(100);
+  if (now - m_impl->m_peer_loads_expired >= expiry_interval) {
+    m_impl->m_peer_loads_expired = now;
+    expire_peer_loads(m_impl->m_tables, now);
   }
   // Combining the speeds is expensive because each peer reports every server. Peers send speeds every 0.8 s.
   constexpr duration speed_update_interval = milliseconds(400);
--- a/packages/fleet/src/peer_loads.cpp
+++ b/packages/fleet/src/peer_loads.cpp
@@ -13,65 +13,97 @@
 // than none, since their servers would seem to be free.
 constexpr duration max_report_age_large_group = seconds(5);
 
-// Discards the failure reports for a service if they concern more than half of its servers: the reporting
+// Ignores the failure reports for a service if they concern more than half of its servers: the reporting
 // peers then probably have a bad network link themselves.
-void ignore_widespread_failure_reports(std::map<std::string, server_row, std::less<>>& servers) {
-  const auto reported = std::count_if(servers.begin(), servers.end(),
-                                      [](const auto& each) { return each.second.m_failure_reports > 0; });
-  if (static_cast<std::size_t>(reported) * 2 > servers.size()) {
-    for (auto& [id, server] : servers) {
-      server.m_failure_reports = 0;
+void update_failure_reports(const server_lists& servers) {
+  const auto reported = std::count_if(servers.m_all.begin(), servers.m_all.end(),
+                                      [](const server_row* each) { return each->m_failure_reports > 0; });
+  const bool ignored = static_cast<std::size_t>(reported) * 2 > servers.m_all.size();
+  for (server_row* each : servers.m_all) {
+    each->m_failure_reports_ignored = ignored;
+  }
+}
+
+void update_failure_reports(const dispatch_tables& tables) {
+  for (const auto& [name, servers] : tables.m_lists) {
+    update_failure_reports(servers);
+  }
+}
+
+// Adds a report to the sums of its servers, or takes it out. Returns whether it reports a failing server.
+bool apply_loads(dispatch_tables& tables, std::span<const server_load> loads, bool added) {
+  bool has_failing = false;
+  const auto change = [&](std::uint32_t& sum, std::uint32_t by) {
+    sum = added ? sum + by : sum - std::min(sum, by);
+  };
+  for (const auto& load : loads) {
+    has_failing = has_failing || load.m_failing;
+    const auto found = tables.m_servers_by_hash.find(load.m_server);
+    if (found == tables.m_servers_by_hash.end()) {
+      continue;
     }
+    server_row& server = *found->second;
+    change(server.m_peer_running, load.m_running);
+    change(server.m_failure_reports, load.m_failing ? 1 : 0);
+    change(server.m_leaving_reports,
+           load.m_leaving && load.m_instance == instance_hash(server.m_entry) ? 1 : 0);
   }
+  return has_failing;
 }
 
-using servers_by_hash = std::unordered_map<std::uint32_t, server_row*>;
+} // namespace
 
-servers_by_hash index_servers(dispatch_tables& tables) {
-  servers_by_hash index;
+void index_servers(dispatch_tables& tables) {
+  tables.m_servers_by_hash.clear();
+  tables.m_lists.clear();
   for (auto& [name, servers] : tables.m_servers) {
+    server_lists& lists = tables.m_lists[name];
     for (auto& [id, server] : servers) {
-      index[server.m_id_hash] = &server;
+      tables.m_servers_by_hash[server.m_id_hash] = &server;
+      lists.m_all.push_back(&server);
+      if (server.m_entry.m_availability_zone == tables.m_self.m_availability_zone) {
+        lists.m_own_zone.push_back(&server);
+      }
+      server.m_peer_running = 0;
+      server.m_failure_reports = 0;
+      server.m_leaving_reports = 0;
     }
   }
-  return index;
+  for (const auto& [name, peer] : tables.m_peers) {
+    apply_loads(tables, peer.m_loads, true);
+  }
+  update_failure_reports(tables);
 }
 
-} // namespace
+void replace_peer_loads(dispatch_tables& tables, peer_row& peer, std::span<const server_load> loads) {
+  const bool had_failing = apply_loads(tables, peer.m_loads, false);
+  const bool has_failing = apply_loads(tables, loads, true);
+  peer.m_loads.assign(loads.begin(), loads.end());
+  if (had_failing || has_failing) {
+    update_failure_reports(tables);
+  }
+}
 
-void update_peer_loads(dispatch_tables& tables, time_point now) {
+void expire_peer_loads(dispatch_tables& tables, time_point now) {
   const duration max_age = tables.m_frequent_reports ? max_report_age : max_report_age_large_group;
-  std::erase_if(tables.m_peers, [&](const auto& peer) { return now - peer.second.m_received > max_age; });
-  const servers_by_hash by_hash = index_servers(tables);
-  for (const auto& [hash, server] : by_hash) {
-    server->m_peer_running = 0;
-    server->m_failure_reports = 0;
-    server->m_reported_leaving = false;
-  }
-  for (const auto& [name, peer] : tables.m_peers) {
-    for (const auto& load : peer.m_loads) {
-      if (const auto found = by_hash.find(load.m_server); found != by_hash.end()) {
-        found->second->m_peer_running += load.m_running;
-        found->second->m_failure_reports += load.m_failing ? 1 : 0;
-        if (load.m_leaving && load.m_instance == instance_hash(found->second->m_entry)) {
-          found->second->m_reported_leaving = true;
-        }
-      }
+  for (auto each = tables.m_peers.begin(); each != tables.m_peers.end();) {
+    if (now - each->second.m_received <= max_age) {
+      ++each;
+      continue;
     }
-  }
-  for (auto& [name, servers] : tables.m_servers) {
-    ignore_widespread_failure_reports(servers);
+    replace_peer_loads(tables, each->second, {});
+    each = tables.m_peers.erase(each);
   }
 }
 
 void update_combined_speeds(dispatch_tables& tables) {
-  const servers_by_hash by_hash = index_servers(tables);
-  for (const auto& [hash, server] : by_hash) {
-    server->m_combined_speed = server->m_own_speed.estimate();
+  for (const auto& [hash, server] : tables.m_servers_by_hash) {
+    server->m_combined_speed =
+        server->m_own_speed.has_observations() ? server->m_own_speed.estimate() : assumed_speed();
   }
   for (const auto& [name, peer] : tables.m_peers) {
     for (const auto& [hash, speed] : peer.m_speeds) {
-      if (const auto found = by_hash.find(hash); found != by_hash.end()) {
+      if (const auto found = tables.m_servers_by_hash.find(hash); found != tables.m_servers_by_hash.end()) {
         found->second->m_combined_speed = combine(found->second->m_combined_speed, speed);
       }
     }
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <span>
 
 namespace cardamompond::fleet {
 namespace {
@@ -186,17 +187,18 @@
 }
 
 bool is_eligible(const dispatch_tables& tables, const server_row& server, time_point now) {
-  const bool reported_failing = server.m_failure_reports >= min_failure_reports;
+  const bool reported_failing =
+      !server.m_failure_reports_ignored && server.m_failure_reports >= min_failure_reports;
   return !reported_failing && !(server.m_on_probation && server.m_own_running > 0) &&
          now >= server.m_excluded_until && is_in_service(tables, server);
 }
 
-server_row* select_server(dispatch_tables& tables, const submission& request, const spare_capacity& spare,
-                          double required_free, time_point now) {
-  const auto servers = tables.m_servers.find(request.m_service);
-  if (servers == tables.m_servers.end()) {
-    return nullptr;
-  }
+namespace {
+
+// Returns the best server with capacity among the given ones, or null.
+candidate select_best(dispatch_tables& tables, std::span<server_row* const> servers,
+                      const submission& request, spare_capacity& spare, double required_free,
+                      time_point now) {
   const auto declared_service = tables.m_services.find(request.m_service);
   const double cold_rate =
       declared_service == tables.m_services.end() ? 0 : declared_service->second.m_cold_requests_per_s;
@@ -213,10 +215,11 @@
   double slowest_event_s = 0;
   double fastest_event_s = std::numeric_limits<double>::max();
   fit best_possible_fit = fit::none; // of all eligible servers, with or without capacity
-  for (auto& [id, server] : servers->second) {
+  for (server_row* each : servers) {
+    server_row& server = *each;
     if (!is_eligible(tables, server, now) || is_paused(server, now) ||
-        std::find(request.m_excluded_servers.begin(), request.m_excluded_servers.end(), id) !=
-            request.m_excluded_servers.end()) {
+        std::find(request.m_excluded_servers.begin(), request.m_excluded_servers.end(),
+                  server.m_entry.m_id) != request.m_excluded_servers.end()) {
       continue;
     }
     if (request.m_shared_prefix_hash != 0) {
@@ -242,8 +245,8 @@
 
   // A report that a server leaves may be outdated or wrong, so it only makes the other servers go first.
   if (std::any_of(candidates.begin(), candidates.end(),
-                  [](const candidate& each) { return !each.m_server->m_reported_leaving; })) {
-    std::erase_if(candidates, [](const candidate& each) { return each.m_server->m_reported_leaving; });
+                  [](const candidate& each) { return each.m_server->m_leaving_reports == 0; })) {
+    std::erase_if(candidates, [](const candidate& each) { return each.m_server->m_leaving_reports > 0; });
   }
 
   server_row* best = nullptr;
@@ -277,7 +280,27 @@
       best = server;
     }
   }
-  return best;
+  return {best, best_fit};
+}
+
+} // namespace
+
+server_row* select_server(dispatch_tables& tables, const submission& request, spare_capacity& spare,
+                          double required_free, time_point now) {
+  const auto lists = tables.m_lists.find(request.m_service);
+  if (lists == tables.m_lists.end()) {
+    return nullptr;
+  }
+  // In a large group, the servers of the own zone are tried first: their load is known best, their traffic is
+  // not charged, and the cost does not grow with the servers of all zones.
+  if (!tables.m_frequent_reports) {
+    if (const auto [server, server_fit] =
+            select_best(tables, lists->second.m_own_zone, request, spare, required_free, now);
+        server != nullptr && server_fit == fit::good) {
+      return server;
+    }
+  }
+  return select_best(tables, lists->second.m_all, request, spare, required_free, now).m_server;
 }
 
 } // namespace cardamompond::fleet
--- a/packages/fleet/src/spare_capacity.cpp
+++ b/packages/fleet/src/spare_capacity.cpp
@@ -31,42 +31,70 @@
 }
 
 spare_capacity::spare_capacity(const dispatch_tables& tables, std::string_view service, time_point now)
-    : m_one_pool(tables.m_frequent_reports)
-    , m_own_zone(tables.m_self.m_availability_zone) {
-  const auto servers = tables.m_servers.find(service);
-  if (servers == tables.m_servers.end()) {
-    return;
+    : m_tables(tables)
+    , m_now(now) {
+  if (const auto lists = tables.m_lists.find(service); lists != tables.m_lists.end()) {
+    m_servers = &lists->second;
   }
-  for (const auto& [id, server] : servers->second) {
-    if (!server.m_uses_batching || !is_eligible(tables, server, now) || is_paused(server, now)) {
-      continue;
+}
+
+const spare_capacity::pool& spare_capacity::own_pool() {
+  if (!m_own_pool) {
+    m_own_pool.emplace();
+    if (m_servers == nullptr) {
+      return *m_own_pool;
     }
-    pool& counted = m_pools[pool_name(server)];
-    const std::uint32_t running = server.m_own_running + server.m_peer_running;
-    counted.m_slots += server.m_entry.m_slots;
-    if (now >= server.m_full_until && running < server.m_entry.m_slots) {
-      counted.m_free += server.m_entry.m_slots - running;
+    for (const server_row* each : m_tables.m_frequent_reports ? m_servers->m_all : m_servers->m_own_zone) {
+      add(*each, *m_own_pool);
     }
   }
+  return *m_own_pool;
 }
 
-std::string_view spare_capacity::pool_name(const server_row& server) const {
-  return m_one_pool ? std::string_view() : std::string_view(server.m_entry.m_availability_zone);
+const spare_capacity::pool& spare_capacity::other_pool(std::string_view zone) {
+  if (m_other_pools.empty()) {
+    for (const server_row* each : m_servers->m_all) {
+      add(*each, m_other_pools[each->m_entry.m_availability_zone]);
+    }
+  }
+  return m_other_pools[zone];
 }
 
-bool spare_capacity::allows(const server_row& server, double required_free) const {
-  const auto found = m_pools.find(pool_name(server));
-  if (found == m_pools.end()) {
-    return true; // not a batching server
+void spare_capacity::add(const server_row& server, pool& to) const {
+  if (!is_eligible(m_tables, server, m_now) || is_paused(server, m_now)) {
+    return;
+  }
+  const std::uint32_t running = server.m_own_running + server.m_peer_running;
+  to.m_slots += server.m_entry.m_slots;
+  if (m_now >= server.m_full_until && running < server.m_entry.m_slots) {
+    to.m_free += server.m_entry.m_slots - running;
+  }
+}
+
+bool spare_capacity::is_in_own_pool(const server_row& server) const {
+  return m_tables.m_frequent_reports ||
+         server.m_entry.m_availability_zone == m_tables.m_self.m_availability_zone;
+}
+
+bool spare_capacity::allows(const server_row& server, double required_free) {
+  if (!server.m_uses_batching) {
+    return true;
+  }
+  if (is_in_own_pool(server)) {
+    return required_free <= 0 || own_pool().m_free - 1 >= required_free;
   }
-  const bool crosses_zones = !m_one_pool && found->first != m_own_zone && m_pools.contains(m_own_zone);
-  const double required = required_free + (crosses_zones ? other_zone_margin * found->second.m_slots : 0);
-  return required <= 0 || found->second.m_free - 1 >= required;
+  // A daemon of a zone without servers may use those of other zones like their own daemons.
+  const pool& counted = other_pool(server.m_entry.m_availability_zone);
+  const double margin = own_pool().m_slots > 0 ? other_zone_margin * counted.m_slots : 0;
+  return counted.m_free - 1 >= required_free + margin;
 }
 
 void spare_capacity::take(const server_row& server) {
-  if (const auto found = m_pools.find(pool_name(server)); found != m_pools.end()) {
-    found->second.m_free = std::max(0.0, found->second.m_free - 1);
+  pool* const counted = is_in_own_pool(server)  ? (m_own_pool ? &*m_own_pool : nullptr)
+                        : m_other_pools.empty() ? nullptr
+                                                : &m_other_pools[server.m_entry.m_availability_zone];
+  if (counted != nullptr) {
+    counted->m_free = std::max(0.0, counted->m_free - 1);
   }
 }
 
--- a/packages/fleet/src/spare_capacity.hpp
+++ b/packages/fleet/src/spare_capacity.hpp
@@ -3,6 +3,7 @@
 #include "dispatch_tables.hpp"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -22,14 +23,14 @@
 
 // The free slots of the batching servers of a service, as this daemon knows them. In a small group they form
 // one pool. In a large group each availability zone has its own, because the reports of other zones are
-// older.
+// older. Pools are counted when they are first asked for. Valid until the state of the servers changes.
 class spare_capacity {
 public:
   spare_capacity(const dispatch_tables& tables, std::string_view service, time_point now);
 
   // Whether a request may take a slot of the server if it has to leave `required_free` slots free. In another
   // zone it must leave more, so that the urgent requests of that zone come first.
-  bool allows(const server_row& server, double required_free) const;
+  bool allows(const server_row& server, double required_free);
 
   // Counts a slot of the server as taken.
   void take(const server_row& server);
@@ -40,11 +41,16 @@
     double m_slots = 0;
   };
 
-  std::string_view pool_name(const server_row& server) const;
+  const pool& own_pool();
+  const pool& other_pool(std::string_view zone);
+  void add(const server_row& server, pool& to) const;
+  bool is_in_own_pool(const server_row& server) const;
 
-  bool m_one_pool;
-  std::string_view m_own_zone;
-  std::map<std::string_view, pool> m_pools; // by availability zone
+  const dispatch_tables& m_tables;
+  time_point m_now;
+  const server_lists* m_servers = nullptr;
+  std::optional<pool> m_own_pool;
+  std::map<std::string_view, pool> m_other_pools; // by availability zone; empty: not counted
 };
 
 } // namespace cardamompond::fleet
--- a/packages/fleet/tests/dispatcher_test.cpp
+++ b/packages/fleet/tests/dispatcher_test.cpp
@@ -26,6 +26,27 @@
   LONGS_EQUAL(3, count_results(daemon.submit(4), "s1"));
 }
 
+// Guards against sums of the peers' loads that drift, since each report changes only the servers that it
+// names: repeated and replaced reports, reports about servers that are listed later, and servers that come
+// back.
+TEST(dispatcher, loads_of_peers_are_counted_once) {
+  daemon.set_member_count(3);
+  const std::vector<server_load> loads = {{server_id_hash("s1"), 2, {}, false},
+                                          {server_id_hash("s2"), 1, {}, false}};
+  daemon.m_dispatcher.set_peer_loads("d1", loads, daemon.m_now); // before any server is listed
+  daemon.set_servers({make_server("s1", "a", 4), make_server("s2", "a", 4)});
+  daemon.m_dispatcher.set_peer_loads("d1", loads, daemon.m_now);
+  daemon.m_dispatcher.set_peer_loads("d2", std::span(loads).first(1), daemon.m_now);
+  auto results = daemon.submit(8);
+  LONGS_EQUAL(0, count_results(results, "s1"));
+  LONGS_EQUAL(3, count_results(results, "s2"));
+  daemon.m_dispatcher.set_peer_loads("d2", {}, daemon.m_now);
+  LONGS_EQUAL(2, count_results(daemon.tick(), "s1"));
+  daemon.set_servers({make_server("s2", "a", 4)});
+  daemon.set_servers({make_server("s1", "a", 5), make_server("s2", "a", 4)});
+  LONGS_EQUAL(1, count_results(daemon.tick(), "s1"));
+}
+
 // Guards against new requests to servers that are draining, are no longer listed, or are in an evacuated
 // availability zone.
 TEST(dispatcher, draining_removed_and_evacuated_servers_get_no_requests) {
