--- a/packages/fleet/tests/dispatcher_test.cpp
+++ b/packages/fleet/tests/dispatcher_test.cpp
@@ -41,10 +41,10 @@
   LONGS_EQUAL(0, count_results(results, "s1"));
   LONGS_EQUAL(3, count_results(results, "s2"));
   daemon.m_dispatcher.set_peer_loads("d2", {}, daemon.m_now);
-  LONGS_EQUAL(2, count_results(daemon.tick(), "s1"));
+  LONGS_EQUAL(2, count_results(daemon.submit(8), "s1"));
   daemon.set_servers({make_server("s2", "a", 4)});
   daemon.set_servers({make_server("s1", "a", 5), make_server("s2", "a", 4)});
-  LONGS_EQUAL(1, count_results(daemon.tick(), "s1"));
+  LONGS_EQUAL(1, count_results(daemon.submit(8), "s1"));
 }
 
 // Guards against new requests to servers that are draining, are no longer listed, or are in an evacuated
