--- a/packages/fleet/include/cardamompond/fleet/backend_server.hpp
+++ b/packages/fleet/include/cardamompond/fleet/backend_server.hpp
@@ -18,6 +18,8 @@
   bool m_draining = false;            // accepts no new requests
   milliseconds m_cold_remaining{0};   // remaining cold period at the time the entry was written
   std::int64_t m_started_unix_ms = 0; // start time, which distinguishes two processes with the same id
+
+  friend bool operator==(const backend_server&, const backend_server&) = default;
 };
 
 // An operator's order to move the traffic of a service to another version.
--- a/packages/fleet/src/dispatcher.cpp
+++ b/packages/fleet/src/dispatcher.cpp
@@ -157,7 +157,9 @@
       row.m_listed_since = now;
     }
     const bool changed = row.m_entry.m_cold_remaining != entry.m_cold_remaining || row.m_id_hash == 0;
-    row.m_entry = entry;
+    if (row.m_entry != entry) {
+      row.m_entry = entry;
+    }
     row.m_id_hash = server_id_hash(entry.m_id);
     row.m_listed = true;
     if (changed && entry.m_cold_remaining.count() > 0) {
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -154,27 +154,31 @@
 } // namespace
 
 void assign_slots(dispatch_tables& tables) {
+  const std::uint64_t own_hash = hash64(tables.m_self.m_name);
+  std::vector<std::uint64_t> zone_members; // hashes of the other daemons in the zone of this one
+  bool self_is_member = false;
+  for (const auto& each : tables.m_members) {
+    if (each.m_name == tables.m_self.m_name) {
+      self_is_member = true;
+    } else if (each.m_availability_zone == tables.m_self.m_availability_zone) {
+      zone_members.push_back(hash64(each.m_name));
+    }
+  }
+  const std::size_t member_count = zone_members.size() + (self_is_member ? 1 : 0);
   for (auto& [name, servers] : tables.m_servers) {
     for (auto& [id, server] : servers) {
-      std::size_t zone_members = 0; // daemons in the server's zone
-      std::size_t higher_ranked = 0;
-      const bool same_zone = server.m_entry.m_availability_zone == tables.m_self.m_availability_zone;
-      const std::uint64_t own_weight = rendezvous_weight(hash64(tables.m_self.m_name), server.m_id_hash);
-      for (const auto& each : tables.m_members) {
-        if (same_zone && each.m_availability_zone == server.m_entry.m_availability_zone) {
-          ++zone_members;
-          higher_ranked += each.m_name != tables.m_self.m_name &&
-                                   rendezvous_weight(hash64(each.m_name), server.m_id_hash) > own_weight
-                               ? 1
-                               : 0;
-        }
-      }
       server.m_assigned_slots = 0;
-      if (zone_members > 0) {
-        const std::uint32_t slots = server.m_entry.m_slots;
-        server.m_assigned_slots =
-            slots / static_cast<std::uint32_t>(zone_members) + (higher_ranked < slots % zone_members ? 1 : 0);
+      if (member_count == 0 || server.m_entry.m_availability_zone != tables.m_self.m_availability_zone) {
+        continue;
       }
+      const std::uint64_t own_weight = rendezvous_weight(own_hash, server.m_id_hash);
+      const auto higher_ranked = static_cast<std::size_t>(
+          std::count_if(zone_members.begin(), zone_members.end(), [&](std::uint64_t each) {
+            return rendezvous_weight(each, server.m_id_hash) > own_weight;
+          }));
+      const std::uint32_t slots = server.m_entry.m_slots;
+      server.m_assigned_slots =
+          slots / static_cast<std::uint32_t>(member_count) + (higher_ranked < slots % member_count ? 1 : 0);
     }
   }
 }
--- a/packages/gateway/include/cardamompond/gateway/fleet_view.hpp
+++ b/packages/gateway/include/cardamompond/gateway/fleet_view.hpp
@@ -6,7 +6,9 @@
 
 #include <array>
 #include <functional>
+#include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -49,7 +51,17 @@
 private:
   void decode(collection_kind kind, std::string_view source);
   void decode_declarations(std::string_view source);
-  template <typename T, typename Read> std::vector<T> decode_all(collection_kind kind, const Read& read);
+  // The objects read from the documents of a collection, by name, with the revision that they were read from.
+  template <typename T> struct decoded_document {
+    std::optional<std::uint64_t> m_revision;
+    std::optional<T> m_object; // nothing: the document could not be read
+  };
+  template <typename T> using decoded_documents = std::map<std::string, decoded_document<T>, std::less<>>;
+
+  // Reads the documents that changed since the last call and returns all objects. A collection may have
+  // thousands of documents of which one changes at a time.
+  template <typename T, typename Read>
+  std::vector<T> decode_changed(collection_kind kind, decoded_documents<T>& known, const Read& read);
   void report_unreadable(collection_kind kind, const document& each, const unreadable_document& error);
 
   const document_reader& m_reader;
@@ -57,6 +69,9 @@
   std::vector<observer> m_observers;
   std::shared_ptr<const fleet::route_table> m_routes;
   std::vector<fleet::backend_server> m_backend_servers;
+  decoded_documents<fleet::backend_server> m_decoded_servers;
+  decoded_documents<fleet::rollout_order> m_decoded_rollouts;
+  decoded_documents<member> m_decoded_members;
   std::vector<fleet::rollout_order> m_rollouts;
   std::set<std::string, std::less<>> m_evacuated_zones;
   std::vector<member> m_members;
--- a/packages/gateway/src/fleet_view.cpp
+++ b/packages/gateway/src/fleet_view.cpp
@@ -38,13 +38,25 @@
 }
 
 template <typename T, typename Read>
-std::vector<T> fleet_view::decode_all(collection_kind kind, const Read& read) {
+std::vector<T> fleet_view::decode_changed(collection_kind kind, decoded_documents<T>& known,
+                                          const Read& read) {
+  const auto& documents = collection(kind).documents();
+  std::erase_if(known, [&](const auto& each) { return !documents.contains(each.first); });
   std::vector<T> all;
-  for (const auto& [name, each] : collection(kind).documents()) {
-    if (auto decoded = read(each)) {
-      all.push_back(std::move(*decoded));
-    } else {
-      report_unreadable(kind, each, decoded.error());
+  all.reserve(documents.size());
+  for (const auto& [name, each] : documents) {
+    auto& [revision, object] = known[name];
+    if (revision != each.m_revision) {
+      revision = each.m_revision;
+      if (auto decoded = read(each)) {
+        object = std::move(*decoded);
+      } else {
+        object.reset();
+        report_unreadable(kind, each, decoded.error());
+      }
+    }
+    if (object) {
+      all.push_back(*object);
     }
   }
   return all;
@@ -76,12 +88,12 @@
     decode_declarations(source);
     break;
   case collection_kind::backend_servers:
-    m_backend_servers = decode_all<fleet::backend_server>(
-        kind, [&](const document& each) { return m_reader.read_backend_server(each); });
+    m_backend_servers = decode_changed<fleet::backend_server>(
+        kind, m_decoded_servers, [&](const document& each) { return m_reader.read_backend_server(each); });
     break;
   case collection_kind::rollouts:
-    m_rollouts = decode_all<fleet::rollout_order>(
-        kind, [&](const document& each) { return m_reader.read_rollout(each); });
+    m_rollouts = decode_changed<fleet::rollout_order>(
+        kind, m_decoded_rollouts, [&](const document& each) { return m_reader.read_rollout(each); });
     break;
   case collection_kind::evacuations:
     m_evacuated_zones.clear();
@@ -90,7 +102,8 @@
     }
     break;
   case collection_kind::members:
-    m_members = decode_all<member>(kind, [&](const document& each) { return m_reader.read_member(each); });
+    m_members = decode_changed<member>(kind, m_decoded_members,
+                                       [&](const document& each) { return m_reader.read_member(each); });
     break;
   }
   if (kind != collection_kind::declarations) {
