Reuse idle connections for requests that reserve a slot first

A reservation tries the connection before anything of the request is sent. Change: such requests use connections that were idle for up to 4 s; a reservation that finds one closed is repeated on a new one instead of giving the engine up (test fails without it: 503).

--- a/packages/gateway/include/cardamompond/gateway/backend_call.hpp
+++ b/packages/gateway/include/cardamompond/gateway/backend_call.hpp
@@ -107,7 +107,8 @@
   milliseconds io_timeout() const;
   call_outcome abort_after_error(const net::call_error& error);
   std::optional<call_outcome> check_may_send();
-  std::optional<call_outcome> connect();
+  milliseconds max_idle_time() const;
+  std::optional<call_outcome> connect(milliseconds max_idle);
   std::optional<call_outcome> connect_and_reserve();
   std::optional<call_outcome> reserve();
   std::optional<call_outcome> send();
@@ -134,6 +135,7 @@
   bool m_closed_by_server = false;
   bool m_prepared = false;
   duration m_reservation_time{};
+  bool m_reservation_timed_out = false; // the last one got no answer in time
 };
 
 } // namespace cardamompond::gateway
--- a/packages/gateway/src/backend_call.cpp
+++ b/packages/gateway/src/backend_call.cpp
@@ -12,7 +12,7 @@
 constexpr milliseconds connect_timeout{250};
 
 // A pooled connection that was idle for long may have been dropped without notice. A request that cannot be
-// retried therefore uses only a connection that was in use recently.
+// retried therefore uses only a connection that was in use recently, unless a reservation tries it first.
 constexpr milliseconds max_idle_idempotent{4'000};
 constexpr milliseconds max_idle_at_most_once{1'000};
 
@@ -87,10 +87,14 @@
   return call_outcome::withheld;
 }
 
-std::optional<call_outcome> backend_call::connect() {
-  const auto idle = m_options.m_idempotent ? max_idle_idempotent : max_idle_at_most_once;
+milliseconds backend_call::max_idle_time() const {
+  const bool tried_first = m_options.m_reservation_lifetime > milliseconds(0);
+  return m_options.m_idempotent || tried_first ? max_idle_idempotent : max_idle_at_most_once;
+}
+
+std::optional<call_outcome> backend_call::connect(milliseconds max_idle) {
   auto opened = m_client.open(m_options.m_parameters.m_server->m_address,
-                              {idle, connect_timeout, m_options.m_connected_after});
+                              {max_idle, connect_timeout, m_options.m_connected_after});
   if (!opened) {
     m_failure = opened.error().m_message;
     return m_cancelled ? call_outcome::caller_gone : call_outcome::unreachable;
@@ -113,6 +117,7 @@
       m_protocol.make_reservation_request(m_options.m_reserved_tokens, m_options.m_reservation_lifetime);
   const auto abort_reservation = [&](const net::call_error& error) {
     const auto outcome = abort_after_error(error);
+    m_reservation_timed_out = error.m_timeout;
     return outcome == call_outcome::caller_gone || outcome == call_outcome::out_of_time
                ? outcome
                : call_outcome::unreachable;
@@ -360,15 +365,25 @@
 }
 
 std::optional<call_outcome> backend_call::connect_and_reserve() {
-  if (const auto outcome = connect()) {
+  if (const auto outcome = connect(max_idle_time())) {
     return outcome;
   }
   if (m_options.m_reservation_lifetime > milliseconds(0)) {
-    if (const auto outcome = reserve()) {
-      return outcome;
+    auto reserved = reserve();
+    if (reserved == call_outcome::unreachable && m_call->reused() && !m_reservation_timed_out) {
+      // The server may just have closed the idle connection.
+      if (const auto outcome = connect(milliseconds(0))) {
+        return outcome;
+      }
+      reserved = reserve();
+    }
+    if (reserved) {
+      return reserved;
     }
     if (!m_call->reusable()) {
-      if (const auto outcome = connect()) {
+      // The request itself goes over another connection, which no reservation has tried.
+      m_options.m_reservation_lifetime = milliseconds(0);
+      if (const auto outcome = connect(max_idle_time())) {
         return outcome;
       }
     }
