--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -22,9 +22,8 @@
 constexpr double remote_zone_penalty = 0.06;
 constexpr double remote_zone_body_penalty = 0.15;
 
-// The same in a large group, where a daemon sees the load of its own zone's servers in time, but not that of
-// others.
-constexpr double remote_zone_penalty_large_group = 0.4;
+// The same in a large group with enough servers in the own zone, see prefers_own_zone.
+constexpr double remote_zone_penalty_own_zone_first = 0.4;
 constexpr double large_body_bytes = 12'000;
 
 // Requests that a plain server (one without batching) may queue beyond its slots. Its responses take about 20
@@ -65,6 +64,9 @@
 // may be wrong or be caused by the link between that peer and the server.
 constexpr std::uint32_t min_failure_reports = 2;
 
+// Servers that a zone needs for its daemons to try them before those of other zones.
+constexpr std::size_t min_servers_of_own_zone = 8;
+
 // Score bonus, as a share of a server's slots, for a server on which this daemon has free assigned slots.
 constexpr double assigned_slots_bonus = 0.35;
 
@@ -199,6 +201,15 @@
 
 namespace {
 
+// Whether servers of other zones are used only when those of the own zone are full. In a large group, the
+// load of the own zone's servers is known best, their traffic is not charged, and the cost does not grow with
+// the servers of all zones. A zone of few servers is often full while others are not.
+bool prefers_own_zone(const dispatch_tables& tables, const std::string& service) {
+  const auto lists = tables.m_lists.find(service);
+  return !tables.m_frequent_reports && lists != tables.m_lists.end() &&
+         lists->second.m_own_zone.size() >= min_servers_of_own_zone;
+}
+
 // Returns the best server with capacity among the given ones, or null.
 candidate select_best(dispatch_tables& tables, std::span<server_row* const> servers,
                       const submission& request, spare_capacity& spare, double required_free,
@@ -244,7 +255,8 @@
     }
   }
   const double zone_penalty =
-      (tables.m_frequent_reports ? remote_zone_penalty : remote_zone_penalty_large_group) +
+      (prefers_own_zone(tables, request.m_service) ? remote_zone_penalty_own_zone_first
+                                                   : remote_zone_penalty) +
       remote_zone_body_penalty * std::min(1.0, request.m_body_bytes / large_body_bytes);
 
   // A report that a server leaves may be outdated or wrong, so it only makes the other servers go first.
@@ -295,9 +307,7 @@
   if (lists == tables.m_lists.end()) {
     return nullptr;
   }
-  // In a large group, the servers of the own zone are tried first: their load is known best, their traffic is
-  // not charged, and the cost does not grow with the servers of all zones.
-  if (!tables.m_frequent_reports) {
+  if (prefers_own_zone(tables, request.m_service)) {
     if (const auto [server, server_fit] =
             select_best(tables, lists->second.m_own_zone, request, spare, required_free, now);
         server != nullptr && server_fit == fit::good) {
