--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -174,10 +174,10 @@
         continue;
       }
       const std::uint64_t own_weight = rendezvous_weight(own_hash, server.m_id_hash);
+      const std::uint32_t id_hash = server.m_id_hash;
       const auto higher_ranked = static_cast<std::size_t>(
-          std::count_if(zone_members.begin(), zone_members.end(), [&](std::uint64_t each) {
-            return rendezvous_weight(each, server.m_id_hash) > own_weight;
-          }));
+          std::count_if(zone_members.begin(), zone_members.end(),
+                        [&](std::uint64_t each) { return rendezvous_weight(each, id_hash) > own_weight; }));
       const std::uint32_t slots = server.m_entry.m_slots;
       server.m_assigned_slots =
           slots / static_cast<std::uint32_t>(member_count) + (higher_ranked < slots % member_count ? 1 : 0);
--- a/packages/fleet/src/spare_capacity.cpp
+++ b/packages/fleet/src/spare_capacity.cpp
@@ -38,7 +38,7 @@
   }
 }
 
-const spare_capacity::pool& spare_capacity::own_pool() {
+const slot_pool& spare_capacity::own_pool() {
   if (!m_own_pool) {
     m_own_pool.emplace();
     if (m_servers == nullptr) {
@@ -51,7 +51,7 @@
   return *m_own_pool;
 }
 
-const spare_capacity::pool& spare_capacity::other_pool(std::string_view zone) {
+const slot_pool& spare_capacity::other_pool(std::string_view zone) {
   if (m_other_pools.empty()) {
     for (const server_row* each : m_servers->m_all) {
       add(*each, m_other_pools[each->m_entry.m_availability_zone]);
@@ -60,7 +60,7 @@
   return m_other_pools[zone];
 }
 
-void spare_capacity::add(const server_row& server, pool& to) const {
+void spare_capacity::add(const server_row& server, slot_pool& to) const {
   if (!is_eligible(m_tables, server, m_now) || is_paused(server, m_now)) {
     return;
   }
@@ -84,15 +84,15 @@
     return required_free <= 0 || own_pool().m_free - 1 >= required_free;
   }
   // A daemon of a zone without servers may use those of other zones like their own daemons.
-  const pool& counted = other_pool(server.m_entry.m_availability_zone);
+  const slot_pool& counted = other_pool(server.m_entry.m_availability_zone);
   const double margin = own_pool().m_slots > 0 ? other_zone_margin * counted.m_slots : 0;
   return counted.m_free - 1 >= required_free + margin;
 }
 
 void spare_capacity::take(const server_row& server) {
-  pool* const counted = is_in_own_pool(server)  ? (m_own_pool ? &*m_own_pool : nullptr)
-                        : m_other_pools.empty() ? nullptr
-                                                : &m_other_pools[server.m_entry.m_availability_zone];
+  slot_pool* const counted = is_in_own_pool(server)  ? (m_own_pool ? &*m_own_pool : nullptr)
+                             : m_other_pools.empty() ? nullptr
+                                                     : &m_other_pools[server.m_entry.m_availability_zone];
   if (counted != nullptr) {
     counted->m_free = std::max(0.0, counted->m_free - 1);
   }
--- a/packages/fleet/src/spare_capacity.hpp
+++ b/packages/fleet/src/spare_capacity.hpp
@@ -21,6 +21,12 @@
 // Returns the number of slots that must remain free after the request was granted one.
 double required_free_slots(const dispatch_tables& tables, const waiting_request& waiting, time_point now);
 
+// Numbers of slots of several servers.
+struct slot_pool {
+  double m_free = 0;
+  double m_slots = 0;
+};
+
 // The free slots of the batching servers of a service, as this daemon knows them. In a small group they form
 // one pool. In a large group each availability zone has its own, because the reports of other zones are
 // older. Pools are counted when they are first asked for. Valid until the state of the servers changes.
@@ -36,21 +42,16 @@
   void take(const server_row& server);
 
 private:
-  struct pool {
-    double m_free = 0;
-    double m_slots = 0;
-  };
-
-  const pool& own_pool();
-  const pool& other_pool(std::string_view zone);
-  void add(const server_row& server, pool& to) const;
+  const slot_pool& own_pool();
+  const slot_pool& other_pool(std::string_view zone);
+  void add(const server_row& server, slot_pool& to) const;
   bool is_in_own_pool(const server_row& server) const;
 
   const dispatch_tables& m_tables;
   time_point m_now;
   const server_lists* m_servers = nullptr;
-  std::optional<pool> m_own_pool;
-  std::map<std::string_view, pool> m_other_pools; // by availability zone; empty: not counted
+  std::optional<slot_pool> m_own_pool;
+  std::map<std::string_view, slot_pool> m_other_pools; // by availability zone; empty: not counted
 };
 
 } // namespace cardamompond::fleet
--- a/packages/gateway/src/peer_group.cpp
+++ b/packages/gateway/src/peer_group.cpp
@@ -407,6 +407,7 @@
   by_zone.merge(registered); // adds the zones without live peers
   by_zone.erase(m_self.m_availability_zone);
   std::vector<std::string> targets;
+  targets.reserve(by_zone.size());
   for (const auto& [zone, addresses] : by_zone) {
     targets.push_back(addresses[m_next_digest_target % addresses.size()]);
   }
