--- a/packages/ctl/include/cardamompond/ctl/lateness.hpp
+++ b/packages/ctl/include/cardamompond/ctl/lateness.hpp
@@ -36,7 +36,6 @@
   std::string m_result;
   int m_status = 0;
   bool m_may_have_run = false;
-  std::uint32_t m_dispatches = 0;
   milliseconds m_age{0};           // from the caller's first attempt to the arrival of this one
   milliseconds m_wait{0};          // from the arrival to the last dispatch
   milliseconds m_queued{0};        // part of m_wait in the daemon's queue
--- a/packages/ctl/src/lateness.cpp
+++ b/packages/ctl/src/lateness.cpp
@@ -128,7 +128,6 @@
   attempt.m_result = fields.text("result");
   attempt.m_status = static_cast<int>(fields.number("status"));
   attempt.m_may_have_run = fields.text("verdict") != "not-run";
-  attempt.m_dispatches = static_cast<std::uint32_t>(fields.number("dispatches"));
   attempt.m_age = fields.time("age_ms");
   attempt.m_wait = fields.time("wait_ms");
   attempt.m_queued = fields.time("queued_ms");
--- a/packages/fleet/tests/overload_simulation.hpp
+++ b/packages/fleet/tests/overload_simulation.hpp
@@ -11,8 +11,8 @@
 enum class simulated_route { guide, note, label };
 inline constexpr std::size_t simulated_routes = 3;
 
-// A group of daemons before model engines that are too few for a while. Callers whose request is refused
-// return once.
+// A group of daemons in front of model engines that have too little capacity for a while. Callers whose
+// request is refused return once.
 struct simulated_overload {
   std::uint64_t m_seed = 1;
   int m_zones = 3;
--- a/packages/gateway/include/cardamompond/gateway/peer_group.hpp
+++ b/packages/gateway/include/cardamompond/gateway/peer_group.hpp
@@ -57,7 +57,7 @@
   // where there are too many for one round, they take turns. In a small group, those in other zones are sent
   // one less often. In a large group, the daemons of a zone take turns in sending a digest of its reports to
   // one daemon of each other zone, which forwards it to its zone. So the traffic between zones does not grow
-  // with the product of their sizes, and no daemon is needed for it.
+  // with the product of their sizes, and depends on no particular daemon.
   round next_round();
 
   // Returns the addresses of the daemons in the same zone, to which a digest is forwarded.
