Carry all totals of accounts to other zones, and bound what a report of blocked requests does

Cause: a daemon reports all totals in one second of six, and the daemons of a zone take their turns with digests at the beginning of a second, when the peers' latest reports are still those without the unchanged totals. Change: one digest in six carries all totals that the sender knows of each peer. Also: a report adds at most 50 blocked requests a level, since a wrong total held back others for many seconds; a digest of the own zone is not forwarded.

--- a/packages/fleet/src/dispatcher.cpp
+++ b/packages/fleet/src/dispatcher.cpp
@@ -21,6 +21,10 @@
 // The pause of a server that asks for one but does not state its length readably.
 constexpr milliseconds unreadable_pause{1'000};
 
+// The most blocked requests that one report of a peer adds, so that a wrong total holds back other requests
+// for a moment only. Daemons report several times a second.
+constexpr std::uint32_t max_blocked_per_report = 50;
+
 // How long a silent server receives no new requests. It covers several of the checks that report the silence.
 constexpr duration silence_exclusion = milliseconds(300);
 
@@ -344,7 +348,8 @@
   auto& previous = tables.m_peers[std::string(daemon)].m_blocked;
   for (std::size_t level = 0; previous && level < urgency_levels; ++level) {
     if (totals[level] > (*previous)[level]) {
-      tables.m_blocked.record(level, totals[level] - (*previous)[level], now);
+      const std::uint32_t added = totals[level] - (*previous)[level];
+      tables.m_blocked.record(level, std::min(added, max_blocked_per_report), now);
     }
   }
   previous = totals;
--- a/packages/fleet/tests/dispatcher_test.cpp
+++ b/packages/fleet/tests/dispatcher_test.cpp
@@ -47,6 +47,39 @@
   LONGS_EQUAL(1, count_results(daemon.submit(8), "s1"));
 }
 
+// Guards against a wrong total of blocked requests, of a faulty or restarted peer, that holds back less
+// urgent requests for long while slots are free.
+TEST(dispatcher, a_wrong_total_of_blocked_requests_is_soon_forgotten) {
+  daemon.set_member_count(2);
+  declarations source;
+  service chat;
+  chat.m_name = "chat";
+  chat.m_uses_batching = true;
+  source.m_services.push_back(chat);
+  for (std::uint32_t rank = 0; rank < 2; ++rank) {
+    route each;
+    each.m_rank = rank;
+    each.m_services = {{"chat", 1.0}};
+    source.m_routes.push_back(each);
+  }
+  daemon.m_dispatcher.apply(source);
+  daemon.set_servers({make_server("s1", "a", 8)});
+  daemon.m_dispatcher.set_peer_loads("d1", {}, daemon.m_now);
+  daemon.m_dispatcher.set_peer_blocked("d1", {0, 0, 0, 0}, daemon.m_now);
+  daemon.m_dispatcher.set_peer_blocked("d1", {4'000'000'000, 0, 0, 0}, daemon.m_now);
+  daemon.m_dispatcher.set_peer_blocked("d1", {7, 0, 0, 0}, daemon.m_now); // a new process
+  const auto submit_less_urgent = [&] {
+    auto request = daemon.make_request(++daemon.m_last_ticket);
+    request.m_route_rank = 1;
+    daemon.m_dispatcher.submit(request, daemon.m_now);
+    return count_results(daemon.tick(), "s1");
+  };
+  LONGS_EQUAL(0, submit_less_urgent());
+  daemon.m_now += seconds(3);
+  daemon.m_dispatcher.cancel(daemon.m_last_ticket);
+  LONGS_EQUAL(1, submit_less_urgent());
+}
+
 // Guards against new requests to servers that are draining, are no longer listed, or are in an evacuated
 // availability zone.
 TEST(dispatcher, draining_removed_and_evacuated_servers_get_no_requests) {
--- a/packages/gateway/include/cardamompond/gateway/peer_group.hpp
+++ b/packages/gateway/include/cardamompond/gateway/peer_group.hpp
@@ -29,6 +29,11 @@
   // same daemon is dropped.
   void handle_report(const peer_report& report, time_point received);
 
+  // Whether the digest contains reports of another zone, which the daemons of this one need.
+  bool is_from_other_zone(const report_digest& digest) const {
+    return digest.m_availability_zone != m_self.m_availability_zone;
+  }
+
   // Processes the reports of a digest from another zone. Returns the number of reports that could not be
   // decoded.
   std::size_t handle_digest(const report_digest& digest, time_point now);
--- a/packages/gateway/src/peer_exchange.cpp
+++ b/packages/gateway/src/peer_exchange.cpp
@@ -162,7 +162,7 @@
   if (m_group.handle_digest(digest, monotonic_now()) > 0) {
     count_malformed(sender, "a relayed report");
   }
-  if (!std::exchange(digest.m_forwarded, true)) {
+  if (!std::exchange(digest.m_forwarded, true) && m_group.is_from_other_zone(digest)) {
     m_forwards.push_back({encode_digest(digest), m_group.same_zone_addresses()});
     if (m_forwards.size() > max_queued_forwards) {
       m_forwards.pop_front();
--- a/packages/gateway/src/peer_group.cpp
+++ b/packages/gateway/src/peer_group.cpp
@@ -145,7 +145,7 @@
 }
 
 std::size_t peer_group::handle_digest(const report_digest& digest, time_point now) {
-  if (digest.m_availability_zone == m_self.m_availability_zone) {
+  if (!is_from_other_zone(digest)) {
     return 0;
   }
   std::size_t malformed = 0;
@@ -173,6 +173,9 @@
     bytes += encoded.size();
     digests.back().m_reports.push_back({std::chrono::duration_cast<milliseconds>(age), std::move(encoded)});
   };
+  // One digest in several carries all totals. Whether the peers' latest reports happen to do so depends on
+  // the moment of the turn, which may be the same each time.
+  const bool with_all_totals = (m_round_number / digest_period) % full_use_report_period == 0;
   add(make_report(false, false), duration::zero());
   for (const auto& [name, each] : m_peers) {
     const duration age = now - each.m_last_report_at;
@@ -181,6 +184,10 @@
     }
     peer_report shortened = each.m_last_report;
     shortened.m_collections = {}; // those of this daemon are about the same
+    if (with_all_totals && each.m_has_full_quota_use) {
+      shortened.m_quota_use.assign(each.m_quota_use.begin(), each.m_quota_use.end());
+      shortened.m_recent_use_only = false;
+    }
     std::erase_if(shortened.m_loads, [](const fleet::server_load& load) {
       return load.m_running == 0 && !load.m_failing && !load.m_leaving;
     });
--- a/packages/gateway/tests/peer_group_test.cpp
+++ b/packages/gateway/tests/peer_group_test.cpp
@@ -236,6 +236,9 @@
 
   void stop(std::size_t daemon) { m_stopped.insert(daemon); }
 
+  fleet::account_quotas& quotas(std::size_t daemon) { return m_daemons[daemon]->m_admission.quotas(); }
+  time_point now() const { return m_now; }
+
   void run_round() {
     for (std::size_t i = 0; i < m_daemons.size(); ++i) {
       if (m_stopped.contains(i)) {
@@ -338,6 +341,27 @@
   CHECK(longest <= seconds(5));
 }
 
+// Guards against use that other zones never count: reports leave out accounts without recent use, and the
+// first total that a daemon hears of an account counts only if it has heard all totals of the peer before.
+// Each daemon admits ten times the burst of the account, and all others must refuse it within three seconds.
+TEST(peer_group, first_use_of_an_account_is_counted_in_other_zones) {
+  constexpr std::size_t daemons = 40;
+  constexpr int rounds_per_s = 10;
+  for (std::size_t user = 1; user < daemons; user += 6) {
+    simulated_group group(daemons);
+    for (int round = 0; round < 14 * rounds_per_s; ++round) {
+      group.run_round();
+    }
+    CHECK(group.quotas(user).admit("workshop", 10'000, group.now()));
+    for (int round = 0; round < 3 * rounds_per_s; ++round) {
+      group.run_round();
+    }
+    for (std::size_t i = 0; i < daemons; ++i) {
+      CHECK_FALSE(group.quotas(i).admit("workshop", 1, group.now()));
+    }
+  }
+}
+
 // Guards against traffic between zones, which is charged, that grows with the product of the zones' sizes.
 // One report of each daemon to each daemon of the other zone in a second would be 900 reports each way.
 TEST(peer_group, bytes_between_zones_grow_with_the_group_only) {
