--- a/review/harness/harness.hpp
+++ b/review/harness/harness.hpp
@@ -14,6 +14,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <cerrno>
 #include <chrono>
 #include <condition_variable>
 #include <cstdio>
--- a/review/harness/late_copies.cpp
+++ b/review/harness/late_copies.cpp
@@ -18,7 +18,6 @@
 constexpr double traffic_s = 90;
 
 constexpr int engine_count = 5;
-constexpr int engines_without_drop = 2; // most engines drop a request when its connection closes
 constexpr int slots = 12;
 constexpr int caller_count = 100;
 
@@ -76,10 +75,9 @@
 
 class model_engine {
 public:
-  model_engine(std::string id, bool garbles, bool drops, run_log& runs, recorder& record)
+  model_engine(std::string id, bool garbles, run_log& runs, recorder& record)
       : m_id(std::move(id))
       , m_garbles(garbles)
-      , m_drops(drops)
       , m_runs(runs)
       , m_record(record)
       , m_server("127.0.0.1", 0, [this](int fd, const message& request) { return handle(fd, request); }) {
@@ -183,7 +181,8 @@
     while (now_s() < first_token_at) {
       sleep_s(0.005);
       char byte;
-      if (m_drops && ::recv(connection.m_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0) {
+      const auto received = ::recv(connection.m_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+      if (received == 0 || (received < 0 && errno != EAGAIN)) { // the connection was closed or reset
         m_record.line("dropped " + id + " by " + m_id);
         const std::lock_guard lock(m_mutex);
         --m_running;
@@ -208,7 +207,6 @@
 
   std::string m_id;
   bool m_garbles;
-  bool m_drops; // requests whose connection closes before they run
   run_log& m_runs;
   recorder& m_record;
   std::mutex m_mutex;
@@ -250,8 +248,8 @@
   std::vector<std::unique_ptr<model_engine>> engines;
   for (int i = 0; i < engine_count; ++i) {
     const std::string id = "i-model-" + std::to_string(i + 1);
-    engines.push_back(std::make_unique<model_engine>(id, i < static_cast<int>(garble_share * engine_count),
-                                                     i >= engines_without_drop, runs, record));
+    engines.push_back(
+        std::make_unique<model_engine>(id, i < static_cast<int>(garble_share * engine_count), runs, record));
     platform.put("servers", id, make_spec(engines.back()->address(), i % 2 == 0 ? "zone-a" : "zone-b"));
   }
   platform.put("config", "main", configuration);
