Report each connection that ends without an answer, with its cause

The server now reports a request that arrives right after it has closed the connection, without reading it, a client that leaves before its request is whole, and connections that it doesn't accept. To notice the first, it closes its sending side and looks for half a second whether bytes arrive, instead of closing both sides at once.

--- a/packages/daemon/src/entry_daemon.cpp
+++ b/packages/daemon/src/entry_daemon.cpp
@@ -56,6 +56,14 @@
     return "header_timeout";
   case net::request_drop::body_timeout:
     return "body_timeout";
+  case net::request_drop::client_closed:
+    return "client_closed";
+  case net::request_drop::crossed_close:
+    return "crossed_close";
+  case net::request_drop::too_many_connections:
+    return "too_many_connections";
+  case net::request_drop::accept_failure:
+    return "accept_failure";
   case net::request_drop::handler_failure:
     break;
   }
--- a/packages/net/include/cardamompond/net/http_server.hpp
+++ b/packages/net/include/cardamompond/net/http_server.hpp
@@ -74,7 +74,15 @@
 enum class http_parse_failure { bad_request, body_too_large, header_too_large };
 
 // Why a connection was closed without a response although a request, or a part of one, had arrived.
-enum class request_drop { header_timeout, body_timeout, handler_failure };
+enum class request_drop {
+  header_timeout,
+  body_timeout,
+  handler_failure,
+  client_closed,        // the client closed its connection before the request was complete
+  crossed_close,        // the request arrived after the server had closed the connection
+  too_many_connections, // the connection was closed when it was accepted
+  accept_failure        // the connection was not accepted
+};
 
 // An HTTP/1.1 server with keep-alive. Each connection has a fiber, which serves its requests in order.
 class http_server {
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -28,6 +28,10 @@
   return {error.message(), error == beast::error::timeout};
 }
 
+// After the close of a connection, a request that the client sent before it noticed the close arrives in this
+// time.
+constexpr milliseconds crossing_time{500};
+
 // Serialises the status line and headers of a response. Omits headers that contain line breaks, with which a
 // backend server or a client could forge further headers.
 std::string serialise_head(int status, const http_headers& headers, bool keep_alive,
@@ -113,8 +117,7 @@
   void serve() {
     while (!m_close && serve_one()) {
     }
-    boost::system::error_code ignored;
-    m_stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+    close_gracefully();
   }
 
   void close() {
@@ -140,6 +143,10 @@
   // Reads and handles one request. Returns whether the connection can serve another one.
   bool serve_one();
 
+  // Closes the sending side, and the receiving side once the client has closed too or a moment has passed.
+  // Reports a request that arrives in between, without reading it: it crossed the close and is not served.
+  void close_gracefully();
+
   // Waits until the next request begins. Returns false if the connection has been idle for too long.
   bool wait_for_request();
 
@@ -163,6 +170,7 @@
   std::uint64_t m_body_bytes_left = 0;
   bool m_close = false;
   bool m_in_request = false;
+  time_point m_idle_since = monotonic_now(); // end of the last request
   bool m_request_keep_alive = true;
 };
 
@@ -185,20 +193,38 @@
   stop_watching_disconnect();
   --m_server->m_active_requests;
   m_in_request = false;
+  m_idle_since = monotonic_now();
   m_request = {};
   return m_response_state == response_state::finished && m_request_keep_alive && !m_server->m_draining;
 }
 
 bool http_server::impl::connection::wait_for_request() {
-  const time_point idle_since = monotonic_now();
-  while (!m_stream.wait_readable_until(idle_since + m_server->m_options.m_idle_timeout)) {
-    if (monotonic_now() >= idle_since + m_server->m_options.m_idle_timeout) {
+  while (!m_stream.wait_readable_until(m_idle_since + m_server->m_options.m_idle_timeout)) {
+    if (monotonic_now() >= m_idle_since + m_server->m_options.m_idle_timeout) {
       return false; // the limit may have changed during the wait
     }
   }
   return true;
 }
 
+void http_server::impl::connection::close_gracefully() {
+  boost::system::error_code error;
+  m_stream.socket().shutdown(tcp::socket::shutdown_send, error);
+  const time_point closed_at = monotonic_now();
+  if (error || !m_stream.wait_readable_until(closed_at + crossing_time)) {
+    return;
+  }
+  if (const std::size_t bytes = m_stream.socket().available(error); !error && bytes > 0) {
+    const auto to_ms = [](duration value) {
+      return std::to_string(std::chrono::duration_cast<milliseconds>(value).count());
+    };
+    m_server->report_drop(request_drop::crossed_close, std::to_string(bytes) + " bytes arrived " +
+                                                           to_ms(monotonic_now() - closed_at) +
+                                                           " ms after the close; the last request ended " +
+                                                           to_ms(closed_at - m_idle_since) + " ms before it");
+  }
+}
+
 bool http_server::impl::connection::read_request() {
   http::request_parser<http::string_body> parser;
   parser.header_limit(m_server->m_options.m_max_header_bytes);
@@ -232,6 +258,8 @@
     } else if (error.category() == http::make_error_code(http::error::bad_target).category() &&
                error != http::error::end_of_stream && error != http::error::partial_message) {
       respond_to_parse_failure(http_parse_failure::bad_request);
+    } else if (error != http::error::end_of_stream) {
+      m_server->report_drop(request_drop::client_closed, error.message());
     }
     return false;
   }
@@ -406,9 +434,11 @@
       if (m_stopping || error == asio::error::operation_aborted) {
         return;
       }
+      report_drop(request_drop::accept_failure, error.message());
       continue;
     }
     if (m_connections.size() >= m_options.m_max_connections) {
+      report_drop(request_drop::too_many_connections, m_options.m_address);
       continue; // closes the socket, so that the load balancer tries another host
     }
     boost::system::error_code ignored;
--- a/packages/net/tests/http_test.cpp
+++ b/packages/net/tests/http_test.cpp
@@ -180,7 +180,29 @@
   const http_request incomplete{"GET", "/", {{"Content-Length", "9"}}, {}};
   CHECK((*opened)->send(incomplete, milliseconds(1'000)).has_value());
   CHECK_FALSE((*opened)->read_head(milliseconds(1'000)).has_value());
-  CHECK(causes == (std::vector{request_drop::handler_failure, request_drop::body_timeout}));
+  raw_connection(server.port()).write("GET / HTTP/1.1\r\nHo");
+  boost::this_fiber::sleep_for(milliseconds(10));
+  CHECK(causes == (std::vector{request_drop::handler_failure, request_drop::body_timeout,
+                               request_drop::client_closed}));
+}
+
+// Guards against a request that meets the close of its connection and leaves no trace in the log of the
+// server, although its client saw a connection that ended without an answer.
+TEST(http, request_that_crosses_the_close_of_its_connection_is_reported) {
+  constexpr milliseconds idle_timeout{40};
+  http_server server(m_runtime, {.m_address = "127.0.0.1:0", .m_idle_timeout = idle_timeout},
+                     [](http_exchange& exchange) {
+                       std::ignore = exchange.respond({200, {}, "ok"});
+                     });
+  std::vector<request_drop> causes;
+  server.set_drop_observer([&](request_drop cause, std::string_view) { causes.push_back(cause); });
+  raw_connection sender(server.port());
+  boost::this_fiber::sleep_for(2 * idle_timeout);
+  CHECK(causes.empty());
+  sender.write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  CHECK_FALSE(sender.read_until("ok"));
+  boost::this_fiber::sleep_for(milliseconds(10));
+  CHECK(causes == std::vector{request_drop::crossed_close});
 }
 
 // Guards against a response that is lost although it arrived in time, because the event loop was busy until
