Tell callers how long an idle connection may be used

A whole request had been sent on a kept connection, and nothing came back.

Cause: the daemon closes a connection that was idle for the limit of the declarations (15 s) and did not tell callers, who reused connections up to and beyond it, so that requests crossed the close. Evidence: request_dropped cause=crossed_close, for each such try, 1 to 52 ms after the close of a connection idle for 15,000 ms.

Change: each response on a connection that stays open carries Keep-Alive with four fifths of the limit. The connection stays open for the limit that held when its last response began, also when the limit has become shorter since.

--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -32,9 +32,19 @@
 // time.
 constexpr milliseconds crossing_time{500};
 
+// The share of the idle timeout for which clients are told that they may leave a connection idle. The rest
+// covers the way of their next request, and pauses of the event loop.
+constexpr double stated_idle_share = 0.8;
+
+// Returns a header "Keep-Alive: timeout=SECONDS", or nothing if the time is below a second.
+std::string make_keep_alive_header(milliseconds idle_timeout) {
+  const auto stated = std::chrono::floor<seconds>(idle_timeout * stated_idle_share);
+  return stated.count() == 0 ? "" : "Keep-Alive: timeout=" + std::to_string(stated.count()) + "\r\n";
+}
+
 // Serialises the status line and headers of a response. Omits headers that contain line breaks, with which a
 // backend server or a client could forge further headers.
-std::string serialise_head(int status, const http_headers& headers, bool keep_alive,
+std::string serialise_head(int status, const http_headers& headers, std::string_view connection_header,
                            std::string_view framing_header) {
   std::string head = "HTTP/1.1 ";
   head += std::to_string(status);
@@ -48,11 +58,7 @@
     }
     head.append(header.m_name).append(": ").append(header.m_value).append("\r\n");
   }
-  head += framing_header;
-  if (!keep_alive) {
-    head += "Connection: close\r\n";
-  }
-  head += "\r\n";
+  head.append(framing_header).append(connection_header).append("\r\n");
   return head;
 }
 
@@ -147,6 +153,9 @@
   // Reports a request that arrives in between, without reading it: it crossed the close and is not served.
   void close_gracefully();
 
+  // Returns the header that tells the client whether, and for how long, it may use the connection again.
+  std::string make_connection_header();
+
   // Waits until the next request begins. Returns false if the connection has been idle for too long.
   bool wait_for_request();
 
@@ -171,6 +180,7 @@
   bool m_close = false;
   bool m_in_request = false;
   time_point m_idle_since = monotonic_now(); // end of the last request
+  milliseconds m_stated_timeout{0};          // idle timeout that was in force when the last response began
   bool m_request_keep_alive = true;
 };
 
@@ -199,9 +209,13 @@
 }
 
 bool http_server::impl::connection::wait_for_request() {
-  while (!m_stream.wait_readable_until(m_idle_since + m_server->m_options.m_idle_timeout)) {
-    if (monotonic_now() >= m_idle_since + m_server->m_options.m_idle_timeout) {
-      return false; // the limit may have changed during the wait
+  // The limit may become longer during the wait. A shorter one holds from the next response on.
+  const auto idle_until = [&] {
+    return m_idle_since + std::max(m_stated_timeout, m_server->m_options.m_idle_timeout);
+  };
+  while (!m_stream.wait_readable_until(idle_until())) {
+    if (monotonic_now() >= idle_until()) {
+      return false;
     }
   }
   return true;
@@ -315,13 +329,20 @@
   return success{};
 }
 
+std::string http_server::impl::connection::make_connection_header() {
+  if (!m_request_keep_alive || m_close || m_server->m_draining) {
+    return "Connection: close\r\n";
+  }
+  m_stated_timeout = m_server->m_options.m_idle_timeout;
+  return make_keep_alive_header(m_stated_timeout);
+}
+
 io_result<success> http_server::impl::connection::respond(const http_response& response) {
   if (m_response_state != response_state::none) {
     return io_error{"answer already begun"};
   }
-  const bool keep_alive = m_request_keep_alive && !m_close && !m_server->m_draining;
   const std::string head =
-      serialise_head(response.m_status, response.m_headers, keep_alive,
+      serialise_head(response.m_status, response.m_headers, make_connection_header(),
                      "Content-Length: " + std::to_string(response.m_body.size()) + "\r\n");
   const bool head_only = m_request.m_method == "HEAD";
   const std::array<asio::const_buffer, 2> buffers = {
@@ -337,7 +358,6 @@
   if (m_response_state != response_state::none) {
     return io_error{"answer already begun"};
   }
-  const bool keep_alive = m_request_keep_alive && !m_close && !m_server->m_draining;
   const auto length = find_header(headers, "Content-Length");
   const bool bodiless = m_request.m_method == "HEAD" || status == 204 || status == 304;
   std::string_view framing;
@@ -351,7 +371,7 @@
     framing = "Transfer-Encoding: chunked\r\n";
     m_response_state = response_state::chunked_body;
   }
-  const std::string head = serialise_head(status, headers, keep_alive, framing);
+  const std::string head = serialise_head(status, headers, make_connection_header(), framing);
   return write_buffers(asio::buffer(head));
 }
 
--- a/packages/net/tests/http_test.cpp
+++ b/packages/net/tests/http_test.cpp
@@ -269,6 +269,47 @@
   CHECK((*opened)->read_head(milliseconds(1'000)).has_value());
 }
 
+// Guards against a request that is lost because the server closes the idle connection while it is on its way.
+// The client has to know when it must not use the connection any more.
+TEST(http, responses_state_how_long_their_connection_may_be_idle) {
+  http_server server(m_runtime, {.m_address = "127.0.0.1:0", .m_idle_timeout = milliseconds(15'000)},
+                     [](http_exchange& exchange) {
+                       if (exchange.request().path() == "/stream") {
+                         std::ignore = exchange.begin(200, {});
+                         std::ignore = exchange.finish();
+                       } else {
+                         std::ignore = exchange.respond({200, {}, "ok"});
+                       }
+                     });
+  for (const auto* path : {"/", "/stream"}) {
+    const auto response =
+        m_client.fetch(loopback_address(server), {"GET", path, {}, {}}, milliseconds(1'000));
+    CHECK(response.has_value());
+    CHECK(find_header(response->m_headers, "Keep-Alive") == "timeout=12");
+  }
+  const auto last = m_client.fetch(loopback_address(server), {"GET", "/", {{"Connection", "close"}}, {}},
+                                   milliseconds(1'000));
+  CHECK(last.has_value());
+  CHECK_FALSE(find_header(last->m_headers, "Keep-Alive").has_value());
+}
+
+// Guards against an idle connection that closes sooner than its last response stated, because a new
+// configuration has shortened the limit.
+TEST(http, idle_connection_stays_open_for_the_time_stated_before_a_shorter_limit) {
+  http_server* running = nullptr;
+  http_server server(m_runtime, {.m_address = "127.0.0.1:0", .m_idle_timeout = milliseconds(2'000)},
+                     [&](http_exchange& exchange) {
+                       std::ignore = exchange.begin(200, {});
+                       running->set_limits(8'192, 8'192, milliseconds(1'000), milliseconds(50));
+                       std::ignore = exchange.finish();
+                     });
+  running = &server;
+  CHECK(m_client.fetch(loopback_address(server), {"GET", "/", {}, {}}, milliseconds(1'000)).has_value());
+  boost::this_fiber::sleep_for(milliseconds(150));
+  auto opened = m_client.open(loopback_address(server));
+  CHECK(opened.has_value() && (*opened)->reused());
+}
+
 // Guards against a large body that is cut although it keeps coming, because the idle timeout limited the time
 // for the whole body. Slow links and a shorter limit of a new configuration make that happen.
 TEST(http, body_that_keeps_coming_may_take_longer_than_the_idle_timeout) {
