Serve one more request on a connection that was stated open before a drain

What callers would see: a request without an answer on a host that is being stopped. A response that began before SIGTERM told its caller that the connection stays open; the daemon closed it with the end of that response, while the caller's next request was on its way.

Change: the connection stays open until a response has said that it closes. The end of the drain does not wait for it.

The test connection_that_a_client_may_use_again_serves_one_more_request_in_a_drain failed before and passes now, with the other 15 of the package.

--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -180,7 +180,8 @@
   bool m_close = false;
   bool m_in_request = false;
   time_point m_idle_since = monotonic_now(); // end of the last request
-  milliseconds m_stated_timeout{0};          // idle timeout that was in force when the last response began
+  bool m_stated_open = false;       // the last response told the client that it may use the connection again
+  milliseconds m_stated_timeout{0}; // idle timeout that was in force when the last response began
   bool m_request_keep_alive = true;
 };
 
@@ -205,7 +206,8 @@
   m_in_request = false;
   m_idle_since = monotonic_now();
   m_request = {};
-  return m_response_state == response_state::finished && m_request_keep_alive && !m_server->m_draining;
+  // In a drain, a client whose response had begun before may still use the connection for another request.
+  return m_response_state == response_state::finished && m_stated_open && !m_server->m_stopping;
 }
 
 bool http_server::impl::connection::wait_for_request() {
@@ -330,7 +332,8 @@
 }
 
 std::string http_server::impl::connection::make_connection_header() {
-  if (!m_request_keep_alive || m_close || m_server->m_draining) {
+  m_stated_open = m_request_keep_alive && !m_close && !m_server->m_draining;
+  if (!m_stated_open) {
     return "Connection: close\r\n";
   }
   m_stated_timeout = m_server->m_options.m_idle_timeout;
--- a/packages/net/tests/http_test.cpp
+++ b/packages/net/tests/http_test.cpp
@@ -310,6 +310,25 @@
   CHECK(opened.has_value() && (*opened)->reused());
 }
 
+// Guards against a request that is lost in a drain. A client that was told to keep its connection, by a
+// response that began before the drain, sends its next request while the server closes the connection.
+TEST(http, connection_that_a_client_may_use_again_serves_one_more_request_in_a_drain) {
+  http_server* running = nullptr;
+  http_server server(m_runtime, {.m_address = "127.0.0.1:0"}, [&](http_exchange& exchange) {
+    std::ignore = exchange.begin(200, {});
+    running->begin_drain();
+    std::ignore = exchange.finish();
+  });
+  running = &server;
+  CHECK(m_client.fetch(loopback_address(server), {"GET", "/", {}, {}}, milliseconds(1'000)).has_value());
+  auto opened = m_client.open(loopback_address(server));
+  CHECK(opened.has_value() && (*opened)->reused());
+  CHECK((*opened)->send({"GET", "/", {}, {}}, milliseconds(1'000)).has_value());
+  const auto head = (*opened)->read_head(milliseconds(1'000));
+  CHECK(head.has_value());
+  CHECK(find_header(head->m_headers, "Connection") == "close");
+}
+
 // Guards against a large body that is cut although it keeps coming, because the idle timeout limited the time
 // for the whole body. Slow links and a shorter limit of a new configuration make that happen.
 TEST(http, body_that_keeps_coming_may_take_longer_than_the_idle_timeout) {
