Close a silent call only after another server has taken its request

Callers saw a resumable stream that ended in its midst, or 502 for an idempotent request, although its engine was sound: it had been silent for more than 1.4 s (streams) or two fifths of the timeout and would have gone on.

Cause: the silent call was closed when the other server was connected and had made its reservation. A service without reservations makes none, so that the other server could still refuse the request (503 or 421, not run), answer 500 or close. The server of the silent call was excluded by then, and the stream was cut at once or after a wait in vain, with retries left in the budget.

Change: the request is sent to the other server first, and the silent call is closed if that server has not refused or failed it within 100 ms. If the silent engine goes on meanwhile, the other call is closed instead. A request that the other server may have run counts as an attempt. Bodies over 64 KiB are sent after the silent call was closed, as before.

--- a/packages/gateway/include/cardamompond/gateway/backend_call.hpp
+++ b/packages/gateway/include/cardamompond/gateway/backend_call.hpp
@@ -78,7 +78,12 @@
   // outcome if that fails; the request has not been sent then.
   std::optional<call_outcome> prepare();
 
-  // Carries out the call, with prepare() if it has not been called.
+  // After prepare(): sends the request and waits for the head of the response, at most for `timeout`. Returns
+  // an outcome if the server has refused the request by then or answers it without success; run() must not be
+  // called then.
+  std::optional<call_outcome> offer(milliseconds timeout);
+
+  // Carries out the rest of the call, which is all of it if neither prepare() nor offer() has been called.
   call_outcome run();
 
   // Whether the server has sent data that has not been read yet, or has closed the connection.
@@ -111,7 +116,7 @@
   std::optional<call_outcome> connect(milliseconds max_idle);
   std::optional<call_outcome> connect_and_reserve();
   std::optional<call_outcome> reserve();
-  std::optional<call_outcome> send();
+  std::optional<call_outcome> send(time_point until);
   std::optional<call_outcome> read_head();
   call_outcome read_body();
   call_outcome relay_events();
@@ -134,6 +139,8 @@
   bool m_cancelled = false;
   bool m_closed_by_server = false;
   bool m_prepared = false;
+  bool m_sent = false;
+  bool m_head_read = false;
   duration m_reservation_time{};
   bool m_reservation_timed_out = false; // the last one got no answer in time
 };
--- a/packages/gateway/src/backend_call.cpp
+++ b/packages/gateway/src/backend_call.cpp
@@ -34,6 +34,7 @@
 constexpr milliseconds silence_check_interval{100};
 
 constexpr int status_misdirected = 421;
+constexpr int first_non_success_status = 300;
 
 // A reservation costs the engine no work. If it does not respond within this time, its connection or the
 // engine itself is down.
@@ -161,7 +162,7 @@
   return abort_reservation({"only answers to other requests came", true, false});
 }
 
-std::optional<call_outcome> backend_call::send() {
+std::optional<call_outcome> backend_call::send(time_point until) {
   if (const auto outcome = check_may_send()) {
     return outcome;
   }
@@ -171,10 +172,7 @@
     return call_outcome::out_of_time;
   }
   m_options.m_parameters.m_remaining_time = left;
-  if (m_options.m_inactivity_timeout > duration::zero()) {
-    m_call->on_silence(m_options.m_inactivity_timeout, silence_check_interval, m_options.m_give_up);
-  }
-  m_call->set_deadline(m_options.m_deadline + response_margin);
+  m_call->set_deadline(until);
   const auto sent = m_call->send(
       m_protocol.make_backend_request(*m_options.m_caller_request, m_options.m_parameters), io_timeout());
   if (!sent) {
@@ -391,19 +389,47 @@
   return check_may_send();
 }
 
+std::optional<call_outcome> backend_call::offer(milliseconds timeout) {
+  const time_point until = std::min(monotonic_now() + timeout, m_options.m_deadline);
+  if (const auto outcome = send(until)) {
+    return outcome;
+  }
+  m_sent = true;
+  if (!m_call->wait_for_input(until)) {
+    return std::nullopt;
+  }
+  if (const auto outcome = read_head()) {
+    return outcome;
+  }
+  m_head_read = true;
+  if (m_response.m_status >= first_non_success_status) {
+    m_call->abort();
+    return call_outcome::answered;
+  }
+  return std::nullopt;
+}
+
 call_outcome backend_call::run() {
   if (!m_prepared) {
     if (const auto outcome = prepare()) {
       return *outcome;
     }
   }
-  if (const auto outcome = send()) {
-    return *outcome;
+  if (m_options.m_inactivity_timeout > duration::zero()) {
+    m_call->on_silence(m_options.m_inactivity_timeout, silence_check_interval, m_options.m_give_up);
   }
-  if (const auto outcome = read_head()) {
-    return *outcome;
+  const time_point until = m_options.m_deadline + response_margin;
+  if (!m_sent) {
+    if (const auto outcome = send(until)) {
+      return *outcome;
+    }
+  }
+  m_call->set_deadline(until);
+  if (!m_head_read) {
+    if (const auto outcome = read_head()) {
+      return *outcome;
+    }
   }
-  constexpr int first_non_success_status = 300;
   if (m_options.m_streamed && m_response.m_status < first_non_success_status) {
     return relay_events();
   }
--- a/packages/gateway/src/request_processor.cpp
+++ b/packages/gateway/src/request_processor.cpp
@@ -26,6 +26,13 @@
 // its timeout without a response.
 constexpr double inactivity_timeout_share = 0.4;
 
+// A server that does not take a request says so within this time. A silent call is closed only after it, but
+// early enough that two servers never work on a request for long.
+constexpr milliseconds refusal_time{100};
+
+// A request with a body up to this size is sent without waiting for the server to read it.
+constexpr std::size_t max_offered_body_bytes = 64U << 10U;
+
 // Whether the status tells a caller that its request has not run. A response with such a status counts as
 // broken unless the server itself states that it did not run the request.
 bool status_implies_not_run(int status) {
@@ -264,6 +271,7 @@
 bool request_handler::request_processor::prepare_replacement() {
   auto& admission = m_handler.m_admission;
   if (m_caller_disconnected || m_deadline - monotonic_now() < min_time_for_retry ||
+      m_possible_runs + 1 >= m_route->m_max_attempts ||
       (m_relay.m_head_sent && m_relay.m_splitter.last_event_id().empty()) ||
       !admission.has_retry(m_service)) {
     return false;
@@ -287,10 +295,35 @@
     admission.dispatcher().release(next->m_grant.m_ticket);
     return false;
   }
+  if (!offer_to_replacement(*next)) {
+    return false;
+  }
   m_replacement = std::move(next);
   return true;
 }
 
+// Sends the request to the server that should take over. Returns false if that server does not take it, or if
+// the silent one has gone on in the meantime.
+bool request_handler::request_processor::offer_to_replacement(attempt& next) {
+  if (m_exchange.request().m_body.size() > max_offered_body_bytes) {
+    return true; // sent after the silent call has been closed
+  }
+  const time_point offered_at = monotonic_now();
+  auto outcome = next.m_call->offer(refusal_time);
+  if (!outcome && (m_caller_disconnected || m_current_call->has_unread_data())) {
+    next.m_call->cancel();
+    outcome = call_outcome::caller_gone;
+  }
+  if (!outcome) {
+    return true;
+  }
+  const bool silence_recorded = std::exchange(m_silence_recorded, false);
+  record_prompt_outcome(next.m_grant, *outcome, *next.m_call, false);
+  record_call_outcome(next.m_grant, *outcome, *next.m_call, offered_at);
+  m_silence_recorded = silence_recorded;
+  return false;
+}
+
 std::optional<request_error> request_handler::request_processor::serve() {
   auto& admission = m_handler.m_admission;
   while (true) {
--- a/packages/gateway/src/request_processor.hpp
+++ b/packages/gateway/src/request_processor.hpp
@@ -56,6 +56,7 @@
   call_options make_call_options(const fleet::dispatch_grant& grant);
   bool handle_silence(const fleet::dispatch_grant& grant);
   bool prepare_replacement();
+  bool offer_to_replacement(attempt& next);
   void handle_refusal(const admission_result& decision);
   bool may_retry(call_outcome outcome);
   void record_prompt_outcome(const fleet::dispatch_grant& grant, call_outcome outcome,
--- a/packages/net/include/cardamompond/net/http_client.hpp
+++ b/packages/net/include/cardamompond/net/http_client.hpp
@@ -61,6 +61,10 @@
   // waiting, at most for its own timeout.
   virtual void on_silence(duration timeout, duration interval, std::function<bool()> give_up) = 0;
 
+  // Waits until the server sends bytes or closes the connection, at most until the time given. Returns false
+  // if that passes first; the call can go on then.
+  virtual bool wait_for_input(time_point until) = 0;
+
   // Whether the server has sent more bytes or has closed the connection since the last read.
   virtual bool has_input() = 0;
 
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -316,6 +316,8 @@
     m_stream->on_silence(timeout, interval, std::move(give_up));
   }
 
+  bool wait_for_input(time_point until) override { return m_stream->wait_readable_until(until); }
+
   bool has_input() override { return m_stream->readable(); }
 
   void abort() override {
