Notice the silence of an engine that stops reading a request

Callers of idempotent requests and resumable streams got 504 at their deadline although another server had room: their engine had stopped reading in the middle of the body.

Cause: only reads looked for silence. A write that was blocked because the buffers were full waited until the deadline.

Change: a blocked write asks for another server at the same intervals as a read does, and goes on waiting if there is none.

--- a/packages/net/include/cardamompond/net/http_client.hpp
+++ b/packages/net/include/cardamompond/net/http_client.hpp
@@ -56,9 +56,9 @@
   // short, or that consists mostly of chunk headers or trailers, is reported as an error.
   virtual call_result<std::span<const char>> read_some(std::span<char> buffer, milliseconds timeout) = 0;
 
-  // Sets what reads do while the server is silent: after `timeout`, and again after each `interval`, the read
-  // calls `give_up` on its own fiber. If that returns true, the read fails as timed out; otherwise it goes on
-  // waiting, at most for its own timeout.
+  // Sets what the call does while the server neither sends nor takes data: after `timeout`, and again after
+  // each `interval`, the blocked operation calls `give_up` on its own fiber. If that returns true, the
+  // operation fails as timed out; otherwise it goes on waiting, at most for its own timeout.
   virtual void on_silence(duration timeout, duration interval, std::function<bool()> give_up) = 0;
 
   // Waits until the server sends bytes or closes the connection, at most until the time given. Returns false
--- a/packages/net/src/fiber_stream.cpp
+++ b/packages/net/src/fiber_stream.cpp
@@ -234,6 +234,28 @@
   return error;
 }
 
+error_code fiber_stream::wait_writable_during_silence(bool or_readable, bool& readable) {
+  const time_point deadline = m_deadline;
+  time_point check_at = monotonic_now() + m_silence_timeout;
+  while (check_at < deadline) {
+    m_deadline = check_at;
+    m_keeps_open = true;
+    m_wait_expired = false;
+    const auto error = wait_writable(or_readable, readable);
+    m_keeps_open = false;
+    m_deadline = deadline;
+    if (!m_wait_expired || is_ready(readiness::output)) {
+      return m_wait_expired ? error_code() : error;
+    }
+    if (m_give_up()) {
+      time_out();
+      return boost::beast::error::timeout;
+    }
+    check_at = monotonic_now() + m_silence_interval;
+  }
+  return wait_writable(or_readable, readable);
+}
+
 // Tries to write before it waits, because the kernel's send buffer nearly always has room for the whole
 // message.
 error_code fiber_stream::write(std::span<const asio::const_buffer> buffers, std::size_t& written,
@@ -263,7 +285,9 @@
         return {errno, boost::system::system_category()};
       }
       bool readable = false;
-      if (const auto error = wait_writable(stop_when_readable, readable); error || readable) {
+      const auto error = m_give_up ? wait_writable_during_silence(stop_when_readable, readable)
+                                   : wait_writable(stop_when_readable, readable);
+      if (error || readable) {
         return error;
       }
       continue;
--- a/packages/net/src/fiber_stream.hpp
+++ b/packages/net/src/fiber_stream.hpp
@@ -43,9 +43,10 @@
 
   boost::system::error_code connect(const boost::asio::ip::tcp::endpoint& endpoint);
 
-  // Sets what later reads do when no data arrives: after `timeout`, and again after each `interval`, the read
-  // calls `give_up` on its own fiber. If that returns true, the socket is closed and the read returns
-  // beast::error::timeout; otherwise the read goes on waiting, at most until the deadline.
+  // Sets what later reads and writes do when the peer neither sends nor takes data: after `timeout`, and
+  // again after each `interval`, the call invokes `give_up` on its own fiber. If that returns true, the
+  // socket is closed and the call returns beast::error::timeout; otherwise it goes on waiting, at most until
+  // the deadline.
   void on_silence(duration timeout, duration interval, std::function<bool()> give_up);
 
   // Whether a read would return at once, with data or with an error.
@@ -103,6 +104,7 @@
   bool is_ready(readiness awaited);
   void wait_during_silence();
   boost::system::error_code wait_writable(bool or_readable, bool& readable);
+  boost::system::error_code wait_writable_during_silence(bool or_readable, bool& readable);
 
   socket_type m_socket;
   time_point m_deadline = time_point::max();
@@ -114,7 +116,7 @@
   bool m_wait_expired = false; // it has ended for that reason
   duration m_silence_timeout{};
   duration m_silence_interval{};
-  std::function<bool()> m_give_up;      // empty: reads wait until the deadline
+  std::function<bool()> m_give_up;      // empty: calls wait until the deadline
   std::shared_ptr<timer_state> m_timer; // created by the first call that blocks
 };
 
