Keep the connection of a request while its backend server stands still

Callers saw 502, or a stream cut in its midst, 2 s after the host of a sound engine stopped acknowledging, or after the engine stopped reading a body that exceeds the buffers, also for requests that cannot be repeated.

Cause: TCP_USER_TIMEOUT of 2 s on connections to backend servers. It ends a connection without an acknowledgement and, on current kernels, one whose receive window stays closed. Callers of streams tolerate 2 s or more of silence; the only copy of the answer was given up before there was another.

The loss of acknowledgements itself was not tested: it takes a host that stands still.

Change: while a backend server may work on a request, the timeout of its connection reaches to the deadline of the request. Reservations and idle connections keep 2 s. Lost servers are still found by silence, by connecting, by reservations and by the probes on idle connections; a request that cannot be repeated and whose server is lost is answered at its deadline, with 504, and no longer after 2 s with 502.

--- a/packages/daemon/src/entry_daemon.cpp
+++ b/packages/daemon/src/entry_daemon.cpp
@@ -47,7 +47,8 @@
 // This long before the end of the drain time, requests that are still running are aborted.
 constexpr milliseconds exit_margin{350};
 
-// A connection to the store or a backend server is closed after this long without a TCP acknowledgement.
+// A connection to the store or a backend server is closed after this long without a TCP acknowledgement,
+// unless a backend server works on a request on it.
 constexpr milliseconds connection_loss_timeout{2'000};
 
 std::string_view to_string(net::request_drop cause) {
--- a/packages/gateway/src/backend_call.cpp
+++ b/packages/gateway/src/backend_call.cpp
@@ -419,6 +419,7 @@
     m_call->on_silence(m_options.m_inactivity_timeout, silence_check_interval, m_options.m_give_up);
   }
   const time_point until = m_options.m_deadline + response_margin;
+  m_call->keep_connection_until(until);
   if (!m_sent) {
     if (const auto outcome = send(until)) {
       return *outcome;
--- a/packages/net/include/cardamompond/net/http_client.hpp
+++ b/packages/net/include/cardamompond/net/http_client.hpp
@@ -37,6 +37,10 @@
   // a short time, so that a response that has already arrived is not lost.
   virtual void set_deadline(time_point deadline) = 0;
 
+  // Suspends http_client_options::m_connection_loss_timeout until the time given, because a server whose host
+  // stands still for a while may go on.
+  virtual void keep_connection_until(time_point until) = 0;
+
   // Returns whether another request may follow on the connection, which requires that the last response was
   // read to its end and that the server keeps the connection open.
   virtual bool reusable() const = 0;
@@ -89,7 +93,9 @@
   std::size_t m_max_idle_per_address = 64;
   // A shorter timeout in the server's Keep-Alive header takes precedence.
   milliseconds m_max_idle_time{30'000};
-  milliseconds m_connection_loss_timeout{0}; // time without a TCP acknowledgement; 0: system default
+  // Time without a TCP acknowledgement after which a connection is closed, unless a call keeps it for longer;
+  // 0: system default.
+  milliseconds m_connection_loss_timeout{0};
 };
 
 // Limits for obtaining a connection for one call.
--- a/packages/net/src/fiber_stream.cpp
+++ b/packages/net/src/fiber_stream.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <limits>
 #include <tuple>
 #include <utility>
 
@@ -189,15 +190,23 @@
                   [&](auto handler) { m_socket.async_wait(socket_type::wait_read, handler); });
 }
 
+void fiber_stream::set_option(int level, int name, int value) {
+  ::setsockopt(m_socket.native_handle(), level, name, &value, sizeof value);
+}
+
 void fiber_stream::set_connection_loss_timeout(duration timeout) {
-  const auto set_option = [&](int level, int name, int value) {
-    ::setsockopt(m_socket.native_handle(), level, name, &value, sizeof value);
-  };
-  const auto ms = static_cast<int>(std::chrono::duration_cast<milliseconds>(timeout).count());
+  if (std::exchange(m_connection_loss_timeout, timeout) != timeout) {
+    constexpr std::int64_t max_ms = std::numeric_limits<int>::max();
+    const std::int64_t ms = std::chrono::duration_cast<milliseconds>(timeout).count();
+    set_option(IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(std::min(ms, max_ms)));
+  }
+}
+
+void fiber_stream::enable_keep_alive_probes(duration timeout) {
+  const auto seconds_of_timeout = static_cast<int>(std::chrono::duration_cast<seconds>(timeout).count());
   constexpr int probes = 2;
-  set_option(IPPROTO_TCP, TCP_USER_TIMEOUT, ms);
   set_option(SOL_SOCKET, SO_KEEPALIVE, 1);
-  set_option(IPPROTO_TCP, TCP_KEEPIDLE, std::max(1, ms / 1000 / 2));
+  set_option(IPPROTO_TCP, TCP_KEEPIDLE, std::max(1, seconds_of_timeout / 2));
   set_option(IPPROTO_TCP, TCP_KEEPINTVL, 1);
   set_option(IPPROTO_TCP, TCP_KEEPCNT, probes);
 }
--- a/packages/net/src/fiber_stream.hpp
+++ b/packages/net/src/fiber_stream.hpp
@@ -82,10 +82,13 @@
   // that passes first; the connection stays open then.
   bool wait_readable_until(time_point until);
 
-  // Fails the connection if the peer acknowledges nothing for `timeout`. Also enables keep-alive probes, so
-  // that the loss of an idle connection is detected.
+  // Fails the connection if the peer acknowledges nothing, or keeps its receive window closed, for `timeout`.
   void set_connection_loss_timeout(duration timeout);
 
+  // Enables keep-alive probes, so that the loss of a connection on which nothing is sent is detected within
+  // about `timeout`.
+  void enable_keep_alive_probes(duration timeout);
+
   // Makes a blocked call return operation_aborted.
   void cancel();
 
@@ -98,6 +101,7 @@
   template <typename StartOperation>
   boost::system::error_code wait_for(readiness awaited, const StartOperation& start_operation,
                                      std::size_t* bytes = nullptr);
+  void set_option(int level, int name, int value);
   void arm_timer(time_point when);
   void on_timer();
   void time_out();
@@ -114,6 +118,7 @@
   bool m_timed_out = false;
   bool m_keeps_open = false;   // the blocked call ends at its deadline without closing the socket
   bool m_wait_expired = false; // it has ended for that reason
+  duration m_connection_loss_timeout{};
   duration m_silence_timeout{};
   duration m_silence_interval{};
   std::function<bool()> m_give_up;      // empty: calls wait until the deadline
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -178,6 +178,7 @@
   if (idle.size() < m_options.m_max_idle_per_address) {
     stream->expires_never();
     stream->on_silence({}, {}, nullptr);
+    stream->set_connection_loss_timeout(m_options.m_connection_loss_timeout);
     idle.push_back({std::move(stream), opened_at, monotonic_now(),
                     std::min<duration>(max_idle_time, m_options.m_max_idle_time)});
   }
@@ -190,13 +191,14 @@
   using release_callback = std::function<void(std::unique_ptr<fiber_stream>, duration)>;
 
   client_call(std::unique_ptr<fiber_stream> stream, bool reused, std::string address,
-              std::uint32_t max_header_bytes, release_callback release_connection)
+              const http_client_options& options, release_callback release_connection)
       : m_stream(std::move(stream))
       , m_reused(reused)
       , m_address(std::move(address))
-      , m_max_header_bytes(max_header_bytes)
+      , m_max_header_bytes(options.m_max_header_bytes)
+      , m_connection_loss_timeout(options.m_connection_loss_timeout)
       , m_release_connection(std::move(release_connection)) {
-    m_buffer.max_size(max_header_bytes + (16U << 10U));
+    m_buffer.max_size(m_max_header_bytes + (16U << 10U));
     prepare_parser();
   }
 
@@ -211,6 +213,13 @@
     m_deadline_extended = false;
   }
 
+  void keep_connection_until(time_point until) override {
+    if (m_connection_loss_timeout > milliseconds(0)) {
+      m_stream->set_connection_loss_timeout(
+          std::max<duration>(m_connection_loss_timeout, until - monotonic_now()));
+    }
+  }
+
   bool reused() const override { return m_reused; }
   bool ends_with_connection() const override { return m_parser->need_eof(); }
   bool reusable() const override { return m_reusable && m_buffer.size() == 0; }
@@ -389,6 +398,7 @@
   bool m_reused;
   std::string m_address;
   std::uint32_t m_max_header_bytes;
+  milliseconds m_connection_loss_timeout;
   release_callback m_release_connection;
   duration m_max_idle_time = duration::max();
   time_point m_deadline = time_point::max();
@@ -438,6 +448,7 @@
     stream->socket().set_option(tcp::no_delay(true), ignored);
     if (m_impl->m_options.m_connection_loss_timeout > milliseconds(0)) {
       stream->set_connection_loss_timeout(m_impl->m_options.m_connection_loss_timeout);
+      stream->enable_keep_alive_probes(m_impl->m_options.m_connection_loss_timeout);
     }
   }
   auto release_connection = [pool = std::weak_ptr<impl>(m_impl), key,
@@ -447,7 +458,7 @@
     }
   };
   return std::unique_ptr<http_call>(std::make_unique<client_call>(
-      std::move(stream), reused, key, m_impl->m_options.m_max_header_bytes, std::move(release_connection)));
+      std::move(stream), reused, key, m_impl->m_options, std::move(release_connection)));
 }
 
 std::uint64_t http_client::connections_opened() const {
--- a/packages/net/tests/http_test.cpp
+++ b/packages/net/tests/http_test.cpp
@@ -167,6 +167,53 @@
   boost::this_fiber::sleep_for(milliseconds(300)); // waits until the handler of `silent` has returned
 }
 
+// Guards against a call that ends early although its server is sound: the server stood still for longer than
+// the connection loss timeout, so that its receive window stayed closed, and then went on.
+TEST(http, call_outlives_a_pause_of_its_server_beyond_the_connection_loss_timeout) {
+  constexpr milliseconds loss_timeout{300};
+  constexpr milliseconds pause = 4 * loss_timeout;
+  boost::asio::ip::tcp::acceptor acceptor(m_runtime.context());
+  acceptor.open(boost::asio::ip::tcp::v4());
+  acceptor.set_option(boost::asio::socket_base::receive_buffer_size(8'192));
+  acceptor.bind({boost::asio::ip::make_address("127.0.0.1"), 0});
+  acceptor.listen();
+  const std::string body(8U << 20U, 'x');
+  bool served = false;
+  fiber_runtime::spawn([&] {
+    boost::asio::ip::tcp::socket socket(m_runtime.context());
+    io_wait accepted;
+    acceptor.async_accept(socket, accepted.handler());
+    CHECK_FALSE(accepted.wait());
+    boost::this_fiber::sleep_for(pause);
+    std::vector<char> bytes(1U << 16U);
+    for (std::size_t total = 0; total < body.size();) {
+      io_wait read;
+      socket.async_read_some(boost::asio::buffer(bytes), read.handler());
+      if (read.wait()) {
+        break;
+      }
+      total += read.bytes();
+    }
+    io_wait written;
+    boost::asio::async_write(socket, boost::asio::buffer("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 38),
+                             written.handler());
+    std::ignore = written.wait();
+    served = true;
+  });
+  http_client client(m_runtime, {.m_connection_loss_timeout = loss_timeout});
+  auto opened = client.open("127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()));
+  CHECK(opened.has_value());
+  http_call& call = **opened;
+  call.keep_connection_until(monotonic_now() + seconds(6));
+  const auto sent = call.send({"POST", "/", {}, body}, seconds(6));
+  const auto head = sent ? call.read_head(seconds(6)) : call_result<http_response>(sent.error());
+  while (!served) {
+    boost::this_fiber::sleep_for(milliseconds(5));
+  }
+  CHECK_TEXT(head.has_value(), "the call ended before its deadline");
+  LONGS_EQUAL(200, head->m_status);
+}
+
 // Guards against a request that ends without a response and without a trace in the log.
 TEST(http, request_without_a_response_is_reported) {
   http_server server(m_runtime, {.m_address = "127.0.0.1:0", .m_idle_timeout = milliseconds(50)},
