--- a/packages/net/include/cardamompond/net/http_client.hpp
+++ b/packages/net/include/cardamompond/net/http_client.hpp
@@ -37,6 +37,10 @@
   // a short time, so that a response that has already arrived is not lost.
   virtual void set_deadline(time_point deadline) = 0;
 
+  // Suspends http_client_options::m_connection_loss_timeout until the time given, because a server whose host
+  // stands still for a while may go on.
+  virtual void keep_connection_until(time_point until) = 0;
+
   // Returns whether another request may follow on the connection, which requires that the last response was
   // read to its end and that the server keeps the connection open.
   virtual bool reusable() const = 0;
@@ -56,11 +60,15 @@
   // short, or that consists mostly of chunk headers or trailers, is reported as an error.
   virtual call_result<std::span<const char>> read_some(std::span<char> buffer, milliseconds timeout) = 0;
 
-  // Sets what reads do while the server is silent: after `timeout`, and again after each `interval`, the read
-  // calls `give_up` on its own fiber. If that returns true, the read fails as timed out; otherwise it goes on
-  // waiting, at most for its own timeout.
+  // Sets what the call does while the server neither sends nor takes data: after `timeout`, and again after
+  // each `interval`, the blocked operation calls `give_up` on its own fiber. If that returns true, the
+  // operation fails as timed out; otherwise it goes on waiting, at most for its own timeout.
   virtual void on_silence(duration timeout, duration interval, std::function<bool()> give_up) = 0;
 
+  // Waits until the server sends bytes or closes the connection, at most until the time given. Returns false
+  // if that passes first; the call can go on then.
+  virtual bool wait_for_input(time_point until) = 0;
+
   // Whether the server has sent more bytes or has closed the connection since the last read.
   virtual bool has_input() = 0;
 
@@ -85,7 +93,9 @@
   std::size_t m_max_idle_per_address = 64;
   // A shorter timeout in the server's Keep-Alive header takes precedence.
   milliseconds m_max_idle_time{30'000};
-  milliseconds m_connection_loss_timeout{0}; // time without a TCP acknowledgement; 0: system default
+  // Time without a TCP acknowledgement after which a connection is closed, unless a call keeps it for longer;
+  // 0: system default.
+  milliseconds m_connection_loss_timeout{0};
 };
 
 // Limits for obtaining a connection for one call.
--- a/packages/net/src/fiber_stream.cpp
+++ b/packages/net/src/fiber_stream.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <limits>
 #include <tuple>
 #include <utility>
 
@@ -189,15 +190,23 @@
                   [&](auto handler) { m_socket.async_wait(socket_type::wait_read, handler); });
 }
 
+void fiber_stream::set_option(int level, int name, int value) {
+  ::setsockopt(m_socket.native_handle(), level, name, &value, sizeof value);
+}
+
 void fiber_stream::set_connection_loss_timeout(duration timeout) {
-  const auto set_option = [&](int level, int name, int value) {
-    ::setsockopt(m_socket.native_handle(), level, name, &value, sizeof value);
-  };
-  const auto ms = static_cast<int>(std::chrono::duration_cast<milliseconds>(timeout).count());
+  if (std::exchange(m_connection_loss_timeout, timeout) != timeout) {
+    constexpr std::int64_t max_ms = std::numeric_limits<int>::max();
+    const std::int64_t ms = std::chrono::duration_cast<milliseconds>(timeout).count();
+    set_option(IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(std::min(ms, max_ms)));
+  }
+}
+
+void fiber_stream::enable_keep_alive_probes(duration timeout) {
+  const auto seconds_of_timeout = static_cast<int>(std::chrono::duration_cast<seconds>(timeout).count());
   constexpr int probes = 2;
-  set_option(IPPROTO_TCP, TCP_USER_TIMEOUT, ms);
   set_option(SOL_SOCKET, SO_KEEPALIVE, 1);
-  set_option(IPPROTO_TCP, TCP_KEEPIDLE, std::max(1, ms / 1000 / 2));
+  set_option(IPPROTO_TCP, TCP_KEEPIDLE, std::max(1, seconds_of_timeout / 2));
   set_option(IPPROTO_TCP, TCP_KEEPINTVL, 1);
   set_option(IPPROTO_TCP, TCP_KEEPCNT, probes);
 }
@@ -234,6 +243,28 @@
   return error;
 }
 
+error_code fiber_stream::wait_writable_during_silence(bool or_readable, bool& readable) {
+  const time_point deadline = m_deadline;
+  time_point check_at = monotonic_now() + m_silence_timeout;
+  while (check_at < deadline) {
+    m_deadline = check_at;
+    m_keeps_open = true;
+    m_wait_expired = false;
+    const auto error = wait_writable(or_readable, readable);
+    m_keeps_open = false;
+    m_deadline = deadline;
+    if (!m_wait_expired || is_ready(readiness::output)) {
+      return m_wait_expired ? error_code() : error;
+    }
+    if (m_give_up()) {
+      time_out();
+      return boost::beast::error::timeout;
+    }
+    check_at = monotonic_now() + m_silence_interval;
+  }
+  return wait_writable(or_readable, readable);
+}
+
 // Tries to write before it waits, because the kernel's send buffer nearly always has room for the whole
 // message.
 error_code fiber_stream::write(std::span<const asio::const_buffer> buffers, std::size_t& written,
@@ -263,7 +294,9 @@
         return {errno, boost::system::system_category()};
       }
       bool readable = false;
-      if (const auto error = wait_writable(stop_when_readable, readable); error || readable) {
+      const auto error = m_give_up ? wait_writable_during_silence(stop_when_readable, readable)
+                                   : wait_writable(stop_when_readable, readable);
+      if (error || readable) {
         return error;
       }
       continue;
--- a/packages/net/src/fiber_stream.hpp
+++ b/packages/net/src/fiber_stream.hpp
@@ -43,9 +43,10 @@
 
   boost::system::error_code connect(const boost::asio::ip::tcp::endpoint& endpoint);
 
-  // Sets what later reads do when no data arrives: after `timeout`, and again after each `interval`, the read
-  // calls `give_up` on its own fiber. If that returns true, the socket is closed and the read returns
-  // beast::error::timeout; otherwise the read goes on waiting, at most until the deadline.
+  // Sets what later reads and writes do when the peer neither sends nor takes data: after `timeout`, and
+  // again after each `interval`, the call invokes `give_up` on its own fiber. If that returns true, the
+  // socket is closed and the call returns beast::error::timeout; otherwise it goes on waiting, at most until
+  // the deadline.
   void on_silence(duration timeout, duration interval, std::function<bool()> give_up);
 
   // Whether a read would return at once, with data or with an error.
@@ -81,10 +82,13 @@
   // that passes first; the connection stays open then.
   bool wait_readable_until(time_point until);
 
-  // Fails the connection if the peer acknowledges nothing for `timeout`. Also enables keep-alive probes, so
-  // that the loss of an idle connection is detected.
+  // Fails the connection if the peer acknowledges nothing, or keeps its receive window closed, for `timeout`.
   void set_connection_loss_timeout(duration timeout);
 
+  // Enables keep-alive probes, so that the loss of a connection on which nothing is sent is detected within
+  // about `timeout`.
+  void enable_keep_alive_probes(duration timeout);
+
   // Makes a blocked call return operation_aborted.
   void cancel();
 
@@ -97,12 +101,14 @@
   template <typename StartOperation>
   boost::system::error_code wait_for(readiness awaited, const StartOperation& start_operation,
                                      std::size_t* bytes = nullptr);
+  void set_option(int level, int name, int value);
   void arm_timer(time_point when);
   void on_timer();
   void time_out();
   bool is_ready(readiness awaited);
   void wait_during_silence();
   boost::system::error_code wait_writable(bool or_readable, bool& readable);
+  boost::system::error_code wait_writable_during_silence(bool or_readable, bool& readable);
 
   socket_type m_socket;
   time_point m_deadline = time_point::max();
@@ -112,9 +118,10 @@
   bool m_timed_out = false;
   bool m_keeps_open = false;   // the blocked call ends at its deadline without closing the socket
   bool m_wait_expired = false; // it has ended for that reason
+  duration m_connection_loss_timeout{};
   duration m_silence_timeout{};
   duration m_silence_interval{};
-  std::function<bool()> m_give_up;      // empty: reads wait until the deadline
+  std::function<bool()> m_give_up;      // empty: calls wait until the deadline
   std::shared_ptr<timer_state> m_timer; // created by the first call that blocks
 };
 
