End keep-alive probes while a backend server works on a request

What callers saw: streams that may not be repeated ended in their midst, and plain requests got 502, exactly 3.0 s after the engine's host stopped acknowledging, while callers of such streams tolerate 3.2 s of silence.

Change: a connection is probed only while no request is at work on it.

connection_is_probed_only_while_no_call_waits_for_its_server failed before.

--- a/packages/net/src/fiber_stream.cpp
+++ b/packages/net/src/fiber_stream.cpp
@@ -202,13 +202,18 @@
   }
 }
 
-void fiber_stream::enable_keep_alive_probes(duration timeout) {
-  const auto seconds_of_timeout = static_cast<int>(std::chrono::duration_cast<seconds>(timeout).count());
-  constexpr int probes = 2;
-  set_option(SOL_SOCKET, SO_KEEPALIVE, 1);
-  set_option(IPPROTO_TCP, TCP_KEEPIDLE, std::max(1, seconds_of_timeout / 2));
-  set_option(IPPROTO_TCP, TCP_KEEPINTVL, 1);
-  set_option(IPPROTO_TCP, TCP_KEEPCNT, probes);
+void fiber_stream::set_keep_alive_probes(duration timeout) {
+  if (std::exchange(m_keep_alive_timeout, timeout) == timeout) {
+    return;
+  }
+  set_option(SOL_SOCKET, SO_KEEPALIVE, timeout > duration::zero() ? 1 : 0);
+  if (timeout > duration::zero()) {
+    constexpr int probes = 2;
+    const auto timeout_s = static_cast<int>(std::chrono::duration_cast<seconds>(timeout).count());
+    set_option(IPPROTO_TCP, TCP_KEEPIDLE, std::max(1, timeout_s / 2));
+    set_option(IPPROTO_TCP, TCP_KEEPINTVL, 1);
+    set_option(IPPROTO_TCP, TCP_KEEPCNT, probes);
+  }
 }
 
 // If `or_readable` is set, waits until the socket is writable or readable. The first of the two waits to
--- a/packages/net/src/fiber_stream.hpp
+++ b/packages/net/src/fiber_stream.hpp
@@ -85,9 +85,9 @@
   // Fails the connection if the peer acknowledges nothing, or keeps its receive window closed, for `timeout`.
   void set_connection_loss_timeout(duration timeout);
 
-  // Enables keep-alive probes, so that the loss of a connection on which nothing is sent is detected within
-  // about `timeout`.
-  void enable_keep_alive_probes(duration timeout);
+  // Probes the connection while nothing is sent on it, so that its loss is detected within about `timeout`;
+  // zero ends the probes.
+  void set_keep_alive_probes(duration timeout);
 
   // Makes a blocked call return operation_aborted.
   void cancel();
@@ -119,6 +119,7 @@
   bool m_keeps_open = false;   // the blocked call ends at its deadline without closing the socket
   bool m_wait_expired = false; // it has ended for that reason
   duration m_connection_loss_timeout{};
+  duration m_keep_alive_timeout{}; // zero: the connection is not probed
   duration m_silence_timeout{};
   duration m_silence_interval{};
   std::function<bool()> m_give_up;      // empty: calls wait until the deadline
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -179,6 +179,7 @@
     stream->expires_never();
     stream->on_silence({}, {}, nullptr);
     stream->set_connection_loss_timeout(m_options.m_connection_loss_timeout);
+    stream->set_keep_alive_probes(m_options.m_connection_loss_timeout);
     idle.push_back({std::move(stream), opened_at, monotonic_now(),
                     std::min<duration>(max_idle_time, m_options.m_max_idle_time)});
   }
@@ -217,6 +218,7 @@
     if (m_connection_loss_timeout > milliseconds(0)) {
       m_stream->set_connection_loss_timeout(
           std::max<duration>(m_connection_loss_timeout, until - monotonic_now()));
+      m_stream->set_keep_alive_probes({});
     }
   }
 
@@ -448,7 +450,7 @@
     stream->socket().set_option(tcp::no_delay(true), ignored);
     if (m_impl->m_options.m_connection_loss_timeout > milliseconds(0)) {
       stream->set_connection_loss_timeout(m_impl->m_options.m_connection_loss_timeout);
-      stream->enable_keep_alive_probes(m_impl->m_options.m_connection_loss_timeout);
+      stream->set_keep_alive_probes(m_impl->m_options.m_connection_loss_timeout);
     }
   }
   auto release_connection = [pool = std::weak_ptr<impl>(m_impl), key,
--- a/packages/net/tests/http_test.cpp
+++ b/packages/net/tests/http_test.cpp
@@ -15,6 +15,10 @@
 #include <tuple>
 #include <vector>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 using namespace cardamompond;
 using namespace cardamompond::net;
 
@@ -29,6 +33,23 @@
   return "127.0.0.1:" + std::to_string(server.port());
 }
 
+// Returns an option of this process's connection to the port on the loopback address, or -1 without one.
+int get_socket_option(std::uint16_t port, int level, int name) {
+  constexpr int max_descriptors = 1'024;
+  for (int descriptor = 0; descriptor < max_descriptors; ++descriptor) {
+    sockaddr_in peer{};
+    socklen_t length = sizeof peer;
+    if (::getpeername(descriptor, reinterpret_cast<sockaddr*>(&peer), &length) == 0 &&
+        peer.sin_family == AF_INET && ntohs(peer.sin_port) == port) {
+      int value = -1;
+      length = sizeof value;
+      ::getsockopt(descriptor, level, name, &value, &length);
+      return value;
+    }
+  }
+  return -1;
+}
+
 // A connection that sends any bytes at any time.
 class raw_connection {
 public:
@@ -167,6 +188,32 @@
   boost::this_fiber::sleep_for(milliseconds(300)); // waits until the handler of `silent` has returned
 }
 
+// Guards against a call that ends early although its server is sound: the host of the server stood still, so
+// that keep-alive probes of the connection were not acknowledged for a few seconds.
+TEST(http, connection_is_probed_only_while_no_call_waits_for_its_server) {
+  http_server server(m_runtime, {.m_address = "127.0.0.1:0"}, [](http_exchange& exchange) {
+    std::ignore = exchange.respond({200, {}, "ok"});
+  });
+  constexpr milliseconds loss_timeout{2'000};
+  http_client client(m_runtime, {.m_connection_loss_timeout = loss_timeout});
+  {
+    auto opened = client.open(loopback_address(server));
+    CHECK(opened.has_value());
+    LONGS_EQUAL(1, get_socket_option(server.port(), SOL_SOCKET, SO_KEEPALIVE));
+    (*opened)->keep_connection_until(monotonic_now() + seconds(10));
+    LONGS_EQUAL(0, get_socket_option(server.port(), SOL_SOCKET, SO_KEEPALIVE));
+    CHECK(get_socket_option(server.port(), IPPROTO_TCP, TCP_USER_TIMEOUT) > 4 * loss_timeout.count());
+    CHECK((*opened)->send({"GET", "/", {}, {}}, milliseconds(1'000)).has_value());
+    CHECK((*opened)->read_head(milliseconds(1'000)).has_value());
+    std::array<char, 8> body{};
+    while (!(*opened)->reusable()) {
+      CHECK((*opened)->read_some(body, milliseconds(1'000)).has_value());
+    }
+  }
+  LONGS_EQUAL(1, get_socket_option(server.port(), SOL_SOCKET, SO_KEEPALIVE));
+  LONGS_EQUAL(loss_timeout.count(), get_socket_option(server.port(), IPPROTO_TCP, TCP_USER_TIMEOUT));
+}
+
 // Guards against a call that ends early although its server is sound: the server stood still for longer than
 // the connection loss timeout, so that its receive window stayed closed, and then went on.
 TEST(http, call_outlives_a_pause_of_its_server_beyond_the_connection_loss_timeout) {
