Report a client that leaves only if the server has not closed the connection itself

The doc comment of begin_drain() now says what a connection that was announced as open may still be used for.

--- a/packages/net/include/cardamompond/net/http_server.hpp
+++ b/packages/net/include/cardamompond/net/http_server.hpp
@@ -110,8 +110,9 @@
   // Returns the port that the server listens on.
   std::uint16_t port() const;
 
-  // Keeps serving, but closes each connection after its next response. Clients thus move to other hosts, and
-  // no request is lost because its connection closes while it is being sent.
+  // Keeps serving, but announces with each response that begins from now on that its connection closes.
+  // Clients thus move to other hosts, and no request is lost because its connection closes while it is being
+  // sent.
   void begin_drain();
 
   // Stops accepting connections and closes idle ones. A connection with a request in progress closes after
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -153,8 +153,8 @@
   // Reports a request that arrives in between, without reading it: it crossed the close and is not served.
   void close_gracefully();
 
-  // Returns the header that tells the client whether, and for how long, it may use the connection again.
-  std::string make_connection_header();
+  // Decides whether the client may use the connection again, and returns the header that tells it so.
+  std::string announce_connection_use();
 
   // Waits until the next request begins. Returns false if the connection has been idle for too long.
   bool wait_for_request();
@@ -274,7 +274,7 @@
     } else if (error.category() == http::make_error_code(http::error::bad_target).category() &&
                error != http::error::end_of_stream && error != http::error::partial_message) {
       respond_to_parse_failure(http_parse_failure::bad_request);
-    } else if (error != http::error::end_of_stream) {
+    } else if (error != http::error::end_of_stream && m_stream.socket().is_open()) {
       m_server->report_drop(request_drop::client_closed, error.message());
     }
     return false;
@@ -331,7 +331,7 @@
   return success{};
 }
 
-std::string http_server::impl::connection::make_connection_header() {
+std::string http_server::impl::connection::announce_connection_use() {
   m_stated_open = m_request_keep_alive && !m_close && !m_server->m_draining;
   if (!m_stated_open) {
     return "Connection: close\r\n";
@@ -345,7 +345,7 @@
     return io_error{"answer already begun"};
   }
   const std::string head =
-      serialise_head(response.m_status, response.m_headers, make_connection_header(),
+      serialise_head(response.m_status, response.m_headers, announce_connection_use(),
                      "Content-Length: " + std::to_string(response.m_body.size()) + "\r\n");
   const bool head_only = m_request.m_method == "HEAD";
   const std::array<asio::const_buffer, 2> buffers = {
@@ -374,7 +374,7 @@
     framing = "Transfer-Encoding: chunked\r\n";
     m_response_state = response_state::chunked_body;
   }
-  const std::string head = serialise_head(status, headers, make_connection_header(), framing);
+  const std::string head = serialise_head(status, headers, announce_connection_use(), framing);
   return write_buffers(asio::buffer(head));
 }
 
