Let requests that may have run wait although new ones are refused

What callers would see: a stream that ends in its midst, or 502, beside a change of the list of servers or while all servers of a service are silent for a moment.

Cause: a request that lost its server after it may have run is queued like a new one, and was refused like one: after 500 ms without an eligible server, at once when others of its kind were waiting, or when its first event could no longer be on time. A new request is told when to come back; for this one the refusal is the end of its answer.

Test a_request_that_may_have_run_waits_although_new_ones_are_refused failed before; fleet_tests pass.

--- a/packages/fleet/src/queueing.cpp
+++ b/packages/fleet/src/queueing.cpp
@@ -117,10 +117,14 @@
 }
 
 // Whether the requests of the same kind that are already waiting will probably take longer than this one may
-// wait, judged by the grant rate.
+// wait, judged by the grant rate. A request that may have run is never refused for that, because its caller
+// cannot be told to come back.
 bool exceeds_wait_limit(dispatch_tables& tables, const std::deque<waiting_request>& queue,
                         const waiting_request& waiting, time_point now) {
   const submission& request = waiting.m_request;
+  if (request.m_may_have_run) {
+    return false;
+  }
   const auto ahead =
       static_cast<std::size_t>(std::count_if(queue.begin(), queue.end(), [&](const waiting_request& each) {
         return &each != &waiting && each.m_request.m_rank <= request.m_rank &&
@@ -222,8 +226,9 @@
       }
       const bool has_server = has_eligible_server(tables, name, now);
       const time_point refuse_at =
-          has_server ? waiting.m_refuse_at
-                     : std::min(waiting.m_refuse_at, waiting_since(request) + max_wait_without_server);
+          has_server || request.m_may_have_run
+              ? waiting.m_refuse_at
+              : std::min(waiting.m_refuse_at, waiting_since(request) + max_wait_without_server);
       if (now >= refuse_at) {
         decisions.emplace_back(dispatch_refusal{
             request.m_ticket, has_server ? refusal_reason::no_capacity : refusal_reason::no_backend_server,
--- a/packages/fleet/tests/dispatcher_test.cpp
+++ b/packages/fleet/tests/dispatcher_test.cpp
@@ -315,6 +315,33 @@
   LONGS_EQUAL(1, count_results(daemon.tick(), "s1"));
 }
 
+// Guards against a stream that is cut in its midst because it lost its server while the others were silent
+// for a moment, or while requests that can still be refused were waiting. Its caller cannot be told to come
+// back.
+TEST(dispatcher, a_request_that_may_have_run_waits_although_new_ones_are_refused) {
+  daemon.set_servers({make_server("s1", "a", 1)});
+  daemon.m_dispatcher.submit(daemon.make_request(1), daemon.m_now);
+  LONGS_EQUAL(1, count_results(daemon.tick(), "s1"));
+  for (const ticket each : {11, 12, 13}) {
+    auto interrupted = daemon.make_request(each);
+    interrupted.m_may_have_run = true;
+    interrupted.m_first_token_due = daemon.m_now - milliseconds(4'000);
+    daemon.m_dispatcher.submit(interrupted, daemon.m_now);
+  }
+  daemon.m_dispatcher.submit(daemon.make_request(2), daemon.m_now);
+  for (int i = 0; i < 6; ++i) {
+    daemon.m_dispatcher.record_silence(1, daemon.m_now);
+    const auto results = daemon.tick();
+    for (const ticket each : {11, 12, 13}) {
+      CHECK_FALSE(results.contains(each));
+    }
+    daemon.m_now += milliseconds(100);
+  }
+  daemon.m_dispatcher.finish(1, server_outcome::answered, daemon.m_now);
+  daemon.m_now += milliseconds(350);
+  LONGS_EQUAL(1, count_results(daemon.tick(), "s1"));
+}
+
 // Guards against new requests that are sent to a server while it is silent. It has free places because its
 // requests do not end, so that they would all go there.
 TEST(dispatcher, silent_server_receives_no_new_requests) {
