Keep the server that took over when the silent one closes, and the silent one when the other refuses late

What callers would see: a stream that ends in its midst, or 502, after a silence of its engine.

Causes: a silent engine that closed its connection while the other server was taking the request was taken for one that goes on, and the call to the sound server was closed. A server that refused the request later than 100 ms left nothing to go to, since the silent one counted as tried.

Change: the end of a connection is told from data; the call that takes over stays, whatever the silent call ends with, unless the caller has left. A server that was given up for silence may be asked again. No offer is made when the deadline would pass during it.

--- a/packages/gateway/include/cardamompond/gateway/backend_call.hpp
+++ b/packages/gateway/include/cardamompond/gateway/backend_call.hpp
@@ -89,6 +89,9 @@
   // Whether the server has sent data that has not been read yet, or has closed the connection.
   bool has_unread_data() const { return m_call && m_call->has_input(); }
 
+  // Whether the server has closed the connection, and nothing of its answer is left to read.
+  bool has_ended() const { return m_call && m_call->input_ended(); }
+
   // Makes run() return caller_gone. May be called from another fiber or an event handler.
   void cancel();
 
--- a/packages/gateway/src/request_outcome.cpp
+++ b/packages/gateway/src/request_outcome.cpp
@@ -79,8 +79,9 @@
   const int status = call.response().m_status;
   m_failure_reason = call.failure();
   ++m_dispatches;
-  if (outcome != call_outcome::no_room) {
-    m_tried_servers.push_back(grant.m_server.m_id); // a server without room now may have room soon
+  // A server without room may have room soon, and a silent one may go on.
+  if (outcome != call_outcome::no_room && outcome != call_outcome::silent) {
+    m_tried_servers.push_back(grant.m_server.m_id);
   }
   const bool may_have_run = may_have_run_after(outcome);
   if (may_have_run) {
--- a/packages/gateway/src/request_processor.cpp
+++ b/packages/gateway/src/request_processor.cpp
@@ -270,7 +270,7 @@
 // because its server may be sound and go on.
 bool request_handler::request_processor::prepare_replacement() {
   auto& admission = m_handler.m_admission;
-  if (m_caller_disconnected || m_deadline - monotonic_now() < min_time_for_retry ||
+  if (m_caller_disconnected || m_deadline - monotonic_now() < refusal_time + min_time_for_retry ||
       m_possible_runs + 1 >= m_route->m_max_attempts ||
       (m_relay.m_head_sent && m_relay.m_splitter.last_event_id().empty()) ||
       !admission.has_retry(m_service)) {
@@ -310,7 +310,8 @@
   }
   const time_point offered_at = monotonic_now();
   auto outcome = next.m_call->offer(refusal_time);
-  if (!outcome && (m_caller_disconnected || m_current_call->has_unread_data())) {
+  const bool goes_on = m_current_call->has_unread_data() && !m_current_call->has_ended();
+  if (!outcome && (m_caller_disconnected || goes_on)) {
     next.m_call->cancel();
     outcome = call_outcome::caller_gone;
   }
@@ -355,15 +356,16 @@
     }
     m_granted_at = monotonic_now();
     const call_outcome outcome = dispatch(*current);
-    if (outcome == call_outcome::answered || outcome == call_outcome::relayed) {
-      return std::nullopt;
-    }
-    if (m_replacement && outcome == call_outcome::silent) {
-      continue;
+    const bool answered = outcome == call_outcome::answered || outcome == call_outcome::relayed;
+    if (m_replacement && !answered && outcome != call_outcome::caller_gone) {
+      continue; // the replacement may have the request already
     }
     if (m_replacement) {
       admission.dispatcher().release(std::exchange(m_replacement, nullptr)->m_grant.m_ticket);
     }
+    if (answered) {
+      return std::nullopt;
+    }
     if (!may_retry(outcome)) {
       return finish_after_failure();
     }
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -331,6 +331,12 @@
 
   bool has_input() override { return m_stream->readable(); }
 
+  bool input_ended() override {
+    char byte = 0;
+    const auto received = ::recv(m_stream->socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+  }
+
   void abort() override {
     m_reusable = false;
     boost::system::error_code ignored;
