Pause after a connection could not be accepted

A server whose process had no free file descriptor tried again at once, so that it took the whole processor and wrote a line for each attempt. Callers saw slow answers from the other connections of that daemon.

The new test took more than its 20 failures in 200 ms before (`failures <= max_failures` failed); with the pause of 20 ms it passes.

--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <boost/fiber/operations.hpp>
 
 #include <array>
 #include <charconv>
@@ -32,6 +33,9 @@
 // time.
 constexpr milliseconds crossing_time{500};
 
+// Pause after a connection could not be accepted.
+constexpr milliseconds accept_retry_interval{20};
+
 // Serialises the status line and headers of a response. Omits headers that contain line breaks, with which a
 // backend server or a client could forge further headers.
 std::string serialise_head(int status, const http_headers& headers, bool keep_alive,
@@ -435,6 +439,7 @@
         return;
       }
       report_drop(request_drop::accept_failure, error.message());
+      boost::this_fiber::sleep_for(accept_retry_interval); // a free descriptor may be missing
       continue;
     }
     if (m_connections.size() >= m_options.m_max_connections) {
--- a/packages/net/tests/http_test.cpp
+++ b/packages/net/tests/http_test.cpp
@@ -15,6 +15,9 @@
 #include <tuple>
 #include <vector>
 
+#include <sys/resource.h>
+#include <unistd.h>
+
 using namespace cardamompond;
 using namespace cardamompond::net;
 
@@ -301,3 +304,33 @@
   CHECK_TEXT(sender.read_until("ok"), "the connection was closed");
   UNSIGNED_LONGS_EQUAL(0, server.active_requests());
 }
+
+// Guards against a server that retries without a pause, and so takes the whole processor and floods the log,
+// while its process has no free file descriptor.
+TEST(http, server_without_free_descriptors_pauses_between_its_attempts_to_accept) {
+  http_server server(m_runtime, {.m_address = "127.0.0.1:0"}, [](http_exchange& exchange) {
+    std::ignore = exchange.respond({200, {}, "x"});
+  });
+  int failures = 0;
+  server.set_drop_observer([&](request_drop cause, std::string_view /*detail*/) {
+    failures += cause == request_drop::accept_failure ? 1 : 0;
+  });
+  boost::asio::ip::tcp::socket waiting(m_runtime.context());
+  waiting.open(boost::asio::ip::tcp::v4());
+  const int first_free = ::dup(0);
+  ::close(first_free);
+  rlimit before{};
+  ::getrlimit(RLIMIT_NOFILE, &before);
+  const rlimit none_free{static_cast<rlim_t>(first_free), before.rlim_max};
+  ::setrlimit(RLIMIT_NOFILE, &none_free);
+  io_wait wait;
+  waiting.async_connect({boost::asio::ip::make_address("127.0.0.1"), server.port()}, wait.handler());
+  std::ignore = wait.wait();
+  boost::this_fiber::sleep_for(milliseconds(200));
+  ::setrlimit(RLIMIT_NOFILE, &before);
+  constexpr int max_failures = 20;
+  CHECK(failures >= 1);
+  CHECK(failures <= max_failures);
+  LONGS_EQUAL(200,
+              m_client.fetch(loopback_address(server), {"GET", "/", {}, {}}, milliseconds(1'000))->m_status);
+}
