Close idle connections to servers that are not called again

The pool looked at its idle connections only when the same address was asked for again, so the connections to a removed server kept their file descriptors until the process ended, up to 64 for each address. A daemon whose descriptors run out accepts no callers and reaches no server.

The new test failed before (1 connection instead of 0).

--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <iterator>
 #include <map>
 #include <optional>
 #include <tuple>
@@ -33,6 +34,8 @@
 // has already arrived is delivered.
 constexpr milliseconds late_read_time{50};
 
+constexpr duration max_expiry_check_interval = seconds(1);
+
 // Bytes of chunk headers and trailers that a response may have for each byte of its body, beside a fixed
 // number. The header of a chunk with a single byte takes six bytes or more.
 constexpr std::uint64_t max_framing_bytes_per_body_byte = 16;
@@ -149,9 +152,14 @@
   void put_idle(const std::string& address, std::unique_ptr<fiber_stream> stream, time_point opened_at,
                 duration max_idle_time);
 
+  // Closes the idle connections that have been idle for too long, to whatever address. Servers come and go,
+  // so that the address of an idle connection may never be asked for again.
+  void close_expired(time_point now);
+
   std::uint64_t m_connections_opened = 0;
   fiber_runtime& m_runtime;
   http_client_options m_options;
+  time_point m_close_expired_at;
   std::map<std::string, std::vector<idle_connection>> m_idle;
 };
 
@@ -172,8 +180,22 @@
   return std::nullopt;
 }
 
+void http_client::impl::close_expired(time_point now) {
+  if (now < m_close_expired_at) {
+    return;
+  }
+  m_close_expired_at = now + std::min<duration>(m_options.m_max_idle_time / 2, max_expiry_check_interval);
+  for (auto address = m_idle.begin(); address != m_idle.end();) {
+    std::erase_if(address->second, [&](const idle_connection& connection) {
+      return now - connection.m_idle_since >= connection.m_max_idle_time;
+    });
+    address = address->second.empty() ? m_idle.erase(address) : std::next(address);
+  }
+}
+
 void http_client::impl::put_idle(const std::string& address, std::unique_ptr<fiber_stream> stream,
                                  time_point opened_at, duration max_idle_time) {
+  close_expired(monotonic_now());
   auto& idle = m_idle[address];
   if (idle.size() < m_options.m_max_idle_per_address) {
     stream->expires_never();
--- a/packages/net/tests/http_test.cpp
+++ b/packages/net/tests/http_test.cpp
@@ -334,3 +334,19 @@
   LONGS_EQUAL(200,
               m_client.fetch(loopback_address(server), {"GET", "/", {}, {}}, milliseconds(1'000))->m_status);
 }
+
+// Guards against idle connections to servers that are gone, which keep file descriptors until the process has
+// none left.
+TEST(http, idle_connections_to_an_address_that_is_not_used_again_are_closed) {
+  constexpr milliseconds max_idle_time{60};
+  const auto respond = [](http_exchange& exchange) { std::ignore = exchange.respond({200, {}, "x"}); };
+  http_server left(m_runtime, {.m_address = "127.0.0.1:0"}, respond);
+  http_server used(m_runtime, {.m_address = "127.0.0.1:0"}, respond);
+  http_client client(m_runtime, {.m_max_idle_time = max_idle_time});
+  LONGS_EQUAL(200, client.fetch(loopback_address(left), {"GET", "/", {}, {}}, milliseconds(1'000))->m_status);
+  UNSIGNED_LONGS_EQUAL(1, left.connections());
+  boost::this_fiber::sleep_for(2 * max_idle_time);
+  LONGS_EQUAL(200, client.fetch(loopback_address(used), {"GET", "/", {}, {}}, milliseconds(1'000))->m_status);
+  boost::this_fiber::sleep_for(milliseconds(20));
+  UNSIGNED_LONGS_EQUAL(0, left.connections());
+}
