Soak: engines that fall silent and go on, and a check of lost requests

Engines in the soak broke or stayed silent to the end; none paused and went on, and requests that ended without an answer were not counted. The fault injector now also pauses engines for 0.5 to 2.5 s. A second test does planned work only (SIGTERM, SIGHUP, configurations) beside such pauses and pauses of the links to the store, and fails for each request that its rules do not excuse: passed on, or unread for over 200 ms, and its connection ended without an answer before its deadline. At the end of a drain only those sent up to 3 s after SIGTERM may be cut, in the last sixth of the drain time. Daemons that end by themselves fail it too.

The case generator draws from 17 kinds instead of 16, so earlier seeds give other sequences.

--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <set>
 
 namespace cardamompond::testing {
 namespace {
@@ -72,6 +73,9 @@
                               "body of " + id},
                              request_timeout);
   if (!response) {
+    if (response.error().m_sent) {
+      m_history->m_unanswered.push_back({id, response.error().m_message, monotonic_now()});
+    }
     return 0;
   }
   if (const auto stamp = net::find_header(response->m_headers, "X-Cardamompond-Server-Stamp")) {
@@ -153,6 +157,49 @@
   }
 }
 
+// The process may be ended by force at the end of the drain time, so requests that were sent soon after
+// SIGTERM may be cut if their engine was still at work in the last sixth of the drain time.
+bool soak_callers::may_be_cut_by_drain(const soak_dispatch& sent, time_point ended_at) const {
+  constexpr milliseconds max_sent_after_signal{3'000};
+  for (const auto& daemon : m_group.daemons()) {
+    const auto terminated = daemon.m_terminated_at.find(sent.m_start_count);
+    if (daemon.m_name == sent.m_daemon && terminated != daemon.m_terminated_at.end()) {
+      return sent.m_sent_at <= terminated->second + max_sent_after_signal &&
+             ended_at >= terminated->second + soak_drain_time - soak_drain_time / 6;
+    }
+  }
+  return false;
+}
+
+std::size_t soak_callers::check_lost_requests() {
+  constexpr milliseconds max_unread_time{200};
+  constexpr milliseconds clock_margin{10}; // engines get their deadline in whole milliseconds
+  std::set<std::string_view> arrived;
+  for (const auto& engine : m_group.engines()) {
+    for (const auto& arrival : engine.m_engine->log().m_arrivals) {
+      arrived.insert(arrival.m_request_id);
+    }
+  }
+  std::size_t cut_by_drain = 0;
+  for (const auto& [id, reason, ended_at] : m_history->m_unanswered) {
+    const auto& sent = m_history->m_dispatches[id];
+    const duration took = ended_at - sent.m_sent_at;
+    const bool passed_on = arrived.contains(id);
+    if (took >= request_timeout - clock_margin || (!passed_on && took <= max_unread_time)) {
+      continue;
+    }
+    if (passed_on && may_be_cut_by_drain(sent, ended_at)) {
+      ++cut_by_drain;
+      continue;
+    }
+    m_history->m_violations.push_back(
+        id + " to " + sent.m_daemon + "." + std::to_string(sent.m_start_count) + ": no response after " +
+        std::to_string(std::chrono::duration_cast<milliseconds>(took).count()) + " ms (" + reason + "), " +
+        (passed_on ? "was passed on" : "was not passed on"));
+  }
+  return cut_by_drain;
+}
+
 const soak_history& soak_callers::check_history() {
   for (const auto& engine : m_group.engines()) {
     check_leaving(engine.m_engine->log());
--- a/tests/soak/soak_callers.hpp
+++ b/tests/soak/soak_callers.hpp
@@ -18,11 +18,19 @@
   time_point m_sent_at;
 };
 
+// A request that ended without a complete response.
+struct soak_unanswered {
+  std::string m_id;
+  std::string m_reason;
+  time_point m_ended_at;
+};
+
 // The requests that the callers sent, by the outcome that they observed, and the violations that were found.
 struct soak_history {
   std::vector<std::string> m_refused_ids;      // ids of requests whose status states that they were not run
   std::vector<std::string> m_at_most_once_ids; // ids of all requests that must run at most once
   std::vector<std::string> m_successful_ids;   // ids of requests with status 200
+  std::vector<soak_unanswered> m_unanswered;   // without those that could not be sent
   std::vector<std::string> m_violations;       // descriptions for the log
   std::map<std::string, soak_dispatch> m_dispatches; // of all requests, by id
   // By daemon, its start count and the stamp of an engine's process: when the daemon first passed on an
@@ -47,12 +55,19 @@
   // Returns the history with all violations.
   const soak_history& check_history();
 
+  // Adds a violation for each request that was lost: its connection ended before its deadline without a
+  // complete response, although it had reached an engine or had been sent for longer than an unread request
+  // may take. Valid if the engines only paused and the daemons were disturbed only by signals. Returns the
+  // number of requests that were cut at the end of a drain as the rules allow.
+  std::size_t check_lost_requests();
+
   // Sends one request to the route of that name and checks its response. Returns the status, or 0 if there
   // was no complete response.
   int send(const std::string& address, std::string_view route);
 
 private:
   void run(std::uint64_t seed);
+  bool may_be_cut_by_drain(const soak_dispatch& sent, time_point ended_at) const;
   void check_leaving(const platform::standins::engine_log& log);
   void check_pauses(const platform::standins::engine_log& log, const std::string& engine);
   void check_response(std::string_view route, const std::string& id, const net::http_response& response);
--- a/tests/soak/soak_group.cpp
+++ b/tests/soak/soak_group.cpp
@@ -67,7 +67,7 @@
             "admin = " + quote_address(admin_port) + "metrics = " + quote_address(metrics_port) +
             "exchange = " + quote_address(exchange_port) + "[store]\naddress = \"" +
             daemon.m_store_relay->address() + "\"\n[group]\nseeds = [\"" + loopback_host(0) +
-            ":1\"]\n[drain]\ntime_s = 5\n");
+            ":1\"]\n[drain]\ntime_s = " + std::to_string(soak_drain_time.count() / 1'000) + "\n");
     m_daemons.push_back(std::move(daemon));
   }
   for (auto& daemon : m_daemons) {
@@ -134,6 +134,17 @@
       m_folder.path() + "/" + daemon.m_name + "." + std::to_string(daemon.m_start_count++) + ".log");
 }
 
+void soak_group::terminate(soak_daemon& daemon) {
+  daemon.m_terminated_at.try_emplace(daemon.m_start_count, monotonic_now());
+  daemon.m_process->signal(SIGTERM);
+}
+
+void soak_group::pause_engine(soak_engine& engine, std::mt19937_64& random) {
+  constexpr std::uint64_t min_pause_ms = 500;
+  constexpr std::uint64_t max_pause_ms = 2'500;
+  engine.m_relay->pause(milliseconds(min_pause_ms + random() % (max_pause_ms - min_pause_ms + 1)));
+}
+
 void soak_group::publish() {
   ++m_version;
   json::array routes = {make_route("order", "h", "non_idempotent", false),
--- a/tests/soak/soak_group.hpp
+++ b/tests/soak/soak_group.hpp
@@ -25,6 +25,7 @@
   std::unique_ptr<child_process> m_process;
   std::string m_settings_path;
   int m_start_count = 0;
+  std::map<int, time_point> m_terminated_at; // times of the first SIGTERM, by start count
 };
 
 // An engine that the daemons reach through a relay.
@@ -35,6 +36,9 @@
   bool m_refusing = false;
 };
 
+// Drain time of the daemons.
+inline constexpr milliseconds soak_drain_time{5'000};
+
 // A small deployment: the daemons are real processes; the stand-ins of the store and of the engines run in
 // the process of the test.
 class soak_group {
@@ -45,6 +49,9 @@
   // Starts the daemon's process; if it is still running, it is killed first.
   void start(soak_daemon& daemon);
 
+  // Sends SIGTERM to the daemon's process.
+  void terminate(soak_daemon& daemon);
+
   // Writes the next version of the configuration to the store. Each version moves the route /moved/ from one
   // host name to the other.
   void publish();
@@ -70,6 +77,10 @@
   // Registers the engine in the store, with the state draining if it is leaving and the state ready if not.
   void register_engine(const soak_engine& engine, bool leaving);
 
+  // Makes the engine silent for half a second to 2.5 s; then it goes on. No disturbance is recorded, because
+  // a sound engine may be silent for that long.
+  void pause_engine(soak_engine& engine, std::mt19937_64& random);
+
   // Ends all faults of the relays, the engines and the store, starts new processes of all engines and
   // registers them as ready, and lets stopped daemons continue and starts those that have ended.
   void clear_faults();
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -8,6 +8,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <sstream>
+#include <string>
 
 using namespace cardamompond;
 using namespace cardamompond::testing;
@@ -37,7 +38,7 @@
   void inject_fault() {
     auto& daemon = m_group.daemons()[m_random() % m_group.daemons().size()];
     auto& engine = m_group.engines()[m_random() % m_group.engines().size()];
-    switch (m_random() % 16) {
+    switch (m_random() % 17) {
     case 0:
       daemon.m_process->kill();
       m_group.start(daemon);
@@ -47,7 +48,7 @@
       m_group.begin_disturbance(daemon.m_name);
       break;
     case 2:
-      daemon.m_process->signal(SIGTERM);
+      m_group.terminate(daemon);
       m_group.begin_disturbance(daemon.m_name);
       break;
     case 3:
@@ -81,6 +82,9 @@
     case 13:
       leave_or_restart(engine);
       break;
+    case 14:
+      m_group.pause_engine(engine, m_random);
+      break;
     default:
       engine.m_engine->set_faults({random_probability(), random_probability(), random_probability(),
                                    random_probability(), random_probability(), random_probability(),
@@ -125,6 +129,40 @@
   std::mt19937_64 m_random;
 };
 
+// Does planned work, lets engines pause, and disturbs the links to the store. None of this excuses a request
+// that ends without an answer. A daemon that has ended starts again. Returns the number of daemons that had
+// ended without SIGTERM or with a failure.
+int inject_planned_work(soak_group& group, std::mt19937_64& random) {
+  auto& daemon = group.daemons()[random() % group.daemons().size()];
+  switch (random() % 8) {
+  case 0:
+    group.terminate(daemon);
+    break;
+  case 1:
+    daemon.m_process->signal(SIGHUP);
+    break;
+  case 2:
+    daemon.m_store_relay->pause(milliseconds(random() % 2'500));
+    break;
+  case 3:
+  case 4:
+  case 5:
+    group.publish();
+    break;
+  default:
+    group.pause_engine(group.engines()[random() % group.engines().size()], random);
+    break;
+  }
+  int ended_by_themselves = 0;
+  for (auto& each : group.daemons()) {
+    if (const auto exit_code = each.m_process->exit_code()) {
+      ended_by_themselves += *exit_code != 0 || !each.m_terminated_at.contains(each.m_start_count) ? 1 : 0;
+      group.start(each);
+    }
+  }
+  return ended_by_themselves;
+}
+
 // Checks that, soon after the faults have ended, every daemon serves requests with the newest configuration.
 void check_recovery(soak_group& group, soak_callers& callers) {
   // The drain time of the daemons plus the platform's time limit for changes.
@@ -140,15 +178,49 @@
   });
 }
 
-void run_soak(std::uint64_t seed, seconds duration) {
-  constexpr int daemon_count = 4;
-  constexpr int engine_count = 4;
-  constexpr int caller_count = 12;
-  soak_group group(daemon_count, engine_count, seed);
+constexpr int daemon_count = 4;
+constexpr int engine_count = 4;
+constexpr int caller_count = 12;
+
+void wait_until_ready(soak_group& group) {
   wait_until("all daemons are ready", milliseconds(8'000), [&] {
     return std::all_of(group.daemons().begin(), group.daemons().end(),
                        [&](const soak_daemon& daemon) { return group.is_ready(daemon); });
   });
+}
+
+void run_planned_work(std::uint64_t seed, seconds duration) {
+  soak_group group(daemon_count, engine_count, seed);
+  wait_until_ready(group);
+  soak_callers callers(group, caller_count, seed * 1'000'000);
+  std::mt19937_64 random(seed);
+  for (auto& engine : group.engines()) {
+    engine.m_relay->set_delay(milliseconds(random() % 150)); // longer streams
+  }
+  int ended_by_themselves = 0;
+  for (const time_point end = monotonic_now() + duration; monotonic_now() < end;) {
+    ended_by_themselves += inject_planned_work(group, random);
+    boost::this_fiber::sleep_for(milliseconds(50 + random() % 300));
+  }
+  callers.stop();
+  CHECK_EQUAL(0, ended_by_themselves);
+  const auto cut_by_drain = callers.check_lost_requests();
+  const auto& history = callers.check_history();
+  std::setvbuf(stdout, nullptr, _IOLBF, 0);
+  std::printf("planned work, seed %llu: %llu requests, %zu answered, %zu refused, %zu not answered, %zu cut "
+              "at the end of a drain, %zu violations\n",
+              static_cast<unsigned long long>(seed), static_cast<unsigned long long>(history.m_request_count),
+              history.m_successful_ids.size(), history.m_refused_ids.size(), history.m_unanswered.size(),
+              cut_by_drain, history.m_violations.size());
+  for (const auto& violation : history.m_violations) {
+    std::printf("  %s\n", violation.c_str());
+  }
+  CHECK_TEXT(history.m_violations.empty(), "violations were found; see the lines above");
+}
+
+void run_soak(std::uint64_t seed, seconds duration) {
+  soak_group group(daemon_count, engine_count, seed);
+  wait_until_ready(group);
   soak_callers callers(group, caller_count, seed * 1'000'000);
   fault_injector injector(group, seed);
   std::mt19937_64 random(seed + 1);
@@ -174,6 +246,14 @@
              "at most a quarter of the requests had status 200");
 }
 
+template <typename Run> void run_seeds(const Run& run) {
+  std::istringstream seeds(read_environment("SOAK_SEEDS", default_seeds));
+  const int duration_s = std::atoi(read_environment("SOAK_SECONDS", std::to_string(default_seconds)).c_str());
+  for (std::uint64_t seed = 0; seeds >> seed;) {
+    run(seed, seconds(duration_s));
+  }
+}
+
 } // namespace
 
 TEST_GROUP(soak){};
@@ -183,9 +263,11 @@
 // or have asked for a pause, and daemons that do not recover, while several faults are present at the same
 // time. The variables SOAK_SEEDS (a list) and SOAK_SECONDS (for each seed) select other runs.
 TEST(soak, guarantees_hold_under_faults) {
-  std::istringstream seeds(read_environment("SOAK_SEEDS", default_seeds));
-  const int duration_s = std::atoi(read_environment("SOAK_SECONDS", std::to_string(default_seconds)).c_str());
-  for (std::uint64_t seed = 0; seeds >> seed;) {
-    run_soak(seed, seconds(duration_s));
-  }
+  run_seeds(run_soak);
+}
+
+// Guards against requests that end without an answer beside changes of the configuration, SIGHUP, SIGTERM,
+// disturbances of the store and engines that are silent for up to 2.5 s and go on.
+TEST(soak, planned_work_and_pauses_lose_no_request) {
+  run_seeds(run_planned_work);
 }
--- a/tests/support/include/cardamompond/testing/tcp_relay.hpp
+++ b/tests/support/include/cardamompond/testing/tcp_relay.hpp
@@ -23,6 +23,9 @@
   // back, and new connections are accepted, but not forwarded.
   void set_partitioned(bool partitioned);
 
+  // Does the same for that long from now, like a server whose process stands still and then goes on.
+  void pause(milliseconds length);
+
   // While true, new connections are closed at once. True also closes all present connections.
   void set_refusing(bool refusing);
 
--- a/tests/support/src/tcp_relay.cpp
+++ b/tests/support/src/tcp_relay.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/fiber/operations.hpp>
 
+#include <algorithm>
 #include <array>
 #include <set>
 
@@ -49,6 +50,7 @@
   bool m_partitioned = false;
   bool m_refusing = false;
   milliseconds m_delay{0};
+  time_point m_paused_until;
 
 private:
   using socket_ptr = std::shared_ptr<tcp::socket>;
@@ -95,7 +97,7 @@
   }
 
   void wait_while_partitioned() const {
-    while (m_partitioned) {
+    while (m_partitioned || monotonic_now() < m_paused_until) {
       boost::this_fiber::sleep_for(milliseconds(10));
     }
   }
@@ -111,6 +113,7 @@
 tcp_relay::~tcp_relay() {
   boost::system::error_code ignored;
   m_impl->m_partitioned = false;
+  m_impl->m_paused_until = {};
   m_impl->m_acceptor.close(ignored);
   m_impl->close_all();
 }
@@ -123,6 +126,10 @@
   m_impl->m_partitioned = partitioned;
 }
 
+void tcp_relay::pause(milliseconds length) {
+  m_impl->m_paused_until = std::max(m_impl->m_paused_until, monotonic_now() + length);
+}
+
 void tcp_relay::set_refusing(bool refusing) {
   m_impl->m_refusing = refusing;
   if (refusing) {
