Answer the requests that a drain ends

At the end of the drain time all requests still running were cut without an answer (drain_ended cut_requests=N). Requests that are not streamed are accepted until 1.8 s before that end, although their engine may be silent for longer: a whole request that was passed on, or that waited, ended with a closed connection beside SIGTERM.

750 ms before the end of the drain time, the request handler now ends every request whose response has not begun: 503 (not run) if nothing was sent to a server, else 502. A call that is cancelled before it is sent no longer counts as one that may have run. New requests are refused by the time of their arrival instead of by flags that the drain loop sets, which were late after a pause of the event loop.

--- a/packages/daemon/src/entry_daemon.cpp
+++ b/packages/daemon/src/entry_daemon.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/fiber/operations.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <filesystem>
 #include <random>
@@ -44,7 +45,11 @@
 // This long before the end of the drain time, all new requests are refused.
 constexpr milliseconds refusal_margin{1'800};
 
-// This long before the end of the drain time, requests that are still running are aborted.
+// This long before the end of the drain time, requests whose response has not begun are answered with an
+// error.
+constexpr milliseconds answer_margin{750};
+
+// This long before the end of the drain time, responses that are still incomplete are cut off.
 constexpr milliseconds exit_margin{350};
 
 // A connection to the store or a backend server is closed after this long without a TCP acknowledgement.
@@ -124,8 +129,8 @@
   net::http_server m_metrics_server;
   boost::asio::signal_set m_signal_set;
   bool m_stop_requested = false;
-  bool m_refusing_streams = false;
-  bool m_refusing_requests = false;
+  time_point m_streams_refused_from = time_point::max();
+  time_point m_requests_refused_from = time_point::max();
 };
 
 entry_daemon::impl::impl(gateway::gateway_settings settings, std::string settings_file)
@@ -141,10 +146,12 @@
     , m_group(m_admission, m_self, m_settings.m_seeds, make_incarnation())
     , m_peer_exchange(m_runtime, m_backend_connections, m_group, m_fleet_view, m_settings.m_exchange_address)
     , m_group_maintenance(m_store, m_admission, m_group, m_reader, m_self)
-    , m_request_handler(
-          m_backend_connections, m_admission, m_protocol, m_metrics,
-          {.m_accepts_requests =
-               [this](bool streamed) { return !m_refusing_requests && !(streamed && m_refusing_streams); }})
+    , m_request_handler(m_backend_connections, m_admission, m_protocol, m_metrics,
+                        {.m_accepts_requests =
+                             [this](bool streamed) {
+                               return monotonic_now() <
+                                      (streamed ? m_streams_refused_from : m_requests_refused_from);
+                             }})
     , m_server(m_runtime, {.m_address = m_settings.m_callers_address},
                [this](net::http_exchange& exchange) { m_request_handler.handle(exchange); })
     , m_admin_server(m_runtime, {.m_address = m_settings.m_admin_address, .m_max_connections = 256},
@@ -335,6 +342,8 @@
   const time_point start_time = monotonic_now();
   const time_point end_time = start_time + m_settings.m_drain_time;
   log_event(log_level::info, "drain_begun", {{"active_requests", m_server.active_requests()}});
+  m_requests_refused_from = end_time - refusal_margin;
+  m_streams_refused_from = std::min<time_point>(start_time + stream_accept_period, m_requests_refused_from);
   m_server.begin_drain();
   bool deregistering = false;
   while (monotonic_now() < end_time - exit_margin) {
@@ -348,8 +357,9 @@
         break;
       }
     }
-    m_refusing_streams = now >= start_time + stream_accept_period;
-    m_refusing_requests = now >= end_time - refusal_margin;
+    if (now >= end_time - answer_margin) {
+      m_request_handler.end_requests();
+    }
     boost::this_fiber::sleep_for(state_check_interval);
   }
   m_peer_exchange.announce_leaving();
--- a/packages/gateway/include/cardamompond/gateway/backend_call.hpp
+++ b/packages/gateway/include/cardamompond/gateway/backend_call.hpp
@@ -97,6 +97,9 @@
   // The response; its body is complete only if run() returned `answered`.
   const net::http_response& response() const { return m_response; }
 
+  // Whether the request, or a part of it, has been sent to the server.
+  bool sent() const { return m_sent; }
+
   // Whether the call broke because the server closed the connection, as it does when it crashes.
   bool closed_by_server() const { return m_closed_by_server; }
 
@@ -132,6 +135,7 @@
   net::http_response m_response;
   std::string m_failure;
   bool m_cancelled = false;
+  bool m_sent = false;
   bool m_closed_by_server = false;
   bool m_prepared = false;
   duration m_reservation_time{};
--- a/packages/gateway/include/cardamompond/gateway/request_handler.hpp
+++ b/packages/gateway/include/cardamompond/gateway/request_handler.hpp
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 
 namespace cardamompond::gateway {
 
@@ -27,6 +28,10 @@
 
   void handle(net::http_exchange& exchange);
 
+  // Ends all requests whose response has not begun: each is answered with an error that states whether it may
+  // have run. Later requests are answered in the same way if they are not rejected before.
+  void end_requests();
+
   // Returns the response to an HTTP message that could not be parsed.
   net::http_response make_parse_failure_response(net::http_parse_failure failure) const;
 
@@ -38,6 +43,8 @@
   const request_protocol& m_protocol;
   request_metrics& m_metrics;
   request_handler_options m_options;
+  std::set<request_processor*> m_running; // requests in progress
+  bool m_ending = false;
 };
 
 } // namespace cardamompond::gateway
--- a/packages/gateway/src/backend_call.cpp
+++ b/packages/gateway/src/backend_call.cpp
@@ -177,9 +177,10 @@
   m_call->set_deadline(m_options.m_deadline + response_margin);
   const auto sent = m_call->send(
       m_protocol.make_backend_request(*m_options.m_caller_request, m_options.m_parameters), io_timeout());
+  m_sent = sent.has_value() || sent.error().m_sent;
   if (!sent) {
     const auto outcome = abort_after_error(sent.error());
-    return sent.error().m_sent || outcome == call_outcome::caller_gone ? outcome : call_outcome::unreachable;
+    return m_sent || outcome == call_outcome::caller_gone ? outcome : call_outcome::unreachable;
   }
   return std::nullopt;
 }
--- a/packages/gateway/src/request_handler.cpp
+++ b/packages/gateway/src/request_handler.cpp
@@ -3,6 +3,7 @@
 #include "request_processor.hpp"
 
 #include <utility>
+#include <vector>
 
 namespace cardamompond::gateway {
 
@@ -19,6 +20,14 @@
   request_processor(*this, exchange).run();
 }
 
+void request_handler::end_requests() {
+  m_ending = true;
+  const std::vector<request_processor*> running(m_running.begin(), m_running.end());
+  for (auto* each : running) {
+    each->end();
+  }
+}
+
 net::http_response request_handler::make_parse_failure_response(net::http_parse_failure failure) const {
   request_error error = make_not_run_error(error_code::bad_request, "the request is not valid HTTP");
   if (failure == net::http_parse_failure::body_too_large) {
--- a/packages/gateway/src/request_outcome.cpp
+++ b/packages/gateway/src/request_outcome.cpp
@@ -14,11 +14,11 @@
   return std::chrono::duration_cast<milliseconds>(value).count();
 }
 
-// Whether the server may have run a request that was sent to it.
-bool may_have_run_after(call_outcome outcome) {
-  return outcome != call_outcome::refused && outcome != call_outcome::no_room &&
-         outcome != call_outcome::misdirected && outcome != call_outcome::unreachable &&
-         outcome != call_outcome::withheld;
+// Whether the server may have run the request of a call with that outcome.
+bool may_have_run_after(call_outcome outcome, const backend_call& call) {
+  return (outcome != call_outcome::caller_gone || call.sent()) && outcome != call_outcome::refused &&
+         outcome != call_outcome::no_room && outcome != call_outcome::misdirected &&
+         outcome != call_outcome::unreachable && outcome != call_outcome::withheld;
 }
 
 } // namespace
@@ -82,7 +82,7 @@
   if (outcome != call_outcome::no_room) {
     m_tried_servers.push_back(grant.m_server.m_id); // a server without room now may have room soon
   }
-  const bool may_have_run = may_have_run_after(outcome);
+  const bool may_have_run = may_have_run_after(outcome, call);
   if (may_have_run) {
     ++m_possible_runs;
     m_may_have_run = true;
@@ -117,7 +117,7 @@
              {"status", outcome == call_outcome::answered ? call.response().m_status : 0},
              {"reason", call.failure()},
              {"ms", to_ms(took)},
-             {"may_have_run", may_have_run_after(outcome)}});
+             {"may_have_run", may_have_run_after(outcome, call)}});
 }
 
 void request_handler::request_processor::record_version_outcome(const fleet::dispatch_grant& grant, bool good,
@@ -155,12 +155,12 @@
 }
 
 // Decides whether the request is sent again after a dispatch that ended without a response for the caller.
-bool request_handler::request_processor::may_retry(call_outcome outcome) {
+bool request_handler::request_processor::may_retry(call_outcome outcome, const backend_call& call) {
   if (m_caller_disconnected || outcome == call_outcome::caller_gone || outcome == call_outcome::out_of_time ||
       m_deadline - monotonic_now() < min_time_for_retry) {
     return false;
   }
-  if (may_have_run_after(outcome)) {
+  if (may_have_run_after(outcome, call)) {
     if (!retryable() || m_possible_runs >= m_route->m_max_attempts) {
       return false;
     }
@@ -202,9 +202,15 @@
     if (!m_retry_after) {
       m_retry_after = min_retry_after;
     }
+    if (m_handler.m_ending) {
+      return make_not_run_error(error_code::shutting_down, "this daemon stops; try another one");
+    }
     return make_not_run_error(error_code::queue_full,
                               m_failure_reason.empty() ? "no capacity" : m_failure_reason);
   }
+  if (m_handler.m_ending) {
+    m_failure_reason = "this daemon stops before the answer is complete";
+  }
   if (m_last_outcome == call_outcome::out_of_time) {
     return request_error{error_code::deadline_exceeded, verdict::may_have_run,
                          "the deadline passed before the answer was complete", 0};
--- a/packages/gateway/src/request_processor.cpp
+++ b/packages/gateway/src/request_processor.cpp
@@ -65,6 +65,20 @@
   }
 }
 
+void request_handler::request_processor::end() {
+  if (m_relay.m_head_sent) {
+    return;
+  }
+  if (m_waiting_ticket != 0) {
+    m_handler.m_admission.cancel(m_waiting_ticket);
+  }
+  for (auto* call : {m_current_call, m_prepared_call}) {
+    if (call != nullptr) {
+      call->cancel();
+    }
+  }
+}
+
 std::optional<request_error> request_handler::request_processor::parse_and_route() {
   auto parsed = m_handler.m_protocol.read_request(m_exchange.request());
   if (!parsed) {
@@ -278,7 +292,10 @@
     return false;
   }
   auto next = make_attempt(std::move(*grant));
-  if (const auto failure = next->m_call->prepare()) {
+  m_prepared_call = next->m_call.get();
+  const auto failure = next->m_call->prepare();
+  m_prepared_call = nullptr;
+  if (failure) {
     log_dispatch_failure(next->m_grant, *failure, *next->m_call, {});
     admission.dispatcher().finish(next->m_grant.m_ticket, to_server_outcome(*failure, 0), monotonic_now());
     return false;
@@ -299,8 +316,9 @@
       const fleet::ticket ticket = admission.next_ticket();
       m_waiting_ticket = ticket;
       const time_point queued_since = monotonic_now();
-      admission_result decision =
-          m_caller_disconnected ? admission_result{} : admission.acquire(make_submission(ticket));
+      admission_result decision = m_caller_disconnected || m_handler.m_ending
+                                      ? admission_result{}
+                                      : admission.acquire(make_submission(ticket));
       m_waiting_ticket = 0;
       m_queued += monotonic_now() - queued_since;
       if (auto* grant = std::get_if<fleet::dispatch_grant>(&decision)) {
@@ -331,7 +349,7 @@
     if (m_replacement) {
       admission.dispatcher().release(std::exchange(m_replacement, nullptr)->m_grant.m_ticket);
     }
-    if (!may_retry(outcome)) {
+    if (!may_retry(outcome, *current->m_call)) {
       return finish_after_failure();
     }
   }
--- a/packages/gateway/src/request_processor.hpp
+++ b/packages/gateway/src/request_processor.hpp
@@ -34,10 +34,18 @@
   request_processor(request_handler& owner, net::http_exchange& exchange)
       : m_handler(owner)
       , m_exchange(exchange)
-      , m_arrived_at(monotonic_now()) {}
+      , m_arrived_at(monotonic_now()) {
+    m_handler.m_running.insert(this);
+  }
+  ~request_processor() { m_handler.m_running.erase(this); }
+  request_processor(const request_processor&) = delete;
+  request_processor& operator=(const request_processor&) = delete;
 
   void run();
 
+  // Ends the request with an error unless its response has begun. Does not block.
+  void end();
+
 private:
   // A dispatch that the dispatcher has granted. The call refers to the grant.
   struct attempt {
@@ -57,7 +65,7 @@
   bool handle_silence(const fleet::dispatch_grant& grant);
   bool prepare_replacement();
   void handle_refusal(const admission_result& decision);
-  bool may_retry(call_outcome outcome);
+  bool may_retry(call_outcome outcome, const backend_call& call);
   void record_prompt_outcome(const fleet::dispatch_grant& grant, call_outcome outcome,
                              const backend_call& call, bool has_events);
   void record_call_outcome(const fleet::dispatch_grant& grant, call_outcome outcome, const backend_call& call,
@@ -100,8 +108,9 @@
   bool m_caller_disconnected = false;
   fleet::ticket m_waiting_ticket = 0; // 0: the request is not waiting for a backend server
   backend_call* m_current_call = nullptr;
-  bool m_silence_recorded = false;        // of the current call, as a bad outcome of the version
-  std::unique_ptr<attempt> m_replacement; // takes over from the current call, which is silent
+  backend_call* m_prepared_call = nullptr; // of the replacement that is being secured
+  bool m_silence_recorded = false;         // of the current call, as a bad outcome of the version
+  std::unique_ptr<attempt> m_replacement;  // takes over from the current call, which is silent
 
   stream_relay m_relay;
   std::vector<std::string> m_tried_servers;
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -271,3 +271,27 @@
 TEST(soak, planned_work_and_pauses_lose_no_request) {
   run_seeds(run_planned_work);
 }
+
+// Guards against requests that end without an answer because the process ends before their engine, which is
+// silent, has reached its deadline.
+TEST(soak, drain_answers_requests_whose_engine_is_silent) {
+  soak_group group(1, 1, 1);
+  wait_until_ready(group);
+  soak_callers callers(group, 0, 1'000'000);
+  auto& daemon = group.daemons().front();
+  group.terminate(daemon);
+  // The daemon refuses requests in the last 1.8 s of its drain time; the route's timeout is 3 s.
+  boost::this_fiber::sleep_for(milliseconds(2'900));
+  group.engines().front().m_relay->set_partitioned(true);
+  const std::string address = group.callers_address(daemon);
+  int read_status = 0;
+  bool read_ended = false;
+  net::fiber_runtime::spawn([&] {
+    read_status = callers.send(address, "read");
+    read_ended = true;
+  });
+  const int order_status = callers.send(address, "order");
+  wait_until("both requests have ended", milliseconds(4'000), [&] { return read_ended; });
+  CHECK_EQUAL(502, order_status);
+  CHECK_EQUAL(502, read_status);
+}
