--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <array>
 #include <set>
+#include <string>
+#include <utility>
 
 namespace cardamompond::testing {
 namespace {
@@ -192,10 +194,12 @@
       ++cut_by_drain;
       continue;
     }
-    m_history->m_violations.push_back(
-        id + " to " + sent.m_daemon + "." + std::to_string(sent.m_start_count) + ": no response after " +
-        std::to_string(std::chrono::duration_cast<milliseconds>(took).count()) + " ms (" + reason + "), " +
-        (passed_on ? "was passed on" : "was not passed on"));
+    const auto took_ms = std::chrono::duration_cast<milliseconds>(took).count();
+    std::string violation = id;
+    violation.append(" to ").append(sent.m_daemon).append(".").append(std::to_string(sent.m_start_count));
+    violation.append(": no response after ").append(std::to_string(took_ms)).append(" ms (").append(reason);
+    violation.append(passed_on ? "), was passed on" : "), was not passed on");
+    m_history->m_violations.push_back(std::move(violation));
   }
   return cut_by_drain;
 }
