--- a/packages/daemon/src/entry_daemon.cpp
+++ b/packages/daemon/src/entry_daemon.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/fiber/operations.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <filesystem>
 #include <random>
@@ -44,9 +45,16 @@
 // This long before the end of the drain time, all new requests are refused.
 constexpr milliseconds refusal_margin{1'800};
 
-// This long before the end of the drain time, requests that are still running are aborted.
+// This long before the end of the drain time, requests whose response has not begun are answered with an
+// error.
+constexpr milliseconds answer_margin{750};
+
+// This long before the end of the drain time, responses that are still incomplete are cut off.
 constexpr milliseconds exit_margin{350};
 
+// Until this long before the end of the drain time, requests that have arrived are still read, to be refused.
+constexpr milliseconds last_read_margin{200};
+
 // A connection to the store or a backend server is closed after this long without a TCP acknowledgement,
 // unless a backend server works on a request on it.
 constexpr milliseconds connection_loss_timeout{2'000};
@@ -125,8 +133,8 @@
   net::http_server m_metrics_server;
   boost::asio::signal_set m_signal_set;
   bool m_stop_requested = false;
-  bool m_refusing_streams = false;
-  bool m_refusing_requests = false;
+  time_point m_streams_refused_from = time_point::max();
+  time_point m_requests_refused_from = time_point::max();
 };
 
 entry_daemon::impl::impl(gateway::gateway_settings settings, std::string settings_file)
@@ -142,10 +150,12 @@
     , m_group(m_admission, m_self, m_settings.m_seeds, make_incarnation())
     , m_peer_exchange(m_runtime, m_backend_connections, m_group, m_fleet_view, m_settings.m_exchange_address)
     , m_group_maintenance(m_store, m_admission, m_group, m_reader, m_self)
-    , m_request_handler(
-          m_backend_connections, m_admission, m_protocol, m_metrics,
-          {.m_accepts_requests =
-               [this](bool streamed) { return !m_refusing_requests && !(streamed && m_refusing_streams); }})
+    , m_request_handler(m_backend_connections, m_admission, m_protocol, m_metrics,
+                        {.m_accepts_requests =
+                             [this](bool streamed) {
+                               return monotonic_now() <
+                                      (streamed ? m_streams_refused_from : m_requests_refused_from);
+                             }})
     , m_server(m_runtime, {.m_address = m_settings.m_callers_address},
                [this](net::http_exchange& exchange) { m_request_handler.handle(exchange); })
     , m_admin_server(m_runtime, {.m_address = m_settings.m_admin_address, .m_max_connections = 256},
@@ -336,21 +346,25 @@
   const time_point start_time = monotonic_now();
   const time_point end_time = start_time + m_settings.m_drain_time;
   log_event(log_level::info, "drain_begun", {{"active_requests", m_server.active_requests()}});
+  m_requests_refused_from = end_time - refusal_margin;
+  m_streams_refused_from = std::min<time_point>(start_time + stream_accept_period, m_requests_refused_from);
   m_server.begin_drain();
   bool deregistering = false;
-  while (monotonic_now() < end_time - exit_margin) {
+  while (monotonic_now() < end_time - exit_margin ||
+         (m_server.has_unread_input() && monotonic_now() < end_time - last_read_margin)) {
     const time_point now = monotonic_now();
     if (now >= start_time + drain_accept_period) {
       if (!deregistering) {
         deregistering = true;
         net::fiber_runtime::spawn([this] { m_group_maintenance.deregister(); });
       }
-      if (m_server.active_requests() == 0) {
+      if (m_server.active_requests() == 0 && !m_server.has_unread_input()) {
         break;
       }
     }
-    m_refusing_streams = now >= start_time + stream_accept_period;
-    m_refusing_requests = now >= end_time - refusal_margin;
+    if (now >= end_time - answer_margin) {
+      m_request_handler.end_requests();
+    }
     boost::this_fiber::sleep_for(state_check_interval);
   }
   m_peer_exchange.announce_leaving();
--- a/packages/gateway/include/cardamompond/gateway/backend_call.hpp
+++ b/packages/gateway/include/cardamompond/gateway/backend_call.hpp
@@ -105,6 +105,9 @@
   // The response; its body is complete only if run() returned `answered`.
   const net::http_response& response() const { return m_response; }
 
+  // Whether the request, or a part of it, has been sent to the server.
+  bool sent() const { return m_sent; }
+
   // Whether the call broke because the server closed the connection, as it does when it crashes.
   bool closed_by_server() const { return m_closed_by_server; }
 
@@ -140,9 +143,9 @@
   net::http_response m_response;
   std::string m_failure;
   bool m_cancelled = false;
+  bool m_sent = false;
   bool m_closed_by_server = false;
   bool m_prepared = false;
-  bool m_sent = false;
   bool m_head_read = false;
   duration m_reservation_time{};
   bool m_reservation_timed_out = false; // the last one got no answer in time
--- a/packages/gateway/src/backend_call.cpp
+++ b/packages/gateway/src/backend_call.cpp
@@ -175,9 +175,10 @@
   m_call->set_deadline(until);
   const auto sent = m_call->send(
       m_protocol.make_backend_request(*m_options.m_caller_request, m_options.m_parameters), io_timeout());
+  m_sent = sent.has_value() || sent.error().m_sent;
   if (!sent) {
     const auto outcome = abort_after_error(sent.error());
-    return sent.error().m_sent || outcome == call_outcome::caller_gone ? outcome : call_outcome::unreachable;
+    return m_sent || outcome == call_outcome::caller_gone ? outcome : call_outcome::unreachable;
   }
   return std::nullopt;
 }
@@ -394,7 +395,6 @@
   if (const auto outcome = send(until)) {
     return outcome;
   }
-  m_sent = true;
   if (!m_call->wait_for_input(until)) {
     return std::nullopt;
   }
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -7,13 +7,16 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <boost/fiber/operations.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <cstdio>
 #include <set>
 #include <stdexcept>
 
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace cardamompond::net {
@@ -42,6 +45,9 @@
   return stated.count() == 0 ? "" : "Keep-Alive: timeout=" + std::to_string(stated.count()) + "\r\n";
 }
 
+// Pause after a connection could not be accepted.
+constexpr milliseconds accept_retry_interval{20};
+
 // Serialises the status line and headers of a response. Omits headers that contain line breaks, with which a
 // backend server or a client could forge further headers.
 std::string serialise_head(int status, const http_headers& headers, std::string_view connection_header,
@@ -88,6 +94,7 @@
   void accept_loop();
   void stop_accepting();
   void close_all();
+  bool has_unread_input();
 
   class connection;
 
@@ -132,6 +139,7 @@
   }
 
   bool idle() const { return !m_in_request; }
+  bool has_unread_input() { return m_stream.readable(); }
 
   const http_request& request() const override { return m_request; }
   http_request& request() override { return m_request; }
@@ -458,6 +466,7 @@
         return;
       }
       report_drop(request_drop::accept_failure, error.message());
+      boost::this_fiber::sleep_for(accept_retry_interval); // a free descriptor may be missing
       continue;
     }
     if (m_connections.size() >= m_options.m_max_connections) {
@@ -483,6 +492,13 @@
   }
 }
 
+bool http_server::impl::has_unread_input() {
+  pollfd acceptor{m_acceptor.is_open() ? m_acceptor.native_handle() : -1, POLLIN, 0};
+  return ::poll(&acceptor, 1, 0) > 0 ||
+         std::any_of(m_connections.begin(), m_connections.end(),
+                     [](connection* each) { return each->idle() && each->has_unread_input(); });
+}
+
 void http_server::impl::close_all() {
   stop_accepting();
   for (auto* session : m_connections) {
@@ -536,6 +552,10 @@
   return m_impl->m_connections.size();
 }
 
+bool http_server::has_unread_input() const {
+  return m_impl->has_unread_input();
+}
+
 std::size_t http_server::active_requests() const {
   return m_impl->m_active_requests;
 }
--- a/packages/net/tests/http_test.cpp
+++ b/packages/net/tests/http_test.cpp
@@ -17,7 +17,9 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 using namespace cardamompond;
 using namespace cardamompond::net;
@@ -455,3 +457,74 @@
   CHECK_TEXT(sender.read_until("ok"), "the connection was closed");
   UNSIGNED_LONGS_EQUAL(0, server.active_requests());
 }
+
+// Guards against a server that retries without a pause, and so takes the whole processor and floods the log,
+// while its process has no free file descriptor.
+TEST(http, server_without_free_descriptors_pauses_between_its_attempts_to_accept) {
+  http_server server(m_runtime, {.m_address = "127.0.0.1:0"}, [](http_exchange& exchange) {
+    std::ignore = exchange.respond({200, {}, "x"});
+  });
+  int failures = 0;
+  server.set_drop_observer([&](request_drop cause, std::string_view /*detail*/) {
+    failures += cause == request_drop::accept_failure ? 1 : 0;
+  });
+  boost::asio::ip::tcp::socket waiting(m_runtime.context());
+  waiting.open(boost::asio::ip::tcp::v4());
+  const int first_free = ::dup(0);
+  ::close(first_free);
+  rlimit before{};
+  ::getrlimit(RLIMIT_NOFILE, &before);
+  const rlimit none_free{static_cast<rlim_t>(first_free), before.rlim_max};
+  ::setrlimit(RLIMIT_NOFILE, &none_free);
+  io_wait wait;
+  waiting.async_connect({boost::asio::ip::make_address("127.0.0.1"), server.port()}, wait.handler());
+  std::ignore = wait.wait();
+  boost::this_fiber::sleep_for(milliseconds(200));
+  ::setrlimit(RLIMIT_NOFILE, &before);
+  constexpr int max_failures = 20;
+  CHECK(failures >= 1);
+  CHECK(failures <= max_failures);
+  LONGS_EQUAL(200,
+              m_client.fetch(loopback_address(server), {"GET", "/", {}, {}}, milliseconds(1'000))->m_status);
+}
+
+// Guards against idle connections to servers that are gone, which keep file descriptors until the process has
+// none left.
+TEST(http, idle_connections_to_an_address_that_is_not_used_again_are_closed) {
+  constexpr milliseconds max_idle_time{60};
+  const auto respond = [](http_exchange& exchange) { std::ignore = exchange.respond({200, {}, "x"}); };
+  http_server left(m_runtime, {.m_address = "127.0.0.1:0"}, respond);
+  http_server used(m_runtime, {.m_address = "127.0.0.1:0"}, respond);
+  http_client client(m_runtime, {.m_max_idle_time = max_idle_time});
+  LONGS_EQUAL(200, client.fetch(loopback_address(left), {"GET", "/", {}, {}}, milliseconds(1'000))->m_status);
+  UNSIGNED_LONGS_EQUAL(1, left.connections());
+  boost::this_fiber::sleep_for(2 * max_idle_time);
+  LONGS_EQUAL(200, client.fetch(loopback_address(used), {"GET", "/", {}, {}}, milliseconds(1'000))->m_status);
+  boost::this_fiber::sleep_for(milliseconds(20));
+  UNSIGNED_LONGS_EQUAL(0, left.connections());
+}
+
+// Guards against a process that ends because it counts no active request although one has arrived, on a
+// connection that is open or one that waits to be accepted, since the event loop last ran.
+TEST(http, request_that_arrives_while_the_event_loop_is_busy_is_unread_input) {
+  constexpr std::string_view request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  for (const bool accepted : {true, false}) {
+    http_server server(m_runtime, {.m_address = "127.0.0.1:0"}, [](http_exchange& exchange) {
+      std::ignore = exchange.respond({200, {}, "ok"});
+    });
+    boost::this_fiber::sleep_for(milliseconds(10));
+    boost::asio::ip::tcp::socket client(m_runtime.context());
+    client.connect({boost::asio::ip::make_address("127.0.0.1"), server.port()});
+    if (accepted) {
+      boost::this_fiber::sleep_for(milliseconds(10));
+      CHECK_FALSE(server.has_unread_input());
+    }
+    boost::asio::write(client, boost::asio::buffer(request)); // blocks the event loop
+    std::this_thread::sleep_for(milliseconds(5));
+    UNSIGNED_LONGS_EQUAL(0, server.active_requests());
+    CHECK(server.has_unread_input());
+    boost::this_fiber::sleep_for(milliseconds(10));
+    CHECK_FALSE(server.has_unread_input());
+    CHECK(client.available() > 0);
+  }
+}
