Let a silent call that ends by itself say how it ended

What callers would see: a stream that is cut, or goes on after its end, although it was complete.

Cause: when a silent engine closed its connection while another server was taking the request over, the call was given up as silent.

Change: the call that has ended is read to its end.

--- a/packages/gateway/src/request_processor.cpp
+++ b/packages/gateway/src/request_processor.cpp
@@ -281,8 +281,12 @@
 }
 
 // Secures another server that can take over at once. The silent call must not be given up before that,
-// because its server may be sound and go on.
+// because its server may be sound and go on. Returns whether to give it up now; serve() uses the replacement
+// also if the silent call ends by itself.
 bool request_handler::request_processor::prepare_replacement() {
+  if (m_replacement) {
+    return true;
+  }
   auto& admission = m_handler.m_admission;
   if (m_caller_disconnected || m_deadline - monotonic_now() < refusal_time + min_time_for_retry ||
       m_possible_runs + 1 >= m_route->m_max_attempts ||
@@ -316,7 +320,7 @@
     return false;
   }
   m_replacement = std::move(next);
-  return true;
+  return !m_current_call->has_ended(); // the end of the silent call may be that of a complete response
 }
 
 // Sends the request to the server that should take over. Returns false if that server does not take it, or if
