Serve a request that has arrived unread when a server stops accepting

What callers would see: a reset connection for a whole request, in a drain of a daemon in cell mode.

--- a/packages/daemon/src/cell_daemon.cpp
+++ b/packages/daemon/src/cell_daemon.cpp
@@ -186,7 +186,7 @@
 }
 
 bool cell_daemon::impl::wait_for_requests(time_point end_time) {
-  while (m_server.active_requests() > 0) {
+  while (m_server.active_requests() > 0 || m_server.has_unread_input()) {
     if (m_signals_received > 1 || monotonic_now() >= end_time) {
       return false;
     }
--- a/packages/net/include/cardamompond/net/http_server.hpp
+++ b/packages/net/include/cardamompond/net/http_server.hpp
@@ -115,8 +115,8 @@
   // sent.
   void begin_drain();
 
-  // Stops accepting connections and closes idle ones. A connection with a request in progress closes after
-  // that request.
+  // Stops accepting connections and closes idle ones. A connection with a request in progress, or with one
+  // that has arrived, closes after that request.
   void stop_accepting();
 
   // Stops accepting connections and closes all of them immediately.
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -486,7 +486,7 @@
   boost::system::error_code ignored;
   m_acceptor.close(ignored);
   for (auto* session : m_connections) {
-    if (session->idle()) {
+    if (session->idle() && !session->has_unread_input()) {
       session->close();
     }
   }
--- a/packages/net/tests/http_test.cpp
+++ b/packages/net/tests/http_test.cpp
@@ -68,6 +68,11 @@
     std::ignore = wait.wait();
   }
 
+  // Does not let other fibers run.
+  void write_without_waiting(std::string_view bytes) {
+    boost::asio::write(m_socket, boost::asio::buffer(bytes));
+  }
+
   // Reads until the text has come. Returns false if the connection ends or a second passes before.
   bool read_until(std::string_view text) {
     m_socket.non_blocking(true);
@@ -442,6 +447,19 @@
   CHECK_TEXT(sender.read_until("body"), "the connection was closed");
 }
 
+// Guards against a request that is lost when a server stops accepting, because it has arrived on an idle
+// connection and was not read yet.
+TEST(http, request_that_has_arrived_unread_is_served_when_the_server_stops_accepting) {
+  http_server server(m_runtime, {.m_address = "127.0.0.1:0"}, [](http_exchange& exchange) {
+    std::ignore = exchange.respond({200, {}, "ok"});
+  });
+  raw_connection sender(server.port());
+  boost::this_fiber::sleep_for(milliseconds(20));
+  sender.write_without_waiting("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  server.stop_accepting();
+  CHECK_TEXT(sender.read_until("ok"), "the connection was closed");
+}
+
 // Guards against a request that is lost at the end of a drain, because the daemon did not count it while it
 // was still being read.
 TEST(http, request_that_is_being_read_is_active) {
