Keep connections to engines for as long as their Keep-Alive allows

Cause: a reservation used only connections that had been idle for less than 4 s, although engines keep them for 10 s and the reservation itself finds out whether the connection still works. In a group of 70 daemons and 60 engines, a daemon calls an engine every few seconds. Change: the limit of 4 s holds no longer for connections that a reservation tries first.

--- a/packages/gateway/src/backend_call.cpp
+++ b/packages/gateway/src/backend_call.cpp
@@ -12,9 +12,11 @@
 constexpr milliseconds connect_timeout{250};
 
 // A pooled connection that was idle for long may have been dropped without notice. A request that cannot be
-// retried therefore uses only a connection that was in use recently, unless a reservation tries it first.
+// retried therefore uses only a connection that was in use recently. A reservation tries its connection before
+// the request is sent, so that only the Keep-Alive of the server limits its age.
 constexpr milliseconds max_idle_idempotent{4'000};
 constexpr milliseconds max_idle_at_most_once{1'000};
+constexpr milliseconds max_idle_before_reservation{30'000};
 
 // Number of late responses to other requests that are skipped on a pooled connection.
 constexpr int max_stray_responses = 2;
@@ -89,8 +91,10 @@
 }
 
 milliseconds backend_call::max_idle_time() const {
-  const bool tried_first = m_options.m_reservation_lifetime > milliseconds(0);
-  return m_options.m_idempotent || tried_first ? max_idle_idempotent : max_idle_at_most_once;
+  if (m_options.m_reservation_lifetime > milliseconds(0)) {
+    return max_idle_before_reservation;
+  }
+  return m_options.m_idempotent ? max_idle_idempotent : max_idle_at_most_once;
 }
 
 std::optional<call_outcome> backend_call::connect(milliseconds max_idle) {
