--- a/packages/core/include/cardamompond/core/time.hpp
+++ b/packages/core/include/cardamompond/core/time.hpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 namespace cardamompond {
 
@@ -18,6 +19,15 @@
   return std::chrono::time_point_cast<duration>(std::chrono::steady_clock::now());
 }
 
+// Returns the time since the host started, including the time for which it was suspended, which
+// monotonic_now() leaves out. It must not be compared with times of monotonic_now().
+inline time_point boot_now() {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return time_point(
+      std::chrono::duration_cast<duration>(seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec)));
+}
+
 // Returns the current wall-clock time in milliseconds since 1970. It is meant for records that other
 // processes read, and must not be used to measure intervals.
 inline std::int64_t wall_clock_ms() {
--- a/packages/daemon/src/entry_daemon.cpp
+++ b/packages/daemon/src/entry_daemon.cpp
@@ -8,6 +8,7 @@
 #include "cardamompond/platform/object_store_client.hpp"
 #include "cardamompond/platform/request_codec.hpp"
 #include "cardamompond/telemetry/log.hpp"
+#include "entry_duties.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -38,6 +39,9 @@
 // until the load balancer has found the daemon not ready in two checks.
 constexpr milliseconds drain_accept_period{3'300};
 
+// The process waits this long at most for its duties to be handed over, which fails while the store is away.
+constexpr milliseconds hand_over_period{4'500};
+
 // This long after SIGTERM, new streams are refused. By then most load balancers know that the daemon is not
 // ready, and a stream that begins later might be cut off by the end of the process.
 constexpr milliseconds stream_accept_period{2'800};
@@ -125,6 +129,7 @@
   gateway::peer_group m_group;
   gateway::peer_exchange m_peer_exchange;
   gateway::group_maintenance m_group_maintenance;
+  std::unique_ptr<entry_duties> m_duties; // null where the settings name none
   request_metrics m_metrics;
   gateway::request_handler m_request_handler;
   std::vector<std::unique_ptr<gateway::collection_watcher>> m_watchers;
@@ -155,6 +160,12 @@
                              [this](bool streamed) {
                                return monotonic_now() <
                                       (streamed ? m_streams_refused_from : m_requests_refused_from);
+                             },
+                         .m_on_run =
+                             [this](std::string_view account) {
+                               if (m_duties) {
+                                 m_duties->record_request(account);
+                               }
                              }})
     , m_server(m_runtime, {.m_address = m_settings.m_callers_address},
                [this](net::http_exchange& exchange) { m_request_handler.handle(exchange); })
@@ -169,6 +180,9 @@
   m_server.set_drop_observer([](net::request_drop cause, std::string_view detail) {
     log_event(log_level::warning, "request_dropped", {{"cause", to_string(cause)}, {"reason", detail}});
   });
+  if (!m_settings.m_duties.empty()) {
+    m_duties = std::make_unique<entry_duties>(m_settings, m_runtime, m_group, m_peer_exchange);
+  }
   m_fleet_view.on_change([this](gateway::collection_kind kind) {
     if (kind == gateway::collection_kind::declarations) {
       apply_http_limits();
@@ -249,6 +263,9 @@
                         static_cast<double>(m_backend_connections.connections_opened()));
   m_metrics.set_counter("cardamompond_documents_unreadable_total",
                         static_cast<double>(m_fleet_view.unreadable_documents()));
+  if (m_duties) {
+    m_duties->update_metrics(m_metrics);
+  }
 }
 
 void entry_daemon::impl::serve_metrics(net::http_exchange& exchange) {
@@ -312,6 +329,9 @@
   net::fiber_runtime::spawn([this] { m_group_maintenance.run_rollouts(); });
   net::fiber_runtime::spawn([this] { watch_settings(); });
   net::fiber_runtime::spawn([this] { run_admission(); });
+  if (m_duties) {
+    m_duties->start();
+  }
 }
 
 void entry_daemon::impl::run_admission() {
@@ -349,6 +369,9 @@
   m_requests_refused_from = end_time - refusal_margin;
   m_streams_refused_from = std::min<time_point>(start_time + stream_accept_period, m_requests_refused_from);
   m_server.begin_drain();
+  if (m_duties) {
+    m_duties->hand_over();
+  }
   bool deregistering = false;
   while (monotonic_now() < end_time - exit_margin ||
          (m_server.has_unread_input() && monotonic_now() < end_time - last_read_margin)) {
@@ -358,7 +381,8 @@
         deregistering = true;
         net::fiber_runtime::spawn([this] { m_group_maintenance.deregister(); });
       }
-      if (m_server.active_requests() == 0 && !m_server.has_unread_input()) {
+      if (m_server.active_requests() == 0 && !m_server.has_unread_input() &&
+          (!m_duties || m_duties->handed_over() || now >= start_time + hand_over_period)) {
         break;
       }
     }
--- a/packages/gateway/include/cardamompond/gateway/gateway_settings.hpp
+++ b/packages/gateway/include/cardamompond/gateway/gateway_settings.hpp
@@ -10,6 +10,17 @@
 
 namespace cardamompond::gateway {
 
+// Settings of a duty that one daemon of the group holds at a time.
+struct duty_settings {
+  std::string m_name;       // as the platform names it
+  std::string m_address;    // of the API that gets the calls
+  double m_calls_per_s = 0; // limit for the calls of all daemons together; 0: none
+  bool m_fencing = false;   // the API rejects calls with an outdated token
+  milliseconds m_lease{3'000};
+  milliseconds m_window{5'000};      // length of a window of usage
+  milliseconds m_late_after{10'000}; // from the end of a window until its report counts as late
+};
+
 // Settings of a daemon that schedules its requests itself (scheduling = "local"). docs/OPERATIONS.md lists
 // the keys.
 struct gateway_settings {
@@ -22,7 +33,8 @@
   std::string m_store_address;
   std::vector<std::string> m_seeds; // exchange addresses of daemons to contact before the members are known
   shared_retry_limits m_retry_limits;
-  milliseconds m_drain_time{8'000}; // time from SIGTERM to the end of the process
+  milliseconds m_drain_time{8'000};    // time from SIGTERM to the end of the process
+  std::vector<duty_settings> m_duties; // empty: this daemon takes part in no duty
   std::string m_log_level = "info";
 };
 
--- a/packages/gateway/include/cardamompond/gateway/peer_exchange.hpp
+++ b/packages/gateway/include/cardamompond/gateway/peer_exchange.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cardamompond/gateway/peer_group.hpp"
+#include "cardamompond/gateway/usage_ledger.hpp"
 #include "cardamompond/net/fiber_runtime.hpp"
 #include "cardamompond/net/http_client.hpp"
 #include "cardamompond/net/http_server.hpp"
@@ -31,13 +32,18 @@
   peer_exchange(const peer_exchange&) = delete;
   peer_exchange& operator=(const peer_exchange&) = delete;
 
+  // Sets the ledger whose statements are exchanged with the daemons of the zone, before start(). Without it,
+  // statements are neither sent nor accepted.
+  void set_usage_ledger(usage_ledger* ledger);
+
   // Starts the fibers that send, receive and fetch.
   void start();
 
   // Sends a report at once to peer_group::announcement_addresses(), after a change was read from the store.
   void announce_state();
 
-  // Tells the daemons at peer_group::announcement_addresses() that this daemon is stopping.
+  // Tells the daemons at peer_group::announcement_addresses() that this daemon is stopping, after a last
+  // statement about usage.
   void announce_leaving();
 
   exchange_counters counters() const;
--- a/packages/gateway/include/cardamompond/gateway/peer_group.hpp
+++ b/packages/gateway/include/cardamompond/gateway/peer_group.hpp
@@ -2,6 +2,7 @@
 
 #include "cardamompond/core/time.hpp"
 #include "cardamompond/gateway/admission_controller.hpp"
+#include "cardamompond/gateway/duty_peers.hpp"
 #include "cardamompond/gateway/fleet_view.hpp"
 #include "cardamompond/gateway/peer_report.hpp"
 
@@ -79,6 +80,19 @@
   // Replaces the addresses of daemons to contact before the members are known.
   void set_seeds(std::vector<std::string> seeds) { m_seeds = std::move(seeds); }
 
+  // Sets what keeps the peers' clocks and duties. Without it, reports contain neither.
+  void set_duty_peers(duty_peers* duties) { m_duty_peers = duties; }
+
+  // Returns the live daemons of a zone in the rendezvous-hash order of `key`, this one included. If there are
+  // none, returns those that are registered.
+  std::vector<member> daemons_of_zone(std::string_view zone, std::string_view key) const;
+
+  // Returns the zones of all registered and live daemons.
+  std::vector<std::string> zones() const;
+
+  const member& self() const { return m_self; }
+  fleet_view& known_fleet() const { return m_admission.known_fleet(); }
+
   // Whether the daemon is a live peer, that is, reports at present.
   bool is_live(std::string_view name) const { return m_peers.contains(name); }
 
@@ -133,6 +147,7 @@
 
   admission_controller& m_admission;
   member m_self;
+  duty_peers* m_duty_peers = nullptr;
   std::vector<std::string> m_seeds;
   std::uint64_t m_incarnation;
   std::uint64_t m_sequence = 0;
--- a/packages/gateway/include/cardamompond/gateway/peer_report.hpp
+++ b/packages/gateway/include/cardamompond/gateway/peer_report.hpp
@@ -3,8 +3,10 @@
 #include "cardamompond/core/result.hpp"
 #include "cardamompond/fleet/crash_register.hpp"
 #include "cardamompond/fleet/dispatcher.hpp"
+#include "cardamompond/fleet/duty_claim.hpp"
 #include "cardamompond/fleet/part_crash_register.hpp"
 #include "cardamompond/fleet/rollout_controller.hpp"
+#include "cardamompond/fleet/usage_windows.hpp"
 #include "cardamompond/gateway/document_store.hpp"
 
 #include <array>
@@ -44,6 +46,8 @@
   std::vector<fleet::crash_suspicion> m_crashes;
   std::vector<fleet::part_suspicion> m_part_suspicions;
   fleet::blocked_totals m_blocked{};
+  std::int64_t m_wall_clock_ms = 0; // when the report was made; 0 where no duties are configured
+  std::vector<std::pair<fleet::duty, std::uint64_t>> m_held_duties; // with their tokens
 };
 
 // A report that a daemon passes on.
@@ -67,13 +71,18 @@
 std::string encode_report(const peer_report& report);
 std::string encode_digest(const report_digest& digest);
 
-// A datagram is a report or a digest of reports.
-using peer_message = std::variant<peer_report, report_digest>;
+std::string encode_usage(const fleet::usage_statement& statement);
+
+// A datagram is a report, a digest of reports or a statement about usage.
+using peer_message = std::variant<peer_report, report_digest, fleet::usage_statement>;
 result<peer_message, malformed_message> decode_message(std::span<const char> bytes);
 
 // Fails if the message is not a report.
 result<peer_report, malformed_message> decode_report(std::span<const char> bytes);
 
+std::string encode_usage_list(std::span<const fleet::usage_statement> statements);
+result<std::vector<fleet::usage_statement>, malformed_message> decode_usage_list(std::span<const char> bytes);
+
 std::string encode_snapshot(const collection_snapshot& snapshot);
 result<collection_snapshot, malformed_message> decode_snapshot(std::span<const char> bytes);
 
--- a/packages/gateway/include/cardamompond/gateway/request_handler.hpp
+++ b/packages/gateway/include/cardamompond/gateway/request_handler.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <set>
+#include <string_view>
 
 namespace cardamompond::gateway {
 
@@ -16,6 +17,8 @@
   // Whether requests are still accepted. Returns false if the process would end before the response is
   // complete.
   std::function<bool(bool streamed)> m_accepts_requests = [](bool /*streamed*/) { return true; };
+  // Called once for each request when it is known to have begun to run at a server.
+  std::function<void(std::string_view account)> m_on_run = [](std::string_view /*account*/) {};
 };
 
 // Serves the requests of callers: finds the route and the client account, enforces the quota, waits for a
--- a/packages/gateway/schema/exchange.capnp
+++ b/packages/gateway/schema/exchange.capnp
@@ -79,6 +79,30 @@
   report @1 :Data;        # a Report without the availability zone; most leave out the collections
 }
 
+# A duty that the sender holds.
+struct HeldDuty {
+  duty @0 :UInt8;         # fleet::duty
+  token @1 :UInt64;       # its fencing token
+}
+
+# Requests of an account that began to run at one daemon in a window.
+struct UsageCount {
+  window @0 :Int64;
+  account @1 :UInt32;     # fleet::account_quotas::account_hash of the account's name
+  count @2 :UInt32;
+}
+
+# What one process counted.
+struct UsageStatement {
+  daemon @0 :UInt64;      # fleet::usage_source
+  incarnation @1 :UInt64;
+  counts @2 :List(UsageCount);
+}
+
+struct UsageStatements {
+  statements @0 :List(UsageStatement);
+}
+
 # A report of one daemon, or, if `relayed` is not empty, reports that its sender passes on to another zone.
 struct Report {
   daemon @0 :Text;
@@ -99,6 +123,12 @@
   relayed @15 :List(RelayedReport);
   forwarded @16 :Bool;       # the relayed reports were passed on within the zone of the receiver
                              # availabilityZone is then that of all relayed reports
+  unused17 @17 :Void;
+  unused18 @18 :Void;
+  unused19 @19 :Void;
+  wallMs @20 :UInt64;        # wall clock of the sender, since 1970; 0 where no duties are configured
+  duties @21 :List(HeldDuty);
+  usage @22 :UsageStatement; # if present, the message holds nothing else
 }
 
 struct Document {
--- a/packages/gateway/src/exchange.capnp.h
+++ b/packages/gateway/src/exchange.capnp.h
@@ -25,6 +25,10 @@
 CAPNP_DECLARE_SCHEMA(8bd76548a75f14c9);
 CAPNP_DECLARE_SCHEMA(b10fb6925e1f412b);
 CAPNP_DECLARE_SCHEMA(90a1451c77e7f9c8);
+CAPNP_DECLARE_SCHEMA(d0ee34d91b88a858);
+CAPNP_DECLARE_SCHEMA(88931db23d7435b7);
+CAPNP_DECLARE_SCHEMA(9aeaab5e22dbc789);
+CAPNP_DECLARE_SCHEMA(bb7adbcda7b87cea);
 CAPNP_DECLARE_SCHEMA(9f9f84d4d7a8dc24);
 CAPNP_DECLARE_SCHEMA(fab845e96b66bc98);
 CAPNP_DECLARE_SCHEMA(b7861866a3899f1f);
@@ -171,6 +175,66 @@
   };
 };
 
+struct HeldDuty {
+  HeldDuty() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d0ee34d91b88a858, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct UsageCount {
+  UsageCount() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(88931db23d7435b7, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct UsageStatement {
+  UsageStatement() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9aeaab5e22dbc789, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct UsageStatements {
+  UsageStatements() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bb7adbcda7b87cea, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Report {
   Report() = delete;
 
@@ -179,7 +243,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9f9f84d4d7a8dc24, 3, 12)
+    CAPNP_DECLARE_STRUCT_HEADER(9f9f84d4d7a8dc24, 4, 14)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1093,6 +1157,345 @@
 };
 #endif  // !CAPNP_LITE
 
+class HeldDuty::Reader {
+public:
+  typedef HeldDuty Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint8_t getDuty() const;
+
+  inline  ::uint64_t getToken() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class HeldDuty::Builder {
+public:
+  typedef HeldDuty Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint8_t getDuty();
+  inline void setDuty( ::uint8_t value);
+
+  inline  ::uint64_t getToken();
+  inline void setToken( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class HeldDuty::Pipeline {
+public:
+  typedef HeldDuty Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class UsageCount::Reader {
+public:
+  typedef UsageCount Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getWindow() const;
+
+  inline  ::uint32_t getAccount() const;
+
+  inline  ::uint32_t getCount() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class UsageCount::Builder {
+public:
+  typedef UsageCount Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getWindow();
+  inline void setWindow( ::int64_t value);
+
+  inline  ::uint32_t getAccount();
+  inline void setAccount( ::uint32_t value);
+
+  inline  ::uint32_t getCount();
+  inline void setCount( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class UsageCount::Pipeline {
+public:
+  typedef UsageCount Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class UsageStatement::Reader {
+public:
+  typedef UsageStatement Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getDaemon() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
+  inline bool hasCounts() const;
+  inline  ::capnp::List< ::cardamompond::gateway::wire::UsageCount,  ::capnp::Kind::STRUCT>::Reader getCounts() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class UsageStatement::Builder {
+public:
+  typedef UsageStatement Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getDaemon();
+  inline void setDaemon( ::uint64_t value);
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline bool hasCounts();
+  inline  ::capnp::List< ::cardamompond::gateway::wire::UsageCount,  ::capnp::Kind::STRUCT>::Builder getCounts();
+  inline void setCounts( ::capnp::List< ::cardamompond::gateway::wire::UsageCount,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cardamompond::gateway::wire::UsageCount,  ::capnp::Kind::STRUCT>::Builder initCounts(unsigned int size);
+  inline void adoptCounts(::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::UsageCount,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::UsageCount,  ::capnp::Kind::STRUCT>> disownCounts();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class UsageStatement::Pipeline {
+public:
+  typedef UsageStatement Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class UsageStatements::Reader {
+public:
+  typedef UsageStatements Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasStatements() const;
+  inline  ::capnp::List< ::cardamompond::gateway::wire::UsageStatement,  ::capnp::Kind::STRUCT>::Reader getStatements() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class UsageStatements::Builder {
+public:
+  typedef UsageStatements Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasStatements();
+  inline  ::capnp::List< ::cardamompond::gateway::wire::UsageStatement,  ::capnp::Kind::STRUCT>::Builder getStatements();
+  inline void setStatements( ::capnp::List< ::cardamompond::gateway::wire::UsageStatement,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cardamompond::gateway::wire::UsageStatement,  ::capnp::Kind::STRUCT>::Builder initStatements(unsigned int size);
+  inline void adoptStatements(::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::UsageStatement,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::UsageStatement,  ::capnp::Kind::STRUCT>> disownStatements();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class UsageStatements::Pipeline {
+public:
+  typedef UsageStatements Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Report::Reader {
 public:
   typedef Report Reads;
@@ -1156,6 +1559,20 @@
 
   inline bool getForwarded() const;
 
+  inline  ::capnp::Void getUnused17() const;
+
+  inline  ::capnp::Void getUnused18() const;
+
+  inline  ::capnp::Void getUnused19() const;
+
+  inline  ::uint64_t getWallMs() const;
+
+  inline bool hasDuties() const;
+  inline  ::capnp::List< ::cardamompond::gateway::wire::HeldDuty,  ::capnp::Kind::STRUCT>::Reader getDuties() const;
+
+  inline bool hasUsage() const;
+  inline  ::cardamompond::gateway::wire::UsageStatement::Reader getUsage() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1284,6 +1701,32 @@
   inline bool getForwarded();
   inline void setForwarded(bool value);
 
+  inline  ::capnp::Void getUnused17();
+  inline void setUnused17( ::capnp::Void value = ::capnp::VOID);
+
+  inline  ::capnp::Void getUnused18();
+  inline void setUnused18( ::capnp::Void value = ::capnp::VOID);
+
+  inline  ::capnp::Void getUnused19();
+  inline void setUnused19( ::capnp::Void value = ::capnp::VOID);
+
+  inline  ::uint64_t getWallMs();
+  inline void setWallMs( ::uint64_t value);
+
+  inline bool hasDuties();
+  inline  ::capnp::List< ::cardamompond::gateway::wire::HeldDuty,  ::capnp::Kind::STRUCT>::Builder getDuties();
+  inline void setDuties( ::capnp::List< ::cardamompond::gateway::wire::HeldDuty,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cardamompond::gateway::wire::HeldDuty,  ::capnp::Kind::STRUCT>::Builder initDuties(unsigned int size);
+  inline void adoptDuties(::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::HeldDuty,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::HeldDuty,  ::capnp::Kind::STRUCT>> disownDuties();
+
+  inline bool hasUsage();
+  inline  ::cardamompond::gateway::wire::UsageStatement::Builder getUsage();
+  inline void setUsage( ::cardamompond::gateway::wire::UsageStatement::Reader value);
+  inline  ::cardamompond::gateway::wire::UsageStatement::Builder initUsage();
+  inline void adoptUsage(::capnp::Orphan< ::cardamompond::gateway::wire::UsageStatement>&& value);
+  inline ::capnp::Orphan< ::cardamompond::gateway::wire::UsageStatement> disownUsage();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1302,6 +1745,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::cardamompond::gateway::wire::UsageStatement::Pipeline getUsage();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2204,6 +2648,172 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint8_t HeldDuty::Reader::getDuty() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t HeldDuty::Builder::getDuty() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void HeldDuty::Builder::setDuty( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t HeldDuty::Reader::getToken() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t HeldDuty::Builder::getToken() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void HeldDuty::Builder::setToken( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t UsageCount::Reader::getWindow() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t UsageCount::Builder::getWindow() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void UsageCount::Builder::setWindow( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t UsageCount::Reader::getAccount() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t UsageCount::Builder::getAccount() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void UsageCount::Builder::setAccount( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t UsageCount::Reader::getCount() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t UsageCount::Builder::getCount() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void UsageCount::Builder::setCount( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t UsageStatement::Reader::getDaemon() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t UsageStatement::Builder::getDaemon() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void UsageStatement::Builder::setDaemon( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t UsageStatement::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t UsageStatement::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void UsageStatement::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool UsageStatement::Reader::hasCounts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool UsageStatement::Builder::hasCounts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cardamompond::gateway::wire::UsageCount,  ::capnp::Kind::STRUCT>::Reader UsageStatement::Reader::getCounts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::UsageCount,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cardamompond::gateway::wire::UsageCount,  ::capnp::Kind::STRUCT>::Builder UsageStatement::Builder::getCounts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::UsageCount,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void UsageStatement::Builder::setCounts( ::capnp::List< ::cardamompond::gateway::wire::UsageCount,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::UsageCount,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cardamompond::gateway::wire::UsageCount,  ::capnp::Kind::STRUCT>::Builder UsageStatement::Builder::initCounts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::UsageCount,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void UsageStatement::Builder::adoptCounts(
+    ::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::UsageCount,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::UsageCount,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::UsageCount,  ::capnp::Kind::STRUCT>> UsageStatement::Builder::disownCounts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::UsageCount,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool UsageStatements::Reader::hasStatements() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool UsageStatements::Builder::hasStatements() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cardamompond::gateway::wire::UsageStatement,  ::capnp::Kind::STRUCT>::Reader UsageStatements::Reader::getStatements() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::UsageStatement,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cardamompond::gateway::wire::UsageStatement,  ::capnp::Kind::STRUCT>::Builder UsageStatements::Builder::getStatements() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::UsageStatement,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void UsageStatements::Builder::setStatements( ::capnp::List< ::cardamompond::gateway::wire::UsageStatement,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::UsageStatement,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cardamompond::gateway::wire::UsageStatement,  ::capnp::Kind::STRUCT>::Builder UsageStatements::Builder::initStatements(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::UsageStatement,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void UsageStatements::Builder::adoptStatements(
+    ::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::UsageStatement,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::UsageStatement,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::UsageStatement,  ::capnp::Kind::STRUCT>> UsageStatements::Builder::disownStatements() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::UsageStatement,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool Report::Reader::hasDaemon() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2686,6 +3296,135 @@
       ::capnp::bounded<130>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::capnp::Void Report::Reader::getUnused17() const {
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::capnp::Void Report::Builder::getUnused17() {
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Report::Builder::setUnused17( ::capnp::Void value) {
+  _builder.setDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::capnp::Void Report::Reader::getUnused18() const {
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::capnp::Void Report::Builder::getUnused18() {
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Report::Builder::setUnused18( ::capnp::Void value) {
+  _builder.setDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::capnp::Void Report::Reader::getUnused19() const {
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::capnp::Void Report::Builder::getUnused19() {
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Report::Builder::setUnused19( ::capnp::Void value) {
+  _builder.setDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Report::Reader::getWallMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Report::Builder::getWallMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Report::Builder::setWallMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Report::Reader::hasDuties() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS).isNull();
+}
+inline bool Report::Builder::hasDuties() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cardamompond::gateway::wire::HeldDuty,  ::capnp::Kind::STRUCT>::Reader Report::Reader::getDuties() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::HeldDuty,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cardamompond::gateway::wire::HeldDuty,  ::capnp::Kind::STRUCT>::Builder Report::Builder::getDuties() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::HeldDuty,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+inline void Report::Builder::setDuties( ::capnp::List< ::cardamompond::gateway::wire::HeldDuty,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::HeldDuty,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cardamompond::gateway::wire::HeldDuty,  ::capnp::Kind::STRUCT>::Builder Report::Builder::initDuties(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::HeldDuty,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), size);
+}
+inline void Report::Builder::adoptDuties(
+    ::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::HeldDuty,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::HeldDuty,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::HeldDuty,  ::capnp::Kind::STRUCT>> Report::Builder::disownDuties() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::HeldDuty,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+
+inline bool Report::Reader::hasUsage() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS).isNull();
+}
+inline bool Report::Builder::hasUsage() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS).isNull();
+}
+inline  ::cardamompond::gateway::wire::UsageStatement::Reader Report::Reader::getUsage() const {
+  return ::capnp::_::PointerHelpers< ::cardamompond::gateway::wire::UsageStatement>::get(_reader.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS));
+}
+inline  ::cardamompond::gateway::wire::UsageStatement::Builder Report::Builder::getUsage() {
+  return ::capnp::_::PointerHelpers< ::cardamompond::gateway::wire::UsageStatement>::get(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::cardamompond::gateway::wire::UsageStatement::Pipeline Report::Pipeline::getUsage() {
+  return  ::cardamompond::gateway::wire::UsageStatement::Pipeline(_typeless.getPointerField(13));
+}
+#endif  // !CAPNP_LITE
+inline void Report::Builder::setUsage( ::cardamompond::gateway::wire::UsageStatement::Reader value) {
+  ::capnp::_::PointerHelpers< ::cardamompond::gateway::wire::UsageStatement>::set(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS), value);
+}
+inline  ::cardamompond::gateway::wire::UsageStatement::Builder Report::Builder::initUsage() {
+  return ::capnp::_::PointerHelpers< ::cardamompond::gateway::wire::UsageStatement>::init(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS));
+}
+inline void Report::Builder::adoptUsage(
+    ::capnp::Orphan< ::cardamompond::gateway::wire::UsageStatement>&& value) {
+  ::capnp::_::PointerHelpers< ::cardamompond::gateway::wire::UsageStatement>::adopt(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::cardamompond::gateway::wire::UsageStatement> Report::Builder::disownUsage() {
+  return ::capnp::_::PointerHelpers< ::cardamompond::gateway::wire::UsageStatement>::disown(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS));
+}
+
 inline bool Document::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/gateway/src/gateway_settings.cpp
+++ b/packages/gateway/src/gateway_settings.cpp
@@ -40,6 +40,8 @@
   void read_address(std::string_view section, std::string_view key, std::string& target);
   void read_number(std::string_view section, std::string_view key, double low, double high, double& target);
   void read_seeds(const std::string& exchange_address, std::vector<std::string>& target);
+  void read_duties(std::vector<duty_settings>& target);
+  duty_settings read_duty(std::string_view name, const toml::table& table);
   void reject_unknown_keys();
   void check_distinct_addresses(const gateway_settings& settings);
 
@@ -132,6 +134,72 @@
   }
 }
 
+// The section [duties] has one table for each duty.
+void settings_parser::read_duties(std::vector<duty_settings>& target) {
+  const auto* node = m_root.get("duties");
+  if (node == nullptr) {
+    return;
+  }
+  const auto* section = node->as_table();
+  if (section == nullptr) {
+    record_error(node, "duties", "must be a section");
+    return;
+  }
+  for (const auto& [name, each] : *section) {
+    m_known_keys.insert(full_name("duties", name.str()));
+    if (const auto* table = each.as_table()) {
+      target.push_back(read_duty(name.str(), *table));
+    } else {
+      record_error(&each, full_name("duties", name.str()), "must be a section");
+    }
+  }
+}
+
+duty_settings settings_parser::read_duty(std::string_view name, const toml::table& table) {
+  const std::string section = full_name("duties", name);
+  constexpr double ms_per_s = 1000;
+  constexpr double max_ms = 3'600'000;
+  duty_settings duty;
+  duty.m_name = name;
+  for (const auto& [key, node] : table) {
+    const std::string full = full_name(section, key.str());
+    const auto number = node.value<double>();
+    const auto read_ms = [&](double ms_per_unit, milliseconds& value) {
+      if (!number || *number * ms_per_unit < 1 || *number * ms_per_unit > max_ms) {
+        record_error(&node, full, "must be a time of at most an hour");
+      } else {
+        value = milliseconds(static_cast<std::int64_t>(*number * ms_per_unit));
+      }
+    };
+    if (key == "address") {
+      duty.m_address = node.value_exact<std::string>().value_or("");
+    } else if (key == "calls_per_s") {
+      duty.m_calls_per_s = number.value_or(-1);
+      if (duty.m_calls_per_s < 0) {
+        record_error(&node, full, "must be a number that is not negative");
+      }
+    } else if (key == "fencing") {
+      if (const auto flag = node.value_exact<bool>()) {
+        duty.m_fencing = *flag;
+      } else {
+        record_error(&node, full, "must be true or false");
+      }
+    } else if (key == "lease_ms") {
+      read_ms(1, duty.m_lease);
+    } else if (key == "window_s") {
+      read_ms(ms_per_s, duty.m_window);
+    } else if (key == "late_s") {
+      read_ms(ms_per_s, duty.m_late_after);
+    } else {
+      record_error(&node, full, "unknown key");
+    }
+  }
+  if (duty.m_address.find(':') == std::string::npos) {
+    record_error(&table, section + ".address", "must be an address like \"127.0.0.1:8080\"");
+  }
+  return duty;
+}
+
 void settings_parser::reject_unknown_keys() {
   for (const auto& [key, node] : m_root) {
     if (const auto* section = node.as_table(); section != nullptr) {
@@ -178,6 +246,7 @@
   read_number("group", "retry_fixed", 0, 1e6, settings.m_retry_limits.m_fixed_retries);
   read_number("group", "retry_window_s", 1, max_s, window_s);
   read_number("drain", "time_s", 1, max_s, drain_s);
+  read_duties(settings.m_duties);
   reject_unknown_keys();
   check_distinct_addresses(settings);
   if (m_error) {
--- a/packages/gateway/src/peer_exchange.cpp
+++ b/packages/gateway/src/peer_exchange.cpp
@@ -9,6 +9,7 @@
 #include <boost/fiber/operations.hpp>
 
 #include <array>
+#include <charconv>
 #include <deque>
 #include <map>
 #include <span>
@@ -24,6 +25,7 @@
 using udp = asio::ip::udp;
 
 constexpr std::string_view collections_path = "/collections/";
+constexpr std::string_view usage_path = "/usage/"; // followed by the number of a window
 constexpr milliseconds fetch_timeout{800};
 constexpr milliseconds fetch_interval{50};
 
@@ -70,7 +72,10 @@
   void receive_reports();
   void fetch_lagging_collections();
 
+  void send_usage(bool all);
+
   exchange_counters m_counters;
+  usage_ledger* m_usage_ledger = nullptr;
 
 private:
   void send(const std::string& bytes, std::span<const std::string> addresses);
@@ -78,6 +83,7 @@
   void receive_digest(report_digest& digest, const udp::endpoint& sender);
   void count_malformed(const udp::endpoint& sender, std::string_view reason);
   void serve(net::http_exchange& exchange);
+  bool serve_usage(net::http_exchange& exchange, std::string_view window);
   void fetch(const peer_group::lagging_collection& lagging);
 
   net::http_client& m_client;
@@ -131,7 +137,21 @@
   }
 }
 
+// States what this daemon counted to the collectors of its zone.
+void peer_exchange::impl::send_usage(bool all) {
+  if (m_usage_ledger == nullptr) {
+    return;
+  }
+  m_usage_ledger->tick();
+  for (const auto& statement : m_usage_ledger->take_statements(boot_now(), all)) {
+    send(encode_usage(statement), m_usage_ledger->collector_addresses());
+  }
+}
+
 void peer_exchange::impl::send_announcement(bool leaving) {
+  if (leaving) {
+    send_usage(true);
+  }
   send(encode_report(m_group.make_report(false, leaving)), m_group.announcement_addresses());
 }
 
@@ -152,6 +172,10 @@
       count_malformed(sender, message.error().m_reason);
     } else if (const auto* report = std::get_if<peer_report>(&*message)) {
       m_group.handle_report(*report, monotonic_now());
+    } else if (const auto* usage = std::get_if<fleet::usage_statement>(&*message)) {
+      if (m_usage_ledger != nullptr) {
+        m_usage_ledger->merge(*usage);
+      }
     } else {
       receive_digest(std::get<report_digest>(*message), sender);
     }
@@ -204,9 +228,25 @@
       }
     }
   }
+  if (path.starts_with(usage_path) && serve_usage(exchange, path.substr(usage_path.size()))) {
+    return;
+  }
   std::ignore = exchange.respond({404, {{"Content-Type", "text/plain"}}, "not found\n"});
 }
 
+bool peer_exchange::impl::serve_usage(net::http_exchange& exchange, std::string_view window) {
+  std::int64_t number = 0;
+  const auto [end, error] = std::from_chars(window.data(), window.data() + window.size(), number);
+  if (m_usage_ledger == nullptr || error != std::errc() || end != window.data() + window.size()) {
+    return false;
+  }
+  m_usage_ledger->tick();
+  std::ignore = exchange.respond({200,
+                                  {{"Content-Type", "application/octet-stream"}},
+                                  encode_usage_list(m_usage_ledger->statements(number))});
+  return true;
+}
+
 void peer_exchange::impl::fetch(const peer_group::lagging_collection& lagging) {
   const std::string target = std::string(collections_path) + std::string(to_string(lagging.m_kind));
   const auto response = m_client.fetch(lagging.m_peer_address, {"GET", target, {}, {}}, fetch_timeout);
@@ -245,12 +285,17 @@
 
 peer_exchange::~peer_exchange() = default;
 
+void peer_exchange::set_usage_ledger(usage_ledger* ledger) {
+  m_impl->m_usage_ledger = ledger;
+}
+
 void peer_exchange::start() {
   net::fiber_runtime::spawn([this] { m_impl->receive_reports(); });
   net::fiber_runtime::spawn([this] { m_impl->fetch_lagging_collections(); });
   net::fiber_runtime::spawn([this] {
     while (true) {
       m_impl->send_reports();
+      m_impl->send_usage(false);
       boost::this_fiber::sleep_for(report_interval);
     }
   });
--- a/packages/gateway/src/peer_group.cpp
+++ b/packages/gateway/src/peer_group.cpp
@@ -4,6 +4,7 @@
 #include "cardamompond/telemetry/log.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 
 namespace cardamompond::gateway {
@@ -108,6 +109,9 @@
     if (known != m_peers.end()) {
       m_peers.erase(known);
       m_admission.dispatcher().set_peer_loads(report.m_daemon, {}, received);
+      if (m_duty_peers != nullptr) {
+        m_duty_peers->forget(report.m_daemon);
+      }
     }
     return;
   }
@@ -125,6 +129,9 @@
   if (report.m_availability_zone == m_self.m_availability_zone) {
     remote.m_last_report = report;
   }
+  if (m_duty_peers != nullptr) {
+    m_duty_peers->handle_report(report, received);
+  }
   compare_collections(remote, report, received);
   apply_quota_use(remote, report, restarted, received);
   m_admission.dispatcher().set_peer_loads(report.m_daemon, report.m_loads, received);
@@ -274,6 +281,9 @@
                {"silent_ms",
                 std::chrono::duration_cast<milliseconds>(now - each->second.m_last_report_at).count()}});
     m_admission.dispatcher().set_peer_loads(each->first, {}, now); // its requests ended with it
+    if (m_duty_peers != nullptr) {
+      m_duty_peers->forget(each->first);
+    }
     each = m_peers.erase(each);
   }
   std::map<std::string, std::string> zones = {{m_self.m_name, m_self.m_availability_zone}}; // by daemon name
@@ -325,6 +335,9 @@
   report.m_rolled_back_orders = m_admission.rollout_controller().rolled_back_orders();
   report.m_crashes = m_admission.crashes().recent(max_reported_crashes, now);
   report.m_part_suspicions = m_admission.part_crashes().recent(max_reported_parts, with_speeds, now);
+  if (m_duty_peers != nullptr) {
+    m_duty_peers->add_to_report(report);
+  }
   return report;
 }
 
@@ -481,6 +494,38 @@
   return std::nullopt;
 }
 
+std::vector<member> peer_group::daemons_of_zone(std::string_view zone, std::string_view key) const {
+  std::vector<member> daemons;
+  for (const auto& [name, each] : m_peers) {
+    if (each.m_availability_zone == zone) {
+      daemons.push_back({name, each.m_availability_zone, each.m_address});
+    }
+  }
+  if (zone == m_self.m_availability_zone) {
+    daemons.push_back(m_self);
+  }
+  if (daemons.empty()) {
+    const auto& members = m_admission.known_fleet().members();
+    std::copy_if(members.begin(), members.end(), std::back_inserter(daemons),
+                 [&](const member& each) { return each.m_availability_zone == zone; });
+  }
+  const auto weight = [&](const member& each) { return hash64(each.m_name, hash64(key)); };
+  std::sort(daemons.begin(), daemons.end(),
+            [&](const member& a, const member& b) { return weight(a) > weight(b); });
+  return daemons;
+}
+
+std::vector<std::string> peer_group::zones() const {
+  std::set<std::string> zones = {m_self.m_availability_zone};
+  for (const auto& each : m_admission.known_fleet().members()) {
+    zones.insert(each.m_availability_zone);
+  }
+  for (const auto& [name, each] : m_peers) {
+    zones.insert(each.m_availability_zone);
+  }
+  return {zones.begin(), zones.end()};
+}
+
 std::size_t peer_group::rank_for(std::string_view key) const {
   const auto weight = [&](std::string_view name) { return hash64(name, hash64(key)); };
   const auto own_weight = weight(m_self.m_name);
--- a/packages/gateway/src/peer_report.cpp
+++ b/packages/gateway/src/peer_report.cpp
@@ -132,6 +132,36 @@
   return suspicions;
 }
 
+void write_usage(const fleet::usage_statement& from, wire::UsageStatement::Builder to) {
+  to.setDaemon(from.m_source.m_daemon);
+  to.setIncarnation(from.m_source.m_incarnation);
+  auto counts = to.initCounts(static_cast<unsigned>(from.m_counts.size()));
+  for (unsigned i = 0; i < counts.size(); ++i) {
+    counts[i].setWindow(from.m_counts[i].m_window);
+    counts[i].setAccount(from.m_counts[i].m_account);
+    counts[i].setCount(from.m_counts[i].m_count);
+  }
+}
+
+fleet::usage_statement read_usage(wire::UsageStatement::Reader from) {
+  fleet::usage_statement statement{{from.getDaemon(), from.getIncarnation()}, {}};
+  for (const auto& each : from.getCounts()) {
+    statement.m_counts.push_back({each.getWindow(), each.getAccount(), each.getCount()});
+  }
+  return statement;
+}
+
+// Duties that this version does not know are left out.
+std::vector<std::pair<fleet::duty, std::uint64_t>> read_held_duties(wire::Report::Reader from) {
+  std::vector<std::pair<fleet::duty, std::uint64_t>> duties;
+  for (const auto& each : from.getDuties()) {
+    if (each.getDuty() <= static_cast<std::uint8_t>(fleet::duty::engine_counts)) {
+      duties.emplace_back(static_cast<fleet::duty>(each.getDuty()), each.getToken());
+    }
+  }
+  return duties;
+}
+
 peer_report read_report(capnp::MessageReader& message) {
   const auto from = message.getRoot<wire::Report>();
   peer_report report;
@@ -183,6 +213,9 @@
   for (unsigned i = 0; i < std::min<unsigned>(blocked.size(), report.m_blocked.size()); ++i) {
     report.m_blocked[i] = blocked[i];
   }
+  constexpr std::uint64_t max_wall_clock_ms = std::uint64_t{1} << 50U; // keeps sums in range
+  report.m_wall_clock_ms = static_cast<std::int64_t>(std::min(from.getWallMs(), max_wall_clock_ms));
+  report.m_held_duties = read_held_duties(from);
   return report;
 }
 
@@ -235,9 +268,44 @@
   for (unsigned i = 0; i < blocked.size(); ++i) {
     blocked.set(i, report.m_blocked[i]);
   }
+  to.setWallMs(static_cast<std::uint64_t>(report.m_wall_clock_ms));
+  if (!report.m_held_duties.empty()) {
+    auto duties = to.initDuties(static_cast<unsigned>(report.m_held_duties.size()));
+    for (unsigned i = 0; i < duties.size(); ++i) {
+      duties[i].setDuty(static_cast<std::uint8_t>(report.m_held_duties[i].first));
+      duties[i].setToken(report.m_held_duties[i].second);
+    }
+  }
   return serialize_packed(message);
 }
 
+std::string encode_usage(const fleet::usage_statement& statement) {
+  capnp::MallocMessageBuilder message;
+  write_usage(statement, message.initRoot<wire::Report>().initUsage());
+  return serialize_packed(message);
+}
+
+std::string encode_usage_list(std::span<const fleet::usage_statement> statements) {
+  capnp::MallocMessageBuilder message;
+  auto list =
+      message.initRoot<wire::UsageStatements>().initStatements(static_cast<unsigned>(statements.size()));
+  for (unsigned i = 0; i < list.size(); ++i) {
+    write_usage(statements[i], list[i]);
+  }
+  return serialize_packed(message);
+}
+
+result<std::vector<fleet::usage_statement>, malformed_message>
+decode_usage_list(std::span<const char> bytes) {
+  return decode<std::vector<fleet::usage_statement>>(bytes, [](capnp::MessageReader& message) {
+    std::vector<fleet::usage_statement> statements;
+    for (const auto& each : message.getRoot<wire::UsageStatements>().getStatements()) {
+      statements.push_back(read_usage(each));
+    }
+    return statements;
+  });
+}
+
 std::string encode_digest(const report_digest& digest) {
   capnp::MallocMessageBuilder message;
   auto to = message.initRoot<wire::Report>();
@@ -255,6 +323,9 @@
 result<peer_message, malformed_message> decode_message(std::span<const char> bytes) {
   return decode<peer_message>(bytes, [](capnp::MessageReader& message) -> peer_message {
     const auto from = message.getRoot<wire::Report>();
+    if (from.hasUsage()) {
+      return read_usage(from.getUsage());
+    }
     if (from.getRelayed().size() == 0) {
       return read_report(message);
     }
@@ -276,7 +347,7 @@
   if (auto* report = std::get_if<peer_report>(&*message)) {
     return std::move(*report);
   }
-  return malformed_message{"a digest instead of a report"};
+  return malformed_message{"another message instead of a report"};
 }
 
 std::string encode_snapshot(const collection_snapshot& snapshot) {
--- a/packages/gateway/src/request_processor.cpp
+++ b/packages/gateway/src/request_processor.cpp
@@ -238,6 +238,9 @@
   options.m_on_first_token = [this, ticket = grant.m_ticket] {
     m_first_token_at = monotonic_now();
     m_handler.m_admission.dispatcher().record_first_token(ticket, m_first_token_at);
+    if (m_relay.m_head_sent) {
+      record_run(); // a stream has begun; answers without events are not counted
+    }
   };
   options.m_on_progress = [this, ticket = grant.m_ticket](std::uint64_t events, duration took) {
     m_handler.m_admission.dispatcher().record_events(ticket, events, took);
@@ -249,6 +252,10 @@
     if (metadata.m_load) {
       dispatcher.record_reported_load(grant.m_server.m_id, *metadata.m_load, now);
     }
+    if (!m_route->m_streamed && metadata.m_has_server_stamp && !metadata.m_not_run &&
+        !metadata.m_misdirected) {
+      record_run(); // the server has run it, also if the response is a failure
+    }
     if (metadata.m_cold_remaining) {
       dispatcher.extend_cold_period(grant.m_server.m_id, *metadata.m_cold_remaining, now);
     }
@@ -262,6 +269,13 @@
   return options;
 }
 
+// A request counts once, however many servers run it.
+void request_handler::request_processor::record_run() {
+  if (!std::exchange(m_run_recorded, true)) {
+    m_handler.m_options.m_on_run(m_account);
+  }
+}
+
 std::unique_ptr<request_handler::request_processor::attempt>
 request_handler::request_processor::make_attempt(fleet::dispatch_grant grant) {
   auto next = std::make_unique<attempt>(attempt{std::move(grant), nullptr});
--- a/packages/gateway/src/request_processor.hpp
+++ b/packages/gateway/src/request_processor.hpp
@@ -76,6 +76,7 @@
   void record_version_outcome(const fleet::dispatch_grant& grant, bool good, const backend_call& call,
                               time_point dispatched_at);
   std::optional<request_error> finish_after_failure();
+  void record_run();
   void handle_disconnect();
   void send_error(const request_error& error);
   void send_response();
@@ -119,6 +120,7 @@
   std::uint32_t m_possible_runs = 0; // dispatches after which the request may have run
   call_outcome m_last_outcome = call_outcome::refused;
   bool m_may_have_run = false;
+  bool m_run_recorded = false;
   std::optional<net::http_response> m_held_response; // sent to the caller unless a later response replaces it
   time_point m_granted_at;
   duration m_queued{};    // time in the dispatcher's queue, before all dispatches
--- a/packages/gateway/tests/gateway_settings_test.cpp
+++ b/packages/gateway/tests/gateway_settings_test.cpp
@@ -60,3 +60,21 @@
         std::string::npos);
   CHECK(error_after_replacing(complete_file, "[listen]", "[listen").find("f:") == 0);
 }
+
+// Guards against duties that take effect where the settings name none, and against settings of a duty that
+// are ignored because of a misspelt key.
+TEST(gateway_settings, duties_are_optional_and_complete) {
+  CHECK(parse_gateway_settings(complete_file, "f")->m_duties.empty());
+  const std::string with_duty = complete_file +
+                                "[duties.usage]\naddress = \"127.0.0.1:9\"\ncalls_per_s = 4\n"
+                                "fencing = true\nlease_ms = 2000\nwindow_s = 5\nlate_s = 10\n";
+  const auto read = parse_gateway_settings(with_duty, "f");
+  CHECK(read.has_value());
+  LONGS_EQUAL(1, read->m_duties.size());
+  STRCMP_EQUAL("usage", read->m_duties[0].m_name.c_str());
+  CHECK(read->m_duties[0].m_fencing);
+  LONGS_EQUAL(2'000, read->m_duties[0].m_lease.count());
+  LONGS_EQUAL(5'000, read->m_duties[0].m_window.count());
+  CHECK(error_after_replacing(with_duty, "lease_ms", "lease") != "");
+  CHECK(error_after_replacing(with_duty, "127.0.0.1:9", "") != "");
+}
--- a/tests/soak/soak_group.cpp
+++ b/tests/soak/soak_group.cpp
@@ -40,8 +40,10 @@
 
 } // namespace
 
-soak_group::soak_group(int daemon_count, int engine_count, std::uint64_t seed)
+soak_group::soak_group(int daemon_count, int engine_count, std::uint64_t seed,
+                       const std::string& duty_settings)
     : m_store(test_runtime())
+    , m_duty_api(test_runtime(), true, seed)
     , m_client(test_runtime()) {
   for (int i = 0; i < engine_count; ++i) {
     soak_engine engine;
@@ -52,6 +54,10 @@
     register_engine(m_engines.back(), false);
   }
   publish();
+  std::string duties = duty_settings;
+  if (const auto api = duties.find("@API"); api != std::string::npos) {
+    duties.replace(api, 4, m_duty_api.address());
+  }
   for (int i = 0; i < daemon_count; ++i) {
     soak_daemon daemon;
     daemon.m_name = "d" + std::to_string(i);
@@ -67,7 +73,7 @@
             "admin = " + quote_address(admin_port) + "metrics = " + quote_address(metrics_port) +
             "exchange = " + quote_address(exchange_port) + "[store]\naddress = \"" +
             daemon.m_store_relay->address() + "\"\n[group]\nseeds = [\"" + loopback_host(0) +
-            ":1\"]\n[drain]\ntime_s = " + std::to_string(soak_drain_time.count() / 1'000) + "\n");
+            ":1\"]\n[drain]\ntime_s = " + std::to_string(soak_drain_time.count() / 1'000) + "\n" + duties);
     m_daemons.push_back(std::move(daemon));
   }
   for (auto& daemon : m_daemons) {
--- a/tests/soak/soak_group.hpp
+++ b/tests/soak/soak_group.hpp
@@ -2,6 +2,7 @@
 
 #include "cardamompond/net/http_client.hpp"
 #include "cardamompond/platform/standins/backend_engine.hpp"
+#include "cardamompond/platform/standins/duty_api_server.hpp"
 #include "cardamompond/platform/standins/metadata_store.hpp"
 #include "cardamompond/testing/child_process.hpp"
 #include "cardamompond/testing/environment.hpp"
@@ -43,7 +44,9 @@
 // the process of the test.
 class soak_group {
 public:
-  soak_group(int daemon_count, int engine_count, std::uint64_t seed);
+  // `duty_settings` is appended to the settings of each daemon; "@API" in it stands for the address of the
+  // API for duties.
+  soak_group(int daemon_count, int engine_count, std::uint64_t seed, const std::string& duty_settings = {});
   ~soak_group();
 
   // Starts the daemon's process; if it is still running, it is killed first.
@@ -88,6 +91,7 @@
   std::vector<soak_daemon>& daemons() { return m_daemons; }
   std::vector<soak_engine>& engines() { return m_engines; }
   platform::standins::metadata_store& store() { return m_store; }
+  platform::standins::duty_api_server& duty_api() { return m_duty_api; }
   platform::standins::run_counter& run_counter() { return m_run_counter; }
   net::http_client& client() { return m_client; }
 
@@ -97,6 +101,7 @@
 private:
   temporary_folder m_folder;
   platform::standins::metadata_store m_store;
+  platform::standins::duty_api_server m_duty_api;
   platform::standins::run_counter m_run_counter;
   net::http_client m_client;
   std::vector<soak_engine> m_engines;
