Read the work time of servers and exchange it between daemons

Cause: servers of some services state in a fourth field of the load header how long work takes on their machine at the moment. A load with four fields was discarded as a whole, and no decision knew of disturbances.

Change: the field is parsed (absent if malformed or outside of 5 to 10,000), kept with its age as fleet::work_time, and carried in reports together with the prompt tokens that a server still has to read. Both use a gap in ServerLoad, so that a load takes no further word. The expected value decays from the stated to the lasting one within the observed length of changes. The setting scheduling_options.learned_limits ("auto", "on", "off") and dispatcher::learned_limits_enabled tell for which services it may be used; no decision uses it yet.

--- a/packages/daemon/src/entry_daemon.cpp
+++ b/packages/daemon/src/entry_daemon.cpp
@@ -163,6 +163,7 @@
     , m_metrics_server(m_runtime, {.m_address = m_settings.m_metrics_address, .m_max_connections = 64},
                        [this](net::http_exchange& exchange) { serve_metrics(exchange); })
     , m_signal_set(m_runtime.context(), SIGTERM, SIGINT, SIGHUP) {
+  m_admission.dispatcher().set_learned_limits(m_settings.m_learned_limits);
   m_server.set_parse_failure_responder([this](net::http_parse_failure failure) {
     return m_request_handler.make_parse_failure_response(failure);
   });
--- a/packages/fleet/include/cardamompond/fleet/dispatcher.hpp
+++ b/packages/fleet/include/cardamompond/fleet/dispatcher.hpp
@@ -6,6 +6,7 @@
 #include "cardamompond/fleet/declarations.hpp"
 #include "cardamompond/fleet/rollout_controller.hpp"
 #include "cardamompond/fleet/speed_estimator.hpp"
+#include "cardamompond/fleet/work_time.hpp"
 
 #include <cstdint>
 #include <memory>
@@ -88,6 +89,14 @@
   std::uint32_t m_running = 0;
   std::uint32_t m_waiting = 0;
   std::uint32_t m_slots = 0;
+  std::optional<std::uint32_t> m_work_time_percent; // see work_time; not all servers state it
+};
+
+// For which services the dispatcher chooses servers by expected times and learned limits.
+enum class learned_limits_mode {
+  automatic, // for those whose servers state their work time
+  on,
+  off
 };
 
 // Short identifier of a backend server in reports. Reports are frequent and their traffic is charged by the
@@ -102,9 +111,11 @@
   std::uint32_t m_server = 0; // server_id_hash of the server's id
   std::uint32_t m_running = 0;
   speed_estimate m_speed;
-  bool m_failing = false;       // the daemon sends it no requests because its responses are failures
-  bool m_leaving = false;       // the server stated to the daemon, not long ago, that it leaves
-  std::uint32_t m_instance = 0; // instance_hash of the process that leaves; 0 if it does not leave
+  bool m_failing = false;             // the daemon sends it no requests because its responses are failures
+  bool m_leaving = false;             // the server stated to the daemon, not long ago, that it leaves
+  std::uint32_t m_instance = 0;       // instance_hash of the process that leaves; 0 if it does not leave
+  work_time_statement m_work_time{};  // last stated to this daemon, if not long ago
+  std::uint32_t m_reading_tokens = 0; // of this daemon's prompts that the server has not processed yet
 };
 
 // A daemon and its availability zone.
@@ -151,6 +162,15 @@
   // Records the load that a server stated in its response to a request of this daemon.
   void record_reported_load(std::string_view server_id, reported_load load, time_point now);
 
+  // Records the work time that a server stated in a response to this daemon.
+  void record_work_time(std::string_view server_id, std::uint32_t percent, time_point now);
+
+  // Sets for which services servers are chosen by expected times and learned limits.
+  void set_learned_limits(learned_limits_mode mode);
+
+  // Whether the servers of the service are chosen by expected times and learned limits.
+  bool learned_limits_enabled(std::string_view service) const;
+
   // Records that the server stated that it leaves. It receives no new requests from now on, whatever its
   // entry says; a process that starts later with the same id or address does. Returns false if that was
   // known.
--- a/packages/fleet/src/dispatch_tables.hpp
+++ b/packages/fleet/src/dispatch_tables.hpp
@@ -46,6 +46,12 @@
   time_point m_full_until; // gets no requests until then because it refused one for lack of capacity
   std::uint32_t m_consecutive_refusals = 0; // unexplained ones, see server_health.cpp
 
+  work_time m_work_time;             // by the statements to all daemons
+  std::uint32_t m_own_work_time = 0; // percent, last stated to this daemon
+  time_point m_own_work_time_stated; // when it was
+  std::uint32_t m_own_reading = 0;   // tokens of this daemon's prompts that have no first event yet
+  std::uint32_t m_peer_reading = 0;  // the same of the peers, by their reports
+
   speed_estimator m_own_speed;                       // observed by this daemon
   speed_estimate m_combined_speed = assumed_speed(); // observed by all daemons
 };
@@ -74,6 +80,7 @@
   std::string m_server_id;
   std::uint32_t m_prompt_tokens = 0;
   time_point m_granted;
+  bool m_reading = true; // the first event has not arrived
 };
 
 struct peer_row {
@@ -113,11 +120,20 @@
   bool m_frequent_reports = true; // each daemon receives the reports of all others several times a second
   rollout_controller* m_rollout_controller = nullptr;
   std::mt19937_64 m_random;
+  learned_limits_mode m_learned_limits = learned_limits_mode::automatic;
+  std::map<std::string, milliseconds, std::less<>> m_accepted_pauses; // shortest of the routes, by service
+  std::set<std::string, std::less<>> m_stating_services; // their servers have stated their work time
 
   // Ids are unique over all services.
   server_row* find_server(std::string_view id);
 };
 
+// Whether the servers of the service are chosen by expected times and learned limits.
+bool uses_learned_limits(const dispatch_tables& tables, std::string_view service);
+
+// Records a work time that the server stated to this daemon or to a peer.
+void record_work_time(dispatch_tables& tables, server_row& server, std::uint32_t percent, time_point stated);
+
 // Divides the slots of each server as equally as possible among the daemons of its zone. This keeps daemons
 // that have not yet received one another's reports from all choosing the same server.
 void assign_slots(dispatch_tables& tables);
--- a/packages/fleet/src/dispatcher.cpp
+++ b/packages/fleet/src/dispatcher.cpp
@@ -3,6 +3,7 @@
 #include "dispatch_tables.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace cardamompond::fleet {
 namespace {
@@ -25,6 +26,13 @@
 // for a moment only. Daemons report several times a second.
 constexpr std::uint32_t max_blocked_per_report = 50;
 
+// Time for which peers are told a work time that a server stated. Later statements of the server reach them
+// by other daemons.
+constexpr duration work_time_report_time = milliseconds(500);
+
+// The most prompt tokens that a report of a peer may state as being processed by one server.
+constexpr std::uint32_t max_reported_reading_tokens = 1'000'000;
+
 // How long a silent server receives no new requests. It covers several of the checks that report the silence.
 constexpr duration silence_exclusion = milliseconds(300);
 
@@ -34,6 +42,15 @@
   server.m_max_reservation = declared.m_max_reservation;
 }
 
+// Records a work time that a server stated to a peer.
+void record_peer_work_time(dispatch_tables& tables, const server_load& load, time_point received) {
+  const auto found = tables.m_servers_by_hash.find(load.m_server);
+  if (found != tables.m_servers_by_hash.end() && tables.m_learned_limits != learned_limits_mode::off) {
+    record_work_time(tables, *found->second, load.m_work_time.m_percent,
+                     received - std::max(duration::zero(), load.m_work_time.m_age));
+  }
+}
+
 } // namespace
 
 std::uint32_t server_id_hash(std::string_view id) {
@@ -81,6 +98,9 @@
   if (server != nullptr && server->m_own_running > 0) {
     --server->m_own_running;
   }
+  if (server != nullptr && found->second.m_reading) {
+    server->m_own_reading -= std::min(server->m_own_reading, found->second.m_prompt_tokens);
+  }
   m_tables.m_running.erase(found);
   return server;
 }
@@ -108,6 +128,7 @@
   tables.m_services.clear();
   tables.m_tier_ranks.clear();
   tables.m_route_ranks.clear();
+  tables.m_accepted_pauses.clear();
   const bool accounts_without_rank =
       std::any_of(source.m_client_accounts.begin(), source.m_client_accounts.end(),
                   [](const client_account& each) { return !each.m_has_rank; });
@@ -123,6 +144,12 @@
                  std::any_of(route.m_services.begin(), route.m_services.end(),
                              [&](const weighted_service& each) { return each.m_service == declared.m_name; });
         });
+    for (const auto& [name, weight] : route.m_services) {
+      if (route.m_event_gap_target > milliseconds(0)) {
+        auto& accepted = tables.m_accepted_pauses.try_emplace(name, route.m_event_gap_target).first->second;
+        accepted = std::min(accepted, route.m_event_gap_target);
+      }
+    }
     if (batching) {
       tables.m_route_ranks.insert(route.m_rank);
       if (accounts_without_rank) {
@@ -153,8 +180,10 @@
     if (found != rows.end() && found->second.m_entry.m_started_unix_ms != entry.m_started_unix_ms) {
       // The server was restarted with the same id. Its state belongs to a process that has ended.
       const auto own_running = found->second.m_own_running;
+      const auto own_reading = found->second.m_own_reading;
       found->second = {};
       found->second.m_own_running = own_running;
+      found->second.m_own_reading = own_reading;
     }
     server_row& row = found == rows.end() ? rows[entry.m_id] : found->second;
     if (row.m_listed_since == time_point{}) {
@@ -225,6 +254,26 @@
   }
 }
 
+void dispatcher::record_work_time(std::string_view server_id, std::uint32_t percent, time_point now) {
+  server_row* server = m_impl->m_tables.find_server(server_id);
+  if (server == nullptr || m_impl->m_tables.m_learned_limits == learned_limits_mode::off) {
+    return;
+  }
+  fleet::record_work_time(m_impl->m_tables, *server, percent, now);
+  if (server->m_work_time.age(now) == duration::zero()) {
+    server->m_own_work_time = percent;
+    server->m_own_work_time_stated = now;
+  }
+}
+
+void dispatcher::set_learned_limits(learned_limits_mode mode) {
+  m_impl->m_tables.m_learned_limits = mode;
+}
+
+bool dispatcher::learned_limits_enabled(std::string_view service) const {
+  return uses_learned_limits(m_impl->m_tables, service);
+}
+
 bool dispatcher::record_leaving(const backend_server& server, time_point now) {
   const bool is_new = m_impl->m_tables.m_notices.record_leaving(server, now);
   update_notices(m_impl->m_tables);
@@ -297,6 +346,9 @@
       found != m_impl->m_tables.m_running.end()) {
     if (server_row* server = m_impl->m_tables.find_server(found->second.m_server_id); server != nullptr) {
       server->m_own_speed.record_first_token(found->second.m_prompt_tokens, now - found->second.m_granted);
+      if (std::exchange(found->second.m_reading, false)) {
+        server->m_own_reading -= std::min(server->m_own_reading, found->second.m_prompt_tokens);
+      }
     }
   }
 }
@@ -340,6 +392,9 @@
     if (load.m_speed.m_samples > 0) {
       peer.m_speeds[load.m_server] = load.m_speed;
     }
+    if (load.m_work_time.m_percent > 0) {
+      record_peer_work_time(m_impl->m_tables, load, now);
+    }
   }
 }
 
@@ -368,9 +423,14 @@
       const bool failing = now < server.m_failing_until;
       const bool leaving = server.m_listed && is_leaving(server) &&
                            now < server.m_notice->m_leaving_since + leaving_report_time;
-      if (server.m_own_running > 0 || speed.m_samples > 0 || failing || leaving) {
+      work_time_statement stated;
+      if (server.m_own_work_time > 0 && now - server.m_own_work_time_stated <= work_time_report_time) {
+        stated = {server.m_own_work_time, now - server.m_own_work_time_stated};
+      }
+      if (server.m_own_running > 0 || speed.m_samples > 0 || failing || leaving || stated.m_percent > 0) {
         loads.push_back({server.m_id_hash, server.m_own_running, speed, failing, leaving,
-                         leaving ? instance_hash(server.m_entry) : 0});
+                         leaving ? instance_hash(server.m_entry) : 0, stated,
+                         std::min(server.m_own_reading, max_reported_reading_tokens)});
       }
     }
   }
--- a/packages/fleet/src/peer_loads.cpp
+++ b/packages/fleet/src/peer_loads.cpp
@@ -44,6 +44,7 @@
     }
     server_row& server = *found->second;
     change(server.m_peer_running, load.m_running);
+    change(server.m_peer_reading, load.m_reading_tokens);
     change(server.m_failure_reports, load.m_failing ? 1 : 0);
     change(server.m_leaving_reports,
            load.m_leaving && load.m_instance == instance_hash(server.m_entry) ? 1 : 0);
@@ -53,6 +54,19 @@
 
 } // namespace
 
+bool uses_learned_limits(const dispatch_tables& tables, std::string_view service) {
+  return tables.m_learned_limits == learned_limits_mode::on ||
+         (tables.m_learned_limits == learned_limits_mode::automatic &&
+          tables.m_stating_services.contains(service));
+}
+
+void record_work_time(dispatch_tables& tables, server_row& server, std::uint32_t percent, time_point stated) {
+  server.m_work_time.record(percent, stated);
+  if (server.m_work_time.known()) {
+    tables.m_stating_services.insert(server.m_entry.m_service);
+  }
+}
+
 void index_servers(dispatch_tables& tables) {
   tables.m_servers_by_hash.clear();
   tables.m_lists.clear();
@@ -65,6 +79,7 @@
         lists.m_own_zone.push_back(&server);
       }
       server.m_peer_running = 0;
+      server.m_peer_reading = 0;
       server.m_failure_reports = 0;
       server.m_leaving_reports = 0;
     }
--- a/packages/fleet/src/queueing.cpp
+++ b/packages/fleet/src/queueing.cpp
@@ -59,6 +59,7 @@
                      time_point now) {
   const submission& request = waiting.m_request;
   ++server.m_own_running;
+  server.m_own_reading += request.m_prompt_tokens;
   if (now < server.m_cold_until) {
     ++server.m_cold_sent;
   }
--- a/packages/gateway/include/cardamompond/gateway/gateway_settings.hpp
+++ b/packages/gateway/include/cardamompond/gateway/gateway_settings.hpp
@@ -24,6 +24,7 @@
   shared_retry_limits m_retry_limits;
   milliseconds m_drain_time{8'000}; // time from SIGTERM to the end of the process
   std::string m_log_level = "info";
+  fleet::learned_limits_mode m_learned_limits = fleet::learned_limits_mode::automatic;
 };
 
 // An error in the settings; the message is one line that names file, line and key.
--- a/packages/gateway/schema/exchange.capnp
+++ b/packages/gateway/schema/exchange.capnp
@@ -24,6 +24,10 @@
   failing @6 :Bool;       # the sender avoids the server because its responses are failures
   leaving @7 :Bool;       # the server stated to the sender, not long ago, that it leaves
   instance @8 :UInt32;    # fleet::instance_hash of the process that leaves; 0 if it does not leave
+  # The next three use the space that the fields above leave, so that a load takes no further word.
+  workTime @9 :UInt8;     # last stated to the sender, 1 + 33 times the natural logarithm of percent / 5; 0: none lately
+  workTimeAge @10 :UInt8; # in units of 4 ms
+  readingTokens @11 :UInt8; # of the sender's prompts that the server has not processed yet, in units of 256
 }
 
 struct QuotaUse {
--- a/packages/gateway/src/exchange.capnp.h
+++ b/packages/gateway/src/exchange.capnp.h
@@ -344,6 +344,12 @@
 
   inline  ::uint32_t getInstance() const;
 
+  inline  ::uint8_t getWorkTime() const;
+
+  inline  ::uint8_t getWorkTimeAge() const;
+
+  inline  ::uint8_t getReadingTokens() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -399,6 +405,15 @@
   inline  ::uint32_t getInstance();
   inline void setInstance( ::uint32_t value);
 
+  inline  ::uint8_t getWorkTime();
+  inline void setWorkTime( ::uint8_t value);
+
+  inline  ::uint8_t getWorkTimeAge();
+  inline void setWorkTimeAge( ::uint8_t value);
+
+  inline  ::uint8_t getReadingTokens();
+  inline void setReadingTokens( ::uint8_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1676,6 +1691,48 @@
       ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint8_t ServerLoad::Reader::getWorkTime() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<25>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t ServerLoad::Builder::getWorkTime() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<25>() * ::capnp::ELEMENTS);
+}
+inline void ServerLoad::Builder::setWorkTime( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<25>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t ServerLoad::Reader::getWorkTimeAge() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<26>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t ServerLoad::Builder::getWorkTimeAge() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<26>() * ::capnp::ELEMENTS);
+}
+inline void ServerLoad::Builder::setWorkTimeAge( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<26>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t ServerLoad::Reader::getReadingTokens() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<27>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t ServerLoad::Builder::getReadingTokens() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<27>() * ::capnp::ELEMENTS);
+}
+inline void ServerLoad::Builder::setReadingTokens( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<27>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t QuotaUse::Reader::getAccount() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/packages/gateway/src/gateway_settings.cpp
+++ b/packages/gateway/src/gateway_settings.cpp
@@ -40,6 +40,7 @@
   void read_address(std::string_view section, std::string_view key, std::string& target);
   void read_number(std::string_view section, std::string_view key, double low, double high, double& target);
   void read_seeds(const std::string& exchange_address, std::vector<std::string>& target);
+  void read_learned_limits(fleet::learned_limits_mode& target);
   void reject_unknown_keys();
   void check_distinct_addresses(const gateway_settings& settings);
 
@@ -132,6 +133,21 @@
   }
 }
 
+void settings_parser::read_learned_limits(fleet::learned_limits_mode& target) {
+  std::string mode = "auto";
+  read_text("scheduling_options", "learned_limits", mode);
+  if (mode == "auto") {
+    target = fleet::learned_limits_mode::automatic;
+  } else if (mode == "on") {
+    target = fleet::learned_limits_mode::on;
+  } else if (mode == "off") {
+    target = fleet::learned_limits_mode::off;
+  } else {
+    record_error(find("scheduling_options", "learned_limits"), "scheduling_options.learned_limits",
+                 "must be \"auto\", \"on\" or \"off\"");
+  }
+}
+
 void settings_parser::reject_unknown_keys() {
   for (const auto& [key, node] : m_root) {
     if (const auto* section = node.as_table(); section != nullptr) {
@@ -171,6 +187,7 @@
   read_address("store", "address", settings.m_store_address);
   read_text("log", "level", settings.m_log_level);
   read_seeds(settings.m_exchange_address, settings.m_seeds);
+  read_learned_limits(settings.m_learned_limits);
   constexpr double max_s = 3600;
   double window_s = std::chrono::duration<double>(settings.m_retry_limits.m_retry_window).count();
   double drain_s = std::chrono::duration<double>(settings.m_drain_time).count();
--- a/packages/gateway/src/peer_group.cpp
+++ b/packages/gateway/src/peer_group.cpp
@@ -315,7 +315,8 @@
     if (!with_speeds) {
       load.m_speed = {};
     }
-    if (load.m_running > 0 || load.m_failing || load.m_leaving || load.m_speed.m_samples > 0) {
+    if (load.m_running > 0 || load.m_failing || load.m_leaving || load.m_speed.m_samples > 0 ||
+        load.m_work_time.m_percent > 0) {
       report.m_loads.push_back(load);
     }
   }
--- a/packages/gateway/src/peer_report.cpp
+++ b/packages/gateway/src/peer_report.cpp
@@ -100,6 +100,33 @@
       std::clamp<std::int64_t>(value.count(), 0, std::numeric_limits<std::uint32_t>::max()));
 }
 
+std::uint8_t to_wire_byte(std::int64_t value) {
+  return static_cast<std::uint8_t>(
+      std::clamp<std::int64_t>(value, 0, std::numeric_limits<std::uint8_t>::max()));
+}
+
+constexpr milliseconds work_time_age_unit{4};
+constexpr std::uint32_t reading_tokens_unit = 256;
+
+// Steps of an encoded work time per factor of e. One step is about 3%.
+constexpr double work_time_steps = 33;
+
+std::uint8_t encode_work_time(std::uint32_t percent) {
+  if (percent < fleet::min_work_time_percent) {
+    return 0;
+  }
+  const double ratio = static_cast<double>(percent) / fleet::min_work_time_percent;
+  return to_wire_byte(1 + std::lround(work_time_steps * std::log(ratio)));
+}
+
+std::uint32_t decode_work_time(std::uint8_t encoded) {
+  if (encoded == 0) {
+    return 0;
+  }
+  const double percent = fleet::min_work_time_percent * std::exp((encoded - 1) / work_time_steps);
+  return std::min(fleet::max_work_time_percent, static_cast<std::uint32_t>(std::lround(percent)));
+}
+
 void encode_part_suspicions(const std::vector<fleet::part_suspicion>& from, wire::Report::Builder to) {
   auto list = to.initParts(static_cast<unsigned>(from.size()));
   for (unsigned i = 0; i < list.size(); ++i) {
@@ -155,7 +182,9 @@
           non_negative_or_zero(each.getEventS()), non_negative_or_zero(each.getSamples())},
          each.getFailing(),
          each.getLeaving(),
-         each.getInstance()});
+         each.getInstance(),
+         {decode_work_time(each.getWorkTime()), each.getWorkTimeAge() * work_time_age_unit},
+         each.getReadingTokens() * reading_tokens_unit});
   }
   for (const auto& each : from.getQuotaUse()) {
     report.m_quota_use.emplace_back(each.getAccount(), finite_or_zero(each.getUnits()));
@@ -208,7 +237,8 @@
   auto loads = to.initLoads(static_cast<unsigned>(report.m_loads.size()));
   for (unsigned i = 0; i < loads.size(); ++i) {
     loads[i].setServer(report.m_loads[i].m_server);
-    const auto& [server, running, speed, failing, leaving, instance] = report.m_loads[i];
+    const auto& [server, running, speed, failing, leaving, instance, work_time, reading_tokens] =
+        report.m_loads[i];
     loads[i].setRunning(running);
     loads[i].setBaseS(static_cast<float>(speed.m_base_s));
     loads[i].setPromptSPerToken(static_cast<float>(speed.m_prompt_s_per_token));
@@ -217,6 +247,9 @@
     loads[i].setFailing(failing);
     loads[i].setLeaving(leaving);
     loads[i].setInstance(instance);
+    loads[i].setWorkTime(encode_work_time(work_time.m_percent));
+    loads[i].setWorkTimeAge(to_wire_byte(work_time.m_age / work_time_age_unit));
+    loads[i].setReadingTokens(to_wire_byte((reading_tokens + reading_tokens_unit - 1) / reading_tokens_unit));
   }
   auto quota_use = to.initQuotaUse(static_cast<unsigned>(report.m_quota_use.size()));
   for (unsigned i = 0; i < quota_use.size(); ++i) {
--- a/packages/gateway/src/request_processor.cpp
+++ b/packages/gateway/src/request_processor.cpp
@@ -255,6 +255,10 @@
   };
   options.m_on_server_notices = [this, &grant](const response_metadata& metadata) {
     m_handler.m_admission.record_notices(grant.m_server, metadata);
+    if (metadata.m_load && metadata.m_load->m_work_time_percent) {
+      m_handler.m_admission.dispatcher().record_work_time(
+          grant.m_server.m_id, *metadata.m_load->m_work_time_percent, monotonic_now());
+    }
   };
   options.m_may_send = [this, &grant] {
     return m_handler.m_admission.dispatcher().may_send(grant.m_server, monotonic_now());
--- a/packages/gateway/tests/gateway_settings_test.cpp
+++ b/packages/gateway/tests/gateway_settings_test.cpp
@@ -48,6 +48,22 @@
   DOUBLES_EQUAL(56, read->m_retry_limits.m_fixed_retries, 0);
 }
 
+// Guards against servers being chosen by learned limits although the settings exclude it.
+TEST(gateway_settings, reads_for_which_services_limits_are_learned) {
+  const auto mode = [](const std::string& value) {
+    return parse_gateway_settings(complete_file + "[scheduling_options]\nlearned_limits = " + value, "f");
+  };
+  CHECK(parse_gateway_settings(complete_file, "f")->m_learned_limits ==
+        fleet::learned_limits_mode::automatic);
+  CHECK(mode("\"auto\"")->m_learned_limits == fleet::learned_limits_mode::automatic);
+  CHECK(mode("\"on\"")->m_learned_limits == fleet::learned_limits_mode::on);
+  CHECK(mode("\"off\"")->m_learned_limits == fleet::learned_limits_mode::off);
+  for (const char* invalid : {"\"yes\"", "true", "\"\""}) {
+    CHECK(mode(invalid).error().m_message.find("scheduling_options.learned_limits: must be") !=
+          std::string::npos);
+  }
+}
+
 // Guards against a daemon starting with settings that are missing, unknown or invalid.
 TEST(gateway_settings, errors_name_file_line_and_key) {
   STRCMP_EQUAL("f:1: store.address: missing",
