Choose servers by expected times where they state their work time

Cause: servers of one service differ in speed by a factor of five and are disturbed at times. The choice considered the load first; for plain services the speed played no part. Long prompts on slow or disturbed engines stalled their other streams, several prompts at once more so.

Change: where learned limits are on, a server is chosen by the expected first event, the expected pause of the streams that run there and the expected end. They follow from the measured speed, what the server states about the moment, running requests, and prompts that are still being read. Objective, accepted pause and deadline decide what fits; a random half of the servers that fit is compared. Slow servers are preferred for what they serve in time. Elsewhere the previous rules hold unchanged.

--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -1,5 +1,4 @@
-#include "dispatch_tables.hpp"
-#include "spare_capacity.hpp"
+#include "placement_rules.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -70,11 +69,15 @@
 // Score bonus, as a share of a server's slots, for a server on which this daemon has free assigned slots.
 constexpr double assigned_slots_bonus = 0.35;
 
+} // namespace
+
 std::uint64_t rendezvous_weight(std::uint64_t key, std::uint64_t server) {
   const std::uint64_t pair[2] = {key, server};
   return hash64(std::string_view(reinterpret_cast<const char*>(pair), sizeof pair));
 }
 
+namespace {
+
 // Returns how many requests this daemon may send to a cold server per second.
 std::uint32_t max_cold_requests(const dispatch_tables& tables, const server_row& server, double cold_rate) {
   const double shared_rate = cold_rate * cold_rate_share;
@@ -199,17 +202,70 @@
          now >= server.m_excluded_until && is_in_service(tables, server);
 }
 
-namespace {
-
 // Whether servers of other zones are used only when those of the own zone are full. In a large group, the
 // load of the own zone's servers is known best, their traffic is not charged, and the cost does not grow with
 // the servers of all zones. A zone of few servers is often full while others are not.
-bool prefers_own_zone(const dispatch_tables& tables, const std::string& service) {
+bool prefers_own_zone(const dispatch_tables& tables, std::string_view service) {
   const auto lists = tables.m_lists.find(service);
   return !tables.m_frequent_reports && lists != tables.m_lists.end() &&
          lists->second.m_own_zone.size() >= min_servers_of_own_zone;
 }
 
+double remote_zone_penalty_for(const dispatch_tables& tables, const submission& request) {
+  return (prefers_own_zone(tables, request.m_service) ? remote_zone_penalty_own_zone_first
+                                                      : remote_zone_penalty) +
+         remote_zone_body_penalty * std::min(1.0, request.m_body_bytes / large_body_bytes);
+}
+
+double assigned_slots_bonus_for(const server_row& server) {
+  return server.m_own_running < server.m_assigned_slots ? assigned_slots_bonus : 0;
+}
+
+double shared_prefix_bonus() {
+  return affinity_bonus;
+}
+
+std::string_view to_string(exclusion reason) {
+  constexpr std::string_view names[] = {"none",      "tried",         "not_in_service", "failing",  "paused",
+                                        "returning", "recently_full", "full",           "reserved", "cold"};
+  return names[static_cast<std::size_t>(reason)];
+}
+
+exclusion find_ineligibility(const dispatch_tables& tables, const server_row& server,
+                             const submission& request, time_point now) {
+  if (!is_in_service(tables, server)) {
+    return exclusion::not_in_service;
+  }
+  if (!is_eligible(tables, server, now)) {
+    return exclusion::failing;
+  }
+  if (is_paused(server, now)) {
+    return exclusion::paused;
+  }
+  const bool tried = std::find(request.m_excluded_servers.begin(), request.m_excluded_servers.end(),
+                               server.m_entry.m_id) != request.m_excluded_servers.end();
+  return tried ? exclusion::tried : exclusion::none;
+}
+
+exclusion find_lack_of_capacity(dispatch_tables& tables, server_row& server, spare_capacity& spare,
+                                double required_free, double cold_rate, time_point now) {
+  if (now < server.m_full_until) {
+    return exclusion::recently_full;
+  }
+  if (server.m_notice != nullptr && !server.m_notice->allows_request(now)) {
+    return exclusion::returning;
+  }
+  if (server.m_own_running + server.m_peer_running >= running_limit(tables, server)) {
+    return exclusion::full;
+  }
+  if (!spare.allows(server, required_free)) {
+    return exclusion::reserved;
+  }
+  return has_cold_capacity(tables, server, cold_rate, now) ? exclusion::none : exclusion::cold;
+}
+
+namespace {
+
 // Returns the best server with capacity among the given ones, or null.
 candidate select_best(dispatch_tables& tables, std::span<server_row* const> servers,
                       const submission& request, spare_capacity& spare, double required_free,
@@ -254,10 +310,7 @@
       candidates.push_back({&server, server_fit});
     }
   }
-  const double zone_penalty =
-      (prefers_own_zone(tables, request.m_service) ? remote_zone_penalty_own_zone_first
-                                                   : remote_zone_penalty) +
-      remote_zone_body_penalty * std::min(1.0, request.m_body_bytes / large_body_bytes);
+  const double zone_penalty = remote_zone_penalty_for(tables, request);
 
   // A report that a server leaves may be outdated or wrong, so it only makes the other servers go first.
   if (std::any_of(candidates.begin(), candidates.end(),
@@ -303,6 +356,9 @@
 
 server_row* select_server(dispatch_tables& tables, const submission& request, spare_capacity& spare,
                           double required_free, time_point now) {
+  if (uses_learned_limits(tables, request.m_service)) {
+    return select_server_by_time(tables, request, spare, required_free, now);
+  }
   const auto lists = tables.m_lists.find(request.m_service);
   if (lists == tables.m_lists.end()) {
     return nullptr;
--- /dev/null
+++ b/packages/fleet/src/timed_placement.cpp
@@ -0,0 +1,167 @@
+#include "expected_times.hpp"
+#include "placement_rules.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <span>
+#include <vector>
+
+namespace cardamompond::fleet {
+namespace {
+
+// Score penalty, as a share of a server's slots, for the time in which the prompt stalls the other streams of
+// the server, relative to the pause that callers accept. It keeps long prompts off slow servers.
+constexpr double stall_penalty = 2.0;
+
+// Score bonus for slow servers. It keeps the faster ones free for requests that need them.
+constexpr double slow_server_bonus = 0.25;
+
+// Score penalty for each response that probably becomes late.
+constexpr double late_response_penalty = 1.0;
+
+// Servers of a plain service are compared by their expected time relative to the time that is available,
+// which is at least this, so that a request that is late already still goes to the fastest one.
+constexpr double min_available_s = 0.05;
+
+// A server of another zone costs this much of the available time of a plain request.
+constexpr double plain_remote_zone_penalty = 0.06;
+
+// Among this many servers that fit, all are compared; of more, a random half. Daemons with the same
+// information then do not all choose the same server.
+constexpr std::size_t max_compared_without_draw = 2;
+
+constexpr double tie_breaker_range = 0.02;
+
+// A server that can take the request now.
+struct timed_candidate {
+  server_row* m_server;
+  expected_times m_times;
+  time_fit m_fit;
+};
+
+struct choice {
+  server_row* m_server = nullptr;
+  time_fit m_fit = time_fit::none;
+};
+
+// What the scores of the candidates of one request have in common.
+struct comparison {
+  const submission& m_request;
+  server_row* m_affinity_server = nullptr; // probably has the shared prompt prefix in its cache
+  double m_slowest_event_s = 0;
+  double m_remote_zone_penalty = 0;
+  double m_accepted_pause_s = 0;
+  time_point m_now;
+};
+
+double score(const dispatch_tables& tables, const timed_candidate& each, const comparison& shared) {
+  const server_row& server = *each.m_server;
+  const bool remote_zone = server.m_entry.m_availability_zone != tables.m_self.m_availability_zone;
+  if (!server.m_uses_batching) {
+    const double available_s =
+        std::max(min_available_s,
+                 std::chrono::duration<double>(shared.m_request.m_first_token_due - shared.m_now).count());
+    return each.m_times.m_end_s / available_s + (remote_zone ? plain_remote_zone_penalty : 0);
+  }
+  const double slowness = lasting_speed(server).m_event_interval_s / shared.m_slowest_event_s;
+  return static_cast<double>(server.m_own_running + server.m_peer_running) / server.m_entry.m_slots +
+         (remote_zone ? shared.m_remote_zone_penalty : 0) -
+         (&server == shared.m_affinity_server ? shared_prefix_bonus() : 0) -
+         assigned_slots_bonus_for(server) - slow_server_bonus * slowness +
+         stall_penalty * each.m_times.m_prompt_s / shared.m_accepted_pause_s +
+         late_response_penalty *
+             expected_late_responses(tables, server, each.m_times, shared.m_request, shared.m_now);
+}
+
+// Removes a random half of the candidates.
+void draw_half(dispatch_tables& tables, std::vector<timed_candidate>& candidates) {
+  const std::size_t kept = std::max(max_compared_without_draw, (candidates.size() + 1) / 2);
+  for (std::size_t i = 0; i < kept && candidates.size() > kept; ++i) {
+    const auto other = std::uniform_int_distribution<std::size_t>(i, candidates.size() - 1)(tables.m_random);
+    std::swap(candidates[i], candidates[other]);
+  }
+  candidates.resize(std::min(kept, candidates.size()));
+}
+
+// Returns the best server with capacity among the given ones, or null.
+choice select_best(dispatch_tables& tables, std::span<server_row* const> servers, const submission& request,
+                   spare_capacity& spare, double required_free, time_point now) {
+  const auto declared = tables.m_services.find(request.m_service);
+  const double cold_rate = declared == tables.m_services.end() ? 0 : declared->second.m_cold_requests_per_s;
+  comparison shared{request,
+                    nullptr,
+                    0,
+                    remote_zone_penalty_for(tables, request),
+                    accepted_pause_s(tables, request.m_service),
+                    now};
+  std::vector<timed_candidate> candidates;
+  std::uint64_t affinity_weight = 0;
+  time_fit best_possible_fit = time_fit::none; // of all eligible servers, with or without capacity
+  double fastest_s = std::numeric_limits<double>::max();
+  for (server_row* each : servers) {
+    if (find_ineligibility(tables, *each, request, now) != exclusion::none) {
+      continue;
+    }
+    if (const auto weight = rendezvous_weight(request.m_shared_prefix_hash, each->m_id_hash);
+        request.m_shared_prefix_hash != 0 && weight >= affinity_weight) {
+      affinity_weight = weight;
+      shared.m_affinity_server = each;
+    }
+    const expected_times times = predict_times(tables, *each, request, now);
+    const time_fit server_fit = evaluate_times(tables, times, request, now);
+    shared.m_slowest_event_s = std::max(shared.m_slowest_event_s, lasting_speed(*each).m_event_interval_s);
+    fastest_s = std::min(fastest_s, times.m_end_s);
+    best_possible_fit = std::max(best_possible_fit, server_fit);
+    if (find_lack_of_capacity(tables, *each, spare, required_free, cold_rate, now) == exclusion::none) {
+      candidates.push_back({each, times, server_fit});
+    }
+  }
+  // A report that a server leaves may be outdated or wrong, so it only makes the other servers go first.
+  if (std::any_of(candidates.begin(), candidates.end(),
+                  [](const timed_candidate& each) { return each.m_server->m_leaving_reports == 0; })) {
+    std::erase_if(candidates,
+                  [](const timed_candidate& each) { return each.m_server->m_leaving_reports > 0; });
+  }
+  // If no server is expected to complete the response in time, the fast ones may try, because the response
+  // may be shorter than estimated.
+  constexpr double fast_server_ratio = 1.3;
+  std::erase_if(candidates, [&](const timed_candidate& each) {
+    return each.m_fit == time_fit::none &&
+           (best_possible_fit != time_fit::none || each.m_times.m_end_s > fast_server_ratio * fastest_s);
+  });
+  choice best;
+  for (const auto& each : candidates) {
+    best.m_fit = std::max(best.m_fit, each.m_fit);
+  }
+  std::erase_if(candidates, [&](const timed_candidate& each) { return each.m_fit < best.m_fit; });
+  draw_half(tables, candidates);
+  double best_score = std::numeric_limits<double>::max();
+  for (const auto& each : candidates) {
+    const double tie_breaker = std::generate_canonical<double, 16>(tables.m_random) * tie_breaker_range;
+    if (const double candidate_score = score(tables, each, shared) + tie_breaker;
+        candidate_score < best_score) {
+      best_score = candidate_score;
+      best.m_server = each.m_server;
+    }
+  }
+  return best;
+}
+
+} // namespace
+
+server_row* select_server_by_time(dispatch_tables& tables, const submission& request, spare_capacity& spare,
+                                  double required_free, time_point now) {
+  const auto lists = tables.m_lists.find(request.m_service);
+  if (lists == tables.m_lists.end()) {
+    return nullptr;
+  }
+  if (prefers_own_zone(tables, request.m_service)) {
+    if (const auto own = select_best(tables, lists->second.m_own_zone, request, spare, required_free, now);
+        own.m_server != nullptr && own.m_fit == time_fit::good) {
+      return own.m_server;
+    }
+  }
+  return select_best(tables, lists->second.m_all, request, spare, required_free, now).m_server;
+}
+
+} // namespace cardamompond::fleet
--- /dev/null
+++ b/packages/fleet/tests/timed_placement_test.cpp
@@ -0,0 +1,230 @@
+#include "dispatcher_fixture.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <queue>
+
+using namespace cardamompond;
+using namespace cardamompond::fleet;
+using namespace cardamompond::fleet::testing;
+
+namespace {
+
+constexpr std::uint32_t long_prompt = 6'610;
+constexpr std::uint32_t short_prompt = 628;
+
+} // namespace
+
+TEST_GROUP(timed_placement) {
+  daemon_fixture daemon;
+
+  void setup() override {
+    declarations source;
+    service chat;
+    chat.m_name = "chat";
+    chat.m_uses_batching = true;
+    service plain;
+    plain.m_name = "plain";
+    source.m_services = {chat, plain};
+    route each;
+    each.m_event_gap_target = milliseconds(400);
+    each.m_services = {{"chat", 1.0}};
+    source.m_routes.push_back(each);
+    daemon.m_dispatcher.apply(source);
+  }
+
+  submission make_request(std::uint32_t prompt_tokens, std::uint32_t events) {
+    auto request = daemon.make_request(++daemon.m_last_ticket);
+    request.m_prompt_tokens = prompt_tokens;
+    request.m_output_tokens = events;
+    return request;
+  }
+
+  // Submits the request and returns its server, or nothing if it waits.
+  std::string place(submission request) {
+    const ticket id = request.m_ticket;
+    daemon.m_dispatcher.submit(std::move(request), daemon.m_now);
+    const auto results = daemon.tick();
+    return results.contains(id) ? results.at(id) : "";
+  }
+
+  void state(const char* server, std::uint32_t percent) {
+    daemon.m_dispatcher.record_work_time(server, percent, daemon.m_now);
+  }
+
+  void list_plain_servers(std::vector<std::string> ids, std::uint32_t slots = 6) {
+    std::vector<backend_server> servers;
+    for (auto& id : ids) {
+      servers.push_back(make_server(std::move(id), "a", slots));
+      servers.back().m_service = "plain";
+    }
+    daemon.set_servers(servers);
+  }
+
+  submission make_plain_request() {
+    auto request = make_request(0, 0);
+    request.m_service = "plain";
+    request.m_first_token_due = daemon.m_now + milliseconds(300);
+    request.m_deadline = daemon.m_now + milliseconds(1'500);
+    return request;
+  }
+};
+
+// Guards against long prompts on slow engines, which stall all their other streams: with free slots on all
+// engines, long prompts go to the faster ones and short ones to the slow ones.
+TEST(timed_placement, slow_engines_serve_short_prompts) {
+  daemon.set_servers(
+      {make_server("fast", "a", 9), make_server("usual", "a", 9), make_server("slow", "a", 9)});
+  state("fast", 55);
+  state("usual", 100);
+  state("slow", 280);
+  int long_on_slow = 0;
+  int short_on_slow = 0;
+  for (int i = 0; i < 30; ++i) {
+    daemon.m_now += milliseconds(200);
+    const auto placed_long = make_request(long_prompt, 45);
+    const auto placed_short = make_request(short_prompt, 35);
+    long_on_slow += place(placed_long) == "slow" ? 1 : 0;
+    short_on_slow += place(placed_short) == "slow" ? 1 : 0;
+    daemon.m_dispatcher.finish(placed_long.m_ticket, server_outcome::answered, daemon.m_now);
+    daemon.m_dispatcher.finish(placed_short.m_ticket, server_outcome::answered, daemon.m_now);
+  }
+  LONGS_EQUAL(0, long_on_slow);
+  CHECK(short_on_slow >= 15);
+}
+
+// Guards against several long prompts that one slow engine reads at the same time, of this daemon or of
+// peers: their stalls add up.
+TEST(timed_placement, prompts_that_are_being_read_count) {
+  daemon.set_member_count(2);
+  daemon.set_servers({make_server("s1", "a", 9), make_server("s2", "a", 9)});
+  state("s1", 200);
+  state("s2", 200);
+  const auto first = place(make_request(long_prompt, 45));
+  const auto second = place(make_request(long_prompt, 45));
+  CHECK(first != second);
+  for (int i = 0; i < 10; ++i) {
+    daemon_fixture other(static_cast<std::uint64_t>(i));
+    other.set_member_count(2);
+    other.set_servers({make_server("s1", "a", 9), make_server("s2", "a", 9)});
+    other.m_dispatcher.record_work_time("s1", 200, other.m_now);
+    other.m_dispatcher.record_work_time("s2", 200, other.m_now);
+    const server_load reading{server_id_hash("s1"), 1, {}, false, false, 0, {}, 2 * long_prompt};
+    const server_load idle{server_id_hash("s2"), 1, {}, false};
+    other.m_dispatcher.set_peer_loads("d1", std::vector{reading, idle}, other.m_now);
+    auto request = make_request(long_prompt, 45);
+    other.m_dispatcher.submit(request, other.m_now);
+    STRCMP_EQUAL("s2", other.tick()[request.m_ticket].c_str());
+  }
+}
+
+// Guards against a disturbance that is known only after requests have been late because of it, and against
+// a server that is avoided long after the disturbance has ended.
+TEST(timed_placement, a_disturbed_engine_is_avoided_while_it_is_disturbed) {
+  daemon.set_servers({make_server("s1", "a", 9), make_server("s2", "a", 9)});
+  for (int i = 0; i < 30; ++i) {
+    daemon.m_now += milliseconds(100);
+    state("s1", 280);
+    state("s2", 280);
+  }
+  daemon.m_now += milliseconds(100);
+  state("s1", 700);
+  for (int i = 0; i < 4; ++i) {
+    auto request = make_request(short_prompt, 35);
+    request.m_first_token_due = daemon.m_now + milliseconds(400);
+    STRCMP_EQUAL("s2", place(request).c_str());
+  }
+  daemon.m_now += milliseconds(600);
+  state("s1", 280);
+  STRCMP_EQUAL("s1", place(make_request(short_prompt, 35)).c_str());
+}
+
+// Guards against slots of slow engines that stay empty while requests wait or are refused.
+TEST(timed_placement, no_slot_stays_empty_under_overload) {
+  daemon.set_servers({make_server("fast", "a", 2), make_server("slow", "a", 2)});
+  state("fast", 55);
+  state("slow", 700);
+  std::size_t placed = 0;
+  for (int i = 0; i < 6; ++i) {
+    placed += place(make_request(long_prompt, 8)).empty() ? 0 : 1;
+  }
+  LONGS_EQUAL(4, placed);
+}
+
+// Guards against daemons with the same information that all choose the same server.
+TEST(timed_placement, daemons_with_the_same_information_choose_different_servers) {
+  std::map<std::string, int> chosen;
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    daemon_fixture other(seed);
+    std::vector<backend_server> servers;
+    for (int i = 0; i < 8; ++i) {
+      servers.push_back(make_server("s" + std::to_string(i), "a", 9));
+    }
+    other.set_servers(servers);
+    for (const auto& each : servers) {
+      other.m_dispatcher.record_work_time(each.m_id, each.m_id == "s3" ? 55 : 60, other.m_now);
+    }
+    auto request = other.make_request(1);
+    request.m_prompt_tokens = long_prompt;
+    other.m_dispatcher.submit(request, other.m_now);
+    ++chosen[other.tick()[1]];
+  }
+  for (const auto& [server, count] : chosen) {
+    CHECK(count <= 25);
+  }
+  CHECK(chosen.size() >= 4);
+}
+
+// Guards against plain requests on a server that cannot answer within the objective while others can, and
+// against a plain server that is not used at all because it is slow.
+TEST(timed_placement, plain_requests_go_where_they_are_answered_in_time) {
+  list_plain_servers({"p1", "p2", "slow"});
+  for (const char* each : {"p1", "p2"}) {
+    state(each, 100);
+  }
+  state("slow", 700);
+  std::map<std::string, int> placed;
+  for (int i = 0; i < 20; ++i) {
+    ++placed[place(make_plain_request())];
+  }
+  LONGS_EQUAL(16, placed["p1"] + placed["p2"]); // their slots and queues
+  LONGS_EQUAL(4, placed["slow"]);
+}
+
+// Guards against a server that states that it is fast, but is not: requests follow what responses show.
+TEST(timed_placement, responses_count_more_than_statements) {
+  list_plain_servers({"honest", "liar"}, 50);
+  std::map<std::string, int> placed;
+  for (int i = 0; i < 200; ++i) {
+    daemon.m_now += milliseconds(500);
+    state("honest", 100);
+    state("liar", 20);
+    const auto request = make_plain_request();
+    const auto server = place(request);
+    placed[server] += i >= 100 ? 1 : 0;
+    daemon.m_now += milliseconds(server == "liar" ? 250 : 60);
+    daemon.m_dispatcher.record_first_token(request.m_ticket, daemon.m_now);
+    daemon.m_dispatcher.finish(request.m_ticket, server_outcome::answered, daemon.m_now);
+  }
+  CHECK(placed["honest"] > 90);
+}
+
+// Guards against new rules for services that do not ask for them: without statements, and where learned
+// limits are off, the choice is the one of the other rules, down to its random numbers.
+TEST(timed_placement, nothing_changes_where_learned_limits_are_off) {
+  daemon_fixture unstated(7);
+  daemon_fixture off(7);
+  off.m_dispatcher.set_learned_limits(learned_limits_mode::off);
+  std::vector<backend_server> servers;
+  for (int i = 0; i < 6; ++i) {
+    servers.push_back(make_server("s" + std::to_string(i), "a", 3));
+  }
+  for (auto* each : {&unstated, &off}) {
+    each->set_servers(servers);
+  }
+  for (int i = 0; i < 15; ++i) {
+    off.m_dispatcher.record_work_time("s" + std::to_string(i % 6), 280, off.m_now);
+    CHECK(unstated.submit(1) == off.submit(1));
+  }
+}
