Learn how many requests each server handles well

Cause: the slots of a server are a fixed bound, and some servers slow down long before they are full.

Change: fleet::server_capacity keeps the time that work takes by number of running requests, apart from what the server states about the moment, and limits a server where more requests add little throughput. A deviation from what was seen at the same number of requests is mostly attributed to the machine, so that disturbances and a service that is slow as a whole do not lower limits. Reports carry the limit in one byte; the median of the daemons that have evidence holds. It is used where learned limits are on.

--- a/packages/fleet/include/cardamompond/fleet/dispatcher.hpp
+++ b/packages/fleet/include/cardamompond/fleet/dispatcher.hpp
@@ -116,6 +116,7 @@
   std::uint32_t m_instance = 0;       // instance_hash of the process that leaves; 0 if it does not leave
   work_time_statement m_work_time{};  // last stated to this daemon, if not long ago
   std::uint32_t m_reading_tokens = 0; // of this daemon's prompts that the server has not processed yet
+  std::uint32_t m_learned_limit = 0;  // see server_capacity; 0: no evidence
 };
 
 // A daemon and its availability zone.
--- a/packages/fleet/src/dispatch_tables.hpp
+++ b/packages/fleet/src/dispatch_tables.hpp
@@ -3,6 +3,7 @@
 #include "cardamompond/core/hash.hpp"
 #include "cardamompond/fleet/blocked_requests.hpp"
 #include "cardamompond/fleet/dispatcher.hpp"
+#include "cardamompond/fleet/server_capacity.hpp"
 
 #include "server_notices.hpp"
 
@@ -54,6 +55,8 @@
 
   speed_estimator m_own_speed;                       // observed by this daemon
   speed_estimate m_combined_speed = assumed_speed(); // observed by all daemons
+  server_capacity m_capacity;                        // observed by this daemon
+  std::uint32_t m_learned_limit = 0;                 // by all daemons of the zone; 0: no evidence
 };
 
 struct waiting_request {
@@ -87,6 +90,7 @@
   std::optional<blocked_totals> m_blocked; // last reported totals
   std::vector<server_load> m_loads;
   std::unordered_map<std::uint32_t, speed_estimate> m_speeds; // reported less often than the loads
+  std::unordered_map<std::uint32_t, std::uint32_t> m_limits;  // learned limits, reported with the speeds
   time_point m_received;
 };
 
@@ -149,6 +153,12 @@
 // Removes peers whose last report is too old.
 void expire_peer_loads(dispatch_tables& tables, time_point now);
 
+// Recomputes the learned limit of each server from the observations of all daemons that have any.
+void update_learned_limits(dispatch_tables& tables, time_point now);
+
+// Records how long the server took for work, apart from what it states about the moment.
+void record_work(server_row& server, duration took, time_point now);
+
 // Recomputes the speed of each server from the observations of all daemons.
 void update_combined_speeds(dispatch_tables& tables);
 
--- a/packages/fleet/src/dispatcher.cpp
+++ b/packages/fleet/src/dispatcher.cpp
@@ -75,6 +75,7 @@
   dispatch_tables m_tables;
   time_point m_peer_loads_expired; // last call of expire_peer_loads
   time_point m_speeds_updated;     // last call of update_combined_speeds
+  time_point m_last_tick;
 
   void erase_unlisted_servers();
 
@@ -346,6 +347,9 @@
       found != m_impl->m_tables.m_running.end()) {
     if (server_row* server = m_impl->m_tables.find_server(found->second.m_server_id); server != nullptr) {
       server->m_own_speed.record_first_token(found->second.m_prompt_tokens, now - found->second.m_granted);
+      if (!server->m_uses_batching) {
+        record_work(*server, now - found->second.m_granted, now);
+      }
       if (std::exchange(found->second.m_reading, false)) {
         server->m_own_reading -= std::min(server->m_own_reading, found->second.m_prompt_tokens);
       }
@@ -358,6 +362,9 @@
       found != m_impl->m_tables.m_running.end()) {
     if (server_row* server = m_impl->m_tables.find_server(found->second.m_server_id); server != nullptr) {
       server->m_own_speed.record_events(events, took);
+      if (events > 0) {
+        record_work(*server, took / static_cast<std::int64_t>(events), m_impl->m_last_tick);
+      }
     }
   }
 }
@@ -391,6 +398,11 @@
   for (const auto& load : loads) {
     if (load.m_speed.m_samples > 0) {
       peer.m_speeds[load.m_server] = load.m_speed;
+      if (load.m_learned_limit > 0) {
+        peer.m_limits[load.m_server] = load.m_learned_limit;
+      } else {
+        peer.m_limits.erase(load.m_server);
+      }
     }
     if (load.m_work_time.m_percent > 0) {
       record_peer_work_time(m_impl->m_tables, load, now);
@@ -430,7 +442,10 @@
       if (server.m_own_running > 0 || speed.m_samples > 0 || failing || leaving || stated.m_percent > 0) {
         loads.push_back({server.m_id_hash, server.m_own_running, speed, failing, leaving,
                          leaving ? instance_hash(server.m_entry) : 0, stated,
-                         std::min(server.m_own_reading, max_reported_reading_tokens)});
+                         std::min(server.m_own_reading, max_reported_reading_tokens),
+                         uses_learned_limits(m_impl->m_tables, name)
+                             ? server.m_capacity.learned_limit(now).value_or(0)
+                             : 0});
       }
     }
   }
@@ -438,6 +453,7 @@
 }
 
 std::vector<dispatch_decision> dispatcher::tick(time_point now) {
+  m_impl->m_last_tick = now;
   std::vector<dispatch_decision> decisions;
   constexpr duration expiry_interval = milliseconds(100);
   if (now - m_impl->m_peer_loads_expired >= expiry_interval) {
@@ -449,6 +465,7 @@
   if (now - m_impl->m_speeds_updated >= speed_update_interval) {
     m_impl->m_speeds_updated = now;
     update_combined_speeds(m_impl->m_tables);
+    update_learned_limits(m_impl->m_tables, now);
   }
   process_queues(m_impl->m_tables, now, decisions);
   return decisions;
--- a/packages/fleet/src/expected_times.cpp
+++ b/packages/fleet/src/expected_times.cpp
@@ -77,16 +77,18 @@
 
 expected_times predict_times(const dispatch_tables& tables, const server_row& server,
                              const submission& request, time_point now) {
-  const speed_estimate speed = expected_speed(server, now);
-  const double running = server.m_own_running + server.m_peer_running;
+  speed_estimate speed = expected_speed(server, now);
+  const std::uint32_t running = server.m_own_running + server.m_peer_running;
   const double slots = std::max(1U, server.m_entry.m_slots);
   expected_times times;
   if (!server.m_uses_batching) {
-    const double waiting = std::max(0.0, running + 1 - slots);
-    times.m_first_s = speed.m_base_s * (1 + waiting / slots);
+    const double waiting = std::max(0.0, running + 1.0 - slots);
+    times.m_first_s =
+        speed.m_base_s * server.m_capacity.relative_time(running + 1, now) * (1 + waiting / slots);
     times.m_end_s = times.m_first_s;
     return times;
   }
+  speed.m_event_interval_s *= server.m_capacity.relative_time(running + 1, now);
   const double reading_before =
       speed.m_prompt_s_per_token * (server.m_own_reading + reported_reading_share * server.m_peer_reading);
   times.m_prompt_s = speed.m_prompt_s_per_token * request.m_prompt_tokens;
--- a/packages/fleet/src/peer_loads.cpp
+++ b/packages/fleet/src/peer_loads.cpp
@@ -111,6 +111,39 @@
   }
 }
 
+void record_work(server_row& server, duration took, time_point now) {
+  const work_time& stated = server.m_work_time;
+  server.m_capacity.set_slots(server.m_entry.m_slots);
+  server.m_capacity.record(
+      server.m_own_running + server.m_peer_running,
+      std::chrono::duration<double>(took).count() * stated.lasting() / stated.expected(now), now);
+}
+
+void update_learned_limits(dispatch_tables& tables, time_point now) {
+  std::unordered_map<std::uint32_t, std::vector<std::uint32_t>> limits;
+  for (const auto& [hash, server] : tables.m_servers_by_hash) {
+    if (const auto limit = server->m_capacity.learned_limit(now)) {
+      limits[hash].push_back(*limit);
+    }
+  }
+  for (const auto& [name, peer] : tables.m_peers) {
+    for (const auto& [hash, limit] : peer.m_limits) {
+      limits[hash].push_back(limit);
+    }
+  }
+  for (const auto& [hash, server] : tables.m_servers_by_hash) {
+    const auto found = limits.find(hash);
+    server->m_learned_limit = 0;
+    if (found != limits.end()) {
+      // The higher median: one daemon with a wrong view neither lowers nor raises the limit.
+      auto& learned = found->second;
+      const auto middle = learned.begin() + static_cast<std::ptrdiff_t>(learned.size() / 2);
+      std::nth_element(learned.begin(), middle, learned.end());
+      server->m_learned_limit = *middle;
+    }
+  }
+}
+
 void update_combined_speeds(dispatch_tables& tables) {
   for (const auto& [hash, server] : tables.m_servers_by_hash) {
     server->m_combined_speed =
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -111,6 +111,10 @@
 // Returns the number of running requests below which this daemon may send another one. In a large group, a
 // daemon that has filled its assigned slots keeps a margin that depends on the age of the reports.
 std::uint32_t running_limit(const dispatch_tables& tables, const server_row& server) {
+  if (server.m_learned_limit > 0 && server.m_learned_limit < server.m_entry.m_slots &&
+      uses_learned_limits(tables, server.m_entry.m_service)) {
+    return server.m_learned_limit;
+  }
   if (!server.m_uses_batching) {
     return server.m_entry.m_slots + plain_queue_depth;
   }
--- a/packages/fleet/tests/timed_placement_test.cpp
+++ b/packages/fleet/tests/timed_placement_test.cpp
@@ -3,7 +3,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
-#include <queue>
+#include <random>
 
 using namespace cardamompond;
 using namespace cardamompond::fleet;
@@ -228,3 +228,47 @@
     CHECK(unstated.submit(1) == off.submit(1));
   }
 }
+
+// Guards against slots that are used although the server only slows down beyond half of them, and against a
+// limit that one daemon with a wrong view sets for all.
+TEST(timed_placement, learned_limits_bound_the_running_requests) {
+  daemon.set_member_count(4);
+  daemon.set_servers({make_server("s1", "a", 8)});
+  state("s1", 100);
+  const auto report = [&](const char* peer, std::uint32_t limit) {
+    const server_load load{server_id_hash("s1"), 0, {0.05, 1e-5, 0.03, 5}, false, false, 0, {}, 0, limit};
+    daemon.m_dispatcher.set_peer_loads(peer, std::span(&load, 1), daemon.m_now);
+  };
+  report("d1", 4);
+  report("d2", 4);
+  report("d3", 1);
+  daemon.m_now += milliseconds(500);
+  daemon.tick();
+  LONGS_EQUAL(4, count_results(daemon.submit(10), "s1"));
+  daemon.m_now += seconds(3);
+  report("d1", 8);
+  report("d2", 8);
+  LONGS_EQUAL(0, count_results(daemon.tick(), "s1")); // none waits any more
+  LONGS_EQUAL(4, count_results(daemon.submit(10), "s1"));
+}
+
+// Guards against a server that shuts itself out, or attracts everything, by statements that change all the
+// time: its limit and its use stay within what responses show.
+TEST(timed_placement, a_server_with_random_statements_is_used_as_before) {
+  list_plain_servers({"honest", "liar"}, 6);
+  std::mt19937 random{5};
+  std::map<std::string, int> placed;
+  for (int i = 0; i < 400; ++i) {
+    daemon.m_now += milliseconds(100);
+    state("honest", 100);
+    state("liar", random() % 2 == 0 ? 5 : 10'000);
+    const auto request = make_plain_request();
+    const auto server = place(request);
+    ++placed[server];
+    daemon.m_now += milliseconds(60);
+    daemon.m_dispatcher.record_first_token(request.m_ticket, daemon.m_now);
+    daemon.m_dispatcher.finish(request.m_ticket, server_outcome::answered, daemon.m_now);
+  }
+  LONGS_EQUAL(400, placed["honest"] + placed["liar"]);
+  CHECK(placed["honest"] >= 100 && placed["liar"] >= 50);
+}
--- a/packages/gateway/schema/exchange.capnp
+++ b/packages/gateway/schema/exchange.capnp
@@ -26,8 +26,9 @@
   instance @8 :UInt32;    # fleet::instance_hash of the process that leaves; 0 if it does not leave
   # The next three use the space that the fields above leave, so that a load takes no further word.
   workTime @9 :UInt8;     # last stated to the sender, 1 + 33 times the natural logarithm of percent / 5; 0: none lately
-  workTimeAge @10 :UInt8; # in units of 4 ms
-  readingTokens @11 :UInt8; # of the sender's prompts that the server has not processed yet, in units of 256
+  ageAndReading @10 :UInt8; # low four bits: age of workTime in units of 32 ms; high four bits: tokens of the
+                          # sender's prompts that the server has not processed yet, in units of 1,024
+  limit @11 :UInt8;       # learned limit of running requests, see fleet::server_capacity; 0: no evidence
 }
 
 struct QuotaUse {
--- a/packages/gateway/src/exchange.capnp.h
+++ b/packages/gateway/src/exchange.capnp.h
@@ -346,9 +346,9 @@
 
   inline  ::uint8_t getWorkTime() const;
 
-  inline  ::uint8_t getWorkTimeAge() const;
+  inline  ::uint8_t getAgeAndReading() const;
 
-  inline  ::uint8_t getReadingTokens() const;
+  inline  ::uint8_t getLimit() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -408,11 +408,11 @@
   inline  ::uint8_t getWorkTime();
   inline void setWorkTime( ::uint8_t value);
 
-  inline  ::uint8_t getWorkTimeAge();
-  inline void setWorkTimeAge( ::uint8_t value);
+  inline  ::uint8_t getAgeAndReading();
+  inline void setAgeAndReading( ::uint8_t value);
 
-  inline  ::uint8_t getReadingTokens();
-  inline void setReadingTokens( ::uint8_t value);
+  inline  ::uint8_t getLimit();
+  inline void setLimit( ::uint8_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1705,30 +1705,30 @@
       ::capnp::bounded<25>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t ServerLoad::Reader::getWorkTimeAge() const {
+inline  ::uint8_t ServerLoad::Reader::getAgeAndReading() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<26>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t ServerLoad::Builder::getWorkTimeAge() {
+inline  ::uint8_t ServerLoad::Builder::getAgeAndReading() {
   return _builder.getDataField< ::uint8_t>(
       ::capnp::bounded<26>() * ::capnp::ELEMENTS);
 }
-inline void ServerLoad::Builder::setWorkTimeAge( ::uint8_t value) {
+inline void ServerLoad::Builder::setAgeAndReading( ::uint8_t value) {
   _builder.setDataField< ::uint8_t>(
       ::capnp::bounded<26>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t ServerLoad::Reader::getReadingTokens() const {
+inline  ::uint8_t ServerLoad::Reader::getLimit() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<27>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t ServerLoad::Builder::getReadingTokens() {
+inline  ::uint8_t ServerLoad::Builder::getLimit() {
   return _builder.getDataField< ::uint8_t>(
       ::capnp::bounded<27>() * ::capnp::ELEMENTS);
 }
-inline void ServerLoad::Builder::setReadingTokens( ::uint8_t value) {
+inline void ServerLoad::Builder::setLimit( ::uint8_t value) {
   _builder.setDataField< ::uint8_t>(
       ::capnp::bounded<27>() * ::capnp::ELEMENTS, value);
 }
--- a/packages/gateway/src/peer_group.cpp
+++ b/packages/gateway/src/peer_group.cpp
@@ -193,6 +193,7 @@
     });
     for (auto& load : shortened.m_loads) {
       load.m_speed = {};
+      load.m_learned_limit = 0;
     }
     add(std::move(shortened), age);
   }
@@ -314,6 +315,7 @@
   for (auto& load : m_admission.dispatcher().own_loads(now)) {
     if (!with_speeds) {
       load.m_speed = {};
+      load.m_learned_limit = 0;
     }
     if (load.m_running > 0 || load.m_failing || load.m_leaving || load.m_speed.m_samples > 0 ||
         load.m_work_time.m_percent > 0) {
--- a/packages/gateway/src/peer_report.cpp
+++ b/packages/gateway/src/peer_report.cpp
@@ -105,8 +105,15 @@
       std::clamp<std::int64_t>(value, 0, std::numeric_limits<std::uint8_t>::max()));
 }
 
-constexpr milliseconds work_time_age_unit{4};
-constexpr std::uint32_t reading_tokens_unit = 256;
+constexpr unsigned wire_nibble_bits = 4;
+constexpr unsigned max_wire_nibble = 15;
+
+unsigned to_wire_nibble(std::int64_t value) {
+  return static_cast<unsigned>(std::clamp<std::int64_t>(value, 0, max_wire_nibble));
+}
+
+constexpr milliseconds work_time_age_unit{32};
+constexpr std::uint32_t reading_tokens_unit = 1'024;
 
 // Steps of an encoded work time per factor of e. One step is about 3%.
 constexpr double work_time_steps = 33;
@@ -183,8 +190,10 @@
          each.getFailing(),
          each.getLeaving(),
          each.getInstance(),
-         {decode_work_time(each.getWorkTime()), each.getWorkTimeAge() * work_time_age_unit},
-         each.getReadingTokens() * reading_tokens_unit});
+         {decode_work_time(each.getWorkTime()),
+          (each.getAgeAndReading() & max_wire_nibble) * work_time_age_unit},
+         (each.getAgeAndReading() >> wire_nibble_bits) * reading_tokens_unit,
+         each.getLimit()});
   }
   for (const auto& each : from.getQuotaUse()) {
     report.m_quota_use.emplace_back(each.getAccount(), finite_or_zero(each.getUnits()));
@@ -237,8 +246,8 @@
   auto loads = to.initLoads(static_cast<unsigned>(report.m_loads.size()));
   for (unsigned i = 0; i < loads.size(); ++i) {
     loads[i].setServer(report.m_loads[i].m_server);
-    const auto& [server, running, speed, failing, leaving, instance, work_time, reading_tokens] =
-        report.m_loads[i];
+    const auto& [server, running, speed, failing, leaving, instance, work_time, reading_tokens,
+                 learned_limit] = report.m_loads[i];
     loads[i].setRunning(running);
     loads[i].setBaseS(static_cast<float>(speed.m_base_s));
     loads[i].setPromptSPerToken(static_cast<float>(speed.m_prompt_s_per_token));
@@ -248,8 +257,11 @@
     loads[i].setLeaving(leaving);
     loads[i].setInstance(instance);
     loads[i].setWorkTime(encode_work_time(work_time.m_percent));
-    loads[i].setWorkTimeAge(to_wire_byte(work_time.m_age / work_time_age_unit));
-    loads[i].setReadingTokens(to_wire_byte((reading_tokens + reading_tokens_unit - 1) / reading_tokens_unit));
+    loads[i].setAgeAndReading(static_cast<std::uint8_t>(
+        to_wire_nibble(work_time.m_age / work_time_age_unit) |
+        to_wire_nibble((reading_tokens + reading_tokens_unit / 2) / reading_tokens_unit)
+            << wire_nibble_bits));
+    loads[i].setLimit(to_wire_byte(learned_limit));
   }
   auto quota_use = to.initQuotaUse(static_cast<unsigned>(report.m_quota_use.size()));
   for (unsigned i = 0; i < quota_use.size(); ++i) {
