--- a/packages/fleet/src/dispatch_tables.hpp
+++ b/packages/fleet/src/dispatch_tables.hpp
@@ -3,6 +3,7 @@
 #include "cardamompond/core/hash.hpp"
 #include "cardamompond/fleet/blocked_requests.hpp"
 #include "cardamompond/fleet/dispatcher.hpp"
+#include "cardamompond/fleet/server_capacity.hpp"
 
 #include "server_notices.hpp"
 
@@ -46,8 +47,16 @@
   time_point m_full_until; // gets no requests until then because it refused one for lack of capacity
   std::uint32_t m_consecutive_refusals = 0; // unexplained ones, see server_health.cpp
 
+  work_time m_work_time;             // by the statements to all daemons
+  std::uint32_t m_own_work_time = 0; // percent, last stated to this daemon
+  time_point m_own_work_time_stated; // when it was
+  std::uint32_t m_own_reading = 0;   // tokens of this daemon's prompts that have no first event yet
+  std::uint32_t m_peer_reading = 0;  // the same of the peers, by their reports
+
   speed_estimator m_own_speed;                       // observed by this daemon
   speed_estimate m_combined_speed = assumed_speed(); // observed by all daemons
+  server_capacity m_capacity;                        // observed by this daemon
+  std::uint32_t m_learned_limit = 0;                 // by all daemons of the zone; 0: no evidence
 };
 
 struct waiting_request {
@@ -74,12 +83,14 @@
   std::string m_server_id;
   std::uint32_t m_prompt_tokens = 0;
   time_point m_granted;
+  bool m_reading = true; // the first event has not arrived
 };
 
 struct peer_row {
   std::optional<blocked_totals> m_blocked; // last reported totals
   std::vector<server_load> m_loads;
   std::unordered_map<std::uint32_t, speed_estimate> m_speeds; // reported less often than the loads
+  std::unordered_map<std::uint32_t, std::uint32_t> m_limits;  // learned limits, reported with the speeds
   time_point m_received;
 };
 
@@ -113,11 +124,20 @@
   bool m_frequent_reports = true; // each daemon receives the reports of all others several times a second
   rollout_controller* m_rollout_controller = nullptr;
   std::mt19937_64 m_random;
+  learned_limits_mode m_learned_limits = learned_limits_mode::automatic;
+  std::map<std::string, milliseconds, std::less<>> m_accepted_pauses; // shortest of the routes, by service
+  std::set<std::string, std::less<>> m_stating_services; // their servers have stated their work time
 
   // Ids are unique over all services.
   server_row* find_server(std::string_view id);
 };
 
+// Whether the servers of the service are chosen by expected times and learned limits.
+bool uses_learned_limits(const dispatch_tables& tables, std::string_view service);
+
+// Records a work time that the server stated to this daemon or to a peer.
+void record_work_time(dispatch_tables& tables, server_row& server, std::uint32_t percent, time_point stated);
+
 // Divides the slots of each server as equally as possible among the daemons of its zone. This keeps daemons
 // that have not yet received one another's reports from all choosing the same server.
 void assign_slots(dispatch_tables& tables);
@@ -133,6 +153,12 @@
 // Removes peers whose last report is too old.
 void expire_peer_loads(dispatch_tables& tables, time_point now);
 
+// Recomputes the learned limit of each server from the observations of all daemons that have any.
+void update_learned_limits(dispatch_tables& tables, time_point now);
+
+// Records how long the server took for work, apart from what it states about the moment.
+void record_work(server_row& server, duration took, time_point now);
+
 // Recomputes the speed of each server from the observations of all daemons.
 void update_combined_speeds(dispatch_tables& tables);
 
--- a/packages/gateway/schema/exchange.capnp
+++ b/packages/gateway/schema/exchange.capnp
@@ -24,6 +24,11 @@
   failing @6 :Bool;       # the sender avoids the server because its responses are failures
   leaving @7 :Bool;       # the server stated to the sender, not long ago, that it leaves
   instance @8 :UInt32;    # fleet::instance_hash of the process that leaves; 0 if it does not leave
+  # The next three use the space that the fields above leave, so that a load takes no further word.
+  workTime @9 :UInt8;     # last stated to the sender, 1 + 33 times the natural logarithm of percent / 5; 0: none lately
+  ageAndReading @10 :UInt8; # low four bits: age of workTime in units of 32 ms; high four bits: tokens of the
+                          # sender's prompts that the server has not processed yet, in units of 1,024
+  limit @11 :UInt8;       # learned limit of running requests, see fleet::server_capacity; 0: no evidence
 }
 
 struct QuotaUse {
--- a/packages/gateway/src/exchange.capnp.h
+++ b/packages/gateway/src/exchange.capnp.h
@@ -408,6 +408,12 @@
 
   inline  ::uint32_t getInstance() const;
 
+  inline  ::uint8_t getWorkTime() const;
+
+  inline  ::uint8_t getAgeAndReading() const;
+
+  inline  ::uint8_t getLimit() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -463,6 +469,15 @@
   inline  ::uint32_t getInstance();
   inline void setInstance( ::uint32_t value);
 
+  inline  ::uint8_t getWorkTime();
+  inline void setWorkTime( ::uint8_t value);
+
+  inline  ::uint8_t getAgeAndReading();
+  inline void setAgeAndReading( ::uint8_t value);
+
+  inline  ::uint8_t getLimit();
+  inline void setLimit( ::uint8_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2120,6 +2135,48 @@
       ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint8_t ServerLoad::Reader::getWorkTime() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<25>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t ServerLoad::Builder::getWorkTime() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<25>() * ::capnp::ELEMENTS);
+}
+inline void ServerLoad::Builder::setWorkTime( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<25>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t ServerLoad::Reader::getAgeAndReading() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<26>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t ServerLoad::Builder::getAgeAndReading() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<26>() * ::capnp::ELEMENTS);
+}
+inline void ServerLoad::Builder::setAgeAndReading( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<26>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t ServerLoad::Reader::getLimit() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<27>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t ServerLoad::Builder::getLimit() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<27>() * ::capnp::ELEMENTS);
+}
+inline void ServerLoad::Builder::setLimit( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<27>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t QuotaUse::Reader::getAccount() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
