Order the number of engines as a duty of one daemon at a time

All engines of a service with bounds in the declarations are billed by the second, and nobody changed their number.

fleet::capacity_planner decides by service and zone from the requests that run: up at once above 65% occupancy with growth extrapolated over the boot time, down in small steps to what was enough for 30 s at half occupancy. engine_duty observes the reports and sends the orders. On only where the settings have [duties.autoscale] and the declarations have bounds.

--- a/packages/daemon/src/entry_daemon.cpp
+++ b/packages/daemon/src/entry_daemon.cpp
@@ -181,7 +181,7 @@
     log_event(log_level::warning, "request_dropped", {{"cause", to_string(cause)}, {"reason", detail}});
   });
   if (!m_settings.m_duties.empty()) {
-    m_duties = std::make_unique<entry_duties>(m_settings, m_runtime, m_group, m_peer_exchange);
+    m_duties = std::make_unique<entry_duties>(m_settings, m_runtime, m_group, m_peer_exchange, m_admission);
   }
   m_fleet_view.on_change([this](gateway::collection_kind kind) {
     if (kind == gateway::collection_kind::declarations) {
--- a/packages/daemon/src/entry_duties.cpp
+++ b/packages/daemon/src/entry_duties.cpp
@@ -3,6 +3,7 @@
 #include "cardamompond/telemetry/log.hpp"
 
 #include <algorithm>
+#include <map>
 #include <random>
 #include <utility>
 
@@ -15,11 +16,13 @@
 } // namespace
 
 entry_duties::entry_duties(const gateway::gateway_settings& settings, net::fiber_runtime& runtime,
-                           gateway::peer_group& group, gateway::peer_exchange& exchange)
+                           gateway::peer_group& group, gateway::peer_exchange& exchange,
+                           gateway::admission_controller& admission)
     : m_connections(runtime, {.m_connect_timeout = connect_timeout,
                               .m_connection_loss_timeout = connection_loss_timeout})
     , m_group(group)
     , m_exchange(exchange)
+    , m_admission(admission)
     , m_store(m_connections, settings.m_store_address)
     , m_peers(settings.m_availability_zone)
     , m_incarnation(static_cast<std::uint64_t>(wall_clock_ms())) {
@@ -44,21 +47,32 @@
   m_exchange.set_usage_ledger(nullptr);
 }
 
+std::unique_ptr<gateway::duty_task>
+entry_duties::make_task(fleet::duty which, const gateway::duty_settings& duty, gateway::duty_api& api) {
+  if (which == fleet::duty::engine_counts) {
+    auto engines = std::make_unique<gateway::engine_duty>(m_admission, m_peers, m_group.self().m_name, api);
+    m_engines = engines.get();
+    m_peers.keep_loads();
+    return engines;
+  }
+  m_ledger =
+      std::make_unique<gateway::usage_ledger>(m_group, m_peers, m_group.self(), m_incarnation, duty.m_window);
+  auto usage =
+      std::make_unique<gateway::usage_duty>(m_connections, m_group, *m_ledger, api, duty.m_late_after);
+  m_usage = usage.get();
+  return usage;
+}
+
 void entry_duties::add(const gateway::duty_settings& duty, const gateway::gateway_settings& settings) {
   const auto which = platform::find_duty(duty.m_name);
-  if (which != fleet::duty::usage_reports) {
+  if (!which) {
     log_event(log_level::warning, "duty_ignored",
-              {{"duty", duty.m_name}, {"reason", "this version does not carry it out"}});
+              {{"duty", duty.m_name}, {"reason", "this version does not know it"}});
     return;
   }
   assignment added;
   added.m_api = std::make_unique<platform::duty_api_client>(m_connections, duty.m_address);
-  m_ledger =
-      std::make_unique<gateway::usage_ledger>(m_group, m_peers, m_group.self(), m_incarnation, duty.m_window);
-  auto usage = std::make_unique<gateway::usage_duty>(m_connections, m_group, *m_ledger, *added.m_api,
-                                                     duty.m_late_after);
-  m_usage = usage.get();
-  added.m_task = std::move(usage);
+  added.m_task = make_task(*which, duty, *added.m_api);
   added.m_runner = std::make_unique<gateway::duty_runner>(
       *which,
       fleet::claim_options{settings.m_name, m_incarnation, duty.m_fencing, duty.m_lease,
@@ -107,6 +121,15 @@
     metrics.set_counter("cardamompond_duty_calls_total", "duty", name, static_cast<double>(accepted));
     metrics.set_counter("cardamompond_duty_call_failures_total", "duty", name, static_cast<double>(failed));
   }
+  if (m_engines != nullptr) {
+    std::map<std::string, std::uint64_t, std::less<>> ordered; // by service, over all zones
+    for (const auto& [group, engines] : m_engines->orders()) {
+      ordered[group.m_service] += engines;
+    }
+    for (const auto& [service, engines] : ordered) {
+      metrics.set_gauge("cardamompond_engines_ordered", "service", service, static_cast<double>(engines));
+    }
+  }
   if (m_usage != nullptr) {
     metrics.set_gauge("cardamompond_usage_window", static_cast<double>(m_usage->last_accepted_window()));
   }
--- a/packages/daemon/src/entry_duties.hpp
+++ b/packages/daemon/src/entry_duties.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cardamompond/gateway/duty_runner.hpp"
+#include "cardamompond/gateway/engine_duty.hpp"
 #include "cardamompond/gateway/gateway_settings.hpp"
 #include "cardamompond/gateway/peer_exchange.hpp"
 #include "cardamompond/gateway/usage_duty.hpp"
@@ -19,7 +20,8 @@
 class entry_duties {
 public:
   entry_duties(const gateway::gateway_settings& settings, net::fiber_runtime& runtime,
-               gateway::peer_group& group, gateway::peer_exchange& exchange);
+               gateway::peer_group& group, gateway::peer_exchange& exchange,
+               gateway::admission_controller& admission);
   ~entry_duties();
   entry_duties(const entry_duties&) = delete;
   entry_duties& operator=(const entry_duties&) = delete;
@@ -43,16 +45,20 @@
     std::unique_ptr<gateway::duty_runner> m_runner;
   };
 
+  std::unique_ptr<gateway::duty_task> make_task(fleet::duty which, const gateway::duty_settings& duty,
+                                                gateway::duty_api& api);
   void add(const gateway::duty_settings& duty, const gateway::gateway_settings& settings);
 
   net::http_client m_connections;
   gateway::peer_group& m_group;
   gateway::peer_exchange& m_exchange;
+  gateway::admission_controller& m_admission;
   platform::duty_store_client m_store;
   gateway::duty_peers m_peers;
   std::uint64_t m_incarnation;
   std::unique_ptr<gateway::usage_ledger> m_ledger;
   gateway::usage_duty* m_usage = nullptr;
+  gateway::engine_duty* m_engines = nullptr;
   std::vector<assignment> m_assignments;
 };
 
--- /dev/null
+++ b/packages/fleet/include/cardamompond/fleet/capacity_planner.hpp
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "cardamompond/core/time.hpp"
+
+#include <compare>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace cardamompond::fleet {
+
+// The engines of one service in one availability zone, whose number is ordered.
+struct engine_group {
+  std::string m_service;
+  std::string m_availability_zone;
+  friend auto operator<=>(const engine_group&, const engine_group&) = default;
+};
+
+// What is known about an engine group at one moment.
+struct engine_demand {
+  double m_running = 0;          // requests that run on its engines, from all daemons
+  std::uint32_t m_listed = 0;    // engines that serve or start
+  double m_slots_per_engine = 1; // mean
+  std::uint32_t m_min = 1;
+  std::uint32_t m_max = 1;
+  duration m_boot_time{}; // from an order until a new engine serves
+};
+
+// Decides how many engines each engine group should have. The requests that run are the arriving work times
+// the time that it takes, so they state the need directly, at whatever speed the engines have. Growth is
+// extrapolated over the boot time and followed at once. The number shrinks in small steps, only to what was
+// enough for the last 30 s at half occupancy.
+class capacity_planner {
+public:
+  // Must be called about twice a second for each group.
+  void observe(const engine_group& group, const engine_demand& demand, time_point now);
+
+  // Returns the number to order, if it differs from the one in force.
+  std::optional<std::uint32_t> decide(const engine_group& group, time_point now);
+
+  // Records that the number is in force.
+  void record_order(const engine_group& group, std::uint32_t engines, time_point now);
+
+  // Returns the number in force; 0 for a group that was not observed.
+  std::uint32_t engines_in_force(const engine_group& group) const;
+
+  // Forgets all observations, after a time in which the groups were not observed.
+  void reset() { m_groups.clear(); }
+
+private:
+  struct sample {
+    time_point m_at;
+    double m_running = 0;
+  };
+  struct state {
+    engine_demand m_latest;
+    std::deque<sample> m_samples; // of the last 30 s
+    std::uint32_t m_in_force = 0;
+    time_point m_observed_since;
+    std::optional<time_point> m_raised_at;
+    std::optional<time_point> m_lowered_at;
+  };
+  static double expected_running(const state& group, time_point now);
+
+  std::map<engine_group, state> m_groups;
+};
+
+} // namespace cardamompond::fleet
--- a/packages/fleet/include/cardamompond/fleet/declarations.hpp
+++ b/packages/fleet/include/cardamompond/fleet/declarations.hpp
@@ -3,6 +3,7 @@
 #include "cardamompond/core/time.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -37,6 +38,13 @@
   milliseconds m_first_token_target{0}; // target for the time from arrival to the first part of the response
 };
 
+// Bounds of the number of engines of a service in each availability zone.
+struct engine_bounds {
+  std::uint32_t m_min = 0;
+  std::uint32_t m_max = 0;
+  duration m_boot_time{}; // from an order until a new engine serves
+};
+
 // A group of interchangeable backend servers.
 struct service {
   std::string m_name;
@@ -44,6 +52,7 @@
   std::uint32_t m_tokens_per_event = 1; // number of output tokens in one event of a stream
   bool m_uses_batching = false;         // its servers are model engines with batching and prompt caches
   milliseconds m_max_reservation{0};    // longest slot reservation of a server; 0: none
+  std::optional<engine_bounds> m_engine_bounds; // nothing: the number of engines is not ordered
 };
 
 // An organisation of callers, identified by its API keys.
--- a/packages/gateway/include/cardamompond/gateway/duty_api.hpp
+++ b/packages/gateway/include/cardamompond/gateway/duty_api.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cardamompond/core/time.hpp"
+#include "cardamompond/fleet/capacity_planner.hpp"
 #include "cardamompond/fleet/duty_claim.hpp"
 
 #include <cstdint>
@@ -41,6 +42,10 @@
   // Reports the requests of each client account that began to run in a window.
   virtual duty_call_result report_usage(duty_caller caller, const fleet::recorded_window& window,
                                         milliseconds timeout) = 0;
+
+  // Orders the number of engines of a service in a zone.
+  virtual duty_call_result order_engines(duty_caller caller, const fleet::engine_group& group,
+                                         std::uint32_t engines, milliseconds timeout) = 0;
 };
 
 } // namespace cardamompond::gateway
--- a/packages/gateway/include/cardamompond/gateway/duty_peers.hpp
+++ b/packages/gateway/include/cardamompond/gateway/duty_peers.hpp
@@ -53,6 +53,12 @@
   // Returns the true time since 1970: the median of the group's clocks.
   duration true_now() const;
 
+  // Keeps what peers report to run on each server. Off by default, since only one duty needs it.
+  void keep_loads() { m_keeps_loads = true; }
+
+  // Returns the number of requests that peers run on each server, by fleet::server_id_hash.
+  std::map<std::uint32_t, std::uint64_t> running_by_server() const;
+
   const fleet::group_clock& clocks() const { return m_clocks; }
 
 private:
@@ -61,6 +67,9 @@
   fleet::group_clock m_clocks;
   std::map<fleet::duty, announcement> m_announcements;
   std::map<fleet::duty, std::string> m_last_zones;
+  bool m_keeps_loads = false;
+  std::map<std::string, std::vector<std::pair<std::uint32_t, std::uint32_t>>, std::less<>>
+      m_loads; // server and running requests, by name of the daemon
 };
 
 // Returns the difference between the wall clock and boot_now().
--- a/packages/gateway/src/duty_peers.cpp
+++ b/packages/gateway/src/duty_peers.cpp
@@ -21,6 +21,15 @@
     m_clocks.record(report.m_daemon,
                     milliseconds(report.m_wall_clock_ms) - (boot_now().time_since_epoch() - age));
   }
+  if (m_keeps_loads) {
+    auto& loads = m_loads[report.m_daemon];
+    loads.clear();
+    for (const auto& load : report.m_loads) {
+      if (load.m_running > 0) {
+        loads.emplace_back(load.m_server, load.m_running);
+      }
+    }
+  }
   std::erase_if(m_announcements, [&](const auto& each) { return each.second.m_holder == report.m_daemon; });
   for (const auto& [which, token] : report.m_held_duties) {
     const auto known = m_announcements.find(which);
@@ -33,6 +42,9 @@
 
 void duty_peers::forget(std::string_view daemon) {
   m_clocks.forget(daemon);
+  if (const auto loads = m_loads.find(daemon); loads != m_loads.end()) {
+    m_loads.erase(loads);
+  }
   std::erase_if(m_announcements, [&](const auto& each) { return each.second.m_holder == daemon; });
 }
 
@@ -55,6 +67,16 @@
   return found == m_last_zones.end() ? std::string_view() : std::string_view(found->second);
 }
 
+std::map<std::uint32_t, std::uint64_t> duty_peers::running_by_server() const {
+  std::map<std::uint32_t, std::uint64_t> running;
+  for (const auto& [daemon, loads] : m_loads) {
+    for (const auto& [server, count] : loads) {
+      running[server] += count;
+    }
+  }
+  return running;
+}
+
 duration duty_peers::true_now() const {
   return boot_now().time_since_epoch() + m_clocks.median_offset(wall_clock_offset());
 }
--- a/tests/soak/duties_test.cpp
+++ b/tests/soak/duties_test.cpp
@@ -18,6 +18,9 @@
     "[duties.usage_report]\naddress = \"@API\"\nfencing = true\nlease_ms = 1000\n"
     "window_s = 1\nlate_s = 5\n";
 
+const std::string engine_settings =
+    "[duties.autoscale]\naddress = \"@API\"\nfencing = true\nlease_ms = 1000\n";
+
 struct usage_history {
   std::uint64_t m_requests = 0;
   int m_differing = 0;     // windows with two different reports
@@ -31,6 +34,9 @@
   std::map<std::int64_t, boost::json::object> by_window;
   std::map<std::uint64_t, std::string> holders;
   for (const auto& call : api.executed()) {
+    if (call.m_subject != "/usage") {
+      continue;
+    }
     const auto window = call.m_body.at("window").to_number<std::int64_t>();
     const auto& counts = call.m_body.at("counts").as_object();
     const auto [known, added] = by_window.try_emplace(window, counts);
@@ -118,6 +124,20 @@
   LONGS_EQUAL(answered, history.m_requests);
 }
 
+// Guards against engine counts that are never ordered: more requests run than the engines have room for.
+TEST(duties, engines_are_ordered_when_they_are_full) {
+  soak_group group(3, 1, 1, engine_settings);
+  group.set_engine_bounds(1, 6);
+  await_ready(group);
+  soak_callers callers(group, 40, 1);
+  const auto& executed = group.duty_api().executed();
+  wait_until("engines are ordered", milliseconds(20'000), [&] { return !executed.empty(); });
+  callers.stop();
+  STRCMP_EQUAL("/scale \"chat\" \"z0\"", executed.front().m_subject.c_str());
+  const auto desired = executed.front().m_body.at("desired").to_number<std::int64_t>();
+  CHECK(desired > 1 && desired <= 6);
+}
+
 // Guards against calls, objects in the store and fibers of duties where the settings name none.
 TEST(duties, nothing_is_sent_without_settings) {
   soak_group group(2, 1, 1);
--- a/tests/soak/soak_group.cpp
+++ b/tests/soak/soak_group.cpp
@@ -157,13 +157,22 @@
                         make_route("read", "h", "idempotent", false),
                         make_route("guide", "h", "stream", false), make_route("note", "h", "stream", true),
                         make_route("moved", moved_host(), "idempotent", false)};
+  json::object service = {{"name", "chat"}, {"health_path", "/healthz"}};
+  if (!m_engine_bounds.empty()) {
+    service["autoscale"] = m_engine_bounds;
+  }
   m_store.put("config", "main",
               {{"version", m_version},
                {"routes", std::move(routes)},
-               {"services", json::array{{{"name", "chat"}, {"health_path", "/healthz"}}}},
+               {"services", json::array{std::move(service)}},
                {"tenants", json::array{{{"name", "workshop"}, {"api_keys", json::array{"k"}}}}}});
 }
 
+void soak_group::set_engine_bounds(int min, int max) {
+  m_engine_bounds = {{"min", min}, {"max", max}, {"boot_s", 2.0}};
+  publish();
+}
+
 void soak_group::register_engine(const soak_engine& engine, bool leaving) {
   m_store.put("servers", engine.m_engine->id(),
               {{"service", "chat"},
--- a/tests/soak/soak_group.hpp
+++ b/tests/soak/soak_group.hpp
@@ -59,6 +59,9 @@
   // host name to the other.
   void publish();
 
+  // Publishes bounds of the number of engines in each zone.
+  void set_engine_bounds(int min, int max);
+
   std::string callers_address(const soak_daemon& daemon) const;
   bool is_ready(const soak_daemon& daemon);
 
@@ -107,7 +110,8 @@
   std::vector<soak_engine> m_engines;
   std::vector<soak_daemon> m_daemons;
   std::map<std::string, std::vector<std::pair<time_point, time_point>>> m_disturbances; // by target
-  std::uint64_t m_version = 0; // of the newest configuration
+  std::uint64_t m_version = 0;         // of the newest configuration
+  boost::json::object m_engine_bounds; // empty: none
 };
 
 } // namespace cardamompond::testing
