Hold requests back from servers on which they would be late

Change: where learned limits are on, a request that would be late on the servers with room, or stall their streams for too long, waits for a server that suits it. It takes another one only when it would be refused otherwise, and if more slots are free there than requests that the server suits were blocked lately. Slots are not kept for more urgent requests that would stall the server. Requests with few events go to slow servers first; the preference decreases with the length of the response.

Tests: fleet_tests pass.

--- a/packages/fleet/src/dispatch_tables.hpp
+++ b/packages/fleet/src/dispatch_tables.hpp
@@ -7,6 +7,7 @@
 
 #include "server_notices.hpp"
 
+#include <array>
 #include <deque>
 #include <map>
 #include <random>
@@ -126,6 +127,8 @@
   std::mt19937_64 m_random;
   learned_limits_mode m_learned_limits = learned_limits_mode::automatic;
   std::map<std::string, milliseconds, std::less<>> m_accepted_pauses; // shortest of the routes, by service
+  std::array<double, urgency_levels>
+      m_typical_prompts{}; // mean length in tokens by urgency level; 0: none seen
   std::set<std::string, std::less<>> m_stating_services; // their servers have stated their work time
 
   // Ids are unique over all services.
@@ -199,9 +202,10 @@
 class spare_capacity;
 
 // Returns the best server with capacity for the request, or null. The request leaves `required_free`
-// slots free.
+// slots free. Where learned limits are on, a request that may wait is held back while only servers have
+// capacity that suit it less than others.
 server_row* select_server(dispatch_tables& tables, const submission& request, spare_capacity& spare,
-                          double required_free, time_point now);
+                          double required_free, bool may_wait, time_point now);
 
 // Grants the waiting requests that a server can take and refuses those that have waited too long. Requests
 // are tried in the order of tier, lateness, length, route rank and arrival.
--- a/packages/fleet/src/expected_times.cpp
+++ b/packages/fleet/src/expected_times.cpp
@@ -75,40 +75,74 @@
                                                  : std::chrono::duration<double>(found->second).count();
 }
 
+namespace {
+
+expected_times predict(const dispatch_tables& tables, const submission& request, const speed_estimate& speed,
+                       double tokens_ahead) {
+  expected_times times;
+  const double reading_before = speed.m_prompt_s_per_token * tokens_ahead;
+  times.m_prompt_s = speed.m_prompt_s_per_token * request.m_prompt_tokens;
+  times.m_first_s = speed.m_base_s + reading_before + times.m_prompt_s;
+  times.m_end_s = times.m_first_s + expected_events(tables, request) * speed.m_event_interval_s;
+  times.m_pause_before_s = speed.m_event_interval_s + reading_before;
+  times.m_pause_s = times.m_pause_before_s + times.m_prompt_s;
+  return times;
+}
+
+} // namespace
+
 expected_times predict_times(const dispatch_tables& tables, const server_row& server,
                              const submission& request, time_point now) {
   speed_estimate speed = expected_speed(server, now);
   const std::uint32_t running = server.m_own_running + server.m_peer_running;
-  const double slots = std::max(1U, server.m_entry.m_slots);
-  expected_times times;
+  const double concurrency = server.m_capacity.relative_time(running + 1, now);
   if (!server.m_uses_batching) {
-    const double waiting = std::max(0.0, running + 1.0 - slots);
-    times.m_first_s =
-        speed.m_base_s * server.m_capacity.relative_time(running + 1, now) * (1 + waiting / slots);
+    const double slots = std::max(1U, server.m_entry.m_slots);
+    const double waiting = std::max(0.0, running + 1 - slots);
+    expected_times times;
+    times.m_first_s = speed.m_base_s * concurrency * (1 + waiting / slots);
     times.m_end_s = times.m_first_s;
     return times;
   }
-  speed.m_event_interval_s *= server.m_capacity.relative_time(running + 1, now);
-  const double reading_before =
-      speed.m_prompt_s_per_token * (server.m_own_reading + reported_reading_share * server.m_peer_reading);
-  times.m_prompt_s = speed.m_prompt_s_per_token * request.m_prompt_tokens;
-  times.m_first_s = speed.m_base_s + reading_before + times.m_prompt_s;
-  times.m_end_s = times.m_first_s + expected_events(tables, request) * speed.m_event_interval_s;
-  if (running > 0) {
-    times.m_pause_before_s = speed.m_event_interval_s + reading_before;
-    times.m_pause_s = times.m_pause_before_s + times.m_prompt_s;
+  speed.m_event_interval_s *= concurrency;
+  expected_times times =
+      predict(tables, request, speed, server.m_own_reading + reported_reading_share * server.m_peer_reading);
+  if (running == 0) {
+    times.m_pause_before_s = 0;
+    times.m_pause_s = 0;
   }
   return times;
 }
 
+expected_times predict_undisturbed_times(const dispatch_tables& tables, const server_row& server,
+                                         const submission& request) {
+  const speed_estimate speed = lasting_speed(server);
+  if (!server.m_uses_batching) {
+    expected_times times;
+    times.m_first_s = speed.m_base_s;
+    times.m_end_s = speed.m_base_s;
+    return times;
+  }
+  return predict(tables, request, speed, 0);
+}
+
+bool reads_without_stalling(const dispatch_tables& tables, const server_row& server, double prompt_tokens) {
+  const speed_estimate speed = lasting_speed(server);
+  return speed.m_event_interval_s + speed.m_prompt_s_per_token * prompt_tokens <=
+         max_pause_share * accepted_pause_s(tables, server.m_entry.m_service);
+}
+
 time_fit evaluate_times(const dispatch_tables& tables, const expected_times& times, const submission& request,
                         time_point now) {
   if (times.m_end_s > max_end_share * seconds_between(now, request.m_deadline)) {
     return time_fit::none;
   }
-  const bool late = times.m_first_s > max_first_share * seconds_between(now, request.m_first_token_due) ||
-                    times.m_pause_s > max_pause_share * accepted_pause_s(tables, request.m_service);
-  return late ? time_fit::late : time_fit::good;
+  const bool late = times.m_first_s > max_first_share * seconds_between(now, request.m_first_token_due);
+  const bool stalling = times.m_pause_s > max_pause_share * accepted_pause_s(tables, request.m_service);
+  return late && stalling ? time_fit::late_and_stalling
+         : late           ? time_fit::late
+         : stalling       ? time_fit::stalling
+                          : time_fit::good;
 }
 
 double expected_late_responses(const dispatch_tables& tables, const server_row& server,
--- a/packages/fleet/src/expected_times.hpp
+++ b/packages/fleet/src/expected_times.hpp
@@ -15,8 +15,10 @@
 
 // How well a server suits a request by its expected times; higher is better.
 enum class time_fit {
-  none, // the response would not be complete by the deadline
-  late, // the response would begin late, or streams on the server would pause for too long
+  none,              // the response would not be complete by the deadline
+  late_and_stalling, // the response would begin late, and streams on the server would pause for too long
+  late,
+  stalling,
   good
 };
 
@@ -34,6 +36,14 @@
 expected_times predict_times(const dispatch_tables& tables, const server_row& server,
                              const submission& request, time_point now);
 
+// Returns the times that the request would take without a disturbance and without other prompts on the
+// server.
+expected_times predict_undisturbed_times(const dispatch_tables& tables, const server_row& server,
+                                         const submission& request);
+
+// Whether the server can read a prompt of this length without stalling its other streams for too long.
+bool reads_without_stalling(const dispatch_tables& tables, const server_row& server, double prompt_tokens);
+
 time_fit evaluate_times(const dispatch_tables& tables, const expected_times& times, const submission& request,
                         time_point now);
 
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -359,9 +359,9 @@
 } // namespace
 
 server_row* select_server(dispatch_tables& tables, const submission& request, spare_capacity& spare,
-                          double required_free, time_point now) {
+                          double required_free, bool may_wait, time_point now) {
   if (uses_learned_limits(tables, request.m_service)) {
-    return select_server_by_time(tables, request, spare, required_free, now);
+    return select_server_by_time(tables, request, spare, required_free, may_wait, now);
   }
   const auto lists = tables.m_lists.find(request.m_service);
   if (lists == tables.m_lists.end()) {
--- a/packages/fleet/src/placement_rules.hpp
+++ b/packages/fleet/src/placement_rules.hpp
@@ -50,6 +50,9 @@
 // Returns the best server by expected times, or null; see select_server, which calls it where learned limits
 // are on.
 server_row* select_server_by_time(dispatch_tables& tables, const submission& request, spare_capacity& spare,
-                                  double required_free, time_point now);
+                                  double required_free, bool may_wait, time_point now);
+
+// Counts the prompt of a request in the typical prompt of its urgency level.
+void record_prompt(dispatch_tables& tables, const submission& request);
 
 } // namespace cardamompond::fleet
--- a/packages/fleet/src/queueing.cpp
+++ b/packages/fleet/src/queueing.cpp
@@ -1,5 +1,4 @@
-#include "dispatch_tables.hpp"
-#include "spare_capacity.hpp"
+#include "placement_rules.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -153,6 +152,12 @@
   }
 }
 
+// Whether the request will be tried again before it is refused.
+bool may_wait(const waiting_request& waiting, time_point now) {
+  constexpr duration longest_time_between_ticks = milliseconds(20);
+  return now + longest_time_between_ticks < waiting.m_refuse_at;
+}
+
 // Counts a request that finds no free slot, once.
 void record_blocked(dispatch_tables& tables, waiting_request& waiting, time_point now) {
   const auto declared = tables.m_services.find(waiting.m_request.m_service);
@@ -188,6 +193,7 @@
   const bool is_short = speed.m_prompt_s_per_token * request.m_prompt_tokens +
                             speed.m_event_interval_s * request.m_output_tokens / tokens_per_event <=
                         max_short_request_s;
+  record_prompt(tables, request);
   auto& queue = tables.m_waiting[request.m_service];
   waiting_request waiting{std::move(request), refuse_at, is_short, false};
   update_lateness(tables, queue, waiting, find_typical_speed(tables, waiting.m_request.m_service), now);
@@ -212,7 +218,8 @@
     for (auto& waiting : queue) {
       const submission& request = waiting.m_request;
       if (server_row* server =
-              select_server(tables, request, spare, required_free_slots(tables, waiting, now), now)) {
+              select_server(tables, request, spare, required_free_slots(tables, waiting, now),
+                            may_wait(waiting, now), now)) {
         spare.take(*server);
         decisions.emplace_back(grant(tables, waiting, *server, now));
         continue;
--- a/packages/fleet/src/timed_placement.cpp
+++ b/packages/fleet/src/timed_placement.cpp
@@ -10,11 +10,15 @@
 namespace {
 
 // Score penalty, as a share of a server's slots, for the time in which the prompt stalls the other streams of
-// the server, relative to the pause that callers accept. It keeps long prompts off slow servers.
+// the server, relative to the pause that callers accept. The square of this ratio counts, since short stalls
+// do not matter. It keeps long prompts off slow servers.
 constexpr double stall_penalty = 2.0;
 
-// Score bonus for slow servers. It keeps the faster ones free for requests that need them.
-constexpr double slow_server_bonus = 0.25;
+// Score bonus for slow servers. It keeps the faster ones free for requests that need them. It decreases with
+// the length of the response: a stream that runs for longer than the given time probably meets a disturbance
+// or a long prompt there.
+constexpr double slow_server_bonus = 0.8;
+constexpr double max_response_s_for_bonus = 2.0;
 
 // Score penalty for each response that probably becomes late.
 constexpr double late_response_penalty = 1.0;
@@ -63,12 +67,15 @@
                  std::chrono::duration<double>(shared.m_request.m_first_token_due - shared.m_now).count());
     return each.m_times.m_end_s / available_s + (remote_zone ? plain_remote_zone_penalty : 0);
   }
+  const double stall = each.m_times.m_prompt_s / shared.m_accepted_pause_s;
+  const double shortness =
+      std::max(0.0, 1 - (each.m_times.m_end_s - each.m_times.m_first_s) / max_response_s_for_bonus);
   const double slowness = lasting_speed(server).m_event_interval_s / shared.m_slowest_event_s;
   return static_cast<double>(server.m_own_running + server.m_peer_running) / server.m_entry.m_slots +
          (remote_zone ? shared.m_remote_zone_penalty : 0) -
          (&server == shared.m_affinity_server ? shared_prefix_bonus() : 0) -
-         assigned_slots_bonus_for(server) - slow_server_bonus * slowness +
-         stall_penalty * each.m_times.m_prompt_s / shared.m_accepted_pause_s +
+         assigned_slots_bonus_for(server) - slow_server_bonus * slowness * shortness +
+         stall_penalty * stall * stall +
          late_response_penalty *
              expected_late_responses(tables, server, each.m_times, shared.m_request, shared.m_now);
 }
@@ -83,9 +90,35 @@
   candidates.resize(std::min(kept, candidates.size()));
 }
 
+// Returns how many requests of the levels below `end` were blocked lately that the server typically suits.
+double count_blocked_for(const dispatch_tables& tables, const server_row& server, std::size_t end,
+                         time_point now) {
+  double count = 0;
+  for (std::size_t level = 0; level < end; ++level) {
+    if (reads_without_stalling(tables, server, tables.m_typical_prompts[level])) {
+      count +=
+          tables.m_blocked.more_urgent_than(level + 1, now) - tables.m_blocked.more_urgent_than(level, now);
+    }
+  }
+  return count;
+}
+
+// Returns how many slots the request has to leave free if it is sent to this server. Slots are not kept for
+// more urgent requests that would typically stall the streams of the server.
+double required_free_on(const dispatch_tables& tables, const server_row& server, const submission& request,
+                        double required_free, time_point now) {
+  if (required_free <= 0 || !server.m_uses_batching) {
+    return required_free;
+  }
+  const std::size_t level = urgency_level(tables, request);
+  const double unsuited =
+      tables.m_blocked.more_urgent_than(level, now) - count_blocked_for(tables, server, level, now);
+  return std::max(0.0, required_free - unsuited);
+}
+
 // Returns the best server with capacity among the given ones, or null.
 choice select_best(dispatch_tables& tables, std::span<server_row* const> servers, const submission& request,
-                   spare_capacity& spare, double required_free, time_point now) {
+                   spare_capacity& spare, double required_free, bool may_wait, time_point now) {
   const auto declared = tables.m_services.find(request.m_service);
   const double cold_rate = declared == tables.m_services.end() ? 0 : declared->second.m_cold_requests_per_s;
   comparison shared{request,
@@ -111,8 +144,12 @@
     const time_fit server_fit = evaluate_times(tables, times, request, now);
     shared.m_slowest_event_s = std::max(shared.m_slowest_event_s, lasting_speed(*each).m_event_interval_s);
     fastest_s = std::min(fastest_s, times.m_end_s);
-    best_possible_fit = std::max(best_possible_fit, server_fit);
-    if (find_lack_of_capacity(tables, *each, spare, required_free, cold_rate, now) == exclusion::none) {
+    best_possible_fit =
+        std::max({best_possible_fit, server_fit,
+                  evaluate_times(tables, predict_undisturbed_times(tables, *each, request), request, now)});
+    if (find_lack_of_capacity(tables, *each, spare,
+                              required_free_on(tables, *each, request, required_free, now), cold_rate,
+                              now) == exclusion::none) {
       candidates.push_back({each, times, server_fit});
     }
   }
@@ -134,6 +171,14 @@
     best.m_fit = std::max(best.m_fit, each.m_fit);
   }
   std::erase_if(candidates, [&](const timed_candidate& each) { return each.m_fit < best.m_fit; });
+  if (best.m_fit < best_possible_fit && !request.m_may_have_run) {
+    // Servers that do not suit the request are left to others that they suit. It takes one of them only when
+    // it would be refused otherwise, and if more slots are free than such requests were blocked lately.
+    std::erase_if(candidates, [&](const timed_candidate& each) {
+      return may_wait ||
+             !spare.allows(*each.m_server, count_blocked_for(tables, *each.m_server, urgency_levels, now));
+    });
+  }
   draw_half(tables, candidates);
   double best_score = std::numeric_limits<double>::max();
   for (const auto& each : candidates) {
@@ -149,19 +194,31 @@
 
 } // namespace
 
+void record_prompt(dispatch_tables& tables, const submission& request) {
+  const auto declared = tables.m_services.find(request.m_service);
+  if (declared == tables.m_services.end() || !declared->second.m_uses_batching) {
+    return;
+  }
+  constexpr double new_weight = 0.1;
+  double& typical = tables.m_typical_prompts[urgency_level(tables, request)];
+  typical =
+      typical == 0 ? request.m_prompt_tokens : typical + new_weight * (request.m_prompt_tokens - typical);
+}
+
 server_row* select_server_by_time(dispatch_tables& tables, const submission& request, spare_capacity& spare,
-                                  double required_free, time_point now) {
+                                  double required_free, bool may_wait, time_point now) {
   const auto lists = tables.m_lists.find(request.m_service);
   if (lists == tables.m_lists.end()) {
     return nullptr;
   }
   if (prefers_own_zone(tables, request.m_service)) {
-    if (const auto own = select_best(tables, lists->second.m_own_zone, request, spare, required_free, now);
+    if (const auto own =
+            select_best(tables, lists->second.m_own_zone, request, spare, required_free, may_wait, now);
         own.m_server != nullptr && own.m_fit == time_fit::good) {
       return own.m_server;
     }
   }
-  return select_best(tables, lists->second.m_all, request, spare, required_free, now).m_server;
+  return select_best(tables, lists->second.m_all, request, spare, required_free, may_wait, now).m_server;
 }
 
 } // namespace cardamompond::fleet
