Keep last-resort requests off servers on which they make other responses late

Cause: a long prompt on a slow engine stalls all its streams, so that one response is gained and several become late.

Change: such a server is not taken even as a last resort if at least one stream on it would probably pause for too long.

Tests: fleet_tests pass.

--- a/packages/fleet/src/expected_times.cpp
+++ b/packages/fleet/src/expected_times.cpp
@@ -145,15 +145,20 @@
                           : time_fit::good;
 }
 
+double expected_stalled_streams(const dispatch_tables& tables, const server_row& server,
+                                const expected_times& times) {
+  const double accepted = accepted_pause_s(tables, server.m_entry.m_service);
+  return (probability_of_late(times.m_pause_s, accepted) -
+          probability_of_late(times.m_pause_before_s, accepted)) *
+         (server.m_own_running + server.m_peer_running);
+}
+
 double expected_late_responses(const dispatch_tables& tables, const server_row& server,
                                const expected_times& times, const submission& request, time_point now) {
   const double until_due = seconds_between(now, request.m_first_token_due);
   // A response that is late in any case cannot become late.
   const double late_first = until_due > 0 ? probability_of_late(times.m_first_s, until_due) : 0;
-  const double accepted = accepted_pause_s(tables, request.m_service);
-  const double late_pause =
-      probability_of_late(times.m_pause_s, accepted) - probability_of_late(times.m_pause_before_s, accepted);
-  return late_first + late_pause * (server.m_own_running + server.m_peer_running);
+  return late_first + expected_stalled_streams(tables, server, times);
 }
 
 } // namespace cardamompond::fleet
--- a/packages/fleet/src/expected_times.hpp
+++ b/packages/fleet/src/expected_times.hpp
@@ -47,6 +47,10 @@
 time_fit evaluate_times(const dispatch_tables& tables, const expected_times& times, const submission& request,
                         time_point now);
 
+// Returns how many streams on the server will probably pause for too long because of the prompt.
+double expected_stalled_streams(const dispatch_tables& tables, const server_row& server,
+                                const expected_times& times);
+
 // Returns how many responses will probably be late if the request is sent to the server: this one, and the
 // streams that the prompt of this one stalls.
 double expected_late_responses(const dispatch_tables& tables, const server_row& server,
--- a/packages/fleet/src/timed_placement.cpp
+++ b/packages/fleet/src/timed_placement.cpp
@@ -173,9 +173,10 @@
   std::erase_if(candidates, [&](const timed_candidate& each) { return each.m_fit < best.m_fit; });
   if (best.m_fit < best_possible_fit && !request.m_may_have_run) {
     // Servers that do not suit the request are left to others that they suit. It takes one of them only when
-    // it would be refused otherwise, and if more slots are free than such requests were blocked lately.
+    // it would be refused otherwise, if more slots are free than such requests were blocked lately, and if it
+    // does not make another response late.
     std::erase_if(candidates, [&](const timed_candidate& each) {
-      return may_wait ||
+      return may_wait || expected_stalled_streams(tables, *each.m_server, each.m_times) >= 1 ||
              !spare.allows(*each.m_server, count_blocked_for(tables, *each.m_server, urgency_levels, now));
     });
   }
