Explain where a request would go, by the code that decides it

Cause: operators cannot see why a request goes to a server or is refused.

Nothing is sent, reserved or changed. It is not reachable from outside yet.

--- a/packages/fleet/include/cardamompond/fleet/dispatcher.hpp
+++ b/packages/fleet/include/cardamompond/fleet/dispatcher.hpp
@@ -4,6 +4,7 @@
 #include "cardamompond/fleet/backend_server.hpp"
 #include "cardamompond/fleet/blocked_requests.hpp"
 #include "cardamompond/fleet/declarations.hpp"
+#include "cardamompond/fleet/placement_explanation.hpp"
 #include "cardamompond/fleet/rollout_controller.hpp"
 #include "cardamompond/fleet/speed_estimator.hpp"
 #include "cardamompond/fleet/work_time.hpp"
@@ -234,6 +235,9 @@
   // cannot be dispatched in time.
   std::vector<dispatch_decision> tick(time_point now);
 
+  // Returns where the request would go if it was submitted now, and why. Nothing is reserved or changed.
+  placement_explanation explain(submission request, time_point now) const;
+
   // Numbers of listed servers that stated to this daemon, or only to peers, that they leave.
   struct leaving_counts {
     std::size_t m_stated = 0;
--- a/packages/fleet/src/dispatch_tables.hpp
+++ b/packages/fleet/src/dispatch_tables.hpp
@@ -211,6 +211,9 @@
 // are tried in the order of tier, lateness, length, route rank and arrival.
 void process_queues(dispatch_tables& tables, time_point now, std::vector<dispatch_decision>& decisions);
 
+// Returns where the request would go now, without changing anything.
+placement_explanation explain_placement(const dispatch_tables& tables, submission request, time_point now);
+
 // Adds a request to the queue of its service. A request that is unlikely to be dispatched in time is refused
 // by the next call of process_queues unless a server can take it immediately.
 void enqueue(dispatch_tables& tables, submission request, time_point now);
--- a/packages/fleet/src/dispatcher.cpp
+++ b/packages/fleet/src/dispatcher.cpp
@@ -471,6 +471,10 @@
   return decisions;
 }
 
+placement_explanation dispatcher::explain(submission request, time_point now) const {
+  return explain_placement(m_impl->m_tables, std::move(request), now);
+}
+
 std::size_t dispatcher::waiting() const {
   std::size_t count = 0;
   for (const auto& [name, queue] : m_impl->m_tables.m_waiting) {
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -108,8 +108,8 @@
   return server.m_cold_sent < max_cold_requests(tables, server, cold_rate);
 }
 
-// Returns the number of running requests below which this daemon may send another one. In a large group, a
-// daemon that has filled its assigned slots keeps a margin that depends on the age of the reports.
+} // namespace
+
 std::uint32_t running_limit(const dispatch_tables& tables, const server_row& server) {
   if (server.m_learned_limit > 0 && server.m_learned_limit < server.m_entry.m_slots &&
       uses_learned_limits(tables, server.m_entry.m_service)) {
@@ -129,6 +129,8 @@
   return server.m_entry.m_slots > margin ? server.m_entry.m_slots - margin : 0;
 }
 
+namespace {
+
 // How well a server suits a request; higher is better.
 enum class fit {
   none, // the response would not be complete by the deadline
--- a/packages/fleet/src/placement_rules.hpp
+++ b/packages/fleet/src/placement_rules.hpp
@@ -34,6 +34,15 @@
 exclusion find_lack_of_capacity(dispatch_tables& tables, server_row& server, spare_capacity& spare,
                                 double required_free, double cold_rate, time_point now);
 
+// Returns the number of running requests below which this daemon may send another one. In a large group, a
+// daemon that has filled its assigned slots keeps a margin that depends on the age of the reports.
+std::uint32_t running_limit(const dispatch_tables& tables, const server_row& server);
+
+// Returns how many slots the request has to leave free if it is sent to this server. Slots are not kept for
+// more urgent requests that would typically stall the streams of the server.
+double required_free_for(const dispatch_tables& tables, const server_row& server, const submission& request,
+                         double required_free, time_point now);
+
 // Returns a pseudo-random weight of the pair for rendezvous hashing.
 std::uint64_t rendezvous_weight(std::uint64_t key, std::uint64_t server);
 
--- a/packages/fleet/src/timed_placement.cpp
+++ b/packages/fleet/src/timed_placement.cpp
@@ -103,10 +103,10 @@
   return count;
 }
 
-// Returns how many slots the request has to leave free if it is sent to this server. Slots are not kept for
-// more urgent requests that would typically stall the streams of the server.
-double required_free_on(const dispatch_tables& tables, const server_row& server, const submission& request,
-                        double required_free, time_point now) {
+} // namespace
+
+double required_free_for(const dispatch_tables& tables, const server_row& server, const submission& request,
+                         double required_free, time_point now) {
   if (required_free <= 0 || !server.m_uses_batching) {
     return required_free;
   }
@@ -116,6 +116,8 @@
   return std::max(0.0, required_free - unsuited);
 }
 
+namespace {
+
 // Returns the best server with capacity among the given ones, or null.
 choice select_best(dispatch_tables& tables, std::span<server_row* const> servers, const submission& request,
                    spare_capacity& spare, double required_free, bool may_wait, time_point now) {
@@ -148,7 +150,7 @@
         std::max({best_possible_fit, server_fit,
                   evaluate_times(tables, predict_undisturbed_times(tables, *each, request), request, now)});
     if (find_lack_of_capacity(tables, *each, spare,
-                              required_free_on(tables, *each, request, required_free, now), cold_rate,
+                              required_free_for(tables, *each, request, required_free, now), cold_rate,
                               now) == exclusion::none) {
       candidates.push_back({each, times, server_fit});
     }
