Add cardamompondctl explain

Cause: operators could not ask a running daemon for the reasons of a decision.

Change: GET /explain on the metrics address answers where a request would go now and why, or the rejection with its Retry-After, also for an account that is over its quota; nothing is charged. cardamompondctl explain asks it, by address or settings file, and prints text or JSON. Keys are neither read nor shown.

--- a/packages/ctl/include/cardamompond/ctl/command_line.hpp
+++ b/packages/ctl/include/cardamompond/ctl/command_line.hpp
@@ -13,10 +13,21 @@
 
 enum class exit_code { ok = 0, findings = 1, invalid_arguments = 2, unreachable = 3, conflict = 4 };
 
-enum class verb { check, diff, publish, status, get, usage, lateness };
+enum class verb { check, diff, publish, status, get, usage, lateness, explain };
 
 enum class output_format { text, json, csv };
 
+// The request that explain asks about. Empty texts are left to the daemon.
+struct explained_request {
+  std::string m_service; // or m_host and m_path
+  std::string m_host;
+  std::string m_path;
+  std::string m_account; // its name
+  std::string m_prompt_tokens;
+  std::string m_output_tokens;
+  std::string m_deadline_ms;
+};
+
 // The parsed command line, validated as far as possible without reading files or calling the platform.
 struct command_options {
   verb m_verb = verb::check;
@@ -33,6 +44,9 @@
   cell::utc_day m_from;                 // usage: first day
   cell::utc_day m_to;                   // usage: last day
   std::vector<std::string> m_log_files; // lateness: logs of daemons; none: standard input
+  std::string m_daemon;                 // explain: metrics address of the daemon; may be empty
+  std::string m_settings;               // explain: settings file of the daemon, if m_daemon is empty
+  explained_request m_request;          // explain
 };
 
 // Returned if there is no command to run: help was printed, or the arguments are invalid.
--- a/packages/ctl/include/cardamompond/ctl/verbs.hpp
+++ b/packages/ctl/include/cardamompond/ctl/verbs.hpp
@@ -2,6 +2,7 @@
 
 #include "cardamompond/core/object_store.hpp"
 #include "cardamompond/ctl/command_line.hpp"
+#include "cardamompond/net/http_client.hpp"
 
 #include <iosfwd>
 
@@ -37,7 +38,11 @@
 // Shows where the time of late requests went, from the logs of daemons.
 exit_code run_lateness(const command_options& options, const streams& io);
 
+// Asks a running daemon where a request would go now, and why.
+exit_code run_explain(const command_options& options, net::http_client& client, const streams& io);
+
 // Runs the command. `store` is null only if the command has no platform address.
-exit_code run(const command_options& options, object_store* store, const streams& io);
+exit_code run(const command_options& options, object_store* store, net::http_client& client,
+              const streams& io);
 
 } // namespace cardamompond::ctl
--- a/packages/ctl/src/command_line.cpp
+++ b/packages/ctl/src/command_line.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <charconv>
 #include <iostream>
+#include <memory>
 #include <string_view>
 
 namespace cardamompond::ctl {
@@ -21,7 +22,7 @@
   std::string_view m_help;
 };
 
-constexpr std::array<verb_description, 7> verbs = {{
+constexpr std::array<verb_description, 8> verbs = {{
     {verb::check, "check",
      "Checks a folder of declarations and reports all findings. With --platform and --owner, checks it "
      "together with what the other owner has published; otherwise the folder alone."},
@@ -43,6 +44,9 @@
     {verb::lateness, "lateness",
      "Reads logs of daemons and shows, for each route, how many attempts of callers were answered on time, "
      "late, refused or failed, and where most of the time of the late ones went. Needs no platform."},
+    {verb::explain, "explain",
+     "Asks a running entry daemon, at its metrics address, where a request would go now, and why. Nothing is "
+     "sent or reserved. The request is described by --service, or by --host and --path."},
 }};
 
 constexpr std::string_view general_help =
@@ -102,6 +106,9 @@
       m_log_files.emplace("LOG", "Files with log lines of daemons (default: standard input)", false, "FILE",
                           m_command_line);
     }
+    if (description.m_verb == verb::explain) {
+      add_explain_options();
+    }
     if (description.m_verb == verb::publish) {
       m_change_set.emplace("", "change-set",
                            "Id of the change set (default: hash of owner, base revision and content)", false,
@@ -147,6 +154,51 @@
   }
 
 private:
+  void add_explain_options() {
+    const auto add = [&](const char* name, const char* help, const char* type) {
+      m_texts.push_back(
+          std::make_unique<TCLAP::ValueArg<std::string>>("", name, help, false, "", type, m_command_line));
+    };
+    // In the order in which read_explain_options() reads them.
+    add("daemon", "Metrics address of the daemon", "IP:PORT");
+    add("settings", "Settings file of the daemon, if --daemon is not given", "FILE");
+    add("service", "Service; its first route applies", "NAME");
+    add("host", "Host that selects the route", "HOST");
+    add("path", "Path that selects the route", "PATH");
+    add("account", "Name of the client account", "NAME");
+    add("prompt-tokens", "Tokens of the prompt", "NUMBER");
+    add("output-tokens", "Expected tokens of the response", "NUMBER");
+    add("deadline-ms", "Time that the caller has left", "MS");
+  }
+
+  std::optional<early_exit> read_explain_options(command_options& options) {
+    auto& request = options.m_request;
+    const std::array targets = {&options.m_daemon,        &options.m_settings,      &request.m_service,
+                                &request.m_host,          &request.m_path,          &request.m_account,
+                                &request.m_prompt_tokens, &request.m_output_tokens, &request.m_deadline_ms};
+    for (std::size_t i = 0; i < m_texts.size(); ++i) {
+      *targets[i] = m_texts[i]->getValue();
+    }
+    if (options.m_daemon.empty() == options.m_settings.empty()) {
+      return make_usage_error("use either --daemon IP:PORT or --settings FILE");
+    }
+    if (!options.m_daemon.empty() && !is_address_with_port(options.m_daemon)) {
+      return make_usage_error("--daemon " + options.m_daemon +
+                              ": use an IP address and a port, as in 127.0.0.1:9001");
+    }
+    if (request.m_service.empty() == request.m_host.empty()) {
+      return make_usage_error("use either --service NAME or --host HOST and --path PATH");
+    }
+    for (const auto* number : {&request.m_prompt_tokens, &request.m_output_tokens, &request.m_deadline_ms}) {
+      constexpr std::uint64_t max_number = 4'000'000'000;
+      const auto parsed = number->empty() ? std::optional<std::uint64_t>(0) : parse_number(*number);
+      if (!parsed || *parsed > max_number) {
+        return make_usage_error(*number + ": use a whole number");
+      }
+    }
+    return std::nullopt;
+  }
+
   bool has_folder_argument() const {
     return m_description.m_verb == verb::check || m_description.m_verb == verb::diff ||
            m_description.m_verb == verb::publish;
@@ -185,6 +237,12 @@
       options.m_from = *from;
       options.m_to = *to;
     }
+    if (options.m_verb == verb::explain) {
+      if (auto problem = read_explain_options(options)) {
+        return std::move(*problem);
+      }
+      return options;
+    }
     if (options.m_platform.empty() && options.m_verb != verb::check && options.m_verb != verb::lateness) {
       return make_usage_error(
           "the platform address is missing: use --platform IP:PORT or CARDAMOMPOND_PLATFORM");
@@ -204,6 +262,7 @@
   std::optional<TCLAP::UnlabeledValueArg<std::string>> m_folder;
   std::optional<TCLAP::UnlabeledMultiArg<std::string>> m_object; // kind and name, both optional
   std::optional<TCLAP::UnlabeledMultiArg<std::string>> m_log_files;
+  std::vector<std::unique_ptr<TCLAP::ValueArg<std::string>>> m_texts; // explain, see add_explain_options
   std::optional<TCLAP::ValueArg<std::string>> m_change_set;
   std::optional<TCLAP::ValueArg<std::string>> m_base;
   std::optional<TCLAP::ValueArg<std::string>> m_from;
@@ -247,7 +306,7 @@
   }
   const std::string problem = verb_name.empty() ? "no verb given" : "unknown verb \"" + verb_name + "\"";
   return make_usage_error(
-      problem + ": use check, diff, publish, status, get, usage or lateness; --help describes them");
+      problem + ": use check, diff, publish, status, get, usage, lateness or explain; --help describes them");
 }
 
 } // namespace cardamompond::ctl
--- a/packages/ctl/src/main.cpp
+++ b/packages/ctl/src/main.cpp
@@ -34,7 +34,8 @@
         runtime, net::http_object_store_options{.m_address = parsed->m_platform,
                                                 .m_max_reads_per_s = max_reads_per_s});
   }
-  return static_cast<int>(ctl::run(*parsed, store.get(), {std::cout, std::cerr}));
+  net::http_client client(runtime);
+  return static_cast<int>(ctl::run(*parsed, store.get(), client, {std::cout, std::cerr}));
 }
 
 } // namespace
--- a/packages/ctl/src/run.cpp
+++ b/packages/ctl/src/run.cpp
@@ -3,13 +3,17 @@
 
 namespace cardamompond::ctl {
 
-exit_code run(const command_options& options, object_store* store, const streams& io) {
+exit_code run(const command_options& options, object_store* store, net::http_client& client,
+              const streams& io) {
   if (options.m_verb == verb::check) {
     return run_check(options, store, io);
   }
   if (options.m_verb == verb::lateness) {
     return run_lateness(options, io);
   }
+  if (options.m_verb == verb::explain) {
+    return run_explain(options, client, io);
+  }
   if (store == nullptr) {
     report_message("the platform address is missing", io);
     return exit_code::invalid_arguments;
@@ -17,6 +21,7 @@
   switch (options.m_verb) {
   case verb::check:
   case verb::lateness:
+  case verb::explain:
     break;
   case verb::diff:
     return run_diff(options, *store, io);
--- a/packages/daemon/src/entry_daemon.cpp
+++ b/packages/daemon/src/entry_daemon.cpp
@@ -3,6 +3,7 @@
 #include "cardamompond/gateway/collection_watcher.hpp"
 #include "cardamompond/gateway/group_maintenance.hpp"
 #include "cardamompond/gateway/peer_exchange.hpp"
+#include "cardamompond/gateway/placement_explainer.hpp"
 #include "cardamompond/gateway/request_handler.hpp"
 #include "cardamompond/platform/object_reader.hpp"
 #include "cardamompond/platform/object_store_client.hpp"
@@ -253,6 +254,10 @@
 }
 
 void entry_daemon::impl::serve_metrics(net::http_exchange& exchange) {
+  if (exchange.request().path() == "/explain") {
+    std::ignore = exchange.respond(gateway::explain_placement(m_admission, exchange.request()));
+    return;
+  }
   if (exchange.request().path() != "/metrics") {
     std::ignore = exchange.respond(make_text_response(404, "not found\n"));
     return;
--- a/packages/gateway/src/request_processor.cpp
+++ b/packages/gateway/src/request_processor.cpp
@@ -12,12 +12,6 @@
 // The timeout on routes that set none. A caller can only shorten it.
 constexpr milliseconds default_timeout{60'000};
 
-// A caller abandons a stream when no event arrives for two seconds, for four times the target of the first
-// event or for eight times the target of the gap between events, whichever is longest.
-constexpr milliseconds min_abandon_time{2'000};
-constexpr int first_token_target_factor = 4;
-constexpr int event_gap_target_factor = 8;
-
 // A stream is sent to another server, if one has room, after this share of the time without an event that its
 // caller tolerates. A sound server may be silent for a second.
 constexpr double stream_inactivity_share = 0.7;
@@ -131,8 +125,7 @@
     timeout = std::min(timeout, *m_request.m_caller_timeout);
   }
   m_deadline = m_arrived_at + timeout;
-  m_abandon_time = std::max({min_abandon_time, m_route->m_first_token_target * first_token_target_factor,
-                             m_route->m_event_gap_target * event_gap_target_factor});
+  m_abandon_time = abandon_time(*m_route);
   if (m_request.m_caller_timeout) {
     m_request_age =
         admission.retry_ages().record_attempt(m_route->m_name, *m_request.m_caller_timeout, m_arrived_at);
--- a/packages/gateway/src/request_processor.hpp
+++ b/packages/gateway/src/request_processor.hpp
@@ -3,6 +3,7 @@
 #include "cardamompond/gateway/backend_call.hpp"
 #include "cardamompond/gateway/request_handler.hpp"
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <string>
@@ -14,6 +15,16 @@
 inline constexpr milliseconds min_retry_after{50};
 inline constexpr milliseconds max_retry_after{4'000};
 
+// Returns how long a caller of a streamed route waits for an event: two seconds, four times the target of the
+// first event or eight times the target of the gap between events, whichever is longest.
+inline milliseconds abandon_time(const fleet::route& route) {
+  constexpr milliseconds min_abandon_time{2'000};
+  constexpr int first_token_target_factor = 4;
+  constexpr int event_gap_target_factor = 8;
+  return std::max({min_abandon_time, route.m_first_token_target * first_token_target_factor,
+                   route.m_event_gap_target * event_gap_target_factor});
+}
+
 // Responses with this status or a higher one count as failures of the server.
 inline constexpr int first_server_failure_status = 500;
 
