Take no answer without an id for that of a request after another one

Cause: a response without a request id was taken for the answer to the request that was sent last. Answers to reservations carry no id, so that a late copy of a refused one on the same connection passed for the statement that the request was not run; it ran twice, or ran after a 503.

Change: gateway/response_match decides from the id, the signature and the history of the connection whose answer a response is. An answer without an id counts only if none came before on the connection and the server has stated no id there; the connection is closed afterwards. A refused request is not sent again on the connection of its refusal, whose copy would carry its id. Reservations are sent with an id of their own, and an answer with another id is skipped.

--- a/packages/gateway/include/cardamompond/gateway/backend_call.hpp
+++ b/packages/gateway/include/cardamompond/gateway/backend_call.hpp
@@ -123,7 +123,9 @@
   std::optional<call_outcome> connect_and_reserve();
   std::optional<call_outcome> reserve();
   std::optional<call_outcome> send(time_point until);
+  std::optional<call_outcome> skip_response();
   std::optional<call_outcome> read_head();
+  void close_if_unidentified();
   call_outcome read_body();
   call_outcome relay_events();
   std::optional<call_outcome> check_stream_end();
@@ -147,6 +149,7 @@
   bool m_closed_by_server = false;
   bool m_prepared = false;
   bool m_head_read = false;
+  bool m_response_identified = true; // the response carries the id of the request
   duration m_reservation_time{};
   bool m_reservation_timed_out = false; // the last one got no answer in time
 };
--- /dev/null
+++ b/packages/gateway/include/cardamompond/gateway/response_match.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "cardamompond/gateway/request_protocol.hpp"
+#include "cardamompond/net/http_client.hpp"
+
+#include <string>
+#include <string_view>
+
+namespace cardamompond::gateway {
+
+// Returns whether a response that arrives on a connection answers the request `own_id`, which was sent last.
+// Servers state the id of the request in their responses, and a late copy of an earlier response may arrive
+// where the next one is due. A response without an id may be such a copy if the connection carried another
+// one without an id. Answers to requests are signed and those to reservations are not, so that neither can be
+// a copy of the other. Once the server has stated the id of a request, no response without an id is taken for
+// the answer to one.
+bool answers_request(const response_metadata& metadata, std::string_view own_id,
+                     const net::connection_history& history);
+
+// Notes a response that was taken for the answer to a request or a reservation.
+void note_response(net::connection_history& history, const response_metadata& metadata);
+
+// Notes that the server refused the request. A copy of the refusal carries the id, so the same request must
+// not be sent on this connection again.
+void note_refusal(net::connection_history& history, std::string_view request_id);
+
+// Whether a late copy of a refusal of this request may arrive on the connection, or so many requests were
+// refused on it that this is not known.
+bool may_repeat_refusal(const net::connection_history& history, std::string_view request_id);
+
+// Returns an id for a request that the daemon itself sends to a server. It is used only once.
+std::string make_exchange_id();
+
+} // namespace cardamompond::gateway
--- a/packages/gateway/src/backend_call.cpp
+++ b/packages/gateway/src/backend_call.cpp
@@ -1,5 +1,7 @@
 #include "cardamompond/gateway/backend_call.hpp"
 
+#include "cardamompond/gateway/response_match.hpp"
+
 #include <algorithm>
 #include <array>
 #include <tuple>
@@ -101,6 +103,10 @@
     return m_cancelled ? call_outcome::caller_gone : call_outcome::unreachable;
   }
   m_call = std::move(*opened);
+  if (may_repeat_refusal(m_call->history(), m_options.m_request_id)) {
+    m_call.reset();
+    return connect(milliseconds(0));
+  }
   if (m_cancelled) {
     m_call->abort();
     return call_outcome::caller_gone;
@@ -109,13 +115,15 @@
 }
 
 // Reserves room on the server. The request itself has not been sent yet, so after any failure it can still go
-// to another server.
+// to another server. A response without an id is accepted although it may be a late copy: the request has not
+// been sent, and the server ignores an outdated reservation.
 std::optional<call_outcome> backend_call::reserve() {
   if (const auto outcome = check_may_send()) {
     return outcome;
   }
+  const std::string id = make_exchange_id();
   const auto request =
-      m_protocol.make_reservation_request(m_options.m_reserved_tokens, m_options.m_reservation_lifetime);
+      m_protocol.make_reservation_request(m_options.m_reserved_tokens, m_options.m_reservation_lifetime, id);
   const auto abort_reservation = [&](const net::call_error& error) {
     const auto outcome = abort_after_error(error);
     m_reservation_timed_out = error.m_timeout;
@@ -148,9 +156,10 @@
       }
       head->m_body.append(part->data(), part->size());
     }
-    if (metadata.m_request_id) {
+    if (metadata.m_request_id && *metadata.m_request_id != id) {
       continue; // a late response to an earlier request
     }
+    note_response(m_call->history(), metadata);
     auto reservation = m_protocol.read_reservation(*head);
     if (!reservation) {
       m_failure = "the server has no room";
@@ -183,8 +192,27 @@
   return std::nullopt;
 }
 
-// Reads the head of the response. Skips responses that carry the id of another request, since the response to
-// an earlier request may arrive late.
+// Reads a response that belongs to another request to its end.
+std::optional<call_outcome> backend_call::skip_response() {
+  std::array<char, 4096> skipped{};
+  std::size_t skipped_bytes = 0;
+  while (true) {
+    auto part = m_call->read_some(skipped, io_timeout());
+    if (!part) {
+      return abort_after_error(part.error());
+    }
+    if (part->empty()) {
+      return std::nullopt;
+    }
+    if ((skipped_bytes += part->size()) > max_response_bytes) {
+      return abort_after_error({"the answer to another request is too large", true, false});
+    }
+  }
+}
+
+// Reads the head of the response. Skips responses to other requests, since the response to an earlier request
+// may arrive late. A refusal that may be a late copy is not believed: the server may be working on the
+// request.
 std::optional<call_outcome> backend_call::read_head() {
   for (int stray = 0; stray <= max_stray_responses; ++stray) {
     auto head = m_call->read_head(io_timeout());
@@ -193,26 +221,20 @@
     }
     const response_metadata metadata = m_protocol.read_response_metadata(*head);
     m_options.m_on_server_notices(metadata);
-    if (metadata.m_request_id && *metadata.m_request_id != m_options.m_request_id) {
-      std::array<char, 4096> skipped{};
-      std::size_t skipped_bytes = 0;
-      while (true) {
-        auto part = m_call->read_some(skipped, io_timeout());
-        if (!part) {
-          return abort_after_error(part.error());
-        }
-        if (part->empty()) {
-          break;
-        }
-        if ((skipped_bytes += part->size()) > max_response_bytes) {
-          return abort_after_error({"the answer to another request is too large", true, false});
-        }
+    if (!answers_request(metadata, m_options.m_request_id, m_call->history())) {
+      if (const auto outcome = skip_response()) {
+        return outcome;
       }
       continue;
     }
+    note_response(m_call->history(), metadata);
+    m_response_identified = metadata.m_request_id.has_value();
+    m_call->history().m_states_request_ids |= m_response_identified;
     m_options.m_on_response_metadata(metadata);
     m_response = std::move(*head);
     if (metadata.m_not_run || m_response.m_status == status_misdirected) {
+      note_refusal(m_call->history(), m_options.m_request_id);
+      close_if_unidentified();
       return m_response.m_status == status_misdirected ? call_outcome::misdirected : call_outcome::refused;
     }
     if (!metadata.m_has_server_stamp || metadata.m_content_encoded) {
@@ -224,6 +246,14 @@
   return abort_after_error({"only answers to other requests came", true, false});
 }
 
+// Closes the connection after a response without an id. A late copy of it could not be told from the response
+// to the next request.
+void backend_call::close_if_unidentified() {
+  if (!m_response_identified) {
+    m_call->abort();
+  }
+}
+
 call_outcome backend_call::read_body() {
   std::array<char, 8192> buffer{};
   while (true) {
@@ -232,6 +262,7 @@
       return abort_after_error(part.error());
     }
     if (part->empty()) {
+      close_if_unidentified();
       return call_outcome::answered;
     }
     if (m_response.m_body.size() + part->size() > max_response_bytes) {
@@ -350,6 +381,7 @@
       return abort_after_error({"an event of the answer is too large", true, false});
     }
     if (stream_ended) {
+      close_if_unidentified();
       return relay.m_head_sent ? call_outcome::relayed : call_outcome::answered;
     }
   }
--- a/packages/net/include/cardamompond/net/http_client.hpp
+++ b/packages/net/include/cardamompond/net/http_client.hpp
@@ -10,6 +10,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace cardamompond::net {
 
@@ -23,6 +24,15 @@
 
 template <typename T> using call_result = result<T, call_error>;
 
+// What the user of a connection notes about its earlier exchanges, so that a late copy of one of their
+// responses is not taken for the response to a later request. The client only keeps it with the connection.
+struct connection_history {
+  bool m_states_request_ids = false;             // the server stated the id of a request in its response
+  bool m_has_unidentified = false;               // a response carried no request id
+  bool m_has_unidentified_signed = false;        // such a response carried the server's signature
+  std::vector<std::uint64_t> m_refused_requests; // hashes of the ids of the requests that were refused
+};
+
 // A request in progress. It has exclusive use of its connection until it is destroyed.
 class http_call {
 public:
@@ -32,6 +42,10 @@
   // Returns whether the connection had already carried a request when this call was opened.
   virtual bool reused() const = 0;
 
+  // Returns the notes about the exchanges of the connection; they outlast this call if the connection is
+  // reused.
+  virtual connection_history& history() = 0;
+
   // Makes all operations fail with a timeout from this time on, even if each of them ends within its own
   // timeout. A call that first finds the deadline passed, because the process was stopped, may still read for
   // a short time, so that a response that has already arrived is not lost.
@@ -124,9 +138,12 @@
   // Returns the number of connections opened since the client was created.
   std::uint64_t connections_opened() const;
 
-  // Sends a request and reads the whole response. A body longer than `max_body_bytes` is an error.
+  // Sends a request and reads the whole response. A body longer than `max_body_bytes` is an error. The
+  // request may go over an idle connection unless `connection` is `fresh`.
+  enum class connection_choice { any, fresh };
   call_result<http_response> fetch(std::string_view address, const http_request& request,
-                                   milliseconds timeout, std::size_t max_body_bytes = 4U << 20U);
+                                   milliseconds timeout, std::size_t max_body_bytes = 4U << 20U,
+                                   connection_choice connection = connection_choice::any);
 
 private:
   class impl;
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -45,6 +45,7 @@
   time_point m_opened_at;
   time_point m_idle_since;
   duration m_max_idle_time{};
+  connection_history m_history;
 };
 
 // Returns how long a connection may stay idle according to "Keep-Alive: timeout=SECONDS", less the safety
@@ -150,7 +151,7 @@
 
   // Keeps a connection for reuse, or drops it if the address has enough idle connections.
   void put_idle(const std::string& address, std::unique_ptr<fiber_stream> stream, time_point opened_at,
-                duration max_idle_time);
+                duration max_idle_time, connection_history history);
 
   // Closes the idle connections that have been idle for too long, to whatever address. Servers come and go,
   // so that the address of an idle connection may never be asked for again.
@@ -194,7 +195,7 @@
 }
 
 void http_client::impl::put_idle(const std::string& address, std::unique_ptr<fiber_stream> stream,
-                                 time_point opened_at, duration max_idle_time) {
+                                 time_point opened_at, duration max_idle_time, connection_history history) {
   close_expired(monotonic_now());
   auto& idle = m_idle[address];
   if (idle.size() < m_options.m_max_idle_per_address) {
@@ -203,7 +204,7 @@
     stream->set_connection_loss_timeout(m_options.m_connection_loss_timeout);
     stream->set_keep_alive_probes(m_options.m_connection_loss_timeout);
     idle.push_back({std::move(stream), opened_at, monotonic_now(),
-                    std::min<duration>(max_idle_time, m_options.m_max_idle_time)});
+                    std::min<duration>(max_idle_time, m_options.m_max_idle_time), std::move(history)});
   }
 }
 
@@ -211,12 +212,13 @@
 
 class client_call final : public http_call {
 public:
-  using release_callback = std::function<void(std::unique_ptr<fiber_stream>, duration)>;
+  using release_callback = std::function<void(std::unique_ptr<fiber_stream>, duration, connection_history)>;
 
-  client_call(std::unique_ptr<fiber_stream> stream, bool reused, std::string address,
-              const http_client_options& options, release_callback release_connection)
+  client_call(std::unique_ptr<fiber_stream> stream, std::optional<connection_history> reused_history,
+              std::string address, const http_client_options& options, release_callback release_connection)
       : m_stream(std::move(stream))
-      , m_reused(reused)
+      , m_reused(reused_history.has_value())
+      , m_history(std::move(reused_history).value_or(connection_history{}))
       , m_address(std::move(address))
       , m_max_header_bytes(options.m_max_header_bytes)
       , m_connection_loss_timeout(options.m_connection_loss_timeout)
@@ -227,7 +229,7 @@
 
   ~client_call() override {
     if (m_reusable && m_buffer.size() == 0) {
-      m_release_connection(std::move(m_stream), m_max_idle_time);
+      m_release_connection(std::move(m_stream), m_max_idle_time, std::move(m_history));
     }
   }
 
@@ -245,6 +247,7 @@
   }
 
   bool reused() const override { return m_reused; }
+  connection_history& history() override { return m_history; }
   bool ends_with_connection() const override { return m_parser->need_eof(); }
   bool reusable() const override { return m_reusable && m_buffer.size() == 0; }
 
@@ -426,6 +429,7 @@
 
   std::unique_ptr<fiber_stream> m_stream;
   bool m_reused;
+  connection_history m_history;
   std::string m_address;
   std::uint32_t m_max_header_bytes;
   milliseconds m_connection_loss_timeout;
@@ -482,13 +486,15 @@
     }
   }
   auto release_connection = [pool = std::weak_ptr<impl>(m_impl), key,
-                             opened_at](std::unique_ptr<fiber_stream> released, duration max_idle_time) {
+                             opened_at](std::unique_ptr<fiber_stream> released, duration max_idle_time,
+                                        connection_history history) {
     if (const auto alive = pool.lock()) {
-      alive->put_idle(key, std::move(released), opened_at, max_idle_time);
+      alive->put_idle(key, std::move(released), opened_at, max_idle_time, std::move(history));
     }
   };
+  auto history = reused ? std::optional(std::move(idle->m_history)) : std::nullopt;
   return std::unique_ptr<http_call>(std::make_unique<client_call>(
-      std::move(stream), reused, key, m_impl->m_options, std::move(release_connection)));
+      std::move(stream), std::move(history), key, m_impl->m_options, std::move(release_connection)));
 }
 
 std::uint64_t http_client::connections_opened() const {
@@ -496,9 +502,12 @@
 }
 
 call_result<http_response> http_client::fetch(std::string_view address, const http_request& request,
-                                              milliseconds timeout, std::size_t max_body_bytes) {
+                                              milliseconds timeout, std::size_t max_body_bytes,
+                                              connection_choice connection) {
   const time_point deadline = monotonic_now() + timeout;
-  auto opened = open(address);
+  const milliseconds max_idle_time =
+      connection == connection_choice::fresh ? milliseconds(0) : m_impl->m_options.m_max_idle_time;
+  auto opened = open(address, {max_idle_time, m_impl->m_options.m_connect_timeout});
   if (!opened) {
     return opened.error();
   }
