--- a/packages/gateway/include/cardamompond/gateway/document_store.hpp
+++ b/packages/gateway/include/cardamompond/gateway/document_store.hpp
@@ -32,6 +32,7 @@
 struct collection_snapshot {
   std::uint64_t m_as_of = 0;
   std::vector<document> m_documents;
+  std::size_t m_unreadable_entries = 0; // entries without a name or a revision; they are left out
 };
 
 struct document_change {
@@ -43,6 +44,7 @@
 struct collection_changes {
   std::uint64_t m_as_of = 0;
   std::vector<document_change> m_changes;
+  std::size_t m_unreadable_entries = 0; // events without the name or the revision of an object; left out
 };
 
 enum class document_error_kind {
--- a/packages/gateway/include/cardamompond/gateway/fleet_view.hpp
+++ b/packages/gateway/include/cardamompond/gateway/fleet_view.hpp
@@ -63,6 +63,7 @@
   template <typename T, typename Read>
   std::vector<T> decode_changed(collection_kind kind, decoded_documents<T>& known, const Read& read);
   void report_unreadable(collection_kind kind, const document& each, const unreadable_document& error);
+  void report_unreadable_entries(collection_kind kind, std::size_t count, std::string_view source);
 
   const document_reader& m_reader;
   std::array<collection_replica, all_collection_kinds.size()> m_collections;
--- a/packages/gateway/src/collection_replica.cpp
+++ b/packages/gateway/src/collection_replica.cpp
@@ -76,7 +76,7 @@
 }
 
 collection_snapshot collection_replica::snapshot() const {
-  collection_snapshot all{m_as_of, {}};
+  collection_snapshot all{m_as_of, {}, 0};
   for (const auto& [name, each] : m_documents) {
     all.m_documents.push_back(each);
   }
--- a/packages/gateway/src/fleet_view.cpp
+++ b/packages/gateway/src/fleet_view.cpp
@@ -8,6 +8,7 @@
     : m_reader(reader) {}
 
 bool fleet_view::apply(collection_kind kind, const collection_snapshot& snapshot, std::string_view source) {
+  report_unreadable_entries(kind, snapshot.m_unreadable_entries, source);
   if (!m_collections[static_cast<std::size_t>(kind)].apply(snapshot)) {
     return false;
   }
@@ -16,6 +17,7 @@
 }
 
 bool fleet_view::apply(collection_kind kind, const collection_changes& changes, std::string_view source) {
+  report_unreadable_entries(kind, changes.m_unreadable_entries, source);
   if (!m_collections[static_cast<std::size_t>(kind)].apply(changes)) {
     return false;
   }
@@ -37,6 +39,18 @@
              {"reason", error.m_reason}});
 }
 
+void fleet_view::report_unreadable_entries(collection_kind kind, std::size_t count, std::string_view source) {
+  if (count == 0) {
+    return;
+  }
+  m_unreadable_documents += count;
+  log_event(log_level::warning, "document_unreadable",
+            {{"collection", to_string(kind)},
+             {"source", source},
+             {"documents", count},
+             {"reason", "no name or revision"}});
+}
+
 template <typename T, typename Read>
 std::vector<T> fleet_view::decode_changed(collection_kind kind, decoded_documents<T>& known,
                                           const Read& read) {
--- a/packages/gateway/src/peer_report.cpp
+++ b/packages/gateway/src/peer_report.cpp
@@ -296,9 +296,10 @@
 result<collection_snapshot, malformed_message> decode_snapshot(std::span<const char> bytes) {
   return decode<collection_snapshot>(bytes, [](capnp::MessageReader& message) {
     const auto from = message.getRoot<wire::CollectionSnapshot>();
-    collection_snapshot snapshot{from.getAsOf(), {}};
+    collection_snapshot snapshot{from.getAsOf(), {}, 0};
     for (const auto& each : from.getDocuments()) {
-      snapshot.m_documents.push_back({each.getName().cStr(), each.getRevision(),
+      snapshot.m_documents.push_back({std::string(each.getName().cStr(), each.getName().size()),
+                                      each.getRevision(),
                                       std::string(each.getContent().cStr(), each.getContent().size())});
     }
     return snapshot;
