Keep the servers that an outage may have expired out of what peers are told

Cause: after an outage of the store, the servers that its list lacked were merged into the list and got its revision. Peers, in touch all along, fetched the merged list and replaced their own, so that servers that had left got requests from the whole group, some until the end of the process.

Change: a replica holds what came from the store, and beside it what is kept. Reports state for how long the sender has read each collection from the store without a failure (readForMs); a daemon with a peer that read it all through the outage was cut off alone and keeps nothing, also if it hears of the peer only afterwards.

--- a/packages/daemon/src/entry_daemon.cpp
+++ b/packages/daemon/src/entry_daemon.cpp
@@ -179,7 +179,10 @@
         m_store, m_fleet_view, kind,
         gateway::collection_watcher::peer_callbacks{
             [this](gateway::collection_kind of) { return m_group.updated_by_peers(of, monotonic_now()); },
-            [this] { m_peer_exchange.announce_state(); }},
+            [this] { m_peer_exchange.announce_state(); },
+            [this](gateway::collection_kind of, time_point since) {
+              return m_group.is_read_by_peers_since(of, since);
+            }},
         m_random()));
   }
 }
--- a/packages/gateway/include/cardamompond/gateway/collection_watcher.hpp
+++ b/packages/gateway/include/cardamompond/gateway/collection_watcher.hpp
@@ -26,6 +26,9 @@
   struct peer_callbacks {
     std::function<bool(collection_kind)> m_updated_by_peers; // whether peers keep the collection up to date
     std::function<void()> m_announce_change;                 // called after a change read from the store
+    // Whether a peer has read the collection from the store without a failure since the time given, or
+    // longer, and did so after that time.
+    std::function<bool(collection_kind, time_point)> m_read_by_peers_since;
   };
 
   collection_watcher(document_store& store, fleet_view& view, collection_kind kind, peer_callbacks peers,
@@ -47,6 +50,7 @@
   void handle_failure(const document_error& error);
   void handle_success();
   void apply_snapshot(const collection_snapshot& snapshot);
+  void wait_for_restored_entries();
 
   document_store& m_store;
   fleet_view& m_fleet_view;
@@ -58,6 +62,7 @@
   bool m_list_next = true;
   std::uint32_t m_consecutive_failures = 0;
   time_point m_outage_began;        // when the first of the consecutive failures occurred
+  time_point m_keeping_since;       // beginning of the last outage after which entries were kept
   time_point m_entries_restored_at; // until then the store may lack entries that expired during its outage
 };
 
--- a/packages/gateway/include/cardamompond/gateway/fleet_view.hpp
+++ b/packages/gateway/include/cardamompond/gateway/fleet_view.hpp
@@ -32,6 +32,19 @@
   bool apply(collection_kind kind, const collection_snapshot& snapshot, std::string_view source);
   bool apply(collection_kind kind, const collection_changes& changes, std::string_view source);
 
+  // Applies a snapshot after an outage of the store. Known documents that are not in it are kept, since they
+  // may have expired although they are still valid. Peers are not told of them.
+  bool apply_keeping(collection_kind kind, const collection_snapshot& snapshot, std::string_view source);
+
+  // Forgets the documents that were kept.
+  void drop_kept(collection_kind kind, std::string_view source);
+
+  // Records since when this daemon has read the collection from the store without a failure; time_point{}: it
+  // does not read it now.
+  void set_read_since(collection_kind kind, time_point since) {
+    m_collections[static_cast<std::size_t>(kind)].set_read_since(since);
+  }
+
   // Records that the replica was complete up to the revision `as_of` at the time `when`.
   void confirm(collection_kind kind, std::uint64_t as_of, time_point when);
 
--- a/packages/gateway/include/cardamompond/gateway/peer_group.hpp
+++ b/packages/gateway/include/cardamompond/gateway/peer_group.hpp
@@ -76,6 +76,10 @@
   // content recently enough.
   bool updated_by_peers(collection_kind kind, time_point now) const;
 
+  // Whether a live peer read the collection from the store after the time `since`, and has done so without a
+  // failure since before that time. An outage of the store that this daemon saw from then on was its own.
+  bool is_read_by_peers_since(collection_kind kind, time_point since) const;
+
   // Replaces the addresses of daemons to contact before the members are known.
   void set_seeds(std::vector<std::string> seeds) { m_seeds = std::move(seeds); }
 
--- a/packages/gateway/schema/exchange.capnp
+++ b/packages/gateway/schema/exchange.capnp
@@ -12,6 +12,7 @@
   changedAt @1 :UInt64;   # revision of the last change of the copy
   bytes @3 :UInt32;       # size of the content
   ageMs @2 :UInt32;       # time since the copy was last known to equal the content of the store
+  readForMs @4 :UInt32;   # how long the sender has read the store without a failure; 0: it does not read it now
 }
 
 struct ServerLoad {
--- a/packages/gateway/src/collection_replica.cpp
+++ b/packages/gateway/src/collection_replica.cpp
@@ -20,7 +20,7 @@
   if (snapshot.m_as_of < m_as_of || snapshot.m_as_of == 0) {
     return false;
   }
-  std::map<std::string, document, std::less<>> new_documents;
+  document_map new_documents;
   for (const auto& each : snapshot.m_documents) {
     new_documents.emplace(each.m_name, each);
   }
@@ -34,9 +34,26 @@
   }
   m_as_of = snapshot.m_as_of;
   m_documents = std::move(new_documents);
+  std::erase_if(m_kept, [&](const auto& each) { return m_documents.contains(each.first); });
   return changed;
 }
 
+bool collection_replica::apply_keeping(const collection_snapshot& snapshot) {
+  document_map known = m_documents;
+  known.insert(m_kept.begin(), m_kept.end());
+  const std::size_t kept_before = m_kept.size();
+  const bool changed = apply(snapshot);
+  std::erase_if(known, [&](const auto& each) { return m_documents.contains(each.first); });
+  m_kept = std::move(known);
+  return changed || m_kept.size() != kept_before;
+}
+
+bool collection_replica::drop_kept() {
+  const bool any = !m_kept.empty();
+  m_kept.clear();
+  return any;
+}
+
 bool collection_replica::apply(const collection_changes& changes) {
   if (changes.m_as_of < m_as_of) {
     return false;
@@ -50,6 +67,7 @@
       continue;
     }
     changed = true;
+    m_kept.erase(changed_document.m_name);
     if (removed) {
       m_documents.erase(changed_document.m_name);
     } else {
--- a/packages/gateway/src/collection_watcher.cpp
+++ b/packages/gateway/src/collection_watcher.cpp
@@ -5,7 +5,6 @@
 #include <boost/fiber/operations.hpp>
 
 #include <algorithm>
-#include <set>
 
 namespace cardamompond::gateway {
 namespace {
@@ -76,12 +75,12 @@
     }
     m_list_next = monotonic_now() < m_entries_restored_at;
     if (m_list_next) {
-      constexpr milliseconds relist_interval{400};
-      boost::this_fiber::sleep_for(relist_interval);
+      wait_for_restored_entries();
     }
     return;
   }
   if (m_consecutive_failures == 0 && m_peer_callbacks.m_updated_by_peers(m_kind)) {
+    m_fleet_view.set_read_since(m_kind, {});
     boost::this_fiber::sleep_for(peer_readers_poll_interval);
     return;
   }
@@ -109,23 +108,33 @@
 }
 
 // For some time after an outage of the store, keeps known backend servers that the list lacks: their entries
-// may have expired during the outage although the servers are alive.
+// may have expired during the outage although the servers are alive. If peers read the store meanwhile, the
+// outage was one of this daemon alone, and what the list lacks has left.
 void collection_watcher::apply_snapshot(const collection_snapshot& snapshot) {
-  if (m_kind != collection_kind::backend_servers || monotonic_now() >= m_entries_restored_at) {
+  if (m_kind != collection_kind::backend_servers || monotonic_now() >= m_entries_restored_at ||
+      m_peer_callbacks.m_read_by_peers_since(m_kind, m_keeping_since)) {
+    m_entries_restored_at = {};
     m_fleet_view.apply(m_kind, snapshot, "store");
+    m_fleet_view.drop_kept(m_kind, "store");
     return;
   }
-  collection_snapshot merged = snapshot;
-  std::set<std::string_view> listed;
-  for (const auto& each : snapshot.m_documents) {
-    listed.insert(each.m_name);
-  }
-  for (const auto& [name, each] : m_fleet_view.collection(m_kind).documents()) {
-    if (!listed.contains(name)) {
-      merged.m_documents.push_back(each);
+  m_fleet_view.apply_keeping(m_kind, snapshot, "store_after_outage");
+}
+
+// Waits before the next list after an outage. Forgets what was kept as soon as a peer shows that it read the
+// store during the outage; a daemon that was cut off hears of its peers only after it has read the store.
+void collection_watcher::wait_for_restored_entries() {
+  constexpr milliseconds relist_interval{400};
+  constexpr milliseconds peers_poll_interval{20};
+  const time_point until = monotonic_now() + relist_interval;
+  while (monotonic_now() < until) {
+    boost::this_fiber::sleep_for(peers_poll_interval);
+    if (m_peer_callbacks.m_read_by_peers_since(m_kind, m_keeping_since)) {
+      m_entries_restored_at = {};
+      m_fleet_view.drop_kept(m_kind, "peers");
+      return;
     }
   }
-  m_fleet_view.apply(m_kind, merged, "store_after_outage");
 }
 
 void collection_watcher::watch() {
@@ -157,6 +166,7 @@
 void collection_watcher::handle_failure(const document_error& error) {
   ++m_counters.m_failures;
   const time_point now = monotonic_now();
+  m_fleet_view.set_read_since(m_kind, {});
   if (m_consecutive_failures == 0) {
     m_outage_began = now;
   }
@@ -178,9 +188,13 @@
   const time_point now = monotonic_now();
   if (m_consecutive_failures > 0 && now - m_outage_began >= min_outage_for_expiry &&
       m_fleet_view.collection(m_kind).loaded()) {
+    m_keeping_since = m_outage_began;
     m_entries_restored_at = now + entries_restore_time;
     m_list_next = true;
   }
+  if (m_fleet_view.collection(m_kind).read_since() == time_point{}) {
+    m_fleet_view.set_read_since(m_kind, now);
+  }
   m_consecutive_failures = 0;
   if (!m_connected) {
     m_connected = true;
--- a/packages/gateway/src/exchange.capnp.h
+++ b/packages/gateway/src/exchange.capnp.h
@@ -44,7 +44,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8a8c133f02360274, 3, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(8a8c133f02360274, 4, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -243,6 +243,8 @@
 
   inline  ::uint32_t getBytes() const;
 
+  inline  ::uint32_t getReadForMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -283,6 +285,9 @@
   inline  ::uint32_t getBytes();
   inline void setBytes( ::uint32_t value);
 
+  inline  ::uint32_t getReadForMs();
+  inline void setReadForMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1550,6 +1555,20 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t CollectionState::Reader::getReadForMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CollectionState::Builder::getReadForMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void CollectionState::Builder::setReadForMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t ServerLoad::Reader::getServer() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/packages/gateway/src/fleet_view.cpp
+++ b/packages/gateway/src/fleet_view.cpp
@@ -25,6 +25,22 @@
   return true;
 }
 
+bool fleet_view::apply_keeping(collection_kind kind, const collection_snapshot& snapshot,
+                               std::string_view source) {
+  report_unreadable_entries(kind, snapshot.m_unreadable_entries, source);
+  if (!m_collections[static_cast<std::size_t>(kind)].apply_keeping(snapshot)) {
+    return false;
+  }
+  decode(kind, source);
+  return true;
+}
+
+void fleet_view::drop_kept(collection_kind kind, std::string_view source) {
+  if (m_collections[static_cast<std::size_t>(kind)].drop_kept()) {
+    decode(kind, source);
+  }
+}
+
 void fleet_view::confirm(collection_kind kind, std::uint64_t as_of, time_point when) {
   m_collections[static_cast<std::size_t>(kind)].confirm(as_of, when);
 }
@@ -55,10 +71,12 @@
 std::vector<T> fleet_view::decode_changed(collection_kind kind, decoded_documents<T>& known,
                                           const Read& read) {
   const auto& documents = collection(kind).documents();
-  std::erase_if(known, [&](const auto& each) { return !documents.contains(each.first); });
+  const auto& kept = collection(kind).kept_documents();
+  std::erase_if(
+      known, [&](const auto& each) { return !documents.contains(each.first) && !kept.contains(each.first); });
   std::vector<T> all;
-  all.reserve(documents.size());
-  for (const auto& [name, each] : documents) {
+  all.reserve(documents.size() + kept.size());
+  const auto add = [&](const std::string& name, const document& each) {
     auto& [revision, object] = known[name];
     if (revision != each.m_revision) {
       revision = each.m_revision;
@@ -72,6 +90,12 @@
     if (object) {
       all.push_back(*object);
     }
+  };
+  for (const auto& [name, each] : documents) {
+    add(name, each);
+  }
+  for (const auto& [name, each] : kept) {
+    add(name, each);
   }
   return all;
 }
@@ -125,7 +149,8 @@
               {{"collection", to_string(kind)},
                {"as_of", collection(kind).as_of()},
                {"source", source},
-               {"documents", collection(kind).documents().size()}});
+               {"documents", collection(kind).documents().size()},
+               {"kept", collection(kind).kept_documents().size()}});
   }
   for (const auto& notify : m_observers) {
     notify(kind);
--- a/packages/gateway/src/peer_group.cpp
+++ b/packages/gateway/src/peer_group.cpp
@@ -309,7 +309,10 @@
     const auto& from = m_admission.known_fleet().collection(kind);
     report.m_collections[static_cast<std::size_t>(kind)] = {
         from.as_of(), from.changed_at(), std::chrono::duration_cast<milliseconds>(now - from.confirmed_at()),
-        static_cast<std::uint32_t>(from.bytes())};
+        static_cast<std::uint32_t>(from.bytes()),
+        from.read_since() == time_point{}
+            ? milliseconds(0)
+            : std::chrono::duration_cast<milliseconds>(now - from.read_since())};
   }
   for (auto& load : m_admission.dispatcher().own_loads(now)) {
     if (!with_speeds) {
@@ -452,6 +455,15 @@
   return now - m_admission.known_fleet().collection(kind).confirmed_at() < limit;
 }
 
+bool peer_group::is_read_by_peers_since(collection_kind kind, time_point since) const {
+  return std::any_of(m_peers.begin(), m_peers.end(), [&](const auto& each) {
+    const peer& remote = each.second;
+    const collection_state& state = remote.m_collections[static_cast<std::size_t>(kind)];
+    return state.m_read_for > milliseconds(0) && remote.m_last_report_at - state.m_read_for <= since &&
+           remote.m_last_report_at - state.m_age > since;
+  });
+}
+
 std::optional<peer_group::lagging_collection> peer_group::find_lagging_collection(time_point now) const {
   for (const auto kind : all_collection_kinds) {
     const auto index = static_cast<std::size_t>(kind);
--- a/packages/gateway/src/peer_report.cpp
+++ b/packages/gateway/src/peer_report.cpp
@@ -145,7 +145,8 @@
   const auto collections = from.getCollections();
   for (unsigned i = 0; i < std::min<unsigned>(collections.size(), report.m_collections.size()); ++i) {
     report.m_collections[i] = {collections[i].getAsOf(), collections[i].getChangedAt(),
-                               milliseconds(collections[i].getAgeMs()), collections[i].getBytes()};
+                               milliseconds(collections[i].getAgeMs()), collections[i].getBytes(),
+                               milliseconds(collections[i].getReadForMs())};
   }
   for (const auto& each : from.getLoads()) {
     report.m_loads.push_back(
@@ -204,6 +205,7 @@
     collections[i].setChangedAt(report.m_collections[i].m_changed_at);
     collections[i].setBytes(report.m_collections[i].m_bytes);
     collections[i].setAgeMs(to_wire_ms(report.m_collections[i].m_age));
+    collections[i].setReadForMs(to_wire_ms(report.m_collections[i].m_read_for));
   }
   auto loads = to.initLoads(static_cast<unsigned>(report.m_loads.size()));
   for (unsigned i = 0; i < loads.size(); ++i) {
--- /dev/null
+++ b/packages/gateway/tests/collection_watcher_test.cpp
@@ -0,0 +1,157 @@
+#include "cardamompond/gateway/collection_watcher.hpp"
+
+#include <boost/fiber/all.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include <vector>
+
+using namespace cardamompond;
+using namespace cardamompond::gateway;
+
+namespace {
+
+// Reads documents as backend servers that differ in their names only.
+class name_reader final : public document_reader {
+public:
+  read_result<fleet::declarations> read_declarations(const document&) const override {
+    return unreadable_document{"none"};
+  }
+  read_result<fleet::backend_server> read_backend_server(const document& source) const override {
+    fleet::backend_server server;
+    server.m_id = source.m_name;
+    return server;
+  }
+  read_result<fleet::rollout_order> read_rollout(const document&) const override {
+    return unreadable_document{"none"};
+  }
+  read_result<member> read_member(const document&) const override { return unreadable_document{"none"}; }
+  std::string write_member(const member&) const override { return {}; }
+};
+
+struct end_of_test {};
+
+// A store that can be made unavailable.
+class switchable_store final : public document_store {
+public:
+  document_result<collection_snapshot> list(collection_kind, milliseconds) override {
+    return check() ? document_result<collection_snapshot>(m_content) : unavailable();
+  }
+  document_result<collection_changes> watch(collection_kind, std::uint64_t after, milliseconds) override {
+    boost::this_fiber::sleep_for(milliseconds(20));
+    return check() ? document_result<collection_changes>(collection_changes{after, {}, 0}) : unavailable();
+  }
+  document_result<success> create(collection_kind, std::string_view, std::string_view,
+                                  milliseconds) override {
+    return unavailable();
+  }
+  document_result<success> remove(collection_kind, std::string_view, milliseconds) override {
+    return unavailable();
+  }
+  document_result<success> write_rollout_state(std::string_view, std::uint64_t, std::string_view,
+                                               std::string_view, milliseconds) override {
+    return unavailable();
+  }
+
+  collection_snapshot m_content;
+  bool m_available = true;
+  bool m_ended = false;
+
+private:
+  bool check() const {
+    if (m_ended) {
+      throw end_of_test(); // ends the fiber of the watcher
+    }
+    return m_available;
+  }
+  static document_error unavailable() { return {document_error_kind::unavailable, "off"}; }
+};
+
+constexpr auto kind = collection_kind::backend_servers;
+
+// A daemon that reads the servers, in an outage of the store.
+struct watcher_fixture {
+  watcher_fixture()
+      : m_view(m_reader)
+      , m_watcher(m_store, m_view, kind,
+                  {[](collection_kind) { return false; }, [] {},
+                   [this](collection_kind, time_point since) {
+                     m_asked_since = since;
+                     return m_read_by_peers;
+                   }},
+                  7) {
+    m_store.m_content = {10, {{"i-1", 3, ""}, {"i-2", 4, ""}}, 0};
+    m_fiber = boost::fibers::fiber([this] {
+      try {
+        m_watcher.run();
+      } catch (const end_of_test&) {
+      }
+    });
+  }
+  ~watcher_fixture() {
+    m_store.m_ended = true;
+    m_fiber.join();
+  }
+
+  // The store is away for longer than entries live. Meanwhile the entry of i-2 is removed or expires.
+  void pass_outage() {
+    boost::this_fiber::sleep_for(milliseconds(1'200)); // the first list and the wait for readers
+    UNSIGNED_LONGS_EQUAL(2, m_view.backend_servers().size());
+    m_store.m_available = false;
+    m_outage_began = monotonic_now();
+    boost::this_fiber::sleep_for(milliseconds(1'700));
+    m_store.m_content = {12, {{"i-1", 3, ""}}, 0};
+    m_store.m_available = true;
+    const time_point until = monotonic_now() + seconds(2);
+    while (m_view.collection(kind).as_of() != 12 && monotonic_now() < until) {
+      boost::this_fiber::sleep_for(milliseconds(5));
+    }
+    UNSIGNED_LONGS_EQUAL(12, m_view.collection(kind).as_of());
+  }
+
+  name_reader m_reader;
+  switchable_store m_store;
+  bool m_read_by_peers = false;
+  time_point m_asked_since;
+  time_point m_outage_began;
+  fleet_view m_view;
+  collection_watcher m_watcher;
+  boost::fibers::fiber m_fiber;
+};
+
+} // namespace
+
+TEST_GROUP(collection_watcher){};
+
+// Guards against peers that take what a daemon kept after an outage for the list of the store, and against a
+// server that has left and stays listed.
+TEST(collection_watcher, what_is_kept_after_an_outage_is_local_and_expires) {
+  watcher_fixture daemon;
+  daemon.pass_outage();
+  UNSIGNED_LONGS_EQUAL(2, daemon.m_view.backend_servers().size());
+  const auto told = daemon.m_view.collection(kind).snapshot();
+  UNSIGNED_LONGS_EQUAL(12, told.m_as_of);
+  UNSIGNED_LONGS_EQUAL(1, told.m_documents.size());
+  STRCMP_EQUAL("i-1", told.m_documents.front().m_name.c_str());
+  CHECK(daemon.m_asked_since >= daemon.m_outage_began);
+  boost::this_fiber::sleep_for(milliseconds(3'000));
+  UNSIGNED_LONGS_EQUAL(1, daemon.m_view.backend_servers().size());
+}
+
+// Guards against a host that returns from a cut of its own and uses servers that its peers saw leave.
+TEST(collection_watcher, nothing_is_kept_after_an_outage_that_peers_did_not_have) {
+  watcher_fixture daemon;
+  daemon.m_read_by_peers = true;
+  daemon.pass_outage();
+  UNSIGNED_LONGS_EQUAL(1, daemon.m_view.backend_servers().size());
+}
+
+// Guards against the same if the host hears of its peers only after it has read the store.
+TEST(collection_watcher, what_is_kept_is_dropped_when_a_peer_shows_that_it_read_the_store) {
+  watcher_fixture daemon;
+  daemon.pass_outage();
+  UNSIGNED_LONGS_EQUAL(2, daemon.m_view.backend_servers().size());
+  daemon.m_read_by_peers = true;
+  boost::this_fiber::sleep_for(milliseconds(200));
+  UNSIGNED_LONGS_EQUAL(1, daemon.m_view.backend_servers().size());
+}
