Count the use of an account in other zones before their reports arrive

Cause: in a large group the use in other zones is known up to 2.5 s late. A burst in all zones was admitted by each of them until then, again each time the bucket had filled.

Change: fleet/unreported_use learns what each daemon of another zone uses in proportion to the own zone, and charges that with each unit admitted in the own zone; the next report of the daemon replaces the assumed units. An account that is used in one zone only is charged nothing. Assumed units up to 0.6 s of the rate, or 15 requests, are not held against the account. Groups of less than 16 daemons and reports within a zone are treated as before.

--- a/packages/fleet/src/account_quotas.cpp
+++ b/packages/fleet/src/account_quotas.cpp
@@ -10,6 +10,19 @@
 // Part of the burst in a new bucket. It is below 1 because the past use is lost when all daemons restart.
 constexpr double initial_burst_share = 0.5;
 
+// Of the units that other zones are assumed to have admitted, so many are not held against the account: its
+// rate for this time, or this many requests. The number of requests in a zone fluctuates by itself, and from
+// few of them no proportion between zones can be told.
+constexpr double unheld_rate_s = 0.6;
+constexpr double unheld_requests = 15;
+
+// Factor by which the size of the largest request lately shrinks with each request.
+constexpr double request_units_decay = 0.98;
+
+// A daemon of another zone is assumed to admit at most this multiple of what the daemons of the own zone
+// admit on average.
+constexpr double max_relative_use = 3;
+
 double seconds_between(time_point from, time_point to) {
   return std::max(0.0, std::chrono::duration<double>(to - from).count());
 }
@@ -61,11 +74,13 @@
 bool account_quotas::admit(std::string_view account, double units, time_point now) {
   const std::uint32_t key = account_hash(account);
   if (const auto found = m_buckets.find(key); found != m_buckets.end()) {
-    refill(found->second, now);
-    if (found->second.m_level <= 0) {
+    bucket& account_bucket = found->second;
+    refill(account_bucket, now);
+    account_bucket.m_request_units = std::max(units, account_bucket.m_request_units * request_units_decay);
+    if (available_units(account_bucket) <= 0) {
       return false;
     }
-    found->second.m_level -= units;
+    charge(account_bucket, units, now);
     m_admitted[key] += units;
   }
   return true;
@@ -74,7 +89,7 @@
 void account_quotas::refund(std::string_view account, double units) {
   const std::uint32_t key = account_hash(account);
   if (const auto found = m_buckets.find(key); found != m_buckets.end()) {
-    found->second.m_level += units;
+    charge(found->second, -units, found->second.m_refilled_at);
     m_admitted[key] -= units;
   }
 }
@@ -86,10 +101,38 @@
 void account_quotas::record_peer_use(std::uint32_t account_hash, double units, time_point now) {
   if (const auto found = m_buckets.find(account_hash); found != m_buckets.end()) {
     refill(found->second, now);
-    found->second.m_level -= units;
+    charge(found->second, units, now);
+  }
+}
+
+void account_quotas::record_remote_use(std::uint64_t daemon, std::uint32_t account_hash, double units,
+                                       time_point covered_until, std::size_t zone_daemons, time_point now) {
+  if (const auto found = m_buckets.find(account_hash); found != m_buckets.end()) {
+    refill(found->second, now);
+    const double max_proportion =
+        max_relative_use / static_cast<double>(std::max<std::size_t>(1, zone_daemons));
+    found->second.m_level -=
+        found->second.m_unreported.record_report(daemon, units, covered_until, now, max_proportion);
   }
 }
 
+void account_quotas::remove_remote_daemon(std::uint64_t daemon) {
+  for (auto& [key, each] : m_buckets) {
+    each.m_unreported.remove_daemon(daemon);
+  }
+}
+
+double account_quotas::available_units(const bucket& account_bucket) {
+  const double unheld =
+      std::max(account_bucket.m_rate * unheld_rate_s, account_bucket.m_request_units * unheld_requests);
+  return account_bucket.m_level + std::clamp(account_bucket.m_unreported.assumed_units(), 0.0, unheld);
+}
+
+// Takes units that were admitted in the own zone, and those that other zones are assumed to admit meanwhile.
+void account_quotas::charge(bucket& account_bucket, double units, time_point now) {
+  account_bucket.m_level -= units + account_bucket.m_unreported.record_own_zone_use(units, now);
+}
+
 milliseconds account_quotas::time_to_refill(std::string_view account, time_point now) const {
   const auto found = m_buckets.find(account_hash(account));
   if (found == m_buckets.end()) {
@@ -97,11 +140,11 @@
   }
   bucket copy = found->second;
   refill(copy, now);
-  if (copy.m_level > 0) {
+  const double available = available_units(copy);
+  if (available > 0) {
     return milliseconds(0);
   }
-  return milliseconds(static_cast<std::int64_t>(1000.0 * -copy.m_level / (copy.m_rate * reachable_share())) +
-                      1);
+  return milliseconds(static_cast<std::int64_t>(1000.0 * -available / (copy.m_rate * reachable_share())) + 1);
 }
 
 } // namespace cardamompond::fleet
--- a/packages/gateway/include/cardamompond/gateway/peer_group.hpp
+++ b/packages/gateway/include/cardamompond/gateway/peer_group.hpp
@@ -132,7 +132,9 @@
   bool has_digest_turn() const;
   std::vector<std::string> next_digest_targets();
   duration silence_timeout(const peer& remote) const;
-  void apply_quota_use(peer& remote, const peer_report& report, bool restarted, time_point now);
+  void handle_report(const peer_report& report, time_point received, time_point now);
+  void apply_quota_use(peer& remote, const peer_report& report, bool restarted, time_point received,
+                       time_point now);
   void compare_collections(peer& remote, const peer_report& report, time_point now);
 
   admission_controller& m_admission;
--- a/packages/gateway/src/peer_group.cpp
+++ b/packages/gateway/src/peer_group.cpp
@@ -95,6 +95,11 @@
     , m_next_digest_target(hash64(m_self.m_name)) {}
 
 void peer_group::handle_report(const peer_report& report, time_point received) {
+  handle_report(report, received, received);
+}
+
+// `received` is when this daemon or, for a relayed report, the daemon that relayed it received the report.
+void peer_group::handle_report(const peer_report& report, time_point received, time_point now) {
   if (report.m_daemon == m_self.m_name || report.m_daemon.empty()) {
     return;
   }
@@ -107,6 +112,7 @@
   if (report.m_leaving) {
     if (known != m_peers.end()) {
       m_peers.erase(known);
+      m_admission.quotas().remove_remote_daemon(hash64(report.m_daemon));
       m_admission.dispatcher().set_peer_loads(report.m_daemon, {}, received);
     }
     return;
@@ -126,7 +132,7 @@
     remote.m_last_report = report;
   }
   compare_collections(remote, report, received);
-  apply_quota_use(remote, report, restarted, received);
+  apply_quota_use(remote, report, restarted, received, now);
   m_admission.dispatcher().set_peer_loads(report.m_daemon, report.m_loads, received);
   if (is_small_group() || report.m_availability_zone == m_self.m_availability_zone) {
     m_admission.dispatcher().set_peer_blocked(report.m_daemon, report.m_blocked, received);
@@ -154,7 +160,7 @@
       ++malformed;
     } else {
       report->m_availability_zone = digest.m_availability_zone;
-      handle_report(*report, now - std::clamp<duration>(age, duration::zero(), max_digest_age));
+      handle_report(*report, now - std::clamp<duration>(age, duration::zero(), max_digest_age), now);
     }
   }
   return malformed;
@@ -220,17 +226,37 @@
 // Takes what the peer admitted since its last report out of the quotas. What it admitted before the first
 // report that this daemon received is not counted: it was admitted either before the time that the quotas
 // cover or out of the share that was reserved for the peer.
-void peer_group::apply_quota_use(peer& remote, const peer_report& report, bool restarted, time_point now) {
+void peer_group::apply_quota_use(peer& remote, const peer_report& report, bool restarted, time_point received,
+                                 time_point now) {
   if (restarted) {
     remote.m_quota_use.clear();
     remote.m_has_full_quota_use = false;
   }
+  fleet::account_quotas& quotas = m_admission.quotas();
+  const std::uint64_t daemon = hash64(report.m_daemon);
+  const bool late = !is_small_group() && remote.m_availability_zone != m_self.m_availability_zone;
+  if (restarted || !late) {
+    quotas.remove_remote_daemon(daemon);
+  }
+  std::map<std::uint32_t, double> added_units;
   for (const auto& [account, units] : report.m_quota_use) {
     const auto [previous_total, added] =
         remote.m_quota_use.try_emplace(account, remote.m_has_full_quota_use ? 0 : units);
-    m_admission.quotas().record_peer_use(account, units - previous_total->second, now);
+    added_units[account] = units - previous_total->second;
     previous_total->second = units;
   }
+  for (const auto& [account, units] : added_units) {
+    if (!late) {
+      quotas.record_peer_use(account, units, received);
+    }
+  }
+  for (const auto& [account, total] : remote.m_quota_use) {
+    if (late) { // an account that the report leaves out was not used since the previous one
+      const auto found = added_units.find(account);
+      const double units = found == added_units.end() ? 0 : found->second;
+      quotas.record_remote_use(daemon, account, units, received, m_same_zone_count + 1, now);
+    }
+  }
   remote.m_has_full_quota_use = remote.m_has_full_quota_use || !report.m_recent_use_only;
 }
 
@@ -274,6 +300,7 @@
                {"silent_ms",
                 std::chrono::duration_cast<milliseconds>(now - each->second.m_last_report_at).count()}});
     m_admission.dispatcher().set_peer_loads(each->first, {}, now); // its requests ended with it
+    m_admission.quotas().remove_remote_daemon(hash64(each->first));
     each = m_peers.erase(each);
   }
   std::map<std::string, std::string> zones = {{m_self.m_name, m_self.m_availability_zone}}; // by daemon name
