--- a/packages/gateway/include/cardamompond/gateway/peer_group.hpp
+++ b/packages/gateway/include/cardamompond/gateway/peer_group.hpp
@@ -90,11 +90,15 @@
   struct lagging_collection {
     collection_kind m_kind = collection_kind::declarations;
     std::string m_peer_address;
+    std::uint32_t m_bytes = 0; // size of the content
   };
 
   // Returns a collection that peers have had in a newer state for longer than this daemon tolerates.
   std::optional<lagging_collection> find_lagging_collection(time_point now) const;
 
+  // Makes the next fetch of the collection try another peer.
+  void record_fetch_failure(collection_kind kind) { ++m_fetch_failures[static_cast<std::size_t>(kind)]; }
+
   // Number of peers that reported recently. This daemon is not counted.
   std::size_t live_peer_count() const { return m_peers.size(); }
 
@@ -148,6 +152,7 @@
   std::size_t m_next_same_zone_index = 0;
   std::size_t m_next_other_zones_index = 0;
   std::size_t m_next_digest_target = 0;
+  std::array<std::uint64_t, all_collection_kinds.size()> m_fetch_failures{}; // since the start
   // Numbers of other daemons whose addresses were known at the last round.
   std::size_t m_same_zone_count = 0;
   std::size_t m_other_zones_count = 0;
--- a/packages/gateway/src/peer_exchange.cpp
+++ b/packages/gateway/src/peer_exchange.cpp
@@ -1,5 +1,6 @@
 #include "cardamompond/gateway/peer_exchange.hpp"
 
+#include "cardamompond/gateway/send_budget.hpp"
 #include "cardamompond/net/address.hpp"
 #include "cardamompond/net/io_wait.hpp"
 #include "cardamompond/telemetry/log.hpp"
@@ -11,6 +12,7 @@
 #include <array>
 #include <deque>
 #include <map>
+#include <random>
 #include <span>
 #include <stdexcept>
 #include <tuple>
@@ -24,9 +26,21 @@
 using udp = asio::ip::udp;
 
 constexpr std::string_view collections_path = "/collections/";
-constexpr milliseconds fetch_timeout{800};
 constexpr milliseconds fetch_interval{50};
 
+// The time for a fetch grows with the content: the slowest links carry 10 Mbit/s, and the peer may send two
+// snapshots at a time.
+constexpr milliseconds fetch_timeout{800};
+constexpr std::int64_t fetch_bytes_per_ms = 500;
+constexpr std::size_t max_snapshot_bytes = 64U << 20U;
+
+// After a failure, another peer is tried after this time at most. A peer that has no room refuses at once.
+constexpr int max_fetch_retry_ms = 300;
+
+// Snapshots of this size or more are sent at a limited rate, about that of the slowest links.
+constexpr std::size_t limited_snapshot_bytes = 64'000;
+constexpr double snapshot_bytes_per_s = 1'000'000;
+
 // Larger datagrams do not arrive complete on all links.
 constexpr std::size_t max_datagram_bytes = 16U << 10U;
 
@@ -78,7 +92,7 @@
   void receive_digest(report_digest& digest, const udp::endpoint& sender);
   void count_malformed(const udp::endpoint& sender, std::string_view reason);
   void serve(net::http_exchange& exchange);
-  void fetch(const peer_group::lagging_collection& lagging);
+  bool fetch(const peer_group::lagging_collection& lagging);
 
   net::http_client& m_client;
   peer_group& m_group;
@@ -93,6 +107,8 @@
     std::vector<std::string> m_addresses;
   };
   std::deque<forward> m_forwards;
+  send_budget m_snapshot_budget{snapshot_bytes_per_s};
+  std::mt19937 m_random{std::random_device{}()};
 };
 
 void peer_exchange::impl::send(const std::string& bytes, std::span<const std::string> addresses) {
@@ -197,6 +213,11 @@
   if (path.starts_with(collections_path)) {
     for (const auto kind : all_collection_kinds) {
       if (path.substr(collections_path.size()) == to_string(kind)) {
+        if (m_fleet_view.collection(kind).bytes() >= limited_snapshot_bytes &&
+            !m_snapshot_budget.try_take(m_fleet_view.collection(kind).bytes(), monotonic_now())) {
+          std::ignore = exchange.respond({503, {{"Content-Type", "text/plain"}}, "busy\n"});
+          return;
+        }
         std::ignore = exchange.respond({200,
                                         {{"Content-Type", "application/octet-stream"}},
                                         encode_snapshot(m_fleet_view.collection(kind).snapshot())});
@@ -207,13 +228,20 @@
   std::ignore = exchange.respond({404, {{"Content-Type", "text/plain"}}, "not found\n"});
 }
 
-void peer_exchange::impl::fetch(const peer_group::lagging_collection& lagging) {
+// Returns whether the collection was fetched.
+bool peer_exchange::impl::fetch(const peer_group::lagging_collection& lagging) {
   const std::string target = std::string(collections_path) + std::string(to_string(lagging.m_kind));
-  const auto response = m_client.fetch(lagging.m_peer_address, {"GET", target, {}, {}}, fetch_timeout);
+  const auto timeout = fetch_timeout + milliseconds(lagging.m_bytes / fetch_bytes_per_ms);
+  const auto response =
+      m_client.fetch(lagging.m_peer_address, {"GET", target, {}, {}}, timeout, max_snapshot_bytes);
   const auto reason = [&]() -> std::string {
     if (!response) {
       return response.error().m_message;
     }
+    constexpr int status_ok = 200;
+    if (response->m_status != status_ok) {
+      return "the peer answered " + std::to_string(response->m_status);
+    }
     const auto snapshot = decode_snapshot(response->m_body);
     if (!snapshot) {
       return snapshot.error().m_reason;
@@ -224,16 +252,21 @@
   }();
   if (!reason.empty()) {
     ++m_counters.m_fetch_failures;
+    m_group.record_fetch_failure(lagging.m_kind);
     log_event(
         log_level::warning, "peer_fetch_failed",
         {{"collection", to_string(lagging.m_kind)}, {"peer", lagging.m_peer_address}, {"reason", reason}});
   }
+  return reason.empty();
 }
 
 void peer_exchange::impl::fetch_lagging_collections() {
   while (true) {
     if (const auto lagging = m_group.find_lagging_collection(monotonic_now())) {
-      fetch(*lagging);
+      if (!fetch(*lagging)) {
+        std::uniform_int_distribution<int> pause_ms(0, max_fetch_retry_ms);
+        boost::this_fiber::sleep_for(milliseconds(pause_ms(m_random)));
+      }
     }
     boost::this_fiber::sleep_for(fetch_interval);
   }
--- a/packages/gateway/src/peer_group.cpp
+++ b/packages/gateway/src/peer_group.cpp
@@ -503,18 +503,20 @@
       const bool ahead = each.m_collections[index].m_changed_at > own_revision &&
                          each.m_ahead_since[index] != time_point{} &&
                          now - each.m_ahead_since[index] >= min_lag;
-      // Prefers peers in the same zone, since traffic between zones is charged, and spreads the fetches over
-      // the peers by a hash.
+      // Prefers peers in the same zone, since traffic between zones is charged. The hash differs for each
+      // daemon and after each failure: when all daemons start at once, a peer that all fetch from serves none
+      // in time.
       const auto preference = [&](const peer& remote) {
-        return std::pair(remote.m_availability_zone == m_self.m_availability_zone,
-                         hash64(remote.m_address, own_revision));
+        return std::pair(
+            remote.m_availability_zone == m_self.m_availability_zone,
+            hash64(remote.m_address, hash64(m_self.m_name, own_revision + m_fetch_failures[index])));
       };
       if (ahead && (best_source == nullptr || preference(each) > preference(*best_source))) {
         best_source = &each;
       }
     }
     if (best_source != nullptr) {
-      return lagging_collection{kind, best_source->m_address};
+      return lagging_collection{kind, best_source->m_address, best_source->m_collections[index].m_bytes};
     }
   }
   return std::nullopt;
--- a/packages/gateway/tests/peer_group_test.cpp
+++ b/packages/gateway/tests/peer_group_test.cpp
@@ -1,9 +1,12 @@
 #include "cardamompond/gateway/peer_group.hpp"
+#include "cardamompond/gateway/send_budget.hpp"
 
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
+#include <map>
 #include <memory>
+#include <random>
 #include <set>
 #include <utility>
 #include <variant>
@@ -228,6 +231,83 @@
   CHECK(lagging.has_value() && lagging->m_kind == collection_kind::declarations);
 }
 
+// Load: all daemons of a group start at once and need the list of servers, which one or a few peers have so
+// far. Guards against all of them asking the same peer, and against one that asks a peer again that did not
+// serve it.
+TEST(peer_group, daemons_that_start_together_fetch_from_different_peers) {
+  constexpr int daemons = 40;
+  std::map<std::string, int> fetches;
+  for (int self = 0; self < daemons; self += 2) {
+    group_fixture daemon(daemons, self);
+    daemon.m_group.next_round();
+    for (int i = 0; i < daemons; i += 2) {
+      auto report = daemon.make_report(i, 1);
+      report.m_collections[1] = {9, 9, milliseconds(0), 450'000};
+      daemon.m_group.handle_report(report, daemon.m_now);
+    }
+    std::set<std::string> sources;
+    for (int attempt = 0; attempt < 10; ++attempt) {
+      const auto lagging = daemon.m_group.find_lagging_collection(daemon.m_now + seconds(1));
+      CHECK(lagging.has_value());
+      UNSIGNED_LONGS_EQUAL(450'000, lagging->m_bytes);
+      fetches[lagging->m_peer_address] += attempt == 0 ? 1 : 0;
+      sources.insert(lagging->m_peer_address);
+      daemon.m_group.record_fetch_failure(lagging->m_kind);
+    }
+    CHECK(sources.size() >= 4);
+  }
+  for (const auto& [address, count] : fetches) {
+    CHECK(count <= 5);
+  }
+}
+
+// Load: the daemons of a zone start at once and ask a peer for a list of 1.2 MB over its link of 10 Mbit/s.
+// Guards against transfers that are all slow and end none in time, so that the list spreads from nobody. Each
+// daemon that has the list serves others.
+TEST(peer_group, a_large_list_spreads_through_a_zone_that_starts_at_once) {
+  constexpr std::size_t daemons = 60;
+  constexpr std::size_t list_bytes = 1'200'000;
+  constexpr double link_bytes_per_s = 1'250'000;
+  constexpr milliseconds patience = milliseconds(800 + list_bytes / 500);
+  struct transfer {
+    std::size_t m_from;
+    std::size_t m_to;
+    time_point m_until;
+    double m_left;
+  };
+  std::mt19937 random(5);
+  std::vector<send_budget> budgets(daemons, send_budget(1'000'000));
+  std::set<std::size_t> holders = {0};
+  std::vector<transfer> transfers;
+  time_point now{seconds(10)};
+  const time_point begin = now;
+  constexpr milliseconds step{20};
+  for (; holders.size() < daemons && now < begin + seconds(30); now += step) {
+    for (std::size_t to = 0; to < daemons; ++to) {
+      const bool busy =
+          std::any_of(transfers.begin(), transfers.end(), [&](const auto& each) { return each.m_to == to; });
+      if (busy || holders.contains(to) || random() % 10 != 0) {
+        continue;
+      }
+      const std::size_t from = *std::next(holders.begin(), static_cast<int>(random() % holders.size()));
+      if (budgets[from].try_take(list_bytes, now)) {
+        transfers.push_back({from, to, now + patience, list_bytes});
+      }
+    }
+    for (auto& each : transfers) {
+      const auto sharing = std::count_if(transfers.begin(), transfers.end(),
+                                         [&](const auto& other) { return other.m_from == each.m_from; });
+      each.m_left -=
+          link_bytes_per_s * std::chrono::duration<double>(step).count() / static_cast<double>(sharing);
+      if (each.m_left <= 0) {
+        holders.insert(each.m_to);
+      }
+    }
+    std::erase_if(transfers, [&](const auto& each) { return each.m_left <= 0 || now >= each.m_until; });
+  }
+  CHECK(now - begin < seconds(10));
+}
+
 // Guards against daemons of the same zone that never get a report, and against a cost per round that grows
 // with the group.
 TEST(peer_group, report_rounds_reach_all_daemons_of_the_zone) {
