Close all sockets before the last log line of a drain

Cause, suspected: the kernel may hold the write of a log line for seconds while the disk is busy, after the file already shows it. A daemon whose last line is held neither answers nor refuses connections.

Change: all descriptors but the standard ones are closed before that line.

Result: no test fails first, since the fault was seen once and could not be provoked.

--- a/packages/daemon/src/entry_daemon.cpp
+++ b/packages/daemon/src/entry_daemon.cpp
@@ -14,12 +14,15 @@
 #include <boost/fiber/operations.hpp>
 
 #include <algorithm>
+#include <cerrno>
 #include <csignal>
 #include <filesystem>
 #include <random>
 #include <tuple>
 #include <vector>
 
+#include <unistd.h>
+
 namespace cardamompond::daemon {
 namespace {
 
@@ -89,6 +92,16 @@
   return static_cast<std::uint64_t>(wall_clock_ms());
 }
 
+// Closes all descriptors but the standard ones. The last log line may block: a write to a file waits while
+// the disk is busy, although the file shows the line already. Callers must not wait meanwhile on sockets that
+// nobody reads. No fiber may run afterwards.
+void close_all_sockets() {
+  constexpr unsigned first_other_descriptor = 3;
+  if (::close_range(first_other_descriptor, ~0U, 0) != 0) {
+    log_event(log_level::warning, "descriptors_not_closed", {{"errno", errno}});
+  }
+}
+
 } // namespace
 
 class entry_daemon::impl {
@@ -371,8 +384,10 @@
     boost::this_fiber::sleep_for(state_check_interval);
   }
   m_peer_exchange.announce_leaving();
+  const auto cut_requests = m_server.active_requests();
+  close_all_sockets();
   log_event(log_level::info, "drain_ended",
-            {{"cut_requests", m_server.active_requests()},
+            {{"cut_requests", cut_requests},
              {"ms", std::chrono::duration_cast<milliseconds>(monotonic_now() - start_time).count()}});
   return 0;
 }
