--- a/packages/gateway/src/peer_report.cpp
+++ b/packages/gateway/src/peer_report.cpp
@@ -209,7 +209,8 @@
   const auto collections = from.getCollections();
   for (unsigned i = 0; i < std::min<unsigned>(collections.size(), report.m_collections.size()); ++i) {
     report.m_collections[i] = {collections[i].getAsOf(), collections[i].getChangedAt(),
-                               milliseconds(collections[i].getAgeMs()), collections[i].getBytes()};
+                               milliseconds(collections[i].getAgeMs()), collections[i].getBytes(),
+                               milliseconds(collections[i].getReadForMs())};
   }
   for (const auto& each : from.getLoads()) {
     report.m_loads.push_back(
@@ -275,6 +276,7 @@
     collections[i].setChangedAt(report.m_collections[i].m_changed_at);
     collections[i].setBytes(report.m_collections[i].m_bytes);
     collections[i].setAgeMs(to_wire_ms(report.m_collections[i].m_age));
+    collections[i].setReadForMs(to_wire_ms(report.m_collections[i].m_read_for));
   }
   auto loads = to.initLoads(static_cast<unsigned>(report.m_loads.size()));
   for (unsigned i = 0; i < loads.size(); ++i) {
@@ -412,9 +414,10 @@
 result<collection_snapshot, malformed_message> decode_snapshot(std::span<const char> bytes) {
   return decode<collection_snapshot>(bytes, [](capnp::MessageReader& message) {
     const auto from = message.getRoot<wire::CollectionSnapshot>();
-    collection_snapshot snapshot{from.getAsOf(), {}};
+    collection_snapshot snapshot{from.getAsOf(), {}, 0};
     for (const auto& each : from.getDocuments()) {
-      snapshot.m_documents.push_back({each.getName().cStr(), each.getRevision(),
+      snapshot.m_documents.push_back({std::string(each.getName().cStr(), each.getName().size()),
+                                      each.getRevision(),
                                       std::string(each.getContent().cStr(), each.getContent().size())});
     }
     return snapshot;
