Make no call to the store while peers pass on its changes, also after an outage

Cause: after each failed call a daemon listed its collections until a list succeeded, also in a large group in which two daemons of each zone read for the others. Lists after an outage were repeated every 400 ms. Change: a daemon to which peers pass on all changes makes no call; after an outage of 1.5 s or more that holds for the servers only if a peer read the store all the time. Lists after an outage are repeated once a second; rare collections are retried every 1.5 s at most.

--- a/packages/gateway/include/cardamompond/gateway/collection_watcher.hpp
+++ b/packages/gateway/include/cardamompond/gateway/collection_watcher.hpp
@@ -43,6 +43,7 @@
   const store_call_counters& counters() const { return m_counters; }
 
 private:
+  bool is_current_through_peers() const;
   void step(); // lists or watches the collection once, or waits while peers keep it up to date
   bool list();
   void wait_for_peer_readers();
--- a/packages/gateway/src/collection_watcher.cpp
+++ b/packages/gateway/src/collection_watcher.cpp
@@ -43,6 +43,16 @@
 constexpr milliseconds min_backoff{50};
 constexpr milliseconds max_backoff{600};
 
+// The same for collections that change rarely and whose changes need not be in force at once. Calls that fail
+// are charged like others.
+constexpr milliseconds max_backoff_of_rare_changes{1'500};
+
+milliseconds max_backoff_for(collection_kind kind) {
+  return kind == collection_kind::declarations || kind == collection_kind::backend_servers
+             ? max_backoff
+             : max_backoff_of_rare_changes;
+}
+
 // In an outage of the store of at least this length, the entries of live backend servers can expire. The
 // servers register again within about two seconds after the store has recovered.
 constexpr duration min_outage_for_expiry = milliseconds(1'500);
@@ -64,7 +74,28 @@
   }
 }
 
+// Whether peers in touch with the store pass on every change, so that neither a list nor a watch brings
+// anything new. After an outage in which entries of servers can have expired, that holds only if a peer read
+// the store all the time.
+bool collection_watcher::is_current_through_peers() const {
+  const time_point now = monotonic_now();
+  if (!m_fleet_view.collection(m_kind).loaded() || now < m_entries_restored_at ||
+      !m_peer_callbacks.m_updated_by_peers(m_kind)) {
+    return false;
+  }
+  const bool may_have_expired = m_kind == collection_kind::backend_servers && m_consecutive_failures > 0 &&
+                                now - m_outage_began >= min_outage_for_expiry;
+  return !may_have_expired || m_peer_callbacks.m_read_by_peers_since(m_kind, m_outage_began);
+}
+
 void collection_watcher::step() {
+  if (is_current_through_peers()) {
+    m_list_next = false;
+    m_consecutive_failures = 0;
+    m_fleet_view.set_read_since(m_kind, {});
+    boost::this_fiber::sleep_for(peer_readers_poll_interval);
+    return;
+  }
   if (m_list_next) {
     const bool first_list = !m_fleet_view.collection(m_kind).loaded();
     if (!list()) {
@@ -79,11 +110,6 @@
     }
     return;
   }
-  if (m_consecutive_failures == 0 && m_peer_callbacks.m_updated_by_peers(m_kind)) {
-    m_fleet_view.set_read_since(m_kind, {});
-    boost::this_fiber::sleep_for(peer_readers_poll_interval);
-    return;
-  }
   watch();
 }
 
@@ -124,9 +150,9 @@
 // Waits before the next list after an outage. Forgets what was kept as soon as a peer shows that it read the
 // store during the outage; a daemon that was cut off hears of its peers only after it has read the store.
 void collection_watcher::wait_for_restored_entries() {
-  constexpr milliseconds relist_interval{400};
+  constexpr milliseconds relist_interval{1'000}; // each list of each daemon is charged
   constexpr milliseconds peers_poll_interval{20};
-  const time_point until = monotonic_now() + relist_interval;
+  const time_point until = std::min<time_point>(monotonic_now() + relist_interval, m_entries_restored_at);
   while (monotonic_now() < until) {
     boost::this_fiber::sleep_for(peers_poll_interval);
     if (m_peer_callbacks.m_read_by_peers_since(m_kind, m_keeping_since)) {
@@ -179,7 +205,7 @@
                {"as_of", m_fleet_view.collection(m_kind).as_of()}});
   }
   const auto doublings = std::min(m_consecutive_failures++, 5U);
-  const auto backoff_limit = std::min(min_backoff * (1U << doublings), max_backoff);
+  const auto backoff_limit = std::min(min_backoff * (1U << doublings), max_backoff_for(m_kind));
   std::uniform_int_distribution<std::int64_t> backoff_ms(backoff_limit.count() / 2, backoff_limit.count());
   boost::this_fiber::sleep_for(milliseconds(backoff_ms(m_random)));
 }
--- a/packages/gateway/tests/collection_watcher_test.cpp
+++ b/packages/gateway/tests/collection_watcher_test.cpp
@@ -56,9 +56,11 @@
   collection_snapshot m_content;
   bool m_available = true;
   bool m_ended = false;
+  int m_calls = 0;
 
 private:
-  bool check() const {
+  bool check() {
+    ++m_calls;
     if (m_ended) {
       throw end_of_test(); // ends the fiber of the watcher
     }
@@ -74,7 +76,7 @@
   watcher_fixture()
       : m_view(m_reader)
       , m_watcher(m_store, m_view, kind,
-                  {[](collection_kind) { return false; }, [] {},
+                  {[this](collection_kind) { return m_updated_by_peers; }, [] {},
                    [this](collection_kind, time_point since) {
                      m_asked_since = since;
                      return m_read_by_peers;
@@ -89,6 +91,7 @@
     });
   }
   ~watcher_fixture() {
+    m_updated_by_peers = false; // the watcher ends with its next call to the store
     m_store.m_ended = true;
     m_fiber.join();
   }
@@ -112,6 +115,7 @@
   name_reader m_reader;
   switchable_store m_store;
   bool m_read_by_peers = false;
+  bool m_updated_by_peers = false;
   time_point m_asked_since;
   time_point m_outage_began;
   fleet_view m_view;
@@ -155,3 +159,33 @@
   boost::this_fiber::sleep_for(milliseconds(200));
   UNSIGNED_LONGS_EQUAL(1, daemon.m_view.backend_servers().size());
 }
+
+// Guards against a list by every daemon of a large group after an outage that only some of them had.
+TEST(collection_watcher, no_list_after_an_outage_while_peers_pass_on_the_changes) {
+  watcher_fixture daemon;
+  boost::this_fiber::sleep_for(milliseconds(1'200)); // the first list and the wait for readers
+  daemon.m_store.m_available = false;
+  boost::this_fiber::sleep_for(milliseconds(1'700));
+  daemon.m_updated_by_peers = true;
+  daemon.m_read_by_peers = true;
+  boost::this_fiber::sleep_for(milliseconds(700)); // a call that had begun and the longest backoff
+  const int calls = daemon.m_store.m_calls;
+  daemon.m_store.m_available = true;
+  boost::this_fiber::sleep_for(milliseconds(700));
+  LONGS_EQUAL(calls, daemon.m_store.m_calls);
+}
+
+// Guards against servers that stay unlisted: peers that did not read the store in the outage either cannot
+// tell which entries expired.
+TEST(collection_watcher, a_list_follows_an_outage_of_all_daemons) {
+  watcher_fixture daemon;
+  daemon.m_updated_by_peers = false;
+  boost::this_fiber::sleep_for(milliseconds(1'200)); // the first list and the wait for readers
+  daemon.m_store.m_available = false;
+  boost::this_fiber::sleep_for(milliseconds(1'700));
+  daemon.m_updated_by_peers = true;
+  const int calls = daemon.m_store.m_calls;
+  daemon.m_store.m_available = true;
+  boost::this_fiber::sleep_for(milliseconds(700));
+  CHECK(daemon.m_store.m_calls > calls);
+}
