--- a/packages/fleet/include/cardamompond/fleet/duty_claim.hpp
+++ b/packages/fleet/include/cardamompond/fleet/duty_claim.hpp
@@ -101,6 +101,9 @@
   // The API rejected the token because it has seen a higher one.
   void token_rejected();
 
+  // A call to the API had no response, so that it may still be executed.
+  void record_unanswered_call(time_point now);
+
   // The API has answered a call of this holder.
   void record_api_answer() { m_api_reached = true; }
 
@@ -162,6 +165,7 @@
   std::uint64_t m_announced_token = 0; // the last one that a peer announced
   time_point m_retry_at;
   time_point m_avoid_until;
+  time_point m_late_calls_until; // until then, unanswered calls may be executed
   std::optional<time_point> m_store_failing_since;
   duration m_retry_delay{};
   std::optional<time_point> m_observed_at;
--- a/packages/fleet/src/duty_claim.cpp
+++ b/packages/fleet/src/duty_claim.cpp
@@ -22,6 +22,10 @@
 // A holder that has failed to reach the store for this long lets others claim the duty.
 constexpr duration store_patience = seconds(2);
 
+// A call without a response may be executed this much later. A property test found the order A, B, A within
+// the lease where a former holder did not wait for its own late calls.
+constexpr duration max_execution_delay = seconds(5);
+
 constexpr duration min_retry_delay = milliseconds(100);
 constexpr duration max_retry_delay = seconds(1);
 
@@ -44,7 +48,8 @@
     , m_known_since(started)
     , m_lease_from(started)
     , m_retry_at(started)
-    , m_avoid_until(started) {}
+    , m_avoid_until(started)
+    , m_late_calls_until(started) {}
 
 void duty_claim::observe_clock(time_point now, duration wall_offset) {
   if (m_observed_at && m_held) {
@@ -110,7 +115,7 @@
     // This process or an earlier one on this machine may have acted before the other holder.
     from = std::max(from, m_started + m_options.m_lease + lease_margin);
     if (m_last_held) {
-      from = std::max(from, *m_last_held + m_options.m_lease + lease_margin);
+      from = std::max(from, std::max(*m_last_held, m_late_calls_until) + m_options.m_lease + lease_margin);
     }
   }
   return from;
@@ -265,6 +270,10 @@
   m_must_read = true;
 }
 
+void duty_claim::record_unanswered_call(time_point now) {
+  m_late_calls_until = now + max_execution_delay;
+}
+
 bool duty_claim::may_act(time_point now) const {
   return m_held && !m_must_read && !m_busy && m_rejected_token != m_known.m_record.m_token &&
          !needs_renewal(now);
--- a/packages/gateway/src/duty_runner.cpp
+++ b/packages/gateway/src/duty_runner.cpp
@@ -254,6 +254,9 @@
     m_claim.record_api_answer();
     return;
   }
+  if (result.m_outcome == duty_call_outcome::no_response) {
+    m_claim.record_unanswered_call(now);
+  }
   if (!m_unreachable_since) {
     m_unreachable_since = now;
   }
