--- a/packages/fleet/include/cardamompond/fleet/capacity_planner.hpp
+++ b/packages/fleet/include/cardamompond/fleet/capacity_planner.hpp
@@ -29,9 +29,9 @@
 };
 
 // Decides how many engines each engine group should have. The requests that run are the arriving work times
-// the time that it takes, so they state the need directly, at whatever speed the engines have. Growth is
-// extrapolated over the boot time and followed at once. The number shrinks in small steps, only to what was
-// enough for the last 30 s at half occupancy.
+// the time that it takes, so they state the need directly, at whatever speed the engines have. The number
+// grows at once when demand has been high for several seconds, and shrinks in small steps, only while at most
+// half of the slots are occupied and to what was enough for the last 20 s.
 class capacity_planner {
 public:
   // Must be called about twice a second for each group.
@@ -56,13 +56,17 @@
   };
   struct state {
     engine_demand m_latest;
-    std::deque<sample> m_samples; // of the last 30 s
+    std::deque<sample> m_samples; // of the remembered time
     std::uint32_t m_in_force = 0;
     time_point m_observed_since;
+    time_point m_listed_grew_at; // last growth of the list before the first order
     std::optional<time_point> m_raised_at;
     std::optional<time_point> m_lowered_at;
   };
-  static double expected_running(const state& group, time_point now);
+  static std::optional<double> mean_running(const state& group, time_point now, duration from_age,
+                                            duration to_age);
+  static double raised_number(const state& group, time_point now);
+  static double lowered_number(const state& group, time_point now);
 
   std::map<engine_group, state> m_groups;
 };
