Check the histories of duties with real daemons under faults

The property test plays the decisions only. This test kills, stops and terminates daemons, cuts them off from the store, and lets the store and the API lose responses and execute calls late.

--- a/tests/soak/duties_test.cpp
+++ b/tests/soak/duties_test.cpp
@@ -5,7 +5,9 @@
 
 #include <algorithm>
 #include <csignal>
+#include <cstdio>
 #include <map>
+#include <random>
 #include <string>
 
 using namespace cardamompond;
@@ -29,7 +31,8 @@
   std::int64_t m_last_window = 0;
 };
 
-usage_history read_history(const platform::standins::duty_api_server& api) {
+// Reads what the API executed; counts the requests of windows from `first_window` on.
+usage_history read_history(const platform::standins::duty_api_server& api, std::int64_t first_window = 0) {
   usage_history history;
   std::map<std::int64_t, boost::json::object> by_window;
   std::map<std::uint64_t, std::string> holders;
@@ -45,7 +48,7 @@
     history.m_shared_tokens += holder->second == call.m_holder ? 0 : 1;
     history.m_last_holder = call.m_holder;
     history.m_last_window = std::max(history.m_last_window, window);
-    if (added) {
+    if (added && window >= first_window) {
       for (const auto& each : counts) {
         history.m_requests += each.value().to_number<std::uint64_t>();
       }
@@ -54,6 +57,46 @@
   return history;
 }
 
+// Disturbs a daemon, the store or the API, and lets some stopped and ended daemons go on.
+void inject_fault(soak_group& group, std::mt19937_64& random) {
+  auto& daemon = group.daemons()[random() % group.daemons().size()];
+  switch (random() % 8) {
+  case 0:
+    daemon.m_process->kill();
+    group.start(daemon);
+    break;
+  case 1:
+    daemon.m_process->signal(SIGSTOP);
+    break;
+  case 2:
+    group.terminate(daemon);
+    break;
+  case 3:
+    daemon.m_store_relay->set_partitioned(random() % 2 == 0);
+    break;
+  case 4:
+    group.store().set_fault(static_cast<platform::standins::store_fault>(random() % 4));
+    break;
+  case 5:
+    group.duty_api().set_faults({.m_lost_response_probability = 0.3, .m_late_execution_probability = 0.3});
+    break;
+  case 6:
+    group.duty_api().set_faults({.m_rate_limit_probability = 0.3, .m_unavailable = random() % 2 == 0});
+    break;
+  default:
+    group.store().set_fault(platform::standins::store_fault::none);
+    break;
+  }
+  for (auto& each : group.daemons()) {
+    if (random() % 3 == 0) {
+      each.m_process->signal(SIGCONT);
+      if (each.m_process->exit_code()) {
+        group.start(each);
+      }
+    }
+  }
+}
+
 } // namespace
 
 TEST_GROUP(duties){// Sends requests in turns to the daemons, and returns how many were answered.
@@ -73,7 +116,12 @@
 
 void await_ready(soak_group& group) {
   for (auto& daemon : group.daemons()) {
-    wait_until("the daemon is ready", milliseconds(9'000), [&] { return group.is_ready(daemon); });
+    wait_until("the daemon is ready", milliseconds(12'000), [&] {
+      if (daemon.m_process->exit_code()) {
+        group.start(daemon); // its drain has ended
+      }
+      return group.is_ready(daemon);
+    });
   }
 }
 
@@ -124,6 +172,44 @@
   LONGS_EQUAL(answered, history.m_requests);
 }
 
+// Guards against two counts for one window, two holders with one token and outdated calls, while daemons are
+// killed, stopped and cut off from the store, and responses of the store and of the API are lost or late; and
+// against a duty that is not carried out correctly afterwards.
+TEST(duties, histories_are_correct_under_faults) {
+  for (const std::uint64_t seed : {1, 2}) {
+    std::printf("seed %d ", static_cast<int>(seed));
+    std::mt19937_64 random(seed);
+    soak_group group(4, 2, seed, usage_settings);
+    await_ready(group);
+    auto& api = group.duty_api();
+    {
+      soak_callers callers(group, 4, seed);
+      const time_point faults_end = monotonic_now() + seconds(15);
+      while (monotonic_now() < faults_end) {
+        inject_fault(group, random);
+        boost::this_fiber::sleep_for(milliseconds(200 + random() % 400));
+      }
+      callers.stop();
+    }
+    api.set_faults({});
+    group.clear_faults();
+    await_ready(group);
+    boost::this_fiber::sleep_for(
+        seconds(3)); // calls on their way are executed, the clocks of peers are known
+    const std::int64_t calm_window = wall_clock_ms() / 1'000 + 1;
+    boost::this_fiber::sleep_for(milliseconds(1'000));
+    soak_callers callers(group, 0, seed + 100);
+    const std::uint64_t answered = send_requests(group, callers, 100);
+    const std::int64_t window = wall_clock_ms() / 1'000;
+    wait_until("the last window is reported", milliseconds(20'000),
+               [&] { return read_history(api).m_last_window >= window; });
+    const auto history = read_history(api, calm_window);
+    LONGS_EQUAL(answered, history.m_requests);
+    LONGS_EQUAL(0, read_history(api).m_differing);
+    LONGS_EQUAL(0, read_history(api).m_shared_tokens);
+  }
+}
+
 // Guards against engine counts that are never ordered: more requests run than the engines have room for.
 TEST(duties, engines_are_ordered_when_they_are_full) {
   soak_group group(3, 1, 1, engine_settings);
