--- a/packages/daemon/src/entry_daemon.cpp
+++ b/packages/daemon/src/entry_daemon.cpp
@@ -3,6 +3,7 @@
 #include "cardamompond/gateway/collection_watcher.hpp"
 #include "cardamompond/gateway/group_maintenance.hpp"
 #include "cardamompond/gateway/peer_exchange.hpp"
+#include "cardamompond/gateway/placement_explainer.hpp"
 #include "cardamompond/gateway/request_handler.hpp"
 #include "cardamompond/platform/object_reader.hpp"
 #include "cardamompond/platform/object_store_client.hpp"
@@ -15,12 +16,15 @@
 #include <boost/fiber/operations.hpp>
 
 #include <algorithm>
+#include <cerrno>
 #include <csignal>
 #include <filesystem>
 #include <random>
 #include <tuple>
 #include <vector>
 
+#include <unistd.h>
+
 namespace cardamompond::daemon {
 namespace {
 
@@ -93,6 +97,16 @@
   return static_cast<std::uint64_t>(wall_clock_ms());
 }
 
+// Closes all descriptors but the standard ones. The last log line may block: a write to a file waits while
+// the disk is busy, although the file shows the line already. Callers must not wait meanwhile on sockets that
+// nobody reads. No fiber may run afterwards.
+void close_all_sockets() {
+  constexpr unsigned first_other_descriptor = 3;
+  if (::close_range(first_other_descriptor, ~0U, 0) != 0) {
+    log_event(log_level::warning, "descriptors_not_closed", {{"errno", errno}});
+  }
+}
+
 } // namespace
 
 class entry_daemon::impl {
@@ -174,6 +188,7 @@
     , m_metrics_server(m_runtime, {.m_address = m_settings.m_metrics_address, .m_max_connections = 64},
                        [this](net::http_exchange& exchange) { serve_metrics(exchange); })
     , m_signal_set(m_runtime.context(), SIGTERM, SIGINT, SIGHUP) {
+  m_admission.dispatcher().set_learned_limits(m_settings.m_learned_limits);
   m_server.set_parse_failure_responder([this](net::http_parse_failure failure) {
     return m_request_handler.make_parse_failure_response(failure);
   });
@@ -193,7 +208,10 @@
         m_store, m_fleet_view, kind,
         gateway::collection_watcher::peer_callbacks{
             [this](gateway::collection_kind of) { return m_group.updated_by_peers(of, monotonic_now()); },
-            [this] { m_peer_exchange.announce_state(); }},
+            [this] { m_peer_exchange.announce_state(); },
+            [this](gateway::collection_kind of, time_point since) {
+              return m_group.is_read_by_peers_since(of, since);
+            }},
         m_random()));
   }
 }
@@ -269,6 +287,10 @@
 }
 
 void entry_daemon::impl::serve_metrics(net::http_exchange& exchange) {
+  if (exchange.request().path() == "/explain") {
+    std::ignore = exchange.respond(gateway::explain_placement(m_admission, exchange.request()));
+    return;
+  }
   if (exchange.request().path() != "/metrics") {
     std::ignore = exchange.respond(make_text_response(404, "not found\n"));
     return;
@@ -392,8 +414,10 @@
     boost::this_fiber::sleep_for(state_check_interval);
   }
   m_peer_exchange.announce_leaving();
+  const auto cut_requests = m_server.active_requests();
+  close_all_sockets();
   log_event(log_level::info, "drain_ended",
-            {{"cut_requests", m_server.active_requests()},
+            {{"cut_requests", cut_requests},
              {"ms", std::chrono::duration_cast<milliseconds>(monotonic_now() - start_time).count()}});
   return 0;
 }
--- a/packages/fleet/src/dispatch_tables.hpp
+++ b/packages/fleet/src/dispatch_tables.hpp
@@ -3,9 +3,11 @@
 #include "cardamompond/core/hash.hpp"
 #include "cardamompond/fleet/blocked_requests.hpp"
 #include "cardamompond/fleet/dispatcher.hpp"
+#include "cardamompond/fleet/server_capacity.hpp"
 
 #include "server_notices.hpp"
 
+#include <array>
 #include <deque>
 #include <map>
 #include <random>
@@ -46,8 +48,16 @@
   time_point m_full_until; // gets no requests until then because it refused one for lack of capacity
   std::uint32_t m_consecutive_refusals = 0; // unexplained ones, see server_health.cpp
 
+  work_time m_work_time;             // by the statements to all daemons
+  std::uint32_t m_own_work_time = 0; // percent, last stated to this daemon
+  time_point m_own_work_time_stated; // when it was
+  std::uint32_t m_own_reading = 0;   // tokens of this daemon's prompts that have no first event yet
+  std::uint32_t m_peer_reading = 0;  // the same of the peers, by their reports
+
   speed_estimator m_own_speed;                       // observed by this daemon
   speed_estimate m_combined_speed = assumed_speed(); // observed by all daemons
+  server_capacity m_capacity;                        // observed by this daemon
+  std::uint32_t m_learned_limit = 0;                 // by all daemons of the zone; 0: no evidence
 };
 
 struct waiting_request {
@@ -74,12 +84,14 @@
   std::string m_server_id;
   std::uint32_t m_prompt_tokens = 0;
   time_point m_granted;
+  bool m_reading = true; // the first event has not arrived
 };
 
 struct peer_row {
   std::optional<blocked_totals> m_blocked; // last reported totals
   std::vector<server_load> m_loads;
   std::unordered_map<std::uint32_t, speed_estimate> m_speeds; // reported less often than the loads
+  std::unordered_map<std::uint32_t, std::uint32_t> m_limits;  // learned limits, reported with the speeds
   time_point m_received;
 };
 
@@ -113,11 +125,22 @@
   bool m_frequent_reports = true; // each daemon receives the reports of all others several times a second
   rollout_controller* m_rollout_controller = nullptr;
   std::mt19937_64 m_random;
+  learned_limits_mode m_learned_limits = learned_limits_mode::automatic;
+  std::map<std::string, milliseconds, std::less<>> m_accepted_pauses; // shortest of the routes, by service
+  std::array<double, urgency_levels>
+      m_typical_prompts{}; // mean length in tokens by urgency level; 0: none seen
+  std::set<std::string, std::less<>> m_stating_services; // their servers have stated their work time
 
   // Ids are unique over all services.
   server_row* find_server(std::string_view id);
 };
 
+// Whether the servers of the service are chosen by expected times and learned limits.
+bool uses_learned_limits(const dispatch_tables& tables, std::string_view service);
+
+// Records a work time that the server stated to this daemon or to a peer.
+void record_work_time(dispatch_tables& tables, server_row& server, std::uint32_t percent, time_point stated);
+
 // Divides the slots of each server as equally as possible among the daemons of its zone. This keeps daemons
 // that have not yet received one another's reports from all choosing the same server.
 void assign_slots(dispatch_tables& tables);
@@ -133,6 +156,12 @@
 // Removes peers whose last report is too old.
 void expire_peer_loads(dispatch_tables& tables, time_point now);
 
+// Recomputes the learned limit of each server from the observations of all daemons that have any.
+void update_learned_limits(dispatch_tables& tables, time_point now);
+
+// Records how long the server took for work, apart from what it states about the moment.
+void record_work(server_row& server, duration took, time_point now);
+
 // Recomputes the speed of each server from the observations of all daemons.
 void update_combined_speeds(dispatch_tables& tables);
 
@@ -173,14 +202,18 @@
 class spare_capacity;
 
 // Returns the best server with capacity for the request, or null. The request leaves `required_free`
-// slots free.
+// slots free. Where learned limits are on, a request that may wait is held back while only servers have
+// capacity that suit it less than others.
 server_row* select_server(dispatch_tables& tables, const submission& request, spare_capacity& spare,
-                          double required_free, time_point now);
+                          double required_free, bool may_wait, time_point now);
 
 // Grants the waiting requests that a server can take and refuses those that have waited too long. Requests
 // are tried in the order of tier, lateness, length, route rank and arrival.
 void process_queues(dispatch_tables& tables, time_point now, std::vector<dispatch_decision>& decisions);
 
+// Returns where the request would go now, without changing anything.
+placement_explanation explain_placement(const dispatch_tables& tables, submission request, time_point now);
+
 // Adds a request to the queue of its service. A request that is unlikely to be dispatched in time is refused
 // by the next call of process_queues unless a server can take it immediately.
 void enqueue(dispatch_tables& tables, submission request, time_point now);
--- a/packages/gateway/include/cardamompond/gateway/peer_group.hpp
+++ b/packages/gateway/include/cardamompond/gateway/peer_group.hpp
@@ -77,6 +77,10 @@
   // content recently enough.
   bool updated_by_peers(collection_kind kind, time_point now) const;
 
+  // Whether a live peer read the collection from the store after the time `since`, and has done so without a
+  // failure since before that time. An outage of the store that this daemon saw from then on was its own.
+  bool is_read_by_peers_since(collection_kind kind, time_point since) const;
+
   // Replaces the addresses of daemons to contact before the members are known.
   void set_seeds(std::vector<std::string> seeds) { m_seeds = std::move(seeds); }
 
@@ -100,11 +104,15 @@
   struct lagging_collection {
     collection_kind m_kind = collection_kind::declarations;
     std::string m_peer_address;
+    std::uint32_t m_bytes = 0; // size of the content
   };
 
   // Returns a collection that peers have had in a newer state for longer than this daemon tolerates.
   std::optional<lagging_collection> find_lagging_collection(time_point now) const;
 
+  // Makes the next fetch of the collection try another peer.
+  void record_fetch_failure(collection_kind kind) { ++m_fetch_failures[static_cast<std::size_t>(kind)]; }
+
   // Number of peers that reported recently. This daemon is not counted.
   std::size_t live_peer_count() const { return m_peers.size(); }
 
@@ -142,7 +150,9 @@
   bool has_digest_turn() const;
   std::vector<std::string> next_digest_targets();
   duration silence_timeout(const peer& remote) const;
-  void apply_quota_use(peer& remote, const peer_report& report, bool restarted, time_point now);
+  void handle_report(const peer_report& report, time_point received, time_point now);
+  void apply_quota_use(peer& remote, const peer_report& report, bool restarted, time_point received,
+                       time_point now);
   void compare_collections(peer& remote, const peer_report& report, time_point now);
 
   admission_controller& m_admission;
@@ -157,6 +167,7 @@
   std::size_t m_next_same_zone_index = 0;
   std::size_t m_next_other_zones_index = 0;
   std::size_t m_next_digest_target = 0;
+  std::array<std::uint64_t, all_collection_kinds.size()> m_fetch_failures{}; // since the start
   // Numbers of other daemons whose addresses were known at the last round.
   std::size_t m_same_zone_count = 0;
   std::size_t m_other_zones_count = 0;
--- a/packages/gateway/src/exchange.capnp.h
+++ b/packages/gateway/src/exchange.capnp.h
@@ -48,7 +48,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8a8c133f02360274, 3, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(8a8c133f02360274, 4, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -307,6 +307,8 @@
 
   inline  ::uint32_t getBytes() const;
 
+  inline  ::uint32_t getReadForMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -347,6 +349,9 @@
   inline  ::uint32_t getBytes();
   inline void setBytes( ::uint32_t value);
 
+  inline  ::uint32_t getReadForMs();
+  inline void setReadForMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -408,6 +413,12 @@
 
   inline  ::uint32_t getInstance() const;
 
+  inline  ::uint8_t getWorkTime() const;
+
+  inline  ::uint8_t getAgeAndReading() const;
+
+  inline  ::uint8_t getLimit() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -463,6 +474,15 @@
   inline  ::uint32_t getInstance();
   inline void setInstance( ::uint32_t value);
 
+  inline  ::uint8_t getWorkTime();
+  inline void setWorkTime( ::uint8_t value);
+
+  inline  ::uint8_t getAgeAndReading();
+  inline void setAgeAndReading( ::uint8_t value);
+
+  inline  ::uint8_t getLimit();
+  inline void setLimit( ::uint8_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1994,6 +2014,20 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t CollectionState::Reader::getReadForMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CollectionState::Builder::getReadForMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void CollectionState::Builder::setReadForMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t ServerLoad::Reader::getServer() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2120,6 +2154,48 @@
       ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint8_t ServerLoad::Reader::getWorkTime() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<25>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t ServerLoad::Builder::getWorkTime() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<25>() * ::capnp::ELEMENTS);
+}
+inline void ServerLoad::Builder::setWorkTime( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<25>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t ServerLoad::Reader::getAgeAndReading() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<26>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t ServerLoad::Builder::getAgeAndReading() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<26>() * ::capnp::ELEMENTS);
+}
+inline void ServerLoad::Builder::setAgeAndReading( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<26>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t ServerLoad::Reader::getLimit() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<27>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t ServerLoad::Builder::getLimit() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<27>() * ::capnp::ELEMENTS);
+}
+inline void ServerLoad::Builder::setLimit( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<27>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t QuotaUse::Reader::getAccount() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/packages/gateway/src/peer_group.cpp
+++ b/packages/gateway/src/peer_group.cpp
@@ -96,6 +96,11 @@
     , m_next_digest_target(hash64(m_self.m_name)) {}
 
 void peer_group::handle_report(const peer_report& report, time_point received) {
+  handle_report(report, received, received);
+}
+
+// `received` is when this daemon or, for a relayed report, the daemon that relayed it received the report.
+void peer_group::handle_report(const peer_report& report, time_point received, time_point now) {
   if (report.m_daemon == m_self.m_name || report.m_daemon.empty()) {
     return;
   }
@@ -108,6 +113,7 @@
   if (report.m_leaving) {
     if (known != m_peers.end()) {
       m_peers.erase(known);
+      m_admission.quotas().remove_remote_daemon(hash64(report.m_daemon));
       m_admission.dispatcher().set_peer_loads(report.m_daemon, {}, received);
       if (m_duty_peers != nullptr) {
         m_duty_peers->forget(report.m_daemon);
@@ -133,7 +139,7 @@
     m_duty_peers->handle_report(report, received);
   }
   compare_collections(remote, report, received);
-  apply_quota_use(remote, report, restarted, received);
+  apply_quota_use(remote, report, restarted, received, now);
   m_admission.dispatcher().set_peer_loads(report.m_daemon, report.m_loads, received);
   if (is_small_group() || report.m_availability_zone == m_self.m_availability_zone) {
     m_admission.dispatcher().set_peer_blocked(report.m_daemon, report.m_blocked, received);
@@ -161,7 +167,7 @@
       ++malformed;
     } else {
       report->m_availability_zone = digest.m_availability_zone;
-      handle_report(*report, now - std::clamp<duration>(age, duration::zero(), max_digest_age));
+      handle_report(*report, now - std::clamp<duration>(age, duration::zero(), max_digest_age), now);
     }
   }
   return malformed;
@@ -200,6 +206,7 @@
     });
     for (auto& load : shortened.m_loads) {
       load.m_speed = {};
+      load.m_learned_limit = 0;
     }
     add(std::move(shortened), age);
   }
@@ -227,17 +234,37 @@
 // Takes what the peer admitted since its last report out of the quotas. What it admitted before the first
 // report that this daemon received is not counted: it was admitted either before the time that the quotas
 // cover or out of the share that was reserved for the peer.
-void peer_group::apply_quota_use(peer& remote, const peer_report& report, bool restarted, time_point now) {
+void peer_group::apply_quota_use(peer& remote, const peer_report& report, bool restarted, time_point received,
+                                 time_point now) {
   if (restarted) {
     remote.m_quota_use.clear();
     remote.m_has_full_quota_use = false;
   }
+  fleet::account_quotas& quotas = m_admission.quotas();
+  const std::uint64_t daemon = hash64(report.m_daemon);
+  const bool late = !is_small_group() && remote.m_availability_zone != m_self.m_availability_zone;
+  if (restarted || !late) {
+    quotas.remove_remote_daemon(daemon);
+  }
+  std::map<std::uint32_t, double> added_units;
   for (const auto& [account, units] : report.m_quota_use) {
     const auto [previous_total, added] =
         remote.m_quota_use.try_emplace(account, remote.m_has_full_quota_use ? 0 : units);
-    m_admission.quotas().record_peer_use(account, units - previous_total->second, now);
+    added_units[account] = units - previous_total->second;
     previous_total->second = units;
   }
+  for (const auto& [account, units] : added_units) {
+    if (!late) {
+      quotas.record_peer_use(account, units, received);
+    }
+  }
+  for (const auto& [account, total] : remote.m_quota_use) {
+    if (late) { // an account that the report leaves out was not used since the previous one
+      const auto found = added_units.find(account);
+      const double units = found == added_units.end() ? 0 : found->second;
+      quotas.record_remote_use(daemon, account, units, received, m_same_zone_count + 1, now);
+    }
+  }
   remote.m_has_full_quota_use = remote.m_has_full_quota_use || !report.m_recent_use_only;
 }
 
@@ -284,6 +311,7 @@
     if (m_duty_peers != nullptr) {
       m_duty_peers->forget(each->first);
     }
+    m_admission.quotas().remove_remote_daemon(hash64(each->first));
     each = m_peers.erase(each);
   }
   std::map<std::string, std::string> zones = {{m_self.m_name, m_self.m_availability_zone}}; // by daemon name
@@ -319,13 +347,18 @@
     const auto& from = m_admission.known_fleet().collection(kind);
     report.m_collections[static_cast<std::size_t>(kind)] = {
         from.as_of(), from.changed_at(), std::chrono::duration_cast<milliseconds>(now - from.confirmed_at()),
-        static_cast<std::uint32_t>(from.bytes())};
+        static_cast<std::uint32_t>(from.bytes()),
+        from.read_since() == time_point{}
+            ? milliseconds(0)
+            : std::chrono::duration_cast<milliseconds>(now - from.read_since())};
   }
   for (auto& load : m_admission.dispatcher().own_loads(now)) {
     if (!with_speeds) {
       load.m_speed = {};
+      load.m_learned_limit = 0;
     }
-    if (load.m_running > 0 || load.m_failing || load.m_leaving || load.m_speed.m_samples > 0) {
+    if (load.m_running > 0 || load.m_failing || load.m_leaving || load.m_speed.m_samples > 0 ||
+        load.m_work_time.m_percent > 0) {
       report.m_loads.push_back(load);
     }
   }
@@ -465,6 +498,15 @@
   return now - m_admission.known_fleet().collection(kind).confirmed_at() < limit;
 }
 
+bool peer_group::is_read_by_peers_since(collection_kind kind, time_point since) const {
+  return std::any_of(m_peers.begin(), m_peers.end(), [&](const auto& each) {
+    const peer& remote = each.second;
+    const collection_state& state = remote.m_collections[static_cast<std::size_t>(kind)];
+    return state.m_read_for > milliseconds(0) && remote.m_last_report_at - state.m_read_for <= since &&
+           remote.m_last_report_at - state.m_age > since;
+  });
+}
+
 std::optional<peer_group::lagging_collection> peer_group::find_lagging_collection(time_point now) const {
   for (const auto kind : all_collection_kinds) {
     const auto index = static_cast<std::size_t>(kind);
@@ -477,18 +519,20 @@
       const bool ahead = each.m_collections[index].m_changed_at > own_revision &&
                          each.m_ahead_since[index] != time_point{} &&
                          now - each.m_ahead_since[index] >= min_lag;
-      // Prefers peers in the same zone, since traffic between zones is charged, and spreads the fetches over
-      // the peers by a hash.
+      // Prefers peers in the same zone, since traffic between zones is charged. The hash differs for each
+      // daemon and after each failure: when all daemons start at once, a peer that all fetch from serves none
+      // in time.
       const auto preference = [&](const peer& remote) {
-        return std::pair(remote.m_availability_zone == m_self.m_availability_zone,
-                         hash64(remote.m_address, own_revision));
+        return std::pair(
+            remote.m_availability_zone == m_self.m_availability_zone,
+            hash64(remote.m_address, hash64(m_self.m_name, own_revision + m_fetch_failures[index])));
       };
       if (ahead && (best_source == nullptr || preference(each) > preference(*best_source))) {
         best_source = &each;
       }
     }
     if (best_source != nullptr) {
-      return lagging_collection{kind, best_source->m_address};
+      return lagging_collection{kind, best_source->m_address, best_source->m_collections[index].m_bytes};
     }
   }
   return std::nullopt;
--- a/packages/gateway/src/peer_report.cpp
+++ b/packages/gateway/src/peer_report.cpp
@@ -100,6 +100,40 @@
       std::clamp<std::int64_t>(value.count(), 0, std::numeric_limits<std::uint32_t>::max()));
 }
 
+std::uint8_t to_wire_byte(std::int64_t value) {
+  return static_cast<std::uint8_t>(
+      std::clamp<std::int64_t>(value, 0, std::numeric_limits<std::uint8_t>::max()));
+}
+
+constexpr unsigned wire_nibble_bits = 4;
+constexpr unsigned max_wire_nibble = 15;
+
+unsigned to_wire_nibble(std::int64_t value) {
+  return static_cast<unsigned>(std::clamp<std::int64_t>(value, 0, max_wire_nibble));
+}
+
+constexpr milliseconds work_time_age_unit{32};
+constexpr std::uint32_t reading_tokens_unit = 1'024;
+
+// Steps of an encoded work time per factor of e. One step is about 3%.
+constexpr double work_time_steps = 33;
+
+std::uint8_t encode_work_time(std::uint32_t percent) {
+  if (percent < fleet::min_work_time_percent) {
+    return 0;
+  }
+  const double ratio = static_cast<double>(percent) / fleet::min_work_time_percent;
+  return to_wire_byte(1 + std::lround(work_time_steps * std::log(ratio)));
+}
+
+std::uint32_t decode_work_time(std::uint8_t encoded) {
+  if (encoded == 0) {
+    return 0;
+  }
+  const double percent = fleet::min_work_time_percent * std::exp((encoded - 1) / work_time_steps);
+  return std::min(fleet::max_work_time_percent, static_cast<std::uint32_t>(std::lround(percent)));
+}
+
 void encode_part_suspicions(const std::vector<fleet::part_suspicion>& from, wire::Report::Builder to) {
   auto list = to.initParts(static_cast<unsigned>(from.size()));
   for (unsigned i = 0; i < list.size(); ++i) {
@@ -175,7 +209,8 @@
   const auto collections = from.getCollections();
   for (unsigned i = 0; i < std::min<unsigned>(collections.size(), report.m_collections.size()); ++i) {
     report.m_collections[i] = {collections[i].getAsOf(), collections[i].getChangedAt(),
-                               milliseconds(collections[i].getAgeMs()), collections[i].getBytes()};
+                               milliseconds(collections[i].getAgeMs()), collections[i].getBytes(),
+                               milliseconds(collections[i].getReadForMs())};
   }
   for (const auto& each : from.getLoads()) {
     report.m_loads.push_back(
@@ -185,7 +220,11 @@
           non_negative_or_zero(each.getEventS()), non_negative_or_zero(each.getSamples())},
          each.getFailing(),
          each.getLeaving(),
-         each.getInstance()});
+         each.getInstance(),
+         {decode_work_time(each.getWorkTime()),
+          (each.getAgeAndReading() & max_wire_nibble) * work_time_age_unit},
+         (each.getAgeAndReading() >> wire_nibble_bits) * reading_tokens_unit,
+         each.getLimit()});
   }
   for (const auto& each : from.getQuotaUse()) {
     report.m_quota_use.emplace_back(each.getAccount(), finite_or_zero(each.getUnits()));
@@ -237,11 +276,13 @@
     collections[i].setChangedAt(report.m_collections[i].m_changed_at);
     collections[i].setBytes(report.m_collections[i].m_bytes);
     collections[i].setAgeMs(to_wire_ms(report.m_collections[i].m_age));
+    collections[i].setReadForMs(to_wire_ms(report.m_collections[i].m_read_for));
   }
   auto loads = to.initLoads(static_cast<unsigned>(report.m_loads.size()));
   for (unsigned i = 0; i < loads.size(); ++i) {
     loads[i].setServer(report.m_loads[i].m_server);
-    const auto& [server, running, speed, failing, leaving, instance] = report.m_loads[i];
+    const auto& [server, running, speed, failing, leaving, instance, work_time, reading_tokens,
+                 learned_limit] = report.m_loads[i];
     loads[i].setRunning(running);
     loads[i].setBaseS(static_cast<float>(speed.m_base_s));
     loads[i].setPromptSPerToken(static_cast<float>(speed.m_prompt_s_per_token));
@@ -250,6 +291,12 @@
     loads[i].setFailing(failing);
     loads[i].setLeaving(leaving);
     loads[i].setInstance(instance);
+    loads[i].setWorkTime(encode_work_time(work_time.m_percent));
+    loads[i].setAgeAndReading(static_cast<std::uint8_t>(
+        to_wire_nibble(work_time.m_age / work_time_age_unit) |
+        to_wire_nibble((reading_tokens + reading_tokens_unit / 2) / reading_tokens_unit)
+            << wire_nibble_bits));
+    loads[i].setLimit(to_wire_byte(learned_limit));
   }
   auto quota_use = to.initQuotaUse(static_cast<unsigned>(report.m_quota_use.size()));
   for (unsigned i = 0; i < quota_use.size(); ++i) {
@@ -367,9 +414,10 @@
 result<collection_snapshot, malformed_message> decode_snapshot(std::span<const char> bytes) {
   return decode<collection_snapshot>(bytes, [](capnp::MessageReader& message) {
     const auto from = message.getRoot<wire::CollectionSnapshot>();
-    collection_snapshot snapshot{from.getAsOf(), {}};
+    collection_snapshot snapshot{from.getAsOf(), {}, 0};
     for (const auto& each : from.getDocuments()) {
-      snapshot.m_documents.push_back({each.getName().cStr(), each.getRevision(),
+      snapshot.m_documents.push_back({std::string(each.getName().cStr(), each.getName().size()),
+                                      each.getRevision(),
                                       std::string(each.getContent().cStr(), each.getContent().size())});
     }
     return snapshot;
