--- a/packages/fleet/include/cardamompond/fleet/capacity_planner.hpp
+++ b/packages/fleet/include/cardamompond/fleet/capacity_planner.hpp
@@ -2,12 +2,12 @@
 
 #include "cardamompond/core/time.hpp"
 
-#include <compare>
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 
 namespace cardamompond::fleet {
 
@@ -15,7 +15,9 @@
 struct engine_group {
   std::string m_service;
   std::string m_availability_zone;
-  friend auto operator<=>(const engine_group&, const engine_group&) = default;
+  friend bool operator<(const engine_group& a, const engine_group& b) {
+    return std::tie(a.m_service, a.m_availability_zone) < std::tie(b.m_service, b.m_availability_zone);
+  }
 };
 
 // What is known about an engine group at one moment.
--- a/packages/fleet/include/cardamompond/fleet/usage_windows.hpp
+++ b/packages/fleet/include/cardamompond/fleet/usage_windows.hpp
@@ -2,11 +2,10 @@
 
 #include "cardamompond/core/time.hpp"
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <span>
+#include <tuple>
 #include <vector>
 
 namespace cardamompond::fleet {
@@ -15,7 +14,10 @@
 struct usage_source {
   std::uint64_t m_daemon = 0; // hash of the daemon's name
   std::uint64_t m_incarnation = 0;
-  friend auto operator<=>(const usage_source&, const usage_source&) = default;
+  friend bool operator==(const usage_source&, const usage_source&) = default;
+  friend bool operator<(const usage_source& a, const usage_source& b) {
+    return std::tie(a.m_daemon, a.m_incarnation) < std::tie(b.m_daemon, b.m_incarnation);
+  }
 };
 
 // The number of requests of an account that began to run at one source in a window.
--- a/packages/gateway/src/duty_runner.cpp
+++ b/packages/gateway/src/duty_runner.cpp
@@ -33,6 +33,7 @@
 constexpr duration api_avoidance_time = seconds(10);
 
 constexpr duration rate_limit_pause = milliseconds(500);
+constexpr duration rejection_pause = seconds(1);
 constexpr duration failure_pause = milliseconds(200);
 
 // Calls may come from the previous holder in the same second, so the holder uses only a part of the rate.
@@ -137,6 +138,9 @@
   const auto announced = m_with.m_peers->holder_of(m_duty, monotonic_now());
   now.m_announced_token = announced ? announced->m_token : 0;
   now.m_known_holder_live = m_with.m_group->is_live(m_claim.known_holder());
+  if (announced || m_claim.holds()) {
+    return now; // the order of the daemons, whose cost grows with the group, is not needed
+  }
   const auto key = fleet::to_string(m_duty);
   const auto& self = m_with.m_group->self();
   const auto zone = m_with.m_peers->last_zone_of(m_duty);
@@ -241,9 +245,10 @@
                {"token", m_claim.record().m_token},
                {"result", to_string(result.m_outcome)},
                {"reason", result.m_reason}});
-    m_next_call =
-        now + std::max(m_call_interval, result.m_outcome == duty_call_outcome::rate_limited ? rate_limit_pause
-                                                                                            : failure_pause);
+    const duration pause = result.m_outcome == duty_call_outcome::rate_limited ? rate_limit_pause
+                           : result.m_outcome == duty_call_outcome::rejected   ? rejection_pause
+                                                                               : failure_pause;
+    m_next_call = now + std::max(m_call_interval, pause);
   }
   if (result.m_outcome == duty_call_outcome::outdated_token) {
     m_claim.token_rejected();
--- a/packages/gateway/src/engine_duty.cpp
+++ b/packages/gateway/src/engine_duty.cpp
@@ -96,7 +96,8 @@
     }
   }
   // The largest increase first, since the rate of calls is limited.
-  std::sort(wanted.begin(), wanted.end(), std::greater<>());
+  std::sort(wanted.begin(), wanted.end(),
+            [](const auto& a, const auto& b) { return std::get<0>(a) > std::get<0>(b); });
   for (const auto& [increase, group, engines] : wanted) {
     if (!send(runner, group, engines)) {
       return;
--- a/packages/gateway/src/gateway_settings.cpp
+++ b/packages/gateway/src/gateway_settings.cpp
@@ -162,7 +162,9 @@
   constexpr double max_ms = 3'600'000;
   duty_settings duty;
   duty.m_name = name;
-  for (const auto& [key, node] : table) {
+  for (const auto& entry : table) {
+    const auto& key = entry.first;
+    const auto& node = entry.second;
     const std::string full = full_name(section, key.str());
     const auto number = node.value<double>();
     const auto read_ms = [&](double ms_per_unit, milliseconds& value) {
--- a/packages/gateway/src/peer_report.cpp
+++ b/packages/gateway/src/peer_report.cpp
@@ -1,11 +1,8 @@
 #include "cardamompond/gateway/peer_report.hpp"
 
-#include "exchange.capnp.h"
+#include "usage_message.hpp"
 
 #include <capnp/message.h>
-#include <capnp/serialize-packed.h>
-#include <kj/exception.h>
-#include <kj/io.h>
 
 #include <algorithm>
 #include <array>
@@ -15,29 +12,6 @@
 namespace cardamompond::gateway {
 namespace {
 
-// Limit on the words of eight bytes that decoding a message may read; far above what daemons send.
-constexpr std::uint64_t max_message_words = 4U << 20U;
-
-std::string serialize_packed(capnp::MallocMessageBuilder& message) {
-  kj::VectorOutputStream out;
-  capnp::writePackedMessage(out, message);
-  const auto bytes = out.getArray();
-  return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
-}
-
-template <typename T, typename Read>
-result<T, malformed_message> decode(std::span<const char> bytes, Read read) {
-  try {
-    kj::ArrayInputStream in(kj::arrayPtr(reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
-    capnp::ReaderOptions options;
-    options.traversalLimitInWords = max_message_words;
-    capnp::PackedMessageReader message(in, options);
-    return read(message);
-  } catch (const kj::Exception& error) {
-    return malformed_message{error.getDescription().cStr()};
-  }
-}
-
 double finite_or_zero(double value) {
   return std::isfinite(value) ? value : 0;
 }
@@ -166,25 +140,6 @@
   return suspicions;
 }
 
-void write_usage(const fleet::usage_statement& from, wire::UsageStatement::Builder to) {
-  to.setDaemon(from.m_source.m_daemon);
-  to.setIncarnation(from.m_source.m_incarnation);
-  auto counts = to.initCounts(static_cast<unsigned>(from.m_counts.size()));
-  for (unsigned i = 0; i < counts.size(); ++i) {
-    counts[i].setWindow(from.m_counts[i].m_window);
-    counts[i].setAccount(from.m_counts[i].m_account);
-    counts[i].setCount(from.m_counts[i].m_count);
-  }
-}
-
-fleet::usage_statement read_usage(wire::UsageStatement::Reader from) {
-  fleet::usage_statement statement{{from.getDaemon(), from.getIncarnation()}, {}};
-  for (const auto& each : from.getCounts()) {
-    statement.m_counts.push_back({each.getWindow(), each.getAccount(), each.getCount()});
-  }
-  return statement;
-}
-
 // Duties that this version does not know are left out.
 std::vector<std::pair<fleet::duty, std::uint64_t>> read_held_duties(wire::Report::Reader from) {
   std::vector<std::pair<fleet::duty, std::uint64_t>> duties;
@@ -326,33 +281,6 @@
   return serialize_packed(message);
 }
 
-std::string encode_usage(const fleet::usage_statement& statement) {
-  capnp::MallocMessageBuilder message;
-  write_usage(statement, message.initRoot<wire::Report>().initUsage());
-  return serialize_packed(message);
-}
-
-std::string encode_usage_list(std::span<const fleet::usage_statement> statements) {
-  capnp::MallocMessageBuilder message;
-  auto list =
-      message.initRoot<wire::UsageStatements>().initStatements(static_cast<unsigned>(statements.size()));
-  for (unsigned i = 0; i < list.size(); ++i) {
-    write_usage(statements[i], list[i]);
-  }
-  return serialize_packed(message);
-}
-
-result<std::vector<fleet::usage_statement>, malformed_message>
-decode_usage_list(std::span<const char> bytes) {
-  return decode<std::vector<fleet::usage_statement>>(bytes, [](capnp::MessageReader& message) {
-    std::vector<fleet::usage_statement> statements;
-    for (const auto& each : message.getRoot<wire::UsageStatements>().getStatements()) {
-      statements.push_back(read_usage(each));
-    }
-    return statements;
-  });
-}
-
 std::string encode_digest(const report_digest& digest) {
   capnp::MallocMessageBuilder message;
   auto to = message.initRoot<wire::Report>();
--- a/packages/gateway/tests/peer_report_test.cpp
+++ b/packages/gateway/tests/peer_report_test.cpp
@@ -4,6 +4,8 @@
 
 #include <limits>
 #include <random>
+#include <variant>
+#include <vector>
 
 using namespace cardamompond;
 using namespace cardamompond::gateway;
@@ -149,3 +151,26 @@
   UNSIGNED_LONGS_EQUAL(11, read->m_documents.front().m_revision);
   CHECK(read->m_documents.front().m_content == content);
 }
+
+// Guards against clocks, duties and counts that arrive as other values, and against a statement that is taken
+// for a report.
+TEST(peer_report, duties_and_usage_round_trip) {
+  auto report = make_report();
+  report.m_wall_clock_ms = 1'765'000'000'123;
+  report.m_held_duties = {{fleet::duty::engine_counts, 7}};
+  const auto read = decode_report(encode_report(report));
+  CHECK(read->m_wall_clock_ms == report.m_wall_clock_ms);
+  CHECK(read->m_held_duties == report.m_held_duties);
+
+  const fleet::usage_statement statement{{5, 6}, {{353'445'120, 0xffffffffU, 412}}};
+  const auto message = decode_message(encode_usage(statement));
+  const auto* stated = std::get_if<fleet::usage_statement>(&*message);
+  CHECK(stated != nullptr);
+  CHECK(stated->m_source == statement.m_source);
+  CHECK(stated->m_counts[0].m_window == 353'445'120);
+  UNSIGNED_LONGS_EQUAL(0xffffffffU, stated->m_counts[0].m_account);
+  UNSIGNED_LONGS_EQUAL(412, stated->m_counts[0].m_count);
+  CHECK_FALSE(decode_report(encode_usage(statement)).has_value());
+  const auto list = decode_usage_list(encode_usage_list(std::vector{statement, statement}));
+  UNSIGNED_LONGS_EQUAL(2, list->size());
+}
