--- a/packages/daemon/src/entry_daemon.cpp
+++ b/packages/daemon/src/entry_daemon.cpp
@@ -247,6 +247,7 @@
                       static_cast<double>(leaving.m_stated));
   m_metrics.set_gauge("cardamompond_backend_servers_leaving", "source", "peers",
                       static_cast<double>(leaving.m_reported));
+  m_admission.export_learned_limits(m_metrics, now);
   m_metrics.set_counter("cardamompond_backend_connections_total",
                         static_cast<double>(m_backend_connections.connections_opened()));
   m_metrics.set_counter("cardamompond_documents_unreadable_total",
--- a/packages/fleet/include/cardamompond/fleet/dispatcher.hpp
+++ b/packages/fleet/include/cardamompond/fleet/dispatcher.hpp
@@ -120,6 +120,16 @@
   std::uint32_t m_learned_limit = 0;  // see server_capacity; 0: no evidence
 };
 
+// What was learned of the listed servers of one service.
+struct service_capacity {
+  std::string m_service;
+  std::size_t m_servers = 0;
+  std::uint32_t m_slots = 0;
+  std::uint32_t m_limit = 0;     // sum of the learned limits
+  std::size_t m_disturbed = 0;   // servers that are disturbed at the moment
+  double m_expected_first_s = 0; // mean time to the first event of a request without a prompt
+};
+
 // A daemon and its availability zone.
 struct daemon_location {
   std::string m_name;
@@ -238,6 +248,13 @@
   // Returns where the request would go if it was submitted now, and why. Nothing is reserved or changed.
   placement_explanation explain(submission request, time_point now) const;
 
+  // Returns what was learned of the servers of each service with learned limits.
+  std::vector<service_capacity> capacities(time_point now) const;
+
+  // Returns how many requests were sent to a server that does not suit them, because they would have been
+  // refused otherwise.
+  std::uint64_t last_resort_count() const;
+
   // Numbers of listed servers that stated to this daemon, or only to peers, that they leave.
   struct leaving_counts {
     std::size_t m_stated = 0;
--- a/packages/fleet/include/cardamompond/fleet/work_time.hpp
+++ b/packages/fleet/include/cardamompond/fleet/work_time.hpp
@@ -37,6 +37,9 @@
   // lasting value within the time in which the statements are seen to change.
   double expected(time_point now) const;
 
+  // Whether the server is expected to be slower now than it lastingly is.
+  bool is_disturbed(time_point now) const;
+
   // Returns the age of the latest statement, or nothing without any.
   std::optional<duration> age(time_point now) const;
 
--- a/packages/fleet/src/dispatch_tables.hpp
+++ b/packages/fleet/src/dispatch_tables.hpp
@@ -125,6 +125,7 @@
   bool m_frequent_reports = true; // each daemon receives the reports of all others several times a second
   rollout_controller* m_rollout_controller = nullptr;
   std::mt19937_64 m_random;
+  std::uint64_t m_last_resorts = 0; // see dispatcher::last_resort_count
   learned_limits_mode m_learned_limits = learned_limits_mode::automatic;
   std::map<std::string, milliseconds, std::less<>> m_accepted_pauses; // shortest of the routes, by service
   std::array<double, urgency_levels>
--- a/packages/fleet/src/dispatcher.cpp
+++ b/packages/fleet/src/dispatcher.cpp
@@ -1,6 +1,6 @@
 #include "cardamompond/fleet/dispatcher.hpp"
 
-#include "dispatch_tables.hpp"
+#include "dispatcher_impl.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -11,10 +11,6 @@
 // Upper bound of the cold period that a server or its entry may state.
 constexpr duration max_cold = seconds(60);
 
-// Time for which peers are told that a server leaves. The store shows it by then, or its own answers to the
-// peers do.
-constexpr duration leaving_report_time = seconds(10);
-
 // Upper bound of the pause that a server may ask for. A server that asks for more has a fault and is tried
 // again once a minute, as one that states a long cold period.
 constexpr milliseconds max_pause{60'000};
@@ -22,17 +18,6 @@
 // The pause of a server that asks for one but does not state its length readably.
 constexpr milliseconds unreadable_pause{1'000};
 
-// The most blocked requests that one report of a peer adds, so that a wrong total holds back other requests
-// for a moment only. Daemons report several times a second.
-constexpr std::uint32_t max_blocked_per_report = 50;
-
-// Time for which peers are told a work time that a server stated. Later statements of the server reach them
-// by other daemons.
-constexpr duration work_time_report_time = milliseconds(500);
-
-// The most prompt tokens that a report of a peer may state as being processed by one server.
-constexpr std::uint32_t max_reported_reading_tokens = 1'000'000;
-
 // How long a silent server receives no new requests. It covers several of the checks that report the silence.
 constexpr duration silence_exclusion = milliseconds(300);
 
@@ -42,15 +27,6 @@
   server.m_max_reservation = declared.m_max_reservation;
 }
 
-// Records a work time that a server stated to a peer.
-void record_peer_work_time(dispatch_tables& tables, const server_load& load, time_point received) {
-  const auto found = tables.m_servers_by_hash.find(load.m_server);
-  if (found != tables.m_servers_by_hash.end() && tables.m_learned_limits != learned_limits_mode::off) {
-    record_work_time(tables, *found->second, load.m_work_time.m_percent,
-                     received - std::max(duration::zero(), load.m_work_time.m_age));
-  }
-}
-
 } // namespace
 
 std::uint32_t server_id_hash(std::string_view id) {
@@ -70,26 +46,6 @@
   return nullptr;
 }
 
-class dispatcher::impl {
-public:
-  dispatch_tables m_tables;
-  time_point m_peer_loads_expired; // last call of expire_peer_loads
-  time_point m_speeds_updated;     // last call of update_combined_speeds
-  time_point m_last_tick;
-
-  void erase_unlisted_servers();
-
-  // Erases the row of a server that is no longer listed, after its last request.
-  void erase_if_unused(const server_row& server) {
-    if (!server.m_listed && server.m_own_running == 0) {
-      erase_unlisted_servers();
-    }
-  }
-
-  // Removes a running request. Returns its server, or null if the request is unknown or the server is gone.
-  server_row* erase_running(ticket request);
-};
-
 server_row* dispatcher::impl::erase_running(ticket request) {
   const auto found = m_tables.m_running.find(request);
   if (found == m_tables.m_running.end()) {
@@ -255,26 +211,6 @@
   }
 }
 
-void dispatcher::record_work_time(std::string_view server_id, std::uint32_t percent, time_point now) {
-  server_row* server = m_impl->m_tables.find_server(server_id);
-  if (server == nullptr || m_impl->m_tables.m_learned_limits == learned_limits_mode::off) {
-    return;
-  }
-  fleet::record_work_time(m_impl->m_tables, *server, percent, now);
-  if (server->m_work_time.age(now) == duration::zero()) {
-    server->m_own_work_time = percent;
-    server->m_own_work_time_stated = now;
-  }
-}
-
-void dispatcher::set_learned_limits(learned_limits_mode mode) {
-  m_impl->m_tables.m_learned_limits = mode;
-}
-
-bool dispatcher::learned_limits_enabled(std::string_view service) const {
-  return uses_learned_limits(m_impl->m_tables, service);
-}
-
 bool dispatcher::record_leaving(const backend_server& server, time_point now) {
   const bool is_new = m_impl->m_tables.m_notices.record_leaving(server, now);
   update_notices(m_impl->m_tables);
@@ -391,67 +327,6 @@
   }
 }
 
-void dispatcher::set_peer_loads(std::string_view daemon, std::span<const server_load> loads, time_point now) {
-  auto& peer = m_impl->m_tables.m_peers[std::string(daemon)];
-  replace_peer_loads(m_impl->m_tables, peer, loads);
-  peer.m_received = now;
-  for (const auto& load : loads) {
-    if (load.m_speed.m_samples > 0) {
-      peer.m_speeds[load.m_server] = load.m_speed;
-      if (load.m_learned_limit > 0) {
-        peer.m_limits[load.m_server] = load.m_learned_limit;
-      } else {
-        peer.m_limits.erase(load.m_server);
-      }
-    }
-    if (load.m_work_time.m_percent > 0) {
-      record_peer_work_time(m_impl->m_tables, load, now);
-    }
-  }
-}
-
-void dispatcher::set_peer_blocked(std::string_view daemon, const blocked_totals& totals, time_point now) {
-  auto& tables = m_impl->m_tables;
-  auto& previous = tables.m_peers[std::string(daemon)].m_blocked;
-  for (std::size_t level = 0; previous && level < urgency_levels; ++level) {
-    if (totals[level] > (*previous)[level]) {
-      const std::uint32_t added = totals[level] - (*previous)[level];
-      tables.m_blocked.record(level, std::min(added, max_blocked_per_report), now);
-    }
-  }
-  previous = totals;
-}
-
-blocked_totals dispatcher::own_blocked() const {
-  return m_impl->m_tables.m_own_blocked;
-}
-
-std::vector<server_load> dispatcher::own_loads(time_point now) const {
-  std::vector<server_load> loads;
-  for (const auto& [name, servers] : m_impl->m_tables.m_servers) {
-    for (const auto& [id, server] : servers) {
-      const speed_estimate speed =
-          server.m_own_speed.has_observations() ? server.m_own_speed.estimate() : speed_estimate{};
-      const bool failing = now < server.m_failing_until;
-      const bool leaving = server.m_listed && is_leaving(server) &&
-                           now < server.m_notice->m_leaving_since + leaving_report_time;
-      work_time_statement stated;
-      if (server.m_own_work_time > 0 && now - server.m_own_work_time_stated <= work_time_report_time) {
-        stated = {server.m_own_work_time, now - server.m_own_work_time_stated};
-      }
-      if (server.m_own_running > 0 || speed.m_samples > 0 || failing || leaving || stated.m_percent > 0) {
-        loads.push_back({server.m_id_hash, server.m_own_running, speed, failing, leaving,
-                         leaving ? instance_hash(server.m_entry) : 0, stated,
-                         std::min(server.m_own_reading, max_reported_reading_tokens),
-                         uses_learned_limits(m_impl->m_tables, name)
-                             ? server.m_capacity.learned_limit(now).value_or(0)
-                             : 0});
-      }
-    }
-  }
-  return loads;
-}
-
 std::vector<dispatch_decision> dispatcher::tick(time_point now) {
   m_impl->m_last_tick = now;
   std::vector<dispatch_decision> decisions;
@@ -471,10 +346,6 @@
   return decisions;
 }
 
-placement_explanation dispatcher::explain(submission request, time_point now) const {
-  return explain_placement(m_impl->m_tables, std::move(request), now);
-}
-
 std::size_t dispatcher::waiting() const {
   std::size_t count = 0;
   for (const auto& [name, queue] : m_impl->m_tables.m_waiting) {
--- a/packages/fleet/src/timed_placement.cpp
+++ b/packages/fleet/src/timed_placement.cpp
@@ -192,6 +192,9 @@
       best.m_server = each.m_server;
     }
   }
+  if (best.m_server != nullptr && best.m_fit < best_possible_fit) {
+    ++tables.m_last_resorts;
+  }
   return best;
 }
 
--- a/packages/fleet/src/work_time.cpp
+++ b/packages/fleet/src/work_time.cpp
@@ -66,6 +66,10 @@
   return m_lasting + (m_latest - m_lasting) * std::exp(-age / m_change_s);
 }
 
+bool work_time::is_disturbed(time_point now) const {
+  return known() && expected(now) > change_factor * m_lasting;
+}
+
 std::optional<duration> work_time::age(time_point now) const {
   return known() ? std::optional(now - m_stated) : std::nullopt;
 }
--- a/packages/gateway/include/cardamompond/gateway/admission_controller.hpp
+++ b/packages/gateway/include/cardamompond/gateway/admission_controller.hpp
@@ -11,9 +11,11 @@
 #include "cardamompond/gateway/fleet_view.hpp"
 #include "cardamompond/gateway/request_protocol.hpp"
 #include "cardamompond/net/io_wait.hpp"
+#include "cardamompond/telemetry/request_metrics.hpp"
 
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -59,6 +61,12 @@
   // Records what the server that was called states about itself in a response.
   void record_notices(const fleet::backend_server& called, const response_metadata& metadata);
 
+  // Logs for which services learned limits have come into use since the last call.
+  void log_learned_limits();
+
+  // Sets the metrics of learned limits and expected times.
+  void export_learned_limits(request_metrics& metrics, time_point now) const;
+
   // Returns how many pauses servers have asked for.
   std::uint64_t pause_count() const { return m_pause_count; }
 
@@ -122,6 +130,7 @@
   std::unordered_map<fleet::ticket, waiter*> m_waiters;
   fleet::ticket m_last_ticket = 0;
   std::uint64_t m_pause_count = 0;
+  std::set<std::string, std::less<>> m_logged_services; // see log_learned_limits
 };
 
 } // namespace cardamompond::gateway
--- a/packages/gateway/src/admission_controller.cpp
+++ b/packages/gateway/src/admission_controller.cpp
@@ -63,6 +63,32 @@
   deliver_decisions();
 }
 
+void admission_controller::log_learned_limits() {
+  const auto routes = m_fleet_view.routes();
+  if (!routes) {
+    return;
+  }
+  for (const auto& service : routes->source().m_services) {
+    if (m_dispatcher.learned_limits_enabled(service.m_name) &&
+        m_logged_services.insert(service.m_name).second) {
+      log_event(log_level::info, "learned_limits_on", {{"service", service.m_name}});
+    }
+  }
+}
+
+void admission_controller::export_learned_limits(request_metrics& metrics, time_point now) const {
+  for (const auto& each : m_dispatcher.capacities(now)) {
+    metrics.set_gauge("cardamompond_service_slots", "service", each.m_service, each.m_slots);
+    metrics.set_gauge("cardamompond_service_learned_limit", "service", each.m_service, each.m_limit);
+    metrics.set_gauge("cardamompond_service_disturbed_servers", "service", each.m_service,
+                      static_cast<double>(each.m_disturbed));
+    metrics.set_gauge("cardamompond_service_expected_first_seconds", "service", each.m_service,
+                      each.m_expected_first_s);
+  }
+  metrics.set_counter("cardamompond_last_resort_dispatches_total",
+                      static_cast<double>(m_dispatcher.last_resort_count()));
+}
+
 admission_result admission_controller::acquire(fleet::submission request) {
   waiter self;
   const fleet::ticket ticket = request.m_ticket;
--- a/packages/gateway/src/peer_group.cpp
+++ b/packages/gateway/src/peer_group.cpp
@@ -265,6 +265,7 @@
 
 void peer_group::tick(time_point now) {
   m_admission.update_part_verdicts(now);
+  m_admission.log_learned_limits();
   for (auto each = m_peers.begin(); each != m_peers.end();) {
     if (now - each->second.m_last_report_at <= silence_timeout(each->second)) {
       ++each;
