--- a/packages/fleet/src/timed_placement.cpp
+++ b/packages/fleet/src/timed_placement.cpp
@@ -38,9 +38,9 @@
 
 // A server that can take the request now.
 struct timed_candidate {
-  server_row* m_server;
+  server_row* m_server = nullptr;
   expected_times m_times;
-  time_fit m_fit;
+  time_fit m_fit = time_fit::none;
 };
 
 struct choice {
