--- a/packages/fleet/src/dispatch_tables.hpp
+++ b/packages/fleet/src/dispatch_tables.hpp
@@ -19,6 +19,15 @@
 
 namespace cardamompond::fleet {
 
+// What is expected of a server at a moment, so that it is not computed anew for each request.
+struct cached_speed {
+  time_point m_at;             // when it was computed
+  std::uint32_t m_running = 0; // for one request more than this
+  speed_estimate m_lasting;    // see lasting_speed
+  speed_estimate m_expected;   // see expected_speed
+  double m_concurrency = 1;    // see server_capacity::relative_time
+};
+
 // State of one backend server.
 struct server_row {
   backend_server m_entry;
@@ -56,6 +65,7 @@
 
   speed_estimator m_own_speed;                       // observed by this daemon
   speed_estimate m_combined_speed = assumed_speed(); // observed by all daemons
+  mutable cached_speed m_cached_speed;               // see expected_times.cpp
   server_capacity m_capacity;                        // observed by this daemon
   std::uint32_t m_learned_limit = 0;                 // by all daemons of the zone; 0: no evidence
 };
--- a/packages/fleet/src/expected_times.cpp
+++ b/packages/fleet/src/expected_times.cpp
@@ -1,4 +1,5 @@
 #include "expected_times.hpp"
+#include "spare_capacity.hpp"
 
 #include <algorithm>
 
@@ -49,7 +50,12 @@
 
 } // namespace
 
-speed_estimate lasting_speed(const server_row& server) {
+namespace {
+
+// Speeds and statements change little in this time. Several requests are compared with many servers in it.
+constexpr duration max_cache_age = milliseconds(10);
+
+speed_estimate compute_lasting_speed(const server_row& server) {
   const double lasting = server.m_work_time.lasting();
   speed_estimate stated = assumed_speed();
   stated.m_base_s *= lasting;
@@ -59,54 +65,88 @@
   return combine(stated, server.m_combined_speed);
 }
 
-speed_estimate expected_speed(const server_row& server, time_point now) {
-  speed_estimate speed = lasting_speed(server);
-  const double factor = std::clamp(server.m_work_time.expected(now) / server.m_work_time.lasting(),
-                                   min_moment_factor, max_moment_factor);
-  speed.m_base_s *= factor;
-  speed.m_prompt_s_per_token *= factor;
-  speed.m_event_interval_s *= factor;
-  return speed;
+const cached_speed& cached(const server_row& server, time_point now) {
+  cached_speed& cache = server.m_cached_speed;
+  const std::uint32_t running = server.m_own_running + server.m_peer_running;
+  if (cache.m_at != time_point{} && cache.m_running == running && now - cache.m_at < max_cache_age &&
+      now >= cache.m_at) {
+    return cache;
+  }
+  const double lasting = server.m_work_time.lasting();
+  const double factor =
+      std::clamp(server.m_work_time.expected(now) / lasting, min_moment_factor, max_moment_factor);
+  cache = {
+      now, running, compute_lasting_speed(server), {}, server.m_capacity.relative_time(running + 1, now)};
+  cache.m_expected = cache.m_lasting;
+  cache.m_expected.m_base_s *= factor;
+  cache.m_expected.m_prompt_s_per_token *= factor;
+  cache.m_expected.m_event_interval_s *= factor;
+  return cache;
 }
 
-double accepted_pause_s(const dispatch_tables& tables, std::string_view service) {
-  const auto found = tables.m_accepted_pauses.find(service);
-  return found == tables.m_accepted_pauses.end() ? default_accepted_pause_s
-                                                 : std::chrono::duration<double>(found->second).count();
+} // namespace
+
+const speed_estimate& lasting_speed(const server_row& server, time_point now) {
+  return cached(server, now).m_lasting;
+}
+
+const speed_estimate& expected_speed(const server_row& server, time_point now) {
+  return cached(server, now).m_expected;
+}
+
+request_needs find_needs(const dispatch_tables& tables, const submission& request, time_point now) {
+  const auto pause = tables.m_accepted_pauses.find(request.m_service);
+  request_needs needs;
+  needs.m_prompt_tokens = request.m_prompt_tokens;
+  needs.m_events = expected_events(tables, request);
+  needs.m_until_due_s = seconds_between(now, request.m_first_token_due);
+  needs.m_until_deadline_s = seconds_between(now, request.m_deadline);
+  needs.m_accepted_pause_s = pause == tables.m_accepted_pauses.end()
+                                 ? default_accepted_pause_s
+                                 : std::chrono::duration<double>(pause->second).count();
+  needs.m_urgency_level = urgency_level(tables, request);
+  for (std::size_t level = 0; level < urgency_levels; ++level) {
+    needs.m_blocked[level] =
+        tables.m_blocked.more_urgent_than(level + 1, now) - tables.m_blocked.more_urgent_than(level, now);
+  }
+  needs.m_now = now;
+  return needs;
 }
 
 namespace {
 
-expected_times predict(const dispatch_tables& tables, const submission& request, const speed_estimate& speed,
+expected_times predict(const request_needs& needs, const speed_estimate& speed, double concurrency,
                        double tokens_ahead) {
-  expected_times times;
+  const double event_s = speed.m_event_interval_s * concurrency;
   const double reading_before = speed.m_prompt_s_per_token * tokens_ahead;
-  times.m_prompt_s = speed.m_prompt_s_per_token * request.m_prompt_tokens;
+  expected_times times;
+  times.m_prompt_s = speed.m_prompt_s_per_token * needs.m_prompt_tokens;
   times.m_first_s = speed.m_base_s + reading_before + times.m_prompt_s;
-  times.m_end_s = times.m_first_s + expected_events(tables, request) * speed.m_event_interval_s;
-  times.m_pause_before_s = speed.m_event_interval_s + reading_before;
+  times.m_end_s = times.m_first_s + needs.m_events * event_s;
+  times.m_pause_before_s = event_s + reading_before;
   times.m_pause_s = times.m_pause_before_s + times.m_prompt_s;
   return times;
 }
 
+expected_times predict_plain(double seconds) {
+  expected_times times;
+  times.m_first_s = seconds;
+  times.m_end_s = seconds;
+  return times;
+}
+
 } // namespace
 
-expected_times predict_times(const dispatch_tables& tables, const server_row& server,
-                             const submission& request, time_point now) {
-  speed_estimate speed = expected_speed(server, now);
+expected_times predict_times(const server_row& server, const request_needs& needs) {
+  const cached_speed& speed = cached(server, needs.m_now);
   const std::uint32_t running = server.m_own_running + server.m_peer_running;
-  const double concurrency = server.m_capacity.relative_time(running + 1, now);
   if (!server.m_uses_batching) {
     const double slots = std::max(1U, server.m_entry.m_slots);
     const double waiting = std::max(0.0, running + 1 - slots);
-    expected_times times;
-    times.m_first_s = speed.m_base_s * concurrency * (1 + waiting / slots);
-    times.m_end_s = times.m_first_s;
-    return times;
+    return predict_plain(speed.m_expected.m_base_s * speed.m_concurrency * (1 + waiting / slots));
   }
-  speed.m_event_interval_s *= concurrency;
-  expected_times times =
-      predict(tables, request, speed, server.m_own_reading + reported_reading_share * server.m_peer_reading);
+  expected_times times = predict(needs, speed.m_expected, speed.m_concurrency,
+                                 server.m_own_reading + reported_reading_share * server.m_peer_reading);
   if (running == 0) {
     times.m_pause_before_s = 0;
     times.m_pause_s = 0;
@@ -114,51 +154,42 @@
   return times;
 }
 
-expected_times predict_undisturbed_times(const dispatch_tables& tables, const server_row& server,
-                                         const submission& request) {
-  const speed_estimate speed = lasting_speed(server);
-  if (!server.m_uses_batching) {
-    expected_times times;
-    times.m_first_s = speed.m_base_s;
-    times.m_end_s = speed.m_base_s;
-    return times;
-  }
-  return predict(tables, request, speed, 0);
+expected_times predict_undisturbed_times(const server_row& server, const request_needs& needs) {
+  const speed_estimate& speed = lasting_speed(server, needs.m_now);
+  return server.m_uses_batching ? predict(needs, speed, 1, 0) : predict_plain(speed.m_base_s);
 }
 
-bool reads_without_stalling(const dispatch_tables& tables, const server_row& server, double prompt_tokens) {
-  const speed_estimate speed = lasting_speed(server);
+bool reads_without_stalling(const server_row& server, double prompt_tokens, const request_needs& needs) {
+  const speed_estimate& speed = lasting_speed(server, needs.m_now);
   return speed.m_event_interval_s + speed.m_prompt_s_per_token * prompt_tokens <=
-         max_pause_share * accepted_pause_s(tables, server.m_entry.m_service);
+         max_pause_share * needs.m_accepted_pause_s;
 }
 
-time_fit evaluate_times(const dispatch_tables& tables, const expected_times& times, const submission& request,
-                        time_point now) {
-  if (times.m_end_s > max_end_share * seconds_between(now, request.m_deadline)) {
+time_fit evaluate_times(const expected_times& times, const request_needs& needs) {
+  if (times.m_end_s > max_end_share * needs.m_until_deadline_s) {
     return time_fit::none;
   }
-  const bool late = times.m_first_s > max_first_share * seconds_between(now, request.m_first_token_due);
-  const bool stalling = times.m_pause_s > max_pause_share * accepted_pause_s(tables, request.m_service);
+  const bool late = times.m_first_s > max_first_share * needs.m_until_due_s;
+  const bool stalling = times.m_pause_s > max_pause_share * needs.m_accepted_pause_s;
   return late && stalling ? time_fit::late_and_stalling
          : late           ? time_fit::late
          : stalling       ? time_fit::stalling
                           : time_fit::good;
 }
 
-double expected_stalled_streams(const dispatch_tables& tables, const server_row& server,
-                                const expected_times& times) {
-  const double accepted = accepted_pause_s(tables, server.m_entry.m_service);
-  return (probability_of_late(times.m_pause_s, accepted) -
-          probability_of_late(times.m_pause_before_s, accepted)) *
+double expected_stalled_streams(const server_row& server, const expected_times& times,
+                                const request_needs& needs) {
+  return (probability_of_late(times.m_pause_s, needs.m_accepted_pause_s) -
+          probability_of_late(times.m_pause_before_s, needs.m_accepted_pause_s)) *
          (server.m_own_running + server.m_peer_running);
 }
 
-double expected_late_responses(const dispatch_tables& tables, const server_row& server,
-                               const expected_times& times, const submission& request, time_point now) {
-  const double until_due = seconds_between(now, request.m_first_token_due);
+double expected_late_responses(const server_row& server, const expected_times& times,
+                               const request_needs& needs) {
   // A response that is late in any case cannot become late.
-  const double late_first = until_due > 0 ? probability_of_late(times.m_first_s, until_due) : 0;
-  return late_first + expected_stalled_streams(tables, server, times);
+  const double late_first =
+      needs.m_until_due_s > 0 ? probability_of_late(times.m_first_s, needs.m_until_due_s) : 0;
+  return late_first + expected_stalled_streams(server, times, needs);
 }
 
 } // namespace cardamompond::fleet
--- a/packages/fleet/src/expected_times.hpp
+++ b/packages/fleet/src/expected_times.hpp
@@ -24,36 +24,44 @@
 
 // Returns the speed of the server apart from disturbances: the speed that the daemons measured, or the stated
 // one until there are measurements.
-speed_estimate lasting_speed(const server_row& server);
+const speed_estimate& lasting_speed(const server_row& server, time_point now);
 
 // Returns the speed that is expected of the server now: the lasting speed adjusted by what the server states
 // about the moment.
-speed_estimate expected_speed(const server_row& server, time_point now);
+const speed_estimate& expected_speed(const server_row& server, time_point now);
 
-// Returns the longest pause between two events that callers of the service accept, in seconds.
-double accepted_pause_s(const dispatch_tables& tables, std::string_view service);
+// What a request needs of a server, so that it is not looked up anew for each server.
+struct request_needs {
+  std::uint32_t m_prompt_tokens = 0;
+  double m_events = 0;           // expected
+  double m_until_due_s = 0;      // until the response should begin
+  double m_until_deadline_s = 0; // until the response has to be complete
+  double m_accepted_pause_s = 0; // longest pause between two events that callers of the service accept
+  std::size_t m_urgency_level = 0;
+  std::array<double, urgency_levels> m_blocked{}; // requests that were blocked lately, by level
+  time_point m_now;
+};
+
+request_needs find_needs(const dispatch_tables& tables, const submission& request, time_point now);
 
-expected_times predict_times(const dispatch_tables& tables, const server_row& server,
-                             const submission& request, time_point now);
+expected_times predict_times(const server_row& server, const request_needs& needs);
 
 // Returns the times that the request would take without a disturbance and without other prompts on the
 // server.
-expected_times predict_undisturbed_times(const dispatch_tables& tables, const server_row& server,
-                                         const submission& request);
+expected_times predict_undisturbed_times(const server_row& server, const request_needs& needs);
 
 // Whether the server can read a prompt of this length without stalling its other streams for too long.
-bool reads_without_stalling(const dispatch_tables& tables, const server_row& server, double prompt_tokens);
+bool reads_without_stalling(const server_row& server, double prompt_tokens, const request_needs& needs);
 
-time_fit evaluate_times(const dispatch_tables& tables, const expected_times& times, const submission& request,
-                        time_point now);
+time_fit evaluate_times(const expected_times& times, const request_needs& needs);
 
 // Returns how many streams on the server will probably pause for too long because of the prompt.
-double expected_stalled_streams(const dispatch_tables& tables, const server_row& server,
-                                const expected_times& times);
+double expected_stalled_streams(const server_row& server, const expected_times& times,
+                                const request_needs& needs);
 
 // Returns how many responses will probably be late if the request is sent to the server: this one, and the
 // streams that the prompt of this one stalls.
-double expected_late_responses(const dispatch_tables& tables, const server_row& server,
-                               const expected_times& times, const submission& request, time_point now);
+double expected_late_responses(const server_row& server, const expected_times& times,
+                               const request_needs& needs);
 
 } // namespace cardamompond::fleet
--- a/packages/fleet/src/explain.cpp
+++ b/packages/fleet/src/explain.cpp
@@ -22,6 +22,7 @@
   }
   const auto declared = tables.m_services.find(request.m_service);
   const double cold_rate = declared == tables.m_services.end() ? 0 : declared->second.m_cold_requests_per_s;
+  const request_needs needs = find_needs(tables, request, now);
   spare_capacity spare(tables, request.m_service, now);
   waiting_request waiting;
   waiting.m_request = request;
@@ -30,15 +31,13 @@
     exclusion reason = find_ineligibility(tables, *each, request, now);
     if (reason == exclusion::none) {
       reason = find_lack_of_capacity(tables, *each, spare,
-                                     required_free_for(tables, *each, request, required_free, now), cold_rate,
-                                     now);
+                                     required_free_for(tables, *each, needs, required_free), cold_rate, now);
     }
-    const expected_times times = predict_times(tables, *each, request, now);
-    servers.push_back({each->m_entry.m_id, each->m_entry.m_availability_zone,
-                       each->m_own_running + each->m_peer_running, each->m_entry.m_slots,
-                       running_limit(tables, *each), times.m_first_s, times.m_end_s, times.m_pause_s,
-                       each->m_work_time.age(now), to_string(reason),
-                       to_string(evaluate_times(tables, times, request, now))});
+    const expected_times times = predict_times(*each, needs);
+    servers.push_back(
+        {each->m_entry.m_id, each->m_entry.m_availability_zone, each->m_own_running + each->m_peer_running,
+         each->m_entry.m_slots, running_limit(tables, *each), times.m_first_s, times.m_end_s, times.m_pause_s,
+         each->m_work_time.age(now), to_string(reason), to_string(evaluate_times(times, needs))});
   }
   return servers;
 }
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -239,11 +239,8 @@
 
 exclusion find_ineligibility(const dispatch_tables& tables, const server_row& server,
                              const submission& request, time_point now) {
-  if (!is_in_service(tables, server)) {
-    return exclusion::not_in_service;
-  }
   if (!is_eligible(tables, server, now)) {
-    return exclusion::failing;
+    return is_in_service(tables, server) ? exclusion::failing : exclusion::not_in_service;
   }
   if (is_paused(server, now)) {
     return exclusion::paused;
--- a/packages/fleet/src/placement_rules.hpp
+++ b/packages/fleet/src/placement_rules.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dispatch_tables.hpp"
+#include "expected_times.hpp"
 #include "spare_capacity.hpp"
 
 #include <cstdint>
@@ -40,8 +41,8 @@
 
 // Returns how many slots the request has to leave free if it is sent to this server. Slots are not kept for
 // more urgent requests that would typically stall the streams of the server.
-double required_free_for(const dispatch_tables& tables, const server_row& server, const submission& request,
-                         double required_free, time_point now);
+double required_free_for(const dispatch_tables& tables, const server_row& server, const request_needs& needs,
+                         double required_free);
 
 // Returns a pseudo-random weight of the pair for rendezvous hashing.
 std::uint64_t rendezvous_weight(std::uint64_t key, std::uint64_t server);
--- a/packages/fleet/src/timed_placement.cpp
+++ b/packages/fleet/src/timed_placement.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <numeric>
 #include <span>
 #include <vector>
 
@@ -50,34 +51,30 @@
 
 // What the scores of the candidates of one request have in common.
 struct comparison {
-  const submission& m_request;
+  request_needs m_needs;
   server_row* m_affinity_server = nullptr; // probably has the shared prompt prefix in its cache
   double m_slowest_event_s = 0;
   double m_remote_zone_penalty = 0;
-  double m_accepted_pause_s = 0;
-  time_point m_now;
 };
 
 double score(const dispatch_tables& tables, const timed_candidate& each, const comparison& shared) {
   const server_row& server = *each.m_server;
   const bool remote_zone = server.m_entry.m_availability_zone != tables.m_self.m_availability_zone;
   if (!server.m_uses_batching) {
-    const double available_s =
-        std::max(min_available_s,
-                 std::chrono::duration<double>(shared.m_request.m_first_token_due - shared.m_now).count());
+    const double available_s = std::max(min_available_s, shared.m_needs.m_until_due_s);
     return each.m_times.m_end_s / available_s + (remote_zone ? plain_remote_zone_penalty : 0);
   }
-  const double stall = each.m_times.m_prompt_s / shared.m_accepted_pause_s;
+  const double stall = each.m_times.m_prompt_s / shared.m_needs.m_accepted_pause_s;
   const double shortness =
       std::max(0.0, 1 - (each.m_times.m_end_s - each.m_times.m_first_s) / max_response_s_for_bonus);
-  const double slowness = lasting_speed(server).m_event_interval_s / shared.m_slowest_event_s;
+  const double slowness =
+      lasting_speed(server, shared.m_needs.m_now).m_event_interval_s / shared.m_slowest_event_s;
   return static_cast<double>(server.m_own_running + server.m_peer_running) / server.m_entry.m_slots +
          (remote_zone ? shared.m_remote_zone_penalty : 0) -
          (&server == shared.m_affinity_server ? shared_prefix_bonus() : 0) -
          assigned_slots_bonus_for(server) - slow_server_bonus * slowness * shortness +
          stall_penalty * stall * stall +
-         late_response_penalty *
-             expected_late_responses(tables, server, each.m_times, shared.m_request, shared.m_now);
+         late_response_penalty * expected_late_responses(server, each.m_times, shared.m_needs);
 }
 
 // Removes a random half of the candidates.
@@ -92,12 +89,12 @@
 
 // Returns how many requests of the levels below `end` were blocked lately that the server typically suits.
 double count_blocked_for(const dispatch_tables& tables, const server_row& server, std::size_t end,
-                         time_point now) {
+                         const request_needs& needs) {
   double count = 0;
   for (std::size_t level = 0; level < end; ++level) {
-    if (reads_without_stalling(tables, server, tables.m_typical_prompts[level])) {
-      count +=
-          tables.m_blocked.more_urgent_than(level + 1, now) - tables.m_blocked.more_urgent_than(level, now);
+    if (needs.m_blocked[level] > 0 &&
+        reads_without_stalling(server, tables.m_typical_prompts[level], needs)) {
+      count += needs.m_blocked[level];
     }
   }
   return count;
@@ -105,15 +102,15 @@
 
 } // namespace
 
-double required_free_for(const dispatch_tables& tables, const server_row& server, const submission& request,
-                         double required_free, time_point now) {
+double required_free_for(const dispatch_tables& tables, const server_row& server, const request_needs& needs,
+                         double required_free) {
   if (required_free <= 0 || !server.m_uses_batching) {
     return required_free;
   }
-  const std::size_t level = urgency_level(tables, request);
-  const double unsuited =
-      tables.m_blocked.more_urgent_than(level, now) - count_blocked_for(tables, server, level, now);
-  return std::max(0.0, required_free - unsuited);
+  const std::size_t level = needs.m_urgency_level;
+  const double more_urgent = std::accumulate(
+      needs.m_blocked.begin(), needs.m_blocked.begin() + static_cast<std::ptrdiff_t>(level), 0.0);
+  return std::max(0.0, required_free - more_urgent + count_blocked_for(tables, server, level, needs));
 }
 
 namespace {
@@ -123,12 +120,8 @@
                    spare_capacity& spare, double required_free, bool may_wait, time_point now) {
   const auto declared = tables.m_services.find(request.m_service);
   const double cold_rate = declared == tables.m_services.end() ? 0 : declared->second.m_cold_requests_per_s;
-  comparison shared{request,
-                    nullptr,
-                    0,
-                    remote_zone_penalty_for(tables, request),
-                    accepted_pause_s(tables, request.m_service),
-                    now};
+  comparison shared{find_needs(tables, request, now), nullptr, 0, remote_zone_penalty_for(tables, request)};
+  const request_needs& needs = shared.m_needs;
   std::vector<timed_candidate> candidates;
   std::uint64_t affinity_weight = 0;
   time_fit best_possible_fit = time_fit::none; // of all eligible servers, with or without capacity
@@ -137,21 +130,22 @@
     if (find_ineligibility(tables, *each, request, now) != exclusion::none) {
       continue;
     }
-    if (const auto weight = rendezvous_weight(request.m_shared_prefix_hash, each->m_id_hash);
-        request.m_shared_prefix_hash != 0 && weight >= affinity_weight) {
-      affinity_weight = weight;
-      shared.m_affinity_server = each;
+    if (request.m_shared_prefix_hash != 0) {
+      if (const auto weight = rendezvous_weight(request.m_shared_prefix_hash, each->m_id_hash);
+          weight >= affinity_weight) {
+        affinity_weight = weight;
+        shared.m_affinity_server = each;
+      }
     }
-    const expected_times times = predict_times(tables, *each, request, now);
-    const time_fit server_fit = evaluate_times(tables, times, request, now);
-    shared.m_slowest_event_s = std::max(shared.m_slowest_event_s, lasting_speed(*each).m_event_interval_s);
+    const expected_times times = predict_times(*each, needs);
+    const time_fit server_fit = evaluate_times(times, needs);
+    shared.m_slowest_event_s =
+        std::max(shared.m_slowest_event_s, lasting_speed(*each, now).m_event_interval_s);
     fastest_s = std::min(fastest_s, times.m_end_s);
-    best_possible_fit =
-        std::max({best_possible_fit, server_fit,
-                  evaluate_times(tables, predict_undisturbed_times(tables, *each, request), request, now)});
-    if (find_lack_of_capacity(tables, *each, spare,
-                              required_free_for(tables, *each, request, required_free, now), cold_rate,
-                              now) == exclusion::none) {
+    best_possible_fit = std::max(
+        {best_possible_fit, server_fit, evaluate_times(predict_undisturbed_times(*each, needs), needs)});
+    if (find_lack_of_capacity(tables, *each, spare, required_free_for(tables, *each, needs, required_free),
+                              cold_rate, now) == exclusion::none) {
       candidates.push_back({each, times, server_fit});
     }
   }
@@ -178,8 +172,8 @@
     // it would be refused otherwise, if more slots are free than such requests were blocked lately, and if it
     // does not make another response late.
     std::erase_if(candidates, [&](const timed_candidate& each) {
-      return may_wait || expected_stalled_streams(tables, *each.m_server, each.m_times) >= 1 ||
-             !spare.allows(*each.m_server, count_blocked_for(tables, *each.m_server, urgency_levels, now));
+      return may_wait || expected_stalled_streams(*each.m_server, each.m_times, needs) >= 1 ||
+             !spare.allows(*each.m_server, count_blocked_for(tables, *each.m_server, urgency_levels, needs));
     });
   }
   draw_half(tables, candidates);
