Keep slow engines free of requests that are late everywhere

Cause: slow engines were busy with requests that were late on every server, and with long prompts whose stalls were underestimated, while requests that these engines serve in time were refused.

Change: a request that is late on all servers waits for one that is nearly as fast as the fastest, as one does that other servers suit better. The expected pause may take 60% of the accepted one instead of 75%.

Tests: fleet_tests pass.

--- a/packages/fleet/src/dispatch_tables.hpp
+++ b/packages/fleet/src/dispatch_tables.hpp
@@ -138,6 +138,7 @@
   std::uint64_t m_last_resorts = 0; // see dispatcher::last_resort_count
   learned_limits_mode m_learned_limits = learned_limits_mode::automatic;
   std::map<std::string, milliseconds, std::less<>> m_accepted_pauses; // shortest of the routes, by service
+  std::array<double, urgency_levels> m_typical_events{}; // mean number of events by urgency level
   std::array<double, urgency_levels>
       m_typical_prompts{}; // mean length in tokens by urgency level; 0: none seen
   std::set<std::string, std::less<>> m_stating_services; // their servers have stated their work time
--- a/packages/fleet/src/expected_times.cpp
+++ b/packages/fleet/src/expected_times.cpp
@@ -23,7 +23,9 @@
 // output lengths are often far off and the state of a server changes on the way.
 constexpr double max_first_share = 0.8;
 constexpr double max_end_share = 0.6;
-constexpr double max_pause_share = 0.75;
+
+// The same for the pause. Prompts that other daemons have sent since their last reports add to it.
+constexpr double max_pause_share = 0.6;
 
 // A response is certainly on time up to the first share of its target, and certainly late from the second.
 constexpr double surely_on_time_share = 0.6;
--- a/packages/fleet/src/timed_placement.cpp
+++ b/packages/fleet/src/timed_placement.cpp
@@ -93,7 +93,9 @@
   double count = 0;
   for (std::size_t level = 0; level < end; ++level) {
     if (needs.m_blocked[level] > 0 &&
-        reads_without_stalling(server, tables.m_typical_prompts[level], needs)) {
+        reads_without_stalling(server, tables.m_typical_prompts[level], needs) &&
+        tables.m_typical_events[level] * lasting_speed(server, needs.m_now).m_event_interval_s <=
+            max_response_s_for_bonus) {
       count += needs.m_blocked[level];
     }
   }
@@ -126,6 +128,7 @@
   std::uint64_t affinity_weight = 0;
   time_fit best_possible_fit = time_fit::none; // of all eligible servers, with or without capacity
   double fastest_s = std::numeric_limits<double>::max();
+  double fastest_first_s = std::numeric_limits<double>::max();
   for (server_row* each : servers) {
     if (find_ineligibility(tables, *each, request, now) != exclusion::none) {
       continue;
@@ -142,6 +145,7 @@
     shared.m_slowest_event_s =
         std::max(shared.m_slowest_event_s, lasting_speed(*each, now).m_event_interval_s);
     fastest_s = std::min(fastest_s, times.m_end_s);
+    fastest_first_s = std::min(fastest_first_s, predict_undisturbed_times(*each, needs).m_first_s);
     best_possible_fit = std::max(
         {best_possible_fit, server_fit, evaluate_times(predict_undisturbed_times(*each, needs), needs)});
     if (find_lack_of_capacity(tables, *each, spare, required_free_for(tables, *each, needs, required_free),
@@ -166,16 +170,27 @@
   for (const auto& each : candidates) {
     best.m_fit = std::max(best.m_fit, each.m_fit);
   }
-  std::erase_if(candidates, [&](const timed_candidate& each) { return each.m_fit < best.m_fit; });
-  if (best.m_fit < best_possible_fit && !request.m_may_have_run) {
-    // Servers that do not suit the request are left to others that they suit. It takes one of them only when
-    // it would be refused otherwise, if more slots are free than such requests were blocked lately, and if it
-    // does not make another response late.
-    std::erase_if(candidates, [&](const timed_candidate& each) {
-      return may_wait || expected_stalled_streams(*each.m_server, each.m_times, needs) >= 1 ||
-             !spare.allows(*each.m_server, count_blocked_for(tables, *each.m_server, urgency_levels, needs));
-    });
-  }
+  const bool less_suited = best.m_fit < best_possible_fit;
+  std::erase_if(candidates, [&](const timed_candidate& each) {
+    if (each.m_fit < best.m_fit) {
+      return true;
+    }
+    if (each.m_fit == time_fit::good || request.m_may_have_run) {
+      return false;
+    }
+    // Servers that do not suit the request are left to others that they suit. A request that is late on all
+    // servers may use the fast ones, but must not keep the slow ones busy for long. It takes another one only
+    // when it would be refused otherwise, if more slots are free than requests that suit the server were
+    // blocked lately, and if it does not make another response late.
+    const bool slow =
+        each.m_server->m_uses_batching && each.m_times.m_first_s > fast_server_ratio * fastest_first_s;
+    if (!less_suited && best.m_fit > time_fit::late && !slow) {
+      return false;
+    }
+    return ((less_suited || slow) && may_wait) ||
+           expected_stalled_streams(*each.m_server, each.m_times, needs) >= 1 ||
+           !spare.allows(*each.m_server, count_blocked_for(tables, *each.m_server, urgency_levels, needs));
+  });
   draw_half(tables, candidates);
   double best_score = std::numeric_limits<double>::max();
   for (const auto& each : candidates) {
@@ -199,10 +214,15 @@
   if (declared == tables.m_services.end() || !declared->second.m_uses_batching) {
     return;
   }
+  const std::size_t level = urgency_level(tables, request);
+  const double events =
+      static_cast<double>(request.m_output_tokens) / std::max(1U, declared->second.m_tokens_per_event);
   constexpr double new_weight = 0.1;
-  double& typical = tables.m_typical_prompts[urgency_level(tables, request)];
-  typical =
-      typical == 0 ? request.m_prompt_tokens : typical + new_weight * (request.m_prompt_tokens - typical);
+  const auto add = [](double& mean, double value) {
+    mean = mean == 0 ? value : mean + new_weight * (value - mean);
+  };
+  add(tables.m_typical_prompts[level], request.m_prompt_tokens);
+  add(tables.m_typical_events[level], events);
 }
 
 server_row* select_server_by_time(dispatch_tables& tables, const submission& request, spare_capacity& spare,
