--- a/packages/fleet/tests/timed_placement_test.cpp
+++ b/packages/fleet/tests/timed_placement_test.cpp
@@ -59,6 +59,16 @@
     return results;
   }
 
+  // Submits the request so that only the given server can take it.
+  std::string place_on(const std::string& server, submission request) {
+    for (const char* other : {"fast", "slow"}) {
+      if (other != server) {
+        request.m_excluded_servers.emplace_back(other);
+      }
+    }
+    return place(request);
+  }
+
   void state(const char* server, std::uint32_t percent) {
     daemon.m_dispatcher.record_work_time(server, percent, daemon.m_now);
   }
@@ -181,6 +191,24 @@
   STRCMP_EQUAL("fast", daemon.tick()[waiting.m_ticket].c_str());
 }
 
+// Guards against slow engines that are busy for seconds with requests that are late anyway, while requests
+// that they serve in time are refused. Such a request waits for a fast engine.
+TEST(timed_placement, late_requests_wait_for_a_fast_server) {
+  daemon.set_servers({make_server("fast", "a", 1), make_server("slow", "a", 9)});
+  state("fast", 55);
+  state("slow", 280);
+  const auto running = make_request(short_prompt, 35);
+  STRCMP_EQUAL("fast", place_on("fast", running).c_str());
+  place(make_request(short_prompt, 3)); // a stream on the slow server
+  auto late = make_request(short_prompt, 35);
+  late.m_first_token_due = daemon.m_now - milliseconds(100);
+  STRCMP_EQUAL("", place(late).c_str());
+  STRCMP_EQUAL("slow", place(make_request(short_prompt, 3)).c_str());
+  daemon.m_now += milliseconds(100);
+  daemon.m_dispatcher.finish(running.m_ticket, server_outcome::answered, daemon.m_now);
+  STRCMP_EQUAL("fast", daemon.tick()[late.m_ticket].c_str());
+}
+
 // Guards against prompts that are so long that no server suits them and that are therefore refused: they go
 // to the fastest server.
 TEST(timed_placement, the_longest_prompts_are_served_by_fast_servers) {
