--- a/packages/daemon/include/cardamompond/daemon/settings.hpp
+++ b/packages/daemon/include/cardamompond/daemon/settings.hpp
@@ -35,6 +35,8 @@
   std::uint64_t m_max_body_bytes = 16U << 20U;
   std::uint32_t m_max_header_bytes = 32U << 10U;
   std::uint32_t m_max_connections = 20'000;
+  std::uint32_t m_memory_mb = 0;       // memory of the host; 0: not stated, input is not limited by memory
+  std::uint32_t m_max_descriptors = 0; // of the process; 0: not stated
   milliseconds m_default_timeout{60'000};
   seconds m_drain_timeout{120};
 
--- a/packages/daemon/src/settings_keys.cpp
+++ b/packages/daemon/src/settings_keys.cpp
@@ -133,7 +133,11 @@
 constexpr std::int64_t mib = 1024 * kib;
 constexpr std::int64_t day_s = 24 * 3600;
 
-constexpr std::array<settings_key, 19> keys = {{
+// A daemon without requests takes up to 20 MB, and needs about 300 descriptors beside those of its callers.
+constexpr std::int64_t min_memory_mb = 32;
+constexpr std::int64_t min_descriptors = 400;
+
+constexpr std::array<settings_key, 21> keys = {{
     {"", "name", true, [](const toml::node& node, settings& into) { return read_name(node, into.m_name); }},
     {"", "owner", true, [](const toml::node& node, settings& into) { return read_name(node, into.m_owner); }},
     {"", "cell", true, [](const toml::node& node, settings& into) { return read_name(node, into.m_cell); }},
@@ -175,6 +179,14 @@
      [](const toml::node& node, settings& into) {
        return read_count(node, 1, 1'000'000, into.m_max_connections);
      }},
+    {"limits", "memory_mb", false,
+     [](const toml::node& node, settings& into) {
+       return read_count(node, min_memory_mb, 1'000'000, into.m_memory_mb);
+     }},
+    {"limits", "max_descriptors", false,
+     [](const toml::node& node, settings& into) {
+       return read_count(node, min_descriptors, 10'000'000, into.m_max_descriptors);
+     }},
     {"limits", "default_timeout_ms", false,
      [](const toml::node& node, settings& into) {
        return read_count(node, 1, day_s * 1000, into.m_default_timeout);
--- a/packages/daemon/tests/settings_test.cpp
+++ b/packages/daemon/tests/settings_test.cpp
@@ -36,6 +36,8 @@
 max_connections = 12
 default_timeout_ms = 1500
 drain_timeout_s = 0
+memory_mb = 110
+max_descriptors = 4100
 [log]
 level = "warning"
 )";
@@ -76,6 +78,8 @@
   CHECK_EQUAL(2048U, loaded.m_max_body_bytes);
   CHECK_EQUAL(4096U, loaded.m_max_header_bytes);
   CHECK_EQUAL(12U, loaded.m_max_connections);
+  CHECK_EQUAL(110U, loaded.m_memory_mb);
+  CHECK_EQUAL(4'100U, loaded.m_max_descriptors);
   CHECK_TRUE(loaded.m_default_timeout == milliseconds(1500));
   CHECK_TRUE(loaded.m_drain_timeout == seconds(0));
   STRCMP_EQUAL("warning", loaded.m_log_level.c_str());
@@ -95,11 +99,11 @@
       {"cell = \"cell-1\"", "cell = \"\"", "a.toml:3: cell: not a name"},
       {"region", "regoin", "a.toml:5: regoin: unknown key"},
       {"max_connections", "max_conections", "a.toml:20: limits.max_conections: unknown key"},
-      {"[log]", "[logs]", "a.toml:23: logs: unknown key"},
-      {"[log]\nlevel =", "[[log]]\nlevel =", "a.toml:23: log: wrong type"},
+      {"[log]", "[logs]", "a.toml:25: logs: unknown key"},
+      {"[log]\nlevel =", "[[log]]\nlevel =", "a.toml:25: log: wrong type"},
       {"name = \"d1\"", "name = \"d1\"\nname = \"d2\"", "a.toml:2: syntax: "},
-      {"[log]", "[log", "a.toml:23: syntax: "},
-      {"[log]", "[\n", "a.toml:23: syntax: "},
+      {"[log]", "[log", "a.toml:25: syntax: "},
+      {"[log]", "[\n", "a.toml:25: syntax: "},
       {"[peer]\nsecret = \"sixteen-or-more-characters\"\n", "", "a.toml:1: peer.secret: missing"},
       {"sixteen-or-more-characters", "fifteen-letters", "a.toml:16: peer.secret: use 16 to 256"},
       {"127.0.0.1:8081", "localhost:8081", "a.toml:8: listen.admin: not an address"},
@@ -119,7 +123,7 @@
       {"4096", "-1", "a.toml:19: limits.max_header_bytes: -1 is out of bounds"},
       {"4096", "4096.0", "a.toml:19: limits.max_header_bytes: wrong type"},
       {"1500", "0", "a.toml:21: limits.default_timeout_ms: 0 is out of bounds"},
-      {"\"warning\"", "\"warn\"", "a.toml:24: log.level: write"},
+      {"\"warning\"", "\"warn\"", "a.toml:26: log.level: write"},
   };
   for (const auto& fault : faults) {
     const std::string error = error_of(with_replacement(fault.m_from, fault.m_to));
--- a/packages/gateway/include/cardamompond/gateway/gateway_settings.hpp
+++ b/packages/gateway/include/cardamompond/gateway/gateway_settings.hpp
@@ -4,6 +4,7 @@
 #include "cardamompond/core/time.hpp"
 #include "cardamompond/gateway/admission_controller.hpp"
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -22,7 +23,9 @@
   std::string m_store_address;
   std::vector<std::string> m_seeds; // exchange addresses of daemons to contact before the members are known
   shared_retry_limits m_retry_limits;
-  milliseconds m_drain_time{8'000}; // time from SIGTERM to the end of the process
+  milliseconds m_drain_time{8'000};    // time from SIGTERM to the end of the process
+  std::uint64_t m_memory_bytes = 0;    // memory of the host; 0: not stated, input is not limited by memory
+  std::uint32_t m_max_descriptors = 0; // of the process; 0: not stated
   std::string m_log_level = "info";
 };
 
--- a/packages/gateway/src/gateway_settings.cpp
+++ b/packages/gateway/src/gateway_settings.cpp
@@ -16,6 +16,11 @@
 constexpr std::string_view mode_key = "scheduling";
 constexpr std::string_view local_mode = "local";
 
+// A daemon without requests takes up to 20 MB, and needs about 300 descriptors beside those of its callers.
+constexpr double min_memory_mb = 32;
+constexpr double min_descriptors = 400;
+constexpr double bytes_per_mb = 1e6;
+
 std::optional<std::string> read_file(const std::string& file) {
   std::ifstream in(file, std::ios::binary);
   if (!in) {
@@ -178,6 +183,10 @@
   read_number("group", "retry_fixed", 0, 1e6, settings.m_retry_limits.m_fixed_retries);
   read_number("group", "retry_window_s", 1, max_s, window_s);
   read_number("drain", "time_s", 1, max_s, drain_s);
+  double memory_mb = 0;
+  double max_descriptors = 0;
+  read_number("limits", "memory_mb", min_memory_mb, 1e6, memory_mb);
+  read_number("limits", "max_descriptors", min_descriptors, 1e7, max_descriptors);
   reject_unknown_keys();
   check_distinct_addresses(settings);
   if (m_error) {
@@ -186,6 +195,8 @@
   settings.m_retry_limits.m_retry_window =
       std::chrono::duration_cast<duration>(std::chrono::duration<double>(window_s));
   settings.m_drain_time = std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>(drain_s));
+  settings.m_memory_bytes = static_cast<std::uint64_t>(memory_mb * bytes_per_mb);
+  settings.m_max_descriptors = static_cast<std::uint32_t>(max_descriptors);
   return settings;
 }
 
--- a/packages/gateway/tests/gateway_settings_test.cpp
+++ b/packages/gateway/tests/gateway_settings_test.cpp
@@ -26,6 +26,9 @@
 retry_window_s = 10
 [drain]
 time_s = 8
+[limits]
+memory_mb = 110
+max_descriptors = 4100
 )";
 
 std::string error_after_replacing(std::string text, std::string_view from, std::string_view to) {
@@ -45,6 +48,8 @@
   CHECK(read.has_value());
   STRCMP_EQUAL("10.0.0.2:7600", read->m_seeds[1].c_str());
   LONGS_EQUAL(8'000, read->m_drain_time.count());
+  CHECK_EQUAL(110'000'000U, read->m_memory_bytes);
+  CHECK_EQUAL(4'100U, read->m_max_descriptors);
   DOUBLES_EQUAL(56, read->m_retry_limits.m_fixed_retries, 0);
 }
 
--- a/tests/support/include/cardamompond/testing/test_cell.hpp
+++ b/tests/support/include/cardamompond/testing/test_cell.hpp
@@ -140,6 +140,7 @@
   std::map<std::string, std::string> m_rollouts; // TOML of the declared rollout, e.g. "to = ...", by service
   std::map<std::string, int> m_version_attempts = {{"v1", 1}}; // declared attempt by version
   std::string m_host_list_address; // setting of daemons that are added later; empty: no host list
+  std::string m_limits; // further lines of [limits] in the settings of daemons that are added later
   std::deque<backend_process> m_backends;
   std::deque<daemon_process> m_daemons;
   caller m_caller;
--- a/tests/support/src/test_cell.cpp
+++ b/tests/support/src/test_cell.cpp
@@ -174,7 +174,7 @@
        << (m_host_list_address.empty() ? "" : "\"\nhost_list = \"" + m_host_list_address)
        << "\"\nmax_reads_per_s = 2000\nmax_writes_per_s = 1000\n[peer]\nsecret = "
           "\"secret-of-the-test-cell-0123456789\"\n[limits]\ndrain_timeout_s = 30\n"
-          "[log]\nlevel = \"info\"\n";
+       << m_limits << "[log]\nlevel = \"info\"\n";
   daemon.m_settings_path = m_folder.write(name + ".toml", text.str());
   restart(daemon);
   return daemon;
