Bound what datagrams to the exchange address make a daemon hold

Cause: a datagram of 16 KB could unpack to 32 MB and to several times that once it was read, and each invented name of a sender created state: peers, speeds of invented servers, totals of invented accounts, observations of versions.

Change: a datagram unpacks to at most 128 KB. Senders that are not registered are kept up to 128. The state of one sender has limits far above what a daemon of the expected size reports.

--- a/packages/fleet/src/dispatcher.cpp
+++ b/packages/fleet/src/dispatcher.cpp
@@ -25,6 +25,10 @@
 // for a moment only. Daemons report several times a second.
 constexpr std::uint32_t max_blocked_per_report = 50;
 
+// Speeds of servers that this daemon does not know that are kept for one peer. Whoever can send datagrams can
+// invent servers.
+constexpr std::size_t max_speeds_of_unknown_servers = 256;
+
 // How long a silent server receives no new requests. It covers several of the checks that report the silence.
 constexpr duration silence_exclusion = milliseconds(300);
 
@@ -336,8 +340,12 @@
   auto& peer = m_impl->m_tables.m_peers[std::string(daemon)];
   replace_peer_loads(m_impl->m_tables, peer, loads);
   peer.m_received = now;
+  // A peer may know servers that this daemon does not know yet, but not any number of them.
+  const std::size_t max_speeds =
+      2 * m_impl->m_tables.m_servers_by_hash.size() + max_speeds_of_unknown_servers;
   for (const auto& load : loads) {
-    if (load.m_speed.m_samples > 0) {
+    if (load.m_speed.m_samples > 0 &&
+        (peer.m_speeds.size() < max_speeds || peer.m_speeds.contains(load.m_server))) {
       peer.m_speeds[load.m_server] = load.m_speed;
     }
   }
--- a/packages/fleet/src/rollout_controller.cpp
+++ b/packages/fleet/src/rollout_controller.cpp
@@ -43,6 +43,11 @@
 // Timings kept of processes that have ended.
 constexpr std::size_t max_earlier_timings = 64;
 
+// Peers whose observations are kept, and the rows of each from its processes that have ended. Whoever can
+// send datagrams can invent both.
+constexpr std::size_t max_observed_peers = 4'096;
+constexpr std::size_t max_earlier_rows = 256;
+
 // Interval between two comparisons of the timings.
 constexpr duration comparison_interval = milliseconds(500);
 
@@ -185,6 +190,10 @@
 
 void rollout_controller::set_peer_observations(std::string_view daemon, std::uint64_t incarnation,
                                                const std::vector<version_observation>& observations) {
+  if (!m_peer_observations.contains(std::string(daemon)) &&
+      (observations.empty() || m_peer_observations.size() >= max_observed_peers)) {
+    return;
+  }
   peer_observations& peer = m_peer_observations[std::string(daemon)];
   if (peer.m_incarnation != incarnation) {
     for (auto& each : peer.m_current) {
@@ -193,7 +202,9 @@
                earlier.m_version == each.m_version && earlier.m_route == each.m_route;
       });
       if (same == peer.m_earlier.end()) {
-        peer.m_earlier.push_back(std::move(each));
+        if (peer.m_earlier.size() < max_earlier_rows) {
+          peer.m_earlier.push_back(std::move(each));
+        }
       } else {
         add(same->m_outcomes, each.m_outcomes);
         auto& timings = same->m_outcomes.m_timings;
--- a/packages/gateway/include/cardamompond/gateway/peer_group.hpp
+++ b/packages/gateway/include/cardamompond/gateway/peer_group.hpp
@@ -94,6 +94,9 @@
   // Number of peers that reported recently. This daemon is not counted.
   std::size_t live_peer_count() const { return m_peers.size(); }
 
+  // Number of reports of unregistered daemons that were ignored because there were too many of these.
+  std::uint64_t refused_reports() const { return m_refused_reports; }
+
   // Rank of this daemon among the live daemons in the rendezvous-hash order of `key`; 0 is the first.
   std::size_t rank_for(std::string_view key) const;
 
@@ -121,6 +124,7 @@
     std::vector<std::string> m_same_zone;
     std::vector<std::string> m_other_zones;
   };
+  bool has_room_for(std::string_view daemon) const;
   void add_quota_use(peer_report& report, time_point now);
   bool has_peer_ahead_with_large_content(collection_kind kind) const;
   zone_addresses known_addresses() const;
@@ -138,6 +142,7 @@
   std::uint64_t m_sequence = 0;
   std::map<std::string, peer, std::less<>> m_peers;     // by name
   std::map<std::uint32_t, account_use> m_own_quota_use; // by hash of the account name
+  std::uint64_t m_refused_reports = 0;
   std::uint64_t m_round_number = 0;
   std::size_t m_next_same_zone_index = 0;
   std::size_t m_next_other_zones_index = 0;
--- a/packages/gateway/src/peer_group.cpp
+++ b/packages/gateway/src/peer_group.cpp
@@ -22,6 +22,13 @@
 // the daemons of one zone do.
 constexpr std::size_t small_group_size = 16;
 
+// Daemons that report without being registered are kept up to this number. Whoever can send datagrams can
+// invent names, and the state of one takes up to some 100 KB. A daemon registers when it starts.
+constexpr std::size_t max_unregistered_peers = 128;
+
+// Accounts whose totals are kept for one peer; more than declarations have.
+constexpr std::size_t max_peer_accounts = 8'192;
+
 // Daemons of the same zone are sent a report in each round, but at most this many of them, so that the cost
 // per daemon does not grow with the group.
 constexpr std::size_t max_same_zone_targets = 14;
@@ -94,6 +101,13 @@
     , m_incarnation(incarnation)
     , m_next_digest_target(hash64(m_self.m_name)) {}
 
+bool peer_group::has_room_for(std::string_view daemon) const {
+  const auto& members = m_admission.known_fleet().members();
+  return m_peers.size() < members.size() + max_unregistered_peers ||
+         std::any_of(members.begin(), members.end(),
+                     [&](const member& each) { return each.m_name == daemon; });
+}
+
 void peer_group::handle_report(const peer_report& report, time_point received) {
   if (report.m_daemon == m_self.m_name || report.m_daemon.empty()) {
     return;
@@ -111,6 +125,10 @@
     }
     return;
   }
+  if (known == m_peers.end() && !has_room_for(report.m_daemon)) {
+    ++m_refused_reports;
+    return;
+  }
   const bool restarted = known == m_peers.end() || known->second.m_incarnation != report.m_incarnation;
   if (known == m_peers.end()) {
     log_event(log_level::info, "peer_heard",
@@ -226,6 +244,9 @@
     remote.m_has_full_quota_use = false;
   }
   for (const auto& [account, units] : report.m_quota_use) {
+    if (remote.m_quota_use.size() >= max_peer_accounts && !remote.m_quota_use.contains(account)) {
+      continue;
+    }
     const auto [previous_total, added] =
         remote.m_quota_use.try_emplace(account, remote.m_has_full_quota_use ? 0 : units);
     m_admission.quotas().record_peer_use(account, units - previous_total->second, now);
--- a/packages/gateway/src/peer_report.cpp
+++ b/packages/gateway/src/peer_report.cpp
@@ -15,8 +15,11 @@
 namespace cardamompond::gateway {
 namespace {
 
-// Limit on the words of eight bytes that decoding a message may read; far above what daemons send.
-constexpr std::uint64_t max_message_words = 4U << 20U;
+// Limits on the words of eight bytes that decoding a message may read; far above what daemons send. A
+// datagram of 16 KB that consists of zeros would otherwise unpack to 32 MB, and to several times that once it
+// is read.
+constexpr std::uint64_t max_snapshot_words = 4U << 20U;
+constexpr std::uint64_t max_datagram_words = 16U << 10U;
 
 std::string serialize_packed(capnp::MallocMessageBuilder& message) {
   kj::VectorOutputStream out;
@@ -26,11 +29,11 @@
 }
 
 template <typename T, typename Read>
-result<T, malformed_message> decode(std::span<const char> bytes, Read read) {
+result<T, malformed_message> decode(std::span<const char> bytes, std::uint64_t max_words, Read read) {
   try {
     kj::ArrayInputStream in(kj::arrayPtr(reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
     capnp::ReaderOptions options;
-    options.traversalLimitInWords = max_message_words;
+    options.traversalLimitInWords = max_words;
     capnp::PackedMessageReader message(in, options);
     return read(message);
   } catch (const kj::Exception& error) {
@@ -253,7 +256,7 @@
 }
 
 result<peer_message, malformed_message> decode_message(std::span<const char> bytes) {
-  return decode<peer_message>(bytes, [](capnp::MessageReader& message) -> peer_message {
+  return decode<peer_message>(bytes, max_datagram_words, [](capnp::MessageReader& message) -> peer_message {
     const auto from = message.getRoot<wire::Report>();
     if (from.getRelayed().size() == 0) {
       return read_report(message);
@@ -294,7 +297,7 @@
 }
 
 result<collection_snapshot, malformed_message> decode_snapshot(std::span<const char> bytes) {
-  return decode<collection_snapshot>(bytes, [](capnp::MessageReader& message) {
+  return decode<collection_snapshot>(bytes, max_snapshot_words, [](capnp::MessageReader& message) {
     const auto from = message.getRoot<wire::CollectionSnapshot>();
     collection_snapshot snapshot{from.getAsOf(), {}};
     for (const auto& each : from.getDocuments()) {
--- a/packages/gateway/tests/peer_group_test.cpp
+++ b/packages/gateway/tests/peer_group_test.cpp
@@ -411,3 +411,18 @@
   CHECK(report.m_loads.front().m_leaving);
   UNSIGNED_LONGS_EQUAL(7, report.m_loads.front().m_instance);
 }
+
+// Guards against state without bound for senders with invented names, and against a registered daemon that is
+// ignored because of them.
+TEST(peer_group, unregistered_senders_are_limited) {
+  constexpr int members = 3;
+  constexpr int senders = 1'000;
+  group_fixture fixture(members);
+  for (int i = members; i < senders; ++i) {
+    fixture.m_group.handle_report(fixture.make_report(i, 1), fixture.m_now);
+  }
+  CHECK(fixture.m_group.live_peer_count() < 200);
+  CHECK(fixture.m_group.refused_reports() > 700);
+  fixture.m_group.handle_report(fixture.make_report(1, 1), fixture.m_now);
+  CHECK(fixture.m_group.is_live("d1"));
+}
