Bound the memory that parsing the JSON of a request takes

Cause: a body of 4 MB that consists of digits took 137 MB while it was parsed.

Change: the parsed form may take ten times the body, at most 24 MB, beside a copy of the texts. A body with more values gets 400.

--- a/packages/daemon/src/chat_request.cpp
+++ b/packages/daemon/src/chat_request.cpp
@@ -3,12 +3,13 @@
 #include "cardamompond/core/hash.hpp"
 
 #include <boost/json/monotonic_resource.hpp>
-#include <boost/json/parse.hpp>
+#include <boost/json/parser.hpp>
 #include <boost/json/static_resource.hpp>
 
 #include <algorithm>
 #include <array>
 #include <limits>
+#include <new>
 
 namespace cardamompond::daemon {
 namespace {
@@ -17,6 +18,38 @@
 
 constexpr std::size_t block_bytes = bytes_per_token * tokens_per_block;
 
+// The parsed form of a body may take this much for each of its bytes, up to a limit, beside a copy of its
+// texts. A message of two words takes about 10 bytes for each byte; a list of digits would take over 50.
+constexpr std::size_t parsed_bytes_per_byte = 10;
+constexpr std::size_t max_parsed_bytes = 24U << 20U;
+constexpr std::size_t min_parsed_bytes = 1U << 20U;
+
+// Memory of which only a limited amount can be had; more fails with std::bad_alloc.
+class limited_resource final : public json::memory_resource {
+public:
+  explicit limited_resource(std::size_t bytes)
+      : m_left(bytes) {}
+
+private:
+  void* do_allocate(std::size_t bytes, std::size_t alignment) override {
+    if (bytes > m_left) {
+      throw std::bad_alloc();
+    }
+    void* const memory = ::operator new(bytes, std::align_val_t(alignment));
+    m_left -= bytes;
+    return memory;
+  }
+
+  void do_deallocate(void* memory, std::size_t bytes, std::size_t alignment) override {
+    ::operator delete(memory, bytes, std::align_val_t(alignment));
+    m_left += bytes;
+  }
+
+  bool do_is_equal(const json::memory_resource& other) const noexcept override { return this == &other; }
+
+  std::size_t m_left;
+};
+
 // Hashes the blocks of a prompt incrementally as its texts are appended, so that a prompt of several MB is
 // never copied as a whole.
 class block_hasher {
@@ -116,18 +149,28 @@
 } // namespace
 
 result<chat_request, std::string> parse_chat_request(std::string_view body) {
-  boost::system::error_code error;
+  limited_resource limited(2 * body.size() + min_parsed_bytes +
+                           std::min(parsed_bytes_per_byte * body.size(), max_parsed_bytes));
   std::array<unsigned char, 4096> buffer; // NOLINT(cppcoreguidelines-pro-type-member-init): scratch memory
-  json::monotonic_resource memory(buffer.data(), buffer.size());
-  const auto parsed = json::parse(body, error, &memory);
-  if (error) {
-    return "the body is not valid JSON: " + error.message();
-  }
-  const auto* fields = parsed.if_object();
-  if (fields == nullptr) {
-    return std::string("the body must be a JSON object");
+  json::monotonic_resource memory(buffer.data(), buffer.size(), &limited);
+  std::array<unsigned char, 4096> parser_buffer; // NOLINT(cppcoreguidelines-pro-type-member-init): see above
+  try {
+    json::parser parser(&limited, {}, parser_buffer.data(), parser_buffer.size());
+    parser.reset(&memory);
+    boost::system::error_code error;
+    parser.write(body.data(), body.size(), error);
+    if (error) {
+      return "the body is not valid JSON: " + error.message();
+    }
+    const auto parsed = parser.release();
+    const auto* fields = parsed.if_object();
+    if (fields == nullptr) {
+      return std::string("the body must be a JSON object");
+    }
+    return read_fields(*fields);
+  } catch (const std::bad_alloc&) {
+    return std::string("the body has too many JSON values");
   }
-  return read_fields(*fields);
 }
 
 } // namespace cardamompond::daemon
