Keep a process within its memory and descriptors whatever clients send

Cause: each connection could hold a body of the greatest legal size, chunked ones in a buffer up to twice as large, for as long as a client stayed connected, on each address of a daemon. Nothing bounded the sum. 20,000 connections were accepted on hosts with 4,100 descriptors.

Change: fleet::input_budget decides who may hold memory for connections and requests: 40% of the memory of the host over all servers of the process. Counted are stacks, read buffers, bodies by capacity, complete bodies that wait, their copies, and complete responses over 64 KiB while they are read and sent. When it is used up, the unfinished request (or unread response) that holds much for long with little progress is ended first, and large ones leave a quarter to small ones. Body buffers grow with what has arrived. A request that is ended or finds no room gets 503 as not run with Retry-After and its connection is closed; what it held is freed before. Responses to faults discard input for 2 s at most. The number of connections follows the descriptors; at the limit, the connection that was idle for longest makes room. Addresses that callers do not use take short bodies only. A cell daemon moves the body of a request instead of copying it. request_dropped is written once a minute for each cause, with counts in metrics.

The test of complete bodies now sends a request id; before, its requests were refused without waiting. The test of long responses is new.

--- a/packages/daemon/include/cardamompond/daemon/admin_server.hpp
+++ b/packages/daemon/include/cardamompond/daemon/admin_server.hpp
@@ -2,6 +2,8 @@
 
 #include "cardamompond/core/object_store.hpp"
 #include "cardamompond/daemon/cell_runtime.hpp"
+#include "cardamompond/daemon/process_limits.hpp"
+#include "cardamompond/fleet/input_budget.hpp"
 #include "cardamompond/net/http_object_store.hpp"
 #include "cardamompond/net/http_server.hpp"
 #include "cardamompond/telemetry/request_metrics.hpp"
@@ -19,14 +21,15 @@
   std::function<bool()> m_draining;
   std::function<std::size_t()> m_connections;
   std::function<std::size_t()> m_active_requests;
+  const fleet::input_budget& m_input;
 };
 
 // Serves /livez, /readyz, /metrics and /debug/state on the administration address.
 class admin_server {
 public:
   // Throws std::runtime_error if the address cannot be bound.
-  admin_server(net::fiber_runtime& runtime, std::string address, std::string daemon_name,
-               admin_sources sources);
+  admin_server(net::fiber_runtime& runtime, const std::string& address, std::string daemon_name,
+               admin_sources sources, const process_limits& limits);
 
 private:
   void handle(net::http_exchange& exchange);
--- a/packages/daemon/src/admin_server.cpp
+++ b/packages/daemon/src/admin_server.cpp
@@ -9,6 +9,8 @@
 namespace cardamompond::daemon {
 namespace {
 
+constexpr std::uint32_t max_connections = 256;
+
 net::http_response make_text_response(int status, std::string text) {
   return {status, {{"Content-Type", "text/plain; charset=utf-8"}}, std::move(text)};
 }
@@ -21,11 +23,11 @@
   return names[static_cast<std::size_t>(role)];
 }
 
-admin_server::admin_server(net::fiber_runtime& runtime, std::string address, std::string daemon_name,
-                           admin_sources sources)
+admin_server::admin_server(net::fiber_runtime& runtime, const std::string& address, std::string daemon_name,
+                           admin_sources sources, const process_limits& limits)
     : m_daemon_name(std::move(daemon_name))
     , m_sources(std::move(sources))
-    , m_server(runtime, {.m_address = std::move(address), .m_max_connections = 256},
+    , m_server(runtime, make_service_options(address, limits, max_connections),
                [this](net::http_exchange& exchange) { handle(exchange); }) {}
 
 void admin_server::handle(net::http_exchange& exchange) {
@@ -74,6 +76,12 @@
   metrics.set_gauge("cardamompond_waiting_requests", to_double(m_sources.m_cell.permits().waiting_count()));
   metrics.set_gauge("cardamompond_dispatched_requests",
                     to_double(m_sources.m_cell.permits().dispatched_count()));
+  const auto& input = m_sources.m_input;
+  metrics.set_gauge("cardamompond_input_bytes", to_double(input.held()));
+  metrics.set_gauge("cardamompond_input_limit_bytes", to_double(input.limit()));
+  metrics.set_counter("cardamompond_input_evictions_total", "state", "unfinished",
+                      to_double(input.evicted_requests()));
+  metrics.set_counter("cardamompond_input_evictions_total", "state", "idle", to_double(input.evicted_idle()));
   const auto peers = cell.peer_counters();
   metrics.set_counter("cardamompond_peer_sent_bytes_total", to_double(peers.m_bytes_sent));
   metrics.set_counter("cardamompond_peer_received_bytes_total", to_double(peers.m_bytes_received));
--- a/packages/daemon/src/cell_daemon.cpp
+++ b/packages/daemon/src/cell_daemon.cpp
@@ -5,9 +5,12 @@
 #include "cardamompond/daemon/admin_server.hpp"
 #include "cardamompond/daemon/backend_poller.hpp"
 #include "cardamompond/daemon/cell_runtime.hpp"
+#include "cardamompond/daemon/drop_log.hpp"
 #include "cardamompond/daemon/entry_handler.hpp"
+#include "cardamompond/daemon/process_limits.hpp"
 #include "cardamompond/daemon/status_writer.hpp"
 #include "cardamompond/daemon/usage_recorder.hpp"
+#include "cardamompond/fleet/input_budget.hpp"
 #include "cardamompond/net/http_object_store.hpp"
 #include "cardamompond/telemetry/log.hpp"
 
@@ -22,6 +25,8 @@
 namespace cardamompond::daemon {
 namespace {
 
+constexpr std::uint64_t bytes_per_mb = 1'000'000;
+
 constexpr milliseconds caller_check_interval{50};
 constexpr milliseconds state_check_interval{20};
 
@@ -59,6 +64,7 @@
   bool wait_for_requests(time_point end_time);
 
   settings m_settings;
+  process_limits m_limits;
   net::fiber_runtime m_runtime;
   std::uint64_t m_incarnation = make_incarnation();
   std::mt19937_64 m_random{std::random_device{}()};
@@ -68,6 +74,7 @@
   cell::claim_sweeper m_claim_sweeper;
   usage_recorder m_usage_recorder;
   request_metrics m_metrics;
+  drop_log m_drop_log{m_metrics};
   entry_handler m_entry_handler;
   backend_poller m_backend_poller;
   status_writer m_status_writer;
@@ -103,6 +110,7 @@
 
 cell_daemon::impl::impl(settings config)
     : m_settings(std::move(config))
+    , m_limits(make_process_limits(m_settings.m_memory_mb * bytes_per_mb, m_settings.m_max_descriptors))
     , m_store(m_runtime, {.m_address = m_settings.m_platform_address,
                           .m_max_reads_per_s = m_settings.m_max_reads_per_s,
                           .m_max_writes_per_s = m_settings.m_max_writes_per_s})
@@ -121,16 +129,23 @@
                {.m_address = m_settings.m_callers_address,
                 .m_max_body_bytes = m_settings.m_max_body_bytes,
                 .m_max_header_bytes = m_settings.m_max_header_bytes,
-                .m_max_connections = m_settings.m_max_connections},
+                .m_max_connections = m_settings.m_max_connections,
+                .m_full_at_connections = m_limits.m_caller_connections},
                [this](net::http_exchange& exchange) { m_entry_handler.handle(exchange); })
     , m_admin_server(m_runtime, m_settings.m_admin_address, m_settings.m_name,
                      {m_cell, m_metrics, m_store, [this] { return m_signals_received > 0; },
                       [this] { return m_server.connections(); },
-                      [this] { return m_server.active_requests(); }})
+                      [this] { return m_server.active_requests(); }, m_runtime.input_budget()},
+                     m_limits)
     , m_signal_set(m_runtime.context(), SIGTERM, SIGINT) {
   m_server.set_parse_failure_responder([this](net::http_parse_failure failure) {
     return m_entry_handler.make_parse_failure_response(failure);
   });
+  m_server.set_drop_observer([this](net::request_drop cause, std::string_view detail) {
+    m_drop_log.record(cause, detail, monotonic_now());
+  });
+  m_runtime.input_budget().set_limit(m_limits.m_input_bytes);
+  configure_allocator(m_limits);
 }
 
 void cell_daemon::impl::await_signal() {
--- a/packages/daemon/src/entry_daemon.cpp
+++ b/packages/daemon/src/entry_daemon.cpp
@@ -1,5 +1,8 @@
 #include "cardamompond/daemon/entry_daemon.hpp"
 
+#include "cardamompond/daemon/drop_log.hpp"
+#include "cardamompond/daemon/process_limits.hpp"
+#include "cardamompond/fleet/input_budget.hpp"
 #include "cardamompond/gateway/collection_watcher.hpp"
 #include "cardamompond/gateway/group_maintenance.hpp"
 #include "cardamompond/gateway/peer_exchange.hpp"
@@ -59,25 +62,10 @@
 // unless a backend server works on a request on it.
 constexpr milliseconds connection_loss_timeout{2'000};
 
-std::string_view to_string(net::request_drop cause) {
-  switch (cause) {
-  case net::request_drop::header_timeout:
-    return "header_timeout";
-  case net::request_drop::body_timeout:
-    return "body_timeout";
-  case net::request_drop::client_closed:
-    return "client_closed";
-  case net::request_drop::crossed_close:
-    return "crossed_close";
-  case net::request_drop::too_many_connections:
-    return "too_many_connections";
-  case net::request_drop::accept_failure:
-    return "accept_failure";
-  case net::request_drop::handler_failure:
-    break;
-  }
-  return "handler_failure";
-}
+// Connections to the addresses that callers do not use, unless the descriptors of the process allow fewer.
+constexpr std::uint32_t max_admin_connections = 256;
+constexpr std::uint32_t max_metrics_connections = 64;
+constexpr std::uint32_t max_exchange_connections = 256;
 
 net::http_response make_text_response(int status, std::string text) {
   return {status, {{"Content-Type", "text/plain; charset=utf-8"}}, std::move(text)};
@@ -112,6 +100,7 @@
 
   gateway::gateway_settings m_settings;
   std::string m_settings_file;
+  process_limits m_limits;
   net::fiber_runtime m_runtime;
   std::mt19937_64 m_random{std::random_device{}()};
   net::http_client m_store_connections;
@@ -126,6 +115,7 @@
   gateway::peer_exchange m_peer_exchange;
   gateway::group_maintenance m_group_maintenance;
   request_metrics m_metrics;
+  drop_log m_drop_log{m_metrics};
   gateway::request_handler m_request_handler;
   std::vector<std::unique_ptr<gateway::collection_watcher>> m_watchers;
   net::http_server m_server;
@@ -140,15 +130,18 @@
 entry_daemon::impl::impl(gateway::gateway_settings settings, std::string settings_file)
     : m_settings(std::move(settings))
     , m_settings_file(std::move(settings_file))
+    , m_limits(make_process_limits(m_settings.m_memory_bytes, m_settings.m_max_descriptors))
     , m_store_connections(m_runtime, {.m_connection_loss_timeout = connection_loss_timeout})
-    , m_backend_connections(m_runtime, {.m_connection_loss_timeout = connection_loss_timeout})
+    , m_backend_connections(m_runtime, {.m_max_idle = m_limits.m_idle_backend_connections,
+                                        .m_connection_loss_timeout = connection_loss_timeout})
     , m_store(m_store_connections, m_settings.m_store_address)
     , m_fleet_view(m_reader)
     , m_admission(m_fleet_view, {m_settings.m_name, m_settings.m_availability_zone},
                   m_settings.m_retry_limits, m_random())
     , m_self{m_settings.m_name, m_settings.m_availability_zone, m_settings.m_exchange_address}
     , m_group(m_admission, m_self, m_settings.m_seeds, make_incarnation())
-    , m_peer_exchange(m_runtime, m_backend_connections, m_group, m_fleet_view, m_settings.m_exchange_address)
+    , m_peer_exchange(m_runtime, m_backend_connections, m_group, m_fleet_view, m_settings.m_exchange_address,
+                      connection_limit(m_limits, max_exchange_connections))
     , m_group_maintenance(m_store, m_admission, m_group, m_reader, m_self)
     , m_request_handler(m_backend_connections, m_admission, m_protocol, m_metrics,
                         {.m_accepts_requests =
@@ -156,19 +149,28 @@
                                return monotonic_now() <
                                       (streamed ? m_streams_refused_from : m_requests_refused_from);
                              }})
-    , m_server(m_runtime, {.m_address = m_settings.m_callers_address},
+    , m_server(m_runtime,
+               {.m_address = m_settings.m_callers_address,
+                .m_full_at_connections = m_limits.m_caller_connections,
+                .m_body_copies = 2}, // that of the caller's message, and that on the way to or from a server
                [this](net::http_exchange& exchange) { m_request_handler.handle(exchange); })
-    , m_admin_server(m_runtime, {.m_address = m_settings.m_admin_address, .m_max_connections = 256},
+    , m_admin_server(m_runtime,
+                     make_service_options(m_settings.m_admin_address, m_limits, max_admin_connections),
                      [this](net::http_exchange& exchange) { serve_admin(exchange); })
-    , m_metrics_server(m_runtime, {.m_address = m_settings.m_metrics_address, .m_max_connections = 64},
+    , m_metrics_server(m_runtime,
+                       make_service_options(m_settings.m_metrics_address, m_limits, max_metrics_connections),
                        [this](net::http_exchange& exchange) { serve_metrics(exchange); })
     , m_signal_set(m_runtime.context(), SIGTERM, SIGINT, SIGHUP) {
   m_server.set_parse_failure_responder([this](net::http_parse_failure failure) {
     return m_request_handler.make_parse_failure_response(failure);
   });
-  m_server.set_drop_observer([](net::request_drop cause, std::string_view detail) {
-    log_event(log_level::warning, "request_dropped", {{"cause", to_string(cause)}, {"reason", detail}});
-  });
+  for (auto* server : {&m_server, &m_admin_server, &m_metrics_server}) {
+    server->set_drop_observer([this](net::request_drop cause, std::string_view detail) {
+      m_drop_log.record(cause, detail, monotonic_now());
+    });
+  }
+  m_runtime.input_budget().set_limit(m_limits.m_input_bytes);
+  configure_allocator(m_limits);
   m_fleet_view.on_change([this](gateway::collection_kind kind) {
     if (kind == gateway::collection_kind::declarations) {
       apply_http_limits();
@@ -231,6 +233,7 @@
                         static_cast<double>(exchange_counters.m_reports_received));
   m_metrics.set_counter("cardamompond_report_bytes_sent_total",
                         static_cast<double>(exchange_counters.m_bytes_sent));
+  m_metrics.set_counter("cardamompond_reports_refused_total", static_cast<double>(m_group.refused_reports()));
   m_metrics.set_gauge("cardamompond_peers_heard", static_cast<double>(m_group.live_peer_count()));
   m_metrics.set_gauge("cardamompond_requests_waiting",
                       static_cast<double>(m_admission.dispatcher().waiting()));
@@ -247,6 +250,13 @@
                       static_cast<double>(leaving.m_reported));
   m_metrics.set_counter("cardamompond_backend_connections_total",
                         static_cast<double>(m_backend_connections.connections_opened()));
+  const auto& input = m_runtime.input_budget();
+  m_metrics.set_gauge("cardamompond_input_bytes", static_cast<double>(input.held()));
+  m_metrics.set_gauge("cardamompond_input_limit_bytes", static_cast<double>(input.limit()));
+  m_metrics.set_counter("cardamompond_input_evictions_total", "state", "unfinished",
+                        static_cast<double>(input.evicted_requests()));
+  m_metrics.set_counter("cardamompond_input_evictions_total", "state", "idle",
+                        static_cast<double>(input.evicted_idle()));
   m_metrics.set_counter("cardamompond_documents_unreadable_total",
                         static_cast<double>(m_fleet_view.unreadable_documents()));
 }
--- a/packages/daemon/src/entry_handler.cpp
+++ b/packages/daemon/src/entry_handler.cpp
@@ -214,7 +214,7 @@
   backend_request.m_target = m_routed.m_backend_target;
   backend_request.m_headers = end_to_end_headers(request.m_headers);
   backend_request.m_headers.push_back({"Cardamompond-Request-Id", m_request_id});
-  backend_request.m_body = request.m_body;
+  backend_request.m_body = std::move(request.m_body); // forward() returns it
   return backend_request;
 }
 
@@ -244,7 +244,9 @@
       m_handler.m_metrics.observe_between_tokens(m_routed.m_client_account, m_routed.m_tier, elapsed);
     }
   };
-  return m_handler.m_forwarder.forward(m_exchange, m_caller_watch, request, observer);
+  auto forwarded = m_handler.m_forwarder.forward(m_exchange, m_caller_watch, request, observer);
+  m_exchange.request().m_body = std::move(request.m_backend_request.m_body); // for another attempt
+  return forwarded;
 }
 
 void entry_handler::request_processor::respond_error(const request_error& error) {
@@ -322,6 +324,8 @@
     error = make_refusal(error_code::too_large, "the body is over the limit max_body_bytes");
   } else if (failure == net::http_parse_failure::header_too_large) {
     error = make_refusal(error_code::header_too_large, "the header is over the limit max_header_bytes");
+  } else if (failure == net::http_parse_failure::memory_exhausted) {
+    error = make_refusal(error_code::overloaded, "this daemon has no memory left for the request");
   }
   m_metrics.count_rejected(error.m_code);
   const request_key key = m_permits.next_key();
--- a/packages/gateway/include/cardamompond/gateway/peer_exchange.hpp
+++ b/packages/gateway/include/cardamompond/gateway/peer_exchange.hpp
@@ -24,9 +24,10 @@
 // over HTTP on the same address, and fetches collections of which a peer has a newer copy.
 class peer_exchange {
 public:
-  // Binds the UDP and the TCP socket to `address`. Throws std::runtime_error if that fails.
+  // Binds the UDP and the TCP socket to `address`. Throws std::runtime_error if that fails. The TCP socket
+  // accepts up to `max_connections` at a time.
   peer_exchange(net::fiber_runtime& runtime, net::http_client& client, peer_group& group, fleet_view& view,
-                const std::string& address);
+                const std::string& address, std::uint32_t max_connections);
   ~peer_exchange();
   peer_exchange(const peer_exchange&) = delete;
   peer_exchange& operator=(const peer_exchange&) = delete;
--- a/packages/gateway/src/backend_call.cpp
+++ b/packages/gateway/src/backend_call.cpp
@@ -237,6 +237,13 @@
     if (m_response.m_body.size() + part->size() > max_response_bytes) {
       return abort_after_error({"the answer is too large", true, false});
     }
+    if (m_options.m_relay != nullptr && m_options.m_relay->m_exchange != nullptr &&
+        !m_options.m_relay->m_exchange->reserve_response(m_response.m_body.size() + part->size())) {
+      // Not a failure of the server.
+      m_failure = "no memory for the answer";
+      m_call->abort();
+      return call_outcome::caller_gone;
+    }
     m_response.m_body.append(part->data(), part->size());
   }
 }
--- a/packages/gateway/src/peer_exchange.cpp
+++ b/packages/gateway/src/peer_exchange.cpp
@@ -34,6 +34,12 @@
 // another one at once, would fill a link of 20 Mbit/s for over 100 ms.
 constexpr std::size_t max_forwards_per_round = 20;
 
+// Requests of peers have no body, or a short one.
+constexpr std::uint64_t max_request_body_bytes = 256U << 10U;
+
+// Addresses whose parsed form is kept; more than a group has daemons.
+constexpr std::size_t max_endpoints = 8'192;
+
 // Datagrams that wait to be forwarded; the oldest is dropped.
 constexpr std::size_t max_queued_forwards = 64;
 
@@ -55,12 +61,15 @@
 class peer_exchange::impl {
 public:
   impl(net::fiber_runtime& runtime, net::http_client& client, peer_group& group, fleet_view& view,
-       const std::string& address)
+       const std::string& address, std::uint32_t max_connections)
       : m_client(client)
       , m_group(group)
       , m_fleet_view(view)
       , m_socket(runtime.context(), parse_required_endpoint(address))
-      , m_server(runtime, {.m_address = address, .m_max_connections = 256},
+      , m_server(runtime,
+                 {.m_address = address,
+                  .m_max_body_bytes = max_request_body_bytes,
+                  .m_max_connections = max_connections},
                  [this](net::http_exchange& exchange) { serve(exchange); }) {
     m_socket.non_blocking(true);
   }
@@ -107,6 +116,9 @@
       if (!endpoint) {
         continue;
       }
+      if (m_endpoints.size() >= max_endpoints) {
+        m_endpoints.clear(); // reports with invented addresses must not make it grow
+      }
       found = m_endpoints.emplace(address, *endpoint).first;
     }
     boost::system::error_code ignored; // the next report makes up for a lost one
@@ -240,8 +252,8 @@
 }
 
 peer_exchange::peer_exchange(net::fiber_runtime& runtime, net::http_client& client, peer_group& group,
-                             fleet_view& view, const std::string& address)
-    : m_impl(std::make_unique<impl>(runtime, client, group, view, address)) {}
+                             fleet_view& view, const std::string& address, std::uint32_t max_connections)
+    : m_impl(std::make_unique<impl>(runtime, client, group, view, address, max_connections)) {}
 
 peer_exchange::~peer_exchange() = default;
 
--- a/packages/gateway/src/request_handler.cpp
+++ b/packages/gateway/src/request_handler.cpp
@@ -6,6 +6,12 @@
 #include <vector>
 
 namespace cardamompond::gateway {
+namespace {
+
+// Other daemons have memory at once, and this one when requests that were refused have ended.
+constexpr milliseconds memory_retry_after{1'000};
+
+} // namespace
 
 request_handler::request_handler(net::http_client& client, admission_controller& admission,
                                  const request_protocol& protocol, request_metrics& metrics,
@@ -34,6 +40,10 @@
     error = make_not_run_error(error_code::too_large, "the body is over the limit");
   } else if (failure == net::http_parse_failure::header_too_large) {
     error = make_not_run_error(error_code::header_too_large, "the header is over the limit");
+  } else if (failure == net::http_parse_failure::memory_exhausted) {
+    error = make_not_run_error(error_code::overloaded, "this daemon has no memory left for the request");
+    m_metrics.count_rejected(error.m_code);
+    return m_protocol.make_error_response(error, "", memory_retry_after);
   }
   m_metrics.count_rejected(error.m_code);
   return m_protocol.make_error_response(error, "", std::nullopt);
--- a/packages/net/include/cardamompond/net/fiber_runtime.hpp
+++ b/packages/net/include/cardamompond/net/fiber_runtime.hpp
@@ -7,6 +7,10 @@
 class io_context;
 }
 
+namespace cardamompond::fleet {
+class input_budget;
+}
+
 namespace cardamompond::net {
 
 // Runs the fibers of one thread on an Asio event loop. Each thread that runs fibers needs a runtime of its
@@ -22,6 +26,10 @@
   // Returns the event loop, for code that includes Asio.
   boost::asio::io_context& context() noexcept { return *m_context; }
 
+  // Returns the memory that all servers of this runtime together may use for connections and requests. It has
+  // no limit at first.
+  fleet::input_budget& input_budget() noexcept { return *m_input_budget; }
+
   // Starts a detached fiber on the calling thread. `stack_bytes` is reserved address space; only touched
   // pages use memory.
   static void spawn(std::function<void()> body, std::size_t stack_bytes = 128 * 1024);
@@ -32,6 +40,7 @@
 
 private:
   std::shared_ptr<boost::asio::io_context> m_context;
+  std::unique_ptr<fleet::input_budget> m_input_budget;
 };
 
 } // namespace cardamompond::net
--- a/packages/net/include/cardamompond/net/http_client.hpp
+++ b/packages/net/include/cardamompond/net/http_client.hpp
@@ -94,6 +94,7 @@
   milliseconds m_connect_timeout{1'000};
   std::uint32_t m_max_header_bytes = 64U << 10U;
   std::size_t m_max_idle_per_address = 64;
+  std::size_t m_max_idle = 0; // to all addresses together; 0: not limited
   // A shorter timeout in the server's Keep-Alive header takes precedence.
   milliseconds m_max_idle_time{30'000};
   // Time without a TCP acknowledgement after which a connection is closed, unless a call keeps it for longer;
--- a/packages/net/include/cardamompond/net/http_server.hpp
+++ b/packages/net/include/cardamompond/net/http_server.hpp
@@ -34,6 +34,10 @@
   // Returns the request; the handler may move its body out.
   virtual http_request& request() = 0;
 
+  // Asks for memory for a response of that size, which the handler collects before it calls respond().
+  // Returns false if there is none.
+  virtual bool reserve_response(std::size_t /*bytes*/) { return true; }
+
   // Sends a complete response.
   virtual io_result<success> respond(const http_response& response) = 0;
 
@@ -63,7 +67,13 @@
   std::string m_address; // "127.0.0.1:8080"; port 0 picks a free one
   std::uint64_t m_max_body_bytes = 16U << 20U;
   std::uint32_t m_max_header_bytes = 32U << 10U;
-  std::uint32_t m_max_connections = 20'000;
+  std::uint32_t m_max_connections = 20'000; // further ones are closed when they are accepted
+  // With this many connections, a further one is accepted only when another has been closed: that which has
+  // been idle for longest, or an unfinished request. 0: not used.
+  std::uint32_t m_full_at_connections = 0;
+  // Number of copies of a body in memory while a handler forwards it, for the memory budget. Holds for bodies
+  // of requests and of complete responses.
+  std::size_t m_body_copies = 1;
   milliseconds m_idle_timeout{60'000};    // between requests, and between the parts of a body
   milliseconds m_header_timeout{60'000};  // from the first byte of a header to its last
   milliseconds m_write_timeout{60'000};   // for one write to make progress
@@ -71,18 +81,21 @@
 };
 
 // Why a request was rejected while it was being read. The parse_failure_responder provides the response.
-enum class http_parse_failure { bad_request, body_too_large, header_too_large };
+enum class http_parse_failure { bad_request, body_too_large, header_too_large, memory_exhausted };
 
 // Why a connection was closed without a response although a request, or a part of one, had arrived.
 enum class request_drop {
   header_timeout,
   body_timeout,
   handler_failure,
-  client_closed,        // the client closed its connection before the request was complete
-  crossed_close,        // the request arrived after the server had closed the connection
+  client_closed,    // the client closed its connection before the request was complete
+  crossed_close,    // the request arrived after the server had closed the connection
+  memory_exhausted, // the memory for unfinished requests was needed for others; refused with 503 or closed
   too_many_connections, // the connection was closed when it was accepted
+  accepting_paused,     // connections wait to be accepted, because all that are open have complete requests
   accept_failure        // the connection was not accepted
 };
+inline constexpr std::size_t request_drop_count = static_cast<std::size_t>(request_drop::accept_failure) + 1;
 
 // An HTTP/1.1 server with keep-alive. Each connection has a fiber, which serves its requests in order.
 class http_server {
--- a/packages/net/src/fiber_runtime.cpp
+++ b/packages/net/src/fiber_runtime.cpp
@@ -1,5 +1,7 @@
 #include "cardamompond/net/fiber_runtime.hpp"
 
+#include "cardamompond/fleet/input_budget.hpp"
+
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -57,7 +59,8 @@
 } // namespace
 
 fiber_runtime::fiber_runtime()
-    : m_context(std::make_shared<boost::asio::io_context>(1)) {
+    : m_context(std::make_shared<boost::asio::io_context>(1))
+    , m_input_budget(std::make_unique<fleet::input_budget>()) {
   boost::fibers::use_scheduling_algorithm<asio_scheduler>(m_context);
 }
 
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -12,6 +12,7 @@
 #include <charconv>
 #include <iterator>
 #include <map>
+#include <numeric>
 #include <optional>
 #include <tuple>
 #include <utility>
@@ -152,6 +153,8 @@
   void put_idle(const std::string& address, std::unique_ptr<fiber_stream> stream, time_point opened_at,
                 duration max_idle_time);
 
+  std::size_t count_idle() const;
+
   // Closes the idle connections that have been idle for too long, to whatever address. Servers come and go,
   // so that the address of an idle connection may never be asked for again.
   void close_expired(time_point now);
@@ -193,11 +196,17 @@
   }
 }
 
+std::size_t http_client::impl::count_idle() const {
+  return std::accumulate(m_idle.begin(), m_idle.end(), std::size_t{0},
+                         [](std::size_t sum, const auto& address) { return sum + address.second.size(); });
+}
+
 void http_client::impl::put_idle(const std::string& address, std::unique_ptr<fiber_stream> stream,
                                  time_point opened_at, duration max_idle_time) {
   close_expired(monotonic_now());
   auto& idle = m_idle[address];
-  if (idle.size() < m_options.m_max_idle_per_address) {
+  if (idle.size() < m_options.m_max_idle_per_address &&
+      (m_options.m_max_idle == 0 || count_idle() < m_options.m_max_idle)) {
     stream->expires_never();
     stream->on_silence({}, {}, nullptr);
     stream->set_connection_loss_timeout(m_options.m_connection_loss_timeout);
--- a/packages/net/tests/http_test.cpp
+++ b/packages/net/tests/http_test.cpp
@@ -1,3 +1,4 @@
+#include "cardamompond/fleet/input_budget.hpp"
 #include "cardamompond/net/http_client.hpp"
 #include "cardamompond/net/http_server.hpp"
 #include "cardamompond/net/io_wait.hpp"
@@ -90,6 +91,8 @@
     return m_received.find(text) != std::string::npos;
   }
 
+  const std::string& received() const { return m_received; }
+
 private:
   boost::asio::ip::tcp::socket m_socket;
   std::string m_received;
@@ -164,6 +167,49 @@
   LONGS_EQUAL(400, malformed->m_status);
 }
 
+// Guards against a body over the limit that is asked for, or read, although its length is announced.
+TEST(http, announced_body_over_the_limit_is_refused_before_it_is_read) {
+  const http_server server(test_runtime(), {.m_address = "127.0.0.1:0", .m_max_body_bytes = 1'000},
+                           [](http_exchange&) {});
+  for (const std::string_view expect : {"", "Expect: 100-continue\r\n"}) {
+    raw_connection client(server.port());
+    client.write("POST / HTTP/1.1\r\nHost: h\r\n" + std::string(expect) + "Content-Length: 1001\r\n\r\n");
+    CHECK_TEXT(client.read_until("Connection: close\r\n\r\n"), client.received().c_str());
+    CHECK_TEXT(client.received().starts_with("HTTP/1.1 413 "), client.received().c_str());
+  }
+}
+
+// Guards against an unfinished request that is ended for another one without a response that says so, and
+// against a budget that is not given back.
+TEST(http, request_without_memory_is_refused) {
+  auto& budget = test_runtime().input_budget();
+  const std::size_t held = budget.held();
+  {
+    http_server server(test_runtime(), {.m_address = "127.0.0.1:0"}, [](http_exchange& exchange) {
+      std::ignore = exchange.respond({200, {}, std::to_string(exchange.request().m_body.size())});
+    });
+    constexpr std::size_t body_bytes = 1U << 20U;
+    budget.set_limit(held + 3 * body_bytes);
+    raw_connection slow(server.port());
+    const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(body_bytes) +
+                             "\r\nConnection: close\r\n\r\n";
+    slow.write(head + std::string(body_bytes - 1, 'x'));
+    boost::this_fiber::sleep_for(milliseconds(300));
+    raw_connection steady(server.port());
+    steady.write(head + std::string(body_bytes, 'x'));
+    CHECK_TEXT(steady.read_until("\r\n\r\n" + std::to_string(body_bytes)), steady.received().c_str());
+    CHECK_TEXT(slow.read_until("Retry-After: "), slow.received().c_str());
+    CHECK_TEXT(slow.received().starts_with("HTTP/1.1 503 "), slow.received().c_str());
+    CHECK(budget.held() <= budget.limit());
+    server.close_all();
+  }
+  budget.set_limit(0);
+  for (int i = 0; budget.held() != held && i < 1'000; ++i) {
+    boost::this_fiber::sleep_for(milliseconds(5)); // the fibers of the connections end
+  }
+  CHECK_EQUAL(held, budget.held());
+}
+
 // Guards against a fiber that hangs on a peer that neither sends nor reads. Reads and writes must both end
 // with a timeout, even when an earlier call on the same connection had a later deadline.
 TEST(http, unresponsive_peers_cause_timeouts) {
--- a/tests/processes/hostile_entry_test.cpp
+++ b/tests/processes/hostile_entry_test.cpp
@@ -33,15 +33,16 @@
 constexpr std::size_t max_descriptors = 400;
 constexpr std::size_t bytes_per_mb = 1'000'000;
 
-constexpr std::string_view request_head = "POST /order/x HTTP/1.1\r\nHost: h\r\nApi-Key: k\r\n";
+constexpr std::string_view request_head =
+    "POST /order/x HTTP/1.1\r\nHost: h\r\nApi-Key: k\r\nX-Cardamompond-Request-Id: hostile\r\n";
 
 } // namespace
 
 // Clients that send requests without completing them, to an entry daemon on a machine with 64 MB of memory
 // and 400 descriptors. The daemon has to live on within that memory and these descriptors, and has to answer
-// another request while the clients stay connected. Without bounds the daemon had peaks of 117 MB (bodies
-// with a length, complete bodies), 166 to 169 MB (chunked bodies), 222 MB (other addresses), 442 MB and 133
-// MB (datagrams), and 620 descriptors.
+// another request while the clients stay connected. Without bounds the daemon had peaks of
+// 117 MB (bodies with a length), 120 MB (complete bodies), 166 to 169 MB (chunked bodies), 222 MB (other
+// addresses), 85 MB (long responses), 442 MB and 133 MB (datagrams), and 620 descriptors.
 TEST_GROUP(hostile_entry) {
   void setup() override {
     m_relay = std::make_unique<tcp_relay>(m_engine.address());
@@ -204,6 +205,20 @@
   check_process();
 }
 
+// Guards against long responses that stay in memory because their clients do not read them.
+TEST(hostile_entry, long_responses_that_are_not_read) {
+  m_engine.set_padding(3 * body_limit);
+  {
+    constexpr bool reads = false;
+    hostile_crowd crowd(m_callers, crowd_size, reads);
+    crowd.send(std::string(request_head) + "Content-Length: 1\r\n\r\nx", 65'536);
+    check_process();
+    m_engine.set_padding(0);
+    check_request("beside the crowd", 100);
+  }
+  check_process();
+}
+
 // Guards against large bodies sent to the addresses that callers do not use.
 TEST(hostile_entry, large_bodies_on_the_other_addresses) {
   for (const auto& address : {m_admin, m_metrics, m_exchange}) {
--- a/tests/support/include/cardamompond/testing/hostile_crowd.hpp
+++ b/tests/support/include/cardamompond/testing/hostile_crowd.hpp
@@ -34,8 +34,9 @@
     int m_socket = -1;
   };
 
-  // Opens connections to "IP:PORT" that `count` clients share. A connection that is refused counts as closed.
-  hostile_crowd(const std::string& address, std::size_t count);
+  // Opens a connection to "IP:PORT" for each of `count` clients. A connection that is refused counts as
+  // closed. With `reads` they read responses slowly, without it not at all.
+  hostile_crowd(const std::string& address, std::size_t count, bool reads = true);
   ~hostile_crowd();
   hostile_crowd(const hostile_crowd&) = delete;
   hostile_crowd& operator=(const hostile_crowd&) = delete;
@@ -53,8 +54,9 @@
   };
 
   // Returns whether some bytes were sent.
-  static bool send_piece(client& client, std::string_view bytes, std::size_t piece_bytes);
+  bool send_piece(client& sender, std::string_view bytes, std::size_t piece_bytes) const;
 
+  bool m_reads;
   std::vector<client> m_clients;
 };
 
--- a/tests/support/src/hostile_crowd.cpp
+++ b/tests/support/src/hostile_crowd.cpp
@@ -69,8 +69,9 @@
   }
 }
 
-hostile_crowd::hostile_crowd(const std::string& address, std::size_t count)
-    : m_clients(count) {
+hostile_crowd::hostile_crowd(const std::string& address, std::size_t count, bool reads)
+    : m_reads(reads)
+    , m_clients(count) {
   const sockaddr_in target = parse_socket_address(address);
   for (auto& each : m_clients) {
     each.m_socket = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
@@ -87,21 +88,22 @@
   }
 }
 
-bool hostile_crowd::send_piece(client& client, std::string_view bytes, std::size_t piece_bytes) {
+bool hostile_crowd::send_piece(client& sender, std::string_view bytes, std::size_t piece_bytes) const {
   std::array<char, 4096> discard{};
-  const auto received = ::recv(client.m_socket, discard.data(), discard.size(), MSG_DONTWAIT);
+  const auto received =
+      ::recv(sender.m_socket, discard.data(), discard.size(), MSG_DONTWAIT | (m_reads ? 0 : MSG_PEEK));
   const auto is_temporary = [] { return errno == EAGAIN || errno == EINTR || errno == ENOTCONN; };
   bool closed = received == 0 || (received < 0 && !is_temporary());
   ssize_t sent = 0;
-  if (!closed && client.m_sent < bytes.size()) {
-    const auto piece = bytes.substr(client.m_sent, piece_bytes);
-    sent = ::send(client.m_socket, piece.data(), piece.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+  if (!closed && sender.m_sent < bytes.size()) {
+    const auto piece = bytes.substr(sender.m_sent, piece_bytes);
+    sent = ::send(sender.m_socket, piece.data(), piece.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
     closed = sent < 0 && !is_temporary();
-    client.m_sent += static_cast<std::size_t>(std::max<ssize_t>(sent, 0));
+    sender.m_sent += static_cast<std::size_t>(std::max<ssize_t>(sent, 0));
   }
   if (closed) {
-    ::close(client.m_socket);
-    client.m_socket = -1;
+    ::close(sender.m_socket);
+    sender.m_socket = -1;
   }
   return sent > 0;
 }
