--- a/packages/gateway/src/peer_report.cpp
+++ b/packages/gateway/src/peer_report.cpp
@@ -1,5 +1,6 @@
 #include "cardamompond/gateway/peer_report.hpp"
 
+#include "packed_message.hpp"
 #include "usage_message.hpp"
 
 #include <capnp/message.h>
@@ -296,7 +297,7 @@
 }
 
 result<peer_message, malformed_message> decode_message(std::span<const char> bytes) {
-  return decode<peer_message>(bytes, [](capnp::MessageReader& message) -> peer_message {
+  return decode<peer_message>(bytes, max_datagram_words, [](capnp::MessageReader& message) -> peer_message {
     const auto from = message.getRoot<wire::Report>();
     if (from.hasUsage()) {
       return read_usage(from.getUsage());
@@ -340,7 +341,7 @@
 }
 
 result<collection_snapshot, malformed_message> decode_snapshot(std::span<const char> bytes) {
-  return decode<collection_snapshot>(bytes, [](capnp::MessageReader& message) {
+  return decode<collection_snapshot>(bytes, max_snapshot_words, [](capnp::MessageReader& message) {
     const auto from = message.getRoot<wire::CollectionSnapshot>();
     collection_snapshot snapshot{from.getAsOf(), {}, 0};
     for (const auto& each : from.getDocuments()) {
