Recognise a cut of one daemon also from a change that it missed

Cause: a daemon notices a silent cut up to 3.2 s late, and watches without a change last 2.5 s. A peer that saw a server leave in between had last heard of the store before the outage that the daemon noticed, so that it kept the server.

Change: a peer that has read the store without a failure since before the outage, and knows a change after the revision that the daemon had then, shows as well that the outage was the daemon's own. Its report must be newer than the outage.

Result: the new case of a_peer_that_read_the_store_all_along_shows_that_an_outage_was_local fails first; gateway_tests of peer_group and collection_watcher pass.

--- a/packages/gateway/include/cardamompond/gateway/collection_watcher.hpp
+++ b/packages/gateway/include/cardamompond/gateway/collection_watcher.hpp
@@ -27,8 +27,8 @@
     std::function<bool(collection_kind)> m_updated_by_peers; // whether peers keep the collection up to date
     std::function<void()> m_announce_change;                 // called after a change read from the store
     // Whether a peer has read the collection from the store without a failure since the time given, or
-    // longer, and did so after that time.
-    std::function<bool(collection_kind, time_point)> m_read_by_peers_since;
+    // longer, and has heard of the store after that time or knows a change after the revision given.
+    std::function<bool(collection_kind, time_point, std::uint64_t)> m_read_by_peers_since;
   };
 
   collection_watcher(document_store& store, fleet_view& view, collection_kind kind, peer_callbacks peers,
@@ -61,9 +61,11 @@
   bool m_connected = false;
   bool m_list_next = true;
   std::uint32_t m_consecutive_failures = 0;
-  time_point m_outage_began;        // when the first of the consecutive failures occurred
-  time_point m_keeping_since;       // beginning of the last outage after which entries were kept
-  time_point m_entries_restored_at; // until then the store may lack entries that expired during its outage
+  time_point m_outage_began;         // when the first of the consecutive failures occurred
+  std::uint64_t m_outage_as_of = 0;  // revision of the replica at that time
+  std::uint64_t m_keeping_as_of = 0; // the same for the last outage after which entries were kept
+  time_point m_keeping_since;        // beginning of the last outage after which entries were kept
+  time_point m_entries_restored_at;  // until then the store may lack entries that expired during its outage
 };
 
 } // namespace cardamompond::gateway
--- a/packages/gateway/src/backend_call.cpp
+++ b/packages/gateway/src/backend_call.cpp
@@ -14,8 +14,8 @@
 constexpr milliseconds connect_timeout{250};
 
 // A pooled connection that was idle for long may have been dropped without notice. A request that cannot be
-// retried therefore uses only a connection that was in use recently. A reservation tries its connection before
-// the request is sent, so that only the Keep-Alive of the server limits its age.
+// retried therefore uses only a connection that was in use recently. A reservation tries its connection
+// before the request is sent, so that only the Keep-Alive of the server limits its age.
 constexpr milliseconds max_idle_idempotent{4'000};
 constexpr milliseconds max_idle_at_most_once{1'000};
 constexpr milliseconds max_idle_before_reservation{30'000};
--- a/packages/gateway/src/collection_watcher.cpp
+++ b/packages/gateway/src/collection_watcher.cpp
@@ -112,7 +112,7 @@
 // outage was one of this daemon alone, and what the list lacks has left.
 void collection_watcher::apply_snapshot(const collection_snapshot& snapshot) {
   if (m_kind != collection_kind::backend_servers || monotonic_now() >= m_entries_restored_at ||
-      m_peer_callbacks.m_read_by_peers_since(m_kind, m_keeping_since)) {
+      m_peer_callbacks.m_read_by_peers_since(m_kind, m_keeping_since, m_keeping_as_of)) {
     m_entries_restored_at = {};
     m_fleet_view.apply(m_kind, snapshot, "store");
     m_fleet_view.drop_kept(m_kind, "store");
@@ -129,7 +129,7 @@
   const time_point until = monotonic_now() + relist_interval;
   while (monotonic_now() < until) {
     boost::this_fiber::sleep_for(peers_poll_interval);
-    if (m_peer_callbacks.m_read_by_peers_since(m_kind, m_keeping_since)) {
+    if (m_peer_callbacks.m_read_by_peers_since(m_kind, m_keeping_since, m_keeping_as_of)) {
       m_entries_restored_at = {};
       m_fleet_view.drop_kept(m_kind, "peers");
       return;
@@ -169,6 +169,7 @@
   m_fleet_view.set_read_since(m_kind, {});
   if (m_consecutive_failures == 0) {
     m_outage_began = now;
+    m_outage_as_of = m_fleet_view.collection(m_kind).as_of();
   }
   if (m_connected) {
     m_connected = false;
@@ -189,6 +190,7 @@
   if (m_consecutive_failures > 0 && now - m_outage_began >= min_outage_for_expiry &&
       m_fleet_view.collection(m_kind).loaded()) {
     m_keeping_since = m_outage_began;
+    m_keeping_as_of = m_outage_as_of;
     m_entries_restored_at = now + entries_restore_time;
     m_list_next = true;
   }
--- a/packages/gateway/src/peer_group.cpp
+++ b/packages/gateway/src/peer_group.cpp
@@ -498,12 +498,13 @@
   return now - m_admission.known_fleet().collection(kind).confirmed_at() < limit;
 }
 
-bool peer_group::is_read_by_peers_since(collection_kind kind, time_point since) const {
+bool peer_group::is_read_by_peers_since(collection_kind kind, time_point since, std::uint64_t as_of) const {
   return std::any_of(m_peers.begin(), m_peers.end(), [&](const auto& each) {
     const peer& remote = each.second;
     const collection_state& state = remote.m_collections[static_cast<std::size_t>(kind)];
-    return state.m_read_for > milliseconds(0) && remote.m_last_report_at - state.m_read_for <= since &&
-           remote.m_last_report_at - state.m_age > since;
+    return state.m_read_for > milliseconds(0) && remote.m_last_report_at > since &&
+           remote.m_last_report_at - state.m_read_for <= since &&
+           (remote.m_last_report_at - state.m_age > since || state.m_changed_at > as_of);
   });
 }
 
--- a/packages/gateway/tests/collection_watcher_test.cpp
+++ b/packages/gateway/tests/collection_watcher_test.cpp
@@ -75,8 +75,9 @@
       : m_view(m_reader)
       , m_watcher(m_store, m_view, kind,
                   {[](collection_kind) { return false; }, [] {},
-                   [this](collection_kind, time_point since) {
+                   [this](collection_kind, time_point since, std::uint64_t as_of) {
                      m_asked_since = since;
+                     m_asked_as_of = as_of;
                      return m_read_by_peers;
                    }},
                   7) {
@@ -113,6 +114,7 @@
   switchable_store m_store;
   bool m_read_by_peers = false;
   time_point m_asked_since;
+  std::uint64_t m_asked_as_of = 0;
   time_point m_outage_began;
   fleet_view m_view;
   collection_watcher m_watcher;
@@ -134,6 +136,7 @@
   UNSIGNED_LONGS_EQUAL(1, told.m_documents.size());
   STRCMP_EQUAL("i-1", told.m_documents.front().m_name.c_str());
   CHECK(daemon.m_asked_since >= daemon.m_outage_began);
+  UNSIGNED_LONGS_EQUAL(10, daemon.m_asked_as_of);
   boost::this_fiber::sleep_for(milliseconds(3'000));
   UNSIGNED_LONGS_EQUAL(1, daemon.m_view.backend_servers().size());
 }
--- a/packages/gateway/tests/peer_group_test.cpp
+++ b/packages/gateway/tests/peer_group_test.cpp
@@ -174,15 +174,16 @@
 // Guards against an outage of the store that is taken for one of this daemon alone, because a peer reads the
 // store again or has not noticed the outage yet, and against the opposite.
 TEST(peer_group, a_peer_that_read_the_store_all_along_shows_that_an_outage_was_local) {
-  const auto is_read_since = [](milliseconds read_for, milliseconds age, milliseconds outage) {
+  const auto is_read_since = [](milliseconds read_for, milliseconds age, milliseconds outage,
+                                std::uint64_t changed_at = 5) {
     group_fixture daemon(3);
-    auto report = daemon.make_report(1, 1);
+    auto report = daemon.make_report(1, 1, changed_at);
     for (auto& each : report.m_collections) {
       each.m_read_for = read_for;
       each.m_age = age;
     }
     daemon.m_group.handle_report(*decode_report(encode_report(report)), daemon.m_now);
-    return daemon.m_group.is_read_by_peers_since(collection_kind::backend_servers, daemon.m_now - outage);
+    return daemon.m_group.is_read_by_peers_since(collection_kind::backend_servers, daemon.m_now - outage, 5);
   };
   CHECK(is_read_since(seconds(60), milliseconds(500), milliseconds(1'500)));
   CHECK_FALSE(
@@ -190,6 +191,9 @@
   CHECK_FALSE(is_read_since(seconds(60), milliseconds(2'000), milliseconds(1'500))); // has not noticed it yet
   CHECK_FALSE(
       is_read_since(milliseconds(0), milliseconds(0), milliseconds(1'500))); // does not read the store
+  // A server left after the cut had begun and before this daemon noticed it.
+  CHECK(is_read_since(seconds(60), milliseconds(2'000), milliseconds(1'500), 6));
+  CHECK_FALSE(is_read_since(milliseconds(300), milliseconds(100), milliseconds(1'500), 6));
 }
 
 // Guards against a small group in which no daemon reads the store, and a large group in which all daemons do.
