Forget the assumed use of a peer only where there can be any

Cause: each report of a daemon of the own zone looked through all accounts for assumed use, which only daemons of other zones have.

Change: it is looked for after a restart of the peer, and for peers in other zones of a small group.

Result: gateway_tests of peer_group pass; the effect was not measured.

--- a/packages/gateway/src/peer_group.cpp
+++ b/packages/gateway/src/peer_group.cpp
@@ -242,8 +242,9 @@
   }
   fleet::account_quotas& quotas = m_admission.quotas();
   const std::uint64_t daemon = hash64(report.m_daemon);
-  const bool late = !is_small_group() && remote.m_availability_zone != m_self.m_availability_zone;
-  if (restarted || !late) {
+  const bool other_zone = remote.m_availability_zone != m_self.m_availability_zone;
+  const bool late = !is_small_group() && other_zone;
+  if (restarted || (other_zone && !late)) { // a new process, or a group that has become small
     quotas.remove_remote_daemon(daemon);
   }
   std::map<std::uint32_t, double> added_units;
