Decide who waits under overload from the load of the whole zone

Cause: at 8 requests/s per daemon, a daemon's own grant rate is noise, and half of the refusals of long prompts happened on arrival because of it. Every refusal stated 4 s, callers returned together and were refused again.

Change, for services for which set_overload_control() is on (default off, decisions as before; a test says so): - zone_load sums arrivals, grants and queues of the zone by level. A request is refused on arrival only if the work that waits before it exceeds what the zone takes until it is late, and there is no prospect for late ones. - return_planner states as Retry-After a place in the predicted room, at most a third of the caller's time left. - Late requests of returned callers come before late first attempts; both leave slots for 0.1 s of arrivals. - account_shares: accounts over their share by weight leave slots for blocked requests of the others. - Cheap requests of which a smaller share is served than of the more urgent kinds go first until they catch up.

--- a/packages/fleet/include/cardamompond/fleet/blocked_requests.hpp
+++ b/packages/fleet/include/cardamompond/fleet/blocked_requests.hpp
@@ -24,6 +24,9 @@
   // given one. For urgency_levels: at all levels.
   double more_urgent_than(std::size_t level, time_point now) const;
 
+  // Returns the number of requests that were blocked in about the last second at the level.
+  double at(std::size_t level, time_point now) const;
+
 private:
   struct decaying_count {
     double m_value = 0;
--- a/packages/fleet/include/cardamompond/fleet/dispatcher.hpp
+++ b/packages/fleet/include/cardamompond/fleet/dispatcher.hpp
@@ -4,6 +4,7 @@
 #include "cardamompond/fleet/backend_server.hpp"
 #include "cardamompond/fleet/blocked_requests.hpp"
 #include "cardamompond/fleet/declarations.hpp"
+#include "cardamompond/fleet/load_summary.hpp"
 #include "cardamompond/fleet/rollout_controller.hpp"
 #include "cardamompond/fleet/speed_estimator.hpp"
 
@@ -39,6 +40,9 @@
   time_point m_deadline;        // deadline of the caller or of the route, whichever is earlier
   std::vector<std::string> m_excluded_servers; // ids of the servers that received it before
   bool m_may_have_run = false;                 // a refusal could no longer state that it was not run
+  duration m_age{};                 // time since the caller's first attempt, if this is not the first one
+  std::uint32_t m_account_hash = 0; // account_quotas::account_hash of the client account; 0: none
+  bool m_resubmitted = false;       // it was granted before, and the server did not take it
 };
 
 // What is known of a backend server at the time at which a request is granted.
@@ -114,6 +118,16 @@
   friend bool operator==(const daemon_location&, const daemon_location&) = default;
 };
 
+// What overload control has decided, as totals for metrics.
+struct overload_counts {
+  std::uint64_t m_refused_on_arrival = 0; // would have begun neither on time nor usefully late
+  std::uint64_t m_refused_when_late = 0;  // its objective had passed and there was no room for late requests
+  std::uint64_t m_refused_after_wait = 0; // had waited for as long as its caller can afford
+  std::uint64_t m_returns_in_room = 0;    // refusals whose Retry-After is a place in predicted room
+  std::uint64_t m_returned_granted = 0;   // late requests of returned callers that were sent to a server
+  std::uint64_t m_returned_refused = 0;   // requests of returned callers that were refused, which are lost
+};
+
 // Decides for one daemon when each of its requests is sent and to which backend server, and which requests
 // are refused. Each daemon decides independently, based on its own requests, the latest reports of its peers
 // and the load that the servers state. The class reads no clock and opens no socket. It is not thread-safe.
@@ -143,6 +157,25 @@
   // dispatcher.
   void set_rollout_controller(rollout_controller* controller);
 
+  // Turns overload control on or off for a service. Where it is off, which is the default, requests are
+  // ordered and refused by what this daemon observes alone, and refused callers return after a fixed time.
+  void set_overload_control(std::string_view service, bool enabled);
+  bool overload_control_enabled(std::string_view service) const;
+
+  // Replaces what a peer reports about the load of the services with overload control. As for
+  // set_peer_blocked(), only peers of this daemon's zone, or all in a small group.
+  void set_peer_load_summaries(std::string_view daemon, std::span<const load_summary> summaries,
+                               time_point now);
+
+  // Returns the load of the services with overload control, for reports to the peers. The totals are needed
+  // less often.
+  std::vector<load_summary> own_load_summaries(bool with_totals) const;
+
+  // Records tokens that a peer admitted for an account.
+  void record_peer_account_use(std::uint32_t account_hash, double tokens, time_point now);
+
+  overload_counts count_overload_decisions() const;
+
   void submit(submission request, time_point now);
 
   // Removes a waiting request whose caller has disconnected.
--- a/packages/fleet/src/blocked_requests.cpp
+++ b/packages/fleet/src/blocked_requests.cpp
@@ -23,6 +23,10 @@
   updated.m_updated = std::max(updated.m_updated, now);
 }
 
+double blocked_requests::at(std::size_t level, time_point now) const {
+  return value_at(m_counts[std::min(level, urgency_levels - 1)], now);
+}
+
 double blocked_requests::more_urgent_than(std::size_t level, time_point now) const {
   double sum = 0;
   for (std::size_t i = 0; i < std::min(level, urgency_levels); ++i) {
--- a/packages/fleet/src/dispatch_tables.hpp
+++ b/packages/fleet/src/dispatch_tables.hpp
@@ -1,8 +1,11 @@
 #pragma once
 
 #include "cardamompond/core/hash.hpp"
+#include "cardamompond/fleet/account_shares.hpp"
 #include "cardamompond/fleet/blocked_requests.hpp"
 #include "cardamompond/fleet/dispatcher.hpp"
+#include "cardamompond/fleet/return_planner.hpp"
+#include "cardamompond/fleet/zone_load.hpp"
 
 #include "server_notices.hpp"
 
@@ -50,12 +53,23 @@
   speed_estimate m_combined_speed = assumed_speed(); // observed by all daemons
 };
 
+// Why a request with overload control is refused.
+enum class refusal_cause { waited, on_arrival, late };
+
 struct waiting_request {
   submission m_request;
   time_point m_refuse_at;
   bool m_short = false;   // occupies a server only briefly
   bool m_late = false;    // its response can no longer begin by m_first_token_due
   bool m_blocked = false; // was counted as blocked
+
+  // Used by overload control only, see overload_control.hpp.
+  bool m_returned = false; // its caller has returned after a refusal
+  refusal_cause m_refusal_cause = refusal_cause::waited;
+  double m_work_ms = 0;               // time for which it will probably occupy a slot
+  double m_virtual_time = 0;          // of its account
+  std::uint32_t m_effective_rank = 0; // its tier, or that of the requests before which it goes to catch up
+  bool m_catching_up = false;
 };
 
 // Rate at which this daemon dispatches requests of one kind, as an exponential moving average.
@@ -74,6 +88,8 @@
   std::string m_server_id;
   std::uint32_t m_prompt_tokens = 0;
   time_point m_granted;
+  std::size_t m_level = 0; // with overload control, as the work
+  double m_work_ms = 0;
 };
 
 struct peer_row {
@@ -89,11 +105,18 @@
   std::vector<server_row*> m_own_zone; // those in the zone of this daemon
 };
 
+// State of a service with overload control.
+struct controlled_service {
+  zone_load m_load;
+  return_planner m_planner;
+};
+
 // The whole state of the dispatcher. It is changed only by the dispatcher and by the functions below.
 struct dispatch_tables {
   std::map<std::string, service, std::less<>> m_services;
   std::set<std::uint32_t> m_tier_ranks;  // of the client accounts
   std::set<std::uint32_t> m_route_ranks; // of the routes that lead to batching services
+  bool m_route_ranks_are_tiers = false;  // some accounts have no tier, so that the rank of the route is it
   std::map<std::string, std::map<std::string, server_row, std::less<>>, std::less<>>
       m_servers; // by service and id
   // Refer to the rows of m_servers; rebuilt by index_servers.
@@ -107,6 +130,9 @@
   server_notices m_notices;
   blocked_requests m_blocked;     // of this daemon and its peers
   blocked_totals m_own_blocked{}; // totals of this daemon, for its reports
+  std::map<std::string, controlled_service, std::less<>> m_controlled; // by service
+  account_shares m_account_shares;
+  overload_counts m_overload_counts;
   std::set<std::string, std::less<>> m_evacuated_zones;
   std::vector<daemon_location> m_members;
   daemon_location m_self;
@@ -170,6 +196,12 @@
 std::optional<duration> retry_delay_for_pauses(dispatch_tables& tables, std::string_view service,
                                                std::span<const std::string> excluded_servers, time_point now);
 
+// Returns the mean speed of the listed servers of the service, or the assumed one without any.
+speed_estimate find_typical_speed(const dispatch_tables& tables, const std::string& service);
+
+// Returns the latest time at which the request can be sent so that its response begins on time.
+time_point latest_dispatch_time(const submission& request, const speed_estimate& typical_speed);
+
 class spare_capacity;
 
 // Returns the best server with capacity for the request, or null. The request leaves `required_free`
--- a/packages/fleet/src/dispatcher.cpp
+++ b/packages/fleet/src/dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "cardamompond/fleet/dispatcher.hpp"
 
 #include "dispatch_tables.hpp"
+#include "overload_control.hpp"
 
 #include <algorithm>
 
@@ -70,6 +71,13 @@
 
   // Removes a running request. Returns its server, or null if the request is unknown or the server is gone.
   server_row* erase_running(ticket request);
+
+  // Records that the server did not take a running request that is about to be removed.
+  void withdraw_grant(ticket request, time_point now) {
+    if (const auto found = m_tables.m_running.find(request); found != m_tables.m_running.end()) {
+      withdraw_controlled_grant(m_tables, found->second, now);
+    }
+  }
 };
 
 server_row* dispatcher::impl::erase_running(ticket request) {
@@ -111,6 +119,7 @@
   const bool accounts_without_rank =
       std::any_of(source.m_client_accounts.begin(), source.m_client_accounts.end(),
                   [](const client_account& each) { return !each.m_has_rank; });
+  tables.m_route_ranks_are_tiers = accounts_without_rank;
   for (const auto& account : source.m_client_accounts) {
     if (account.m_has_rank) {
       tables.m_tier_ranks.insert(account.m_rank);
@@ -130,6 +139,7 @@
       }
     }
   }
+  tables.m_account_shares.apply(source);
   for (const auto& each : source.m_services) {
     tables.m_services.emplace(each.m_name, each);
     if (const auto servers = tables.m_servers.find(each.m_name); servers != tables.m_servers.end()) {
@@ -203,6 +213,48 @@
   m_impl->m_tables.m_rollout_controller = controller;
 }
 
+void dispatcher::set_overload_control(std::string_view service, bool enabled) {
+  auto& controlled = m_impl->m_tables.m_controlled;
+  if (enabled) {
+    controlled.try_emplace(std::string(service));
+  } else if (const auto found = controlled.find(service); found != controlled.end()) {
+    controlled.erase(found);
+  }
+}
+
+bool dispatcher::overload_control_enabled(std::string_view service) const {
+  return m_impl->m_tables.m_controlled.contains(service);
+}
+
+void dispatcher::set_peer_load_summaries(std::string_view daemon, std::span<const load_summary> summaries,
+                                         time_point now) {
+  for (auto& [name, controlled] : m_impl->m_tables.m_controlled) {
+    const std::uint32_t hash = service_hash(name);
+    for (const auto& each : summaries) {
+      if (each.m_service == hash) {
+        controlled.m_load.set_peer(daemon, each, now);
+      }
+    }
+  }
+}
+
+std::vector<load_summary> dispatcher::own_load_summaries(bool with_totals) const {
+  std::vector<load_summary> summaries;
+  for (const auto& [name, controlled] : m_impl->m_tables.m_controlled) {
+    summaries.push_back(controlled.m_load.own_summary(with_totals));
+    summaries.back().m_service = service_hash(name);
+  }
+  return summaries;
+}
+
+void dispatcher::record_peer_account_use(std::uint32_t account_hash, double tokens, time_point now) {
+  m_impl->m_tables.m_account_shares.record_use(account_hash, tokens, now);
+}
+
+overload_counts dispatcher::count_overload_decisions() const {
+  return m_impl->m_tables.m_overload_counts;
+}
+
 void dispatcher::submit(submission request, time_point now) {
   enqueue(m_impl->m_tables, std::move(request), now);
 }
@@ -311,6 +363,10 @@
 }
 
 void dispatcher::finish(ticket request, server_outcome outcome, time_point now) {
+  if (outcome == server_outcome::refused || outcome == server_outcome::misdirected ||
+      outcome == server_outcome::unreachable || outcome == server_outcome::not_sent) {
+    m_impl->withdraw_grant(request, now);
+  }
   if (server_row* server = m_impl->erase_running(request); server != nullptr) {
     update_health(*server, outcome, now);
     m_impl->erase_if_unused(*server);
@@ -327,6 +383,10 @@
 }
 
 void dispatcher::release(ticket request) {
+  if (const auto found = m_impl->m_tables.m_running.find(request);
+      found != m_impl->m_tables.m_running.end()) {
+    m_impl->withdraw_grant(request, found->second.m_granted);
+  }
   if (server_row* server = m_impl->erase_running(request); server != nullptr) {
     m_impl->erase_if_unused(*server);
   }
--- a/packages/fleet/src/queueing.cpp
+++ b/packages/fleet/src/queueing.cpp
@@ -1,4 +1,5 @@
 #include "dispatch_tables.hpp"
+#include "overload_control.hpp"
 #include "spare_capacity.hpp"
 
 #include <algorithm>
@@ -67,7 +68,12 @@
     tables.m_rollout_controller->record_grant(request.m_service, server.m_entry.m_version);
   }
   tables.m_grant_rates[{request.m_service, request.m_route_rank, waiting.m_late}].record_grant(now);
-  tables.m_running[request.m_ticket] = {request.m_service, server.m_entry.m_id, request.m_prompt_tokens, now};
+  tables.m_running[request.m_ticket] = {
+      request.m_service, server.m_entry.m_id, request.m_prompt_tokens, now, controlled_level(tables, request),
+      waiting.m_work_ms};
+  if (auto* controlled = find_controlled(tables, request.m_service); controlled != nullptr) {
+    record_controlled_grant(tables, *controlled, waiting, now);
+  }
   return {request.m_ticket,
           server.m_entry,
           std::min(server.m_max_reservation, reservation_time),
@@ -76,46 +82,20 @@
 }
 
 // Sorts the queue by tier. Within a tier, requests that can still be answered on time come before late ones,
-// then short requests before long ones; the rest is ordered by the rank of the route and by arrival.
+// then short requests before long ones; the rest is ordered by the rank of the route and by arrival. With
+// overload control, late requests of returned callers come before other late ones, and the virtual time of
+// the account counts before the arrival.
 void sort_queue(std::deque<waiting_request>& queue) {
   const auto key = [&](const waiting_request& each) {
     const submission& request = each.m_request;
-    return std::make_tuple(request.m_rank, each.m_late, !each.m_short, request.m_route_rank,
+    return std::make_tuple(each.m_effective_rank, each.m_late, each.m_late && !each.m_returned,
+                           !each.m_catching_up, !each.m_short, request.m_route_rank, each.m_virtual_time,
                            request.m_arrived);
   };
   std::sort(queue.begin(), queue.end(),
             [&](const waiting_request& a, const waiting_request& b) { return key(a) < key(b); });
 }
 
-// Returns the mean base time and the mean time per prompt token of the listed servers of the service, or the
-// assumed values without any.
-speed_estimate find_typical_speed(const dispatch_tables& tables, const std::string& service) {
-  const auto servers = tables.m_servers.find(service);
-  if (servers == tables.m_servers.end()) {
-    return assumed_speed();
-  }
-  speed_estimate sum{};
-  double count = 0;
-  for (const auto& [id, server] : servers->second) {
-    if (server.m_listed) {
-      ++count;
-      sum.m_base_s += server.m_combined_speed.m_base_s;
-      sum.m_prompt_s_per_token += server.m_combined_speed.m_prompt_s_per_token;
-    }
-  }
-  if (count == 0) {
-    return assumed_speed();
-  }
-  return {sum.m_base_s / count, sum.m_prompt_s_per_token / count, assumed_speed().m_event_interval_s, 0};
-}
-
-// Returns the latest time at which the request can be sent so that its response begins on time.
-time_point latest_dispatch_time(const submission& request, const speed_estimate& typical_speed) {
-  const std::chrono::duration<double> time_to_first_token(
-      typical_speed.m_base_s + typical_speed.m_prompt_s_per_token * request.m_prompt_tokens);
-  return request.m_first_token_due - network_time - std::chrono::duration_cast<duration>(time_to_first_token);
-}
-
 // Whether the requests of the same kind that are already waiting will probably take longer than this one may
 // wait, judged by the grant rate. A request that may have run is never refused for that, because its caller
 // cannot be told to come back.
@@ -146,6 +126,10 @@
   if (waiting.m_late || now <= latest_dispatch_time(waiting.m_request, typical_speed)) {
     return;
   }
+  if (auto* controlled = find_controlled(tables, waiting.m_request.m_service); controlled != nullptr) {
+    handle_lateness(*controlled, waiting, now);
+    return;
+  }
   waiting.m_late = true;
   if (exceeds_wait_limit(tables, queue, waiting, now)) {
     waiting.m_refuse_at = now;
@@ -163,10 +147,42 @@
   const std::size_t level = urgency_level(tables, waiting.m_request);
   ++tables.m_own_blocked[level];
   tables.m_blocked.record(level, 1, now);
+  if (auto* controlled = find_controlled(tables, waiting.m_request.m_service);
+      controlled != nullptr &&
+      !tables.m_account_shares.is_over_share(waiting.m_request.m_account_hash, now)) {
+    controlled->m_load.record_blocked_within_share(controlled_level(tables, waiting.m_request), now);
+  }
 }
 
 } // namespace
 
+speed_estimate find_typical_speed(const dispatch_tables& tables, const std::string& service) {
+  const auto servers = tables.m_servers.find(service);
+  if (servers == tables.m_servers.end()) {
+    return assumed_speed();
+  }
+  speed_estimate sum{};
+  double count = 0;
+  for (const auto& [id, server] : servers->second) {
+    if (server.m_listed) {
+      ++count;
+      sum.m_base_s += server.m_combined_speed.m_base_s;
+      sum.m_prompt_s_per_token += server.m_combined_speed.m_prompt_s_per_token;
+      sum.m_event_interval_s += server.m_combined_speed.m_event_interval_s;
+    }
+  }
+  if (count == 0) {
+    return assumed_speed();
+  }
+  return {sum.m_base_s / count, sum.m_prompt_s_per_token / count, sum.m_event_interval_s / count, 0};
+}
+
+time_point latest_dispatch_time(const submission& request, const speed_estimate& typical_speed) {
+  const std::chrono::duration<double> time_to_first_token(
+      typical_speed.m_base_s + typical_speed.m_prompt_s_per_token * request.m_prompt_tokens);
+  return request.m_first_token_due - network_time - std::chrono::duration_cast<duration>(time_to_first_token);
+}
+
 void grant_rate::record_grant(time_point now) {
   m_rate = per_second(now) + 1 / rate_window_s;
   m_updated = now;
@@ -189,7 +205,14 @@
                         max_short_request_s;
   auto& queue = tables.m_waiting[request.m_service];
   waiting_request waiting{std::move(request), refuse_at, is_short, false};
-  update_lateness(tables, queue, waiting, find_typical_speed(tables, waiting.m_request.m_service), now);
+  waiting.m_effective_rank = waiting.m_request.m_rank;
+  const speed_estimate typical_speed = find_typical_speed(tables, waiting.m_request.m_service);
+  if (auto* controlled = find_controlled(tables, waiting.m_request.m_service); controlled != nullptr) {
+    admit_to_queue(tables, *controlled, waiting, typical_speed, now);
+    queue.push_back(std::move(waiting));
+    return;
+  }
+  update_lateness(tables, queue, waiting, typical_speed, now);
   if (!waiting.m_late && exceeds_wait_limit(tables, queue, waiting, now)) {
     waiting.m_refuse_at = now;
   }
@@ -198,13 +221,20 @@
 
 void process_queues(dispatch_tables& tables, time_point now, std::vector<dispatch_decision>& decisions) {
   for (auto& [name, queue] : tables.m_waiting) {
+    controlled_service* const controlled = find_controlled(tables, name);
     if (queue.empty()) {
+      if (controlled != nullptr) {
+        update_waiting_work(tables, *controlled, queue, now);
+      }
       continue;
     }
     const speed_estimate typical_speed = find_typical_speed(tables, name);
     for (auto& waiting : queue) {
       update_lateness(tables, queue, waiting, typical_speed, now);
     }
+    if (controlled != nullptr) {
+      update_order(tables, *controlled, queue, now);
+    }
     sort_queue(queue);
     spare_capacity spare(tables, name, now);
     std::deque<waiting_request> remaining;
@@ -232,12 +262,17 @@
       if (now >= refuse_at) {
         decisions.emplace_back(dispatch_refusal{
             request.m_ticket, has_server ? refusal_reason::no_capacity : refusal_reason::no_backend_server,
-            retry_after});
+            controlled != nullptr && has_server
+                ? plan_return(tables, *controlled, waiting, typical_speed, now)
+                : retry_after});
         continue;
       }
       remaining.push_back(std::move(waiting));
     }
     queue = std::move(remaining);
+    if (controlled != nullptr) {
+      update_waiting_work(tables, *controlled, queue, now);
+    }
   }
 }
 
--- a/packages/fleet/src/spare_capacity.cpp
+++ b/packages/fleet/src/spare_capacity.cpp
@@ -1,5 +1,7 @@
 #include "spare_capacity.hpp"
 
+#include "overload_control.hpp"
+
 #include <algorithm>
 
 namespace cardamompond::fleet {
@@ -26,6 +28,10 @@
   if (waiting.m_request.m_may_have_run) {
     return 0; // it can no longer be refused
   }
+  if (const auto* controlled = find_controlled(tables, waiting.m_request.m_service); controlled != nullptr) {
+    return blocked_before(tables, *controlled, waiting, now) +
+           additional_free_slots(tables, *controlled, waiting, now);
+  }
   return tables.m_blocked.more_urgent_than(
       waiting.m_late ? urgency_levels : urgency_level(tables, waiting.m_request), now);
 }
--- a/packages/fleet/tests/overload_simulation.cpp
+++ b/packages/fleet/tests/overload_simulation.cpp
@@ -31,21 +31,6 @@
 constexpr duration zone_report_interval = milliseconds(200);
 constexpr duration digest_interval = milliseconds(1'000);
 
-struct route_profile {
-  double m_share;         // of the requests
-  double m_prompt_tokens; // mean
-  double m_events;        // mean
-  double m_worth;
-  milliseconds m_first_target;
-  milliseconds m_pause_target;
-  milliseconds m_timeout;
-};
-constexpr std::array<route_profile, simulated_routes> profiles = {
-    {{0.24, 6'610, 55, 6.6, milliseconds(600), milliseconds(300), milliseconds(12'000)},
-     {0.22, 628, 42, 2.7, milliseconds(300), milliseconds(300), milliseconds(10'000)},
-     {0.54, 1'800, 3, 0.24, milliseconds(300), milliseconds(300), milliseconds(2'500)}}};
-constexpr double late_worth_share = 0.1;
-
 double to_seconds(duration value) {
   return std::chrono::duration<double>(value).count();
 }
@@ -61,6 +46,7 @@
   std::uint32_t m_prompt_tokens = 0;
   std::uint32_t m_output_tokens = 0;
   bool m_returned = false;
+  std::uint32_t m_account = 0; // 0: none
   std::size_t m_daemon = 0;
 };
 
@@ -170,6 +156,9 @@
   chat.m_tokens_per_event = tokens_per_event;
   chat.m_max_reservation = milliseconds(2'000);
   source.m_services.push_back(chat);
+  if (m_overload.m_ranks_are_tiers) {
+    source.m_client_accounts.emplace_back();
+  }
   for (std::uint32_t rank = 0; rank < simulated_routes; ++rank) {
     route each;
     each.m_rank = rank;
@@ -179,6 +168,7 @@
   for (const auto& location : members) {
     daemon each{std::make_unique<dispatcher>(m_random()), location.m_name, location.m_availability_zone};
     each.m_dispatcher->apply(source);
+    each.m_dispatcher->set_overload_control(service_name, m_overload.m_overload_control);
     constexpr std::size_t small_group = 16;
     each.m_dispatcher->set_members(members, location, members.size() < small_group);
     m_daemons.push_back(std::move(each));
@@ -207,7 +197,7 @@
 }
 
 void simulation::count(const caller& of, int route_result::*field, double worth_share) {
-  const double worth = profiles[of.m_route].m_worth;
+  const double worth = m_overload.m_profiles[of.m_route].m_worth;
   ++(m_result.m_routes[of.m_route].*field);
   ++m_result.m_routes[of.m_route].m_callers;
   m_worth_owed += worth;
@@ -215,6 +205,10 @@
   auto& [earned, owed] = m_worth_by_second[static_cast<int>(to_seconds(of.m_first_sent - m_start))];
   earned += worth * worth_share;
   owed += worth;
+  if (in_burst(of.m_first_sent) && of.m_account > 1) {
+    ++(m_result.m_other_accounts.*field);
+    ++m_result.m_other_accounts.m_callers;
+  }
   if (in_burst(of.m_first_sent)) {
     ++(m_result.m_routes_in_burst[of.m_route].*field);
     ++m_result.m_routes_in_burst[of.m_route].m_callers;
@@ -227,10 +221,10 @@
   while (m_start + from_seconds(m_next_arrival_s) <= m_now) {
     caller next;
     const double uniform = std::uniform_real_distribution<double>(0, 1)(m_random);
-    next.m_route = uniform < profiles[0].m_share                         ? 0
-                   : uniform < profiles[0].m_share + profiles[1].m_share ? 1
-                                                                         : 2;
-    const route_profile& profile = profiles[next.m_route];
+    next.m_route = uniform < m_overload.m_profiles[0].m_share                                      ? 0
+                   : uniform < m_overload.m_profiles[0].m_share + m_overload.m_profiles[1].m_share ? 1
+                                                                                                   : 2;
+    const route_profile& profile = m_overload.m_profiles[next.m_route];
     next.m_first_sent = next.m_sent = m_now;
     // Lengths of prompts have a heavy tail.
     constexpr double spread = 0.8;
@@ -242,6 +236,12 @@
         static_cast<std::uint32_t>(tokens_per_event *
                                    std::exponential_distribution<double>(1 / profile.m_events)(m_random));
     next.m_daemon = m_random() % m_daemons.size();
+    if (m_overload.m_accounts > 0) {
+      const bool of_burst =
+          m_overload.m_burst_factor > 1 && in_burst(m_now) &&
+          std::uniform_real_distribution<double>(0, 1)(m_random) > 1 / m_overload.m_burst_factor;
+      next.m_account = of_burst ? 1 : 1 + static_cast<std::uint32_t>(m_random() % m_overload.m_accounts);
+    }
     m_callers.push_back(next);
     submit(m_callers.size() - 1);
     const bool burst = m_overload.m_burst_factor > 1 && m_now >= m_start + m_overload.m_burst_start &&
@@ -253,25 +253,28 @@
 
 void simulation::submit(std::size_t caller_index) {
   const caller& from = m_callers[caller_index];
-  const route_profile& profile = profiles[from.m_route];
+  const route_profile& profile = m_overload.m_profiles[from.m_route];
   submission request;
   request.m_ticket = ++m_last_ticket;
   request.m_service = service_name;
   request.m_route_rank = static_cast<std::uint32_t>(from.m_route);
+  request.m_rank = m_overload.m_ranks_are_tiers ? request.m_route_rank : 0;
   request.m_prompt_tokens = from.m_prompt_tokens;
   request.m_output_tokens = from.m_output_tokens;
   request.m_arrived = from.m_sent;
+  request.m_age = from.m_sent - from.m_first_sent;
+  request.m_account_hash = from.m_account;
+  request.m_resubmitted = m_now > from.m_sent + tick_interval;
   request.m_first_token_due = from.m_first_sent + profile.m_first_target;
   request.m_deadline = from.m_first_sent + profile.m_timeout;
-  constexpr milliseconds abandon_time{2'400};
-  request.m_abandoned_at = std::min<time_point>(request.m_deadline, from.m_sent + abandon_time);
+  request.m_abandoned_at = std::min<time_point>(request.m_deadline, from.m_sent + m_overload.m_abandon_time);
   m_tickets[request.m_ticket] = caller_index;
   m_daemons[from.m_daemon].m_dispatcher->submit(std::move(request), m_now);
 }
 
 void simulation::refuse(std::size_t caller_index, duration retry_after) {
   caller& refused = m_callers[caller_index];
-  const time_point deadline = refused.m_first_sent + profiles[refused.m_route].m_timeout;
+  const time_point deadline = refused.m_first_sent + m_overload.m_profiles[refused.m_route].m_timeout;
   if (refused.m_returned) {
     count(refused, &route_result::m_unserved, 0);
     return;
@@ -353,7 +356,7 @@
       } else {
         one.m_first_event_sent = true;
         owner.record_first_token(one.m_ticket, end);
-        const bool late = end > from.m_first_sent + profiles[from.m_route].m_first_target;
+        const bool late = end > from.m_first_sent + m_overload.m_profiles[from.m_route].m_first_target;
         one.m_longest_pause = late ? duration::max() : duration::zero();
       }
       one.m_last_event = end;
@@ -366,8 +369,9 @@
         continue;
       }
       const caller& from = m_callers[m_tickets.at(ended.m_ticket)];
-      const bool on_time = ended.m_longest_pause <= profiles[from.m_route].m_pause_target;
-      count(from, on_time ? &route_result::m_on_time : &route_result::m_late, on_time ? 1 : late_worth_share);
+      const bool on_time = ended.m_longest_pause <= m_overload.m_profiles[from.m_route].m_pause_target;
+      count(from, on_time ? &route_result::m_on_time : &route_result::m_late,
+            on_time ? 1 : m_overload.m_late_worth_share);
       end_request(each, ended);
       each.m_running.erase(each.m_running.begin() + static_cast<std::ptrdiff_t>(i));
     }
@@ -397,6 +401,7 @@
   for (const auto& from : m_daemons) {
     const auto loads = from.m_dispatcher->own_loads(m_now);
     const auto blocked = from.m_dispatcher->own_blocked();
+    const auto summaries = from.m_dispatcher->own_load_summaries(true);
     for (auto& to : m_daemons) {
       if (&from == &to || (from.m_zone != to.m_zone) != across_zones) {
         continue;
@@ -404,6 +409,7 @@
       to.m_dispatcher->set_peer_loads(from.m_name, loads, m_now);
       if (m_overload.m_report_blocked && !across_zones) {
         to.m_dispatcher->set_peer_blocked(from.m_name, blocked, m_now);
+        to.m_dispatcher->set_peer_load_summaries(from.m_name, summaries, m_now);
       }
     }
   }
@@ -430,7 +436,7 @@
   bool lost = false;
   // Callers that came before the end are followed until their deadline.
   const time_point end = m_start + m_overload.m_length;
-  const time_point last = end + profiles[0].m_timeout;
+  const time_point last = end + m_overload.m_profiles[0].m_timeout;
   while (m_now < last) {
     m_now += tick_interval;
     if (m_now < end) {
