Carry the load of the zone in the reports and add the setting overload_control

Cause: the decisions of overload control need the queues, arrivals and grants of all daemons of a zone. Change: reports of the own zone carry one LoadSummary for each service with overload control: what waits in each report, totals in one of four turns; digests leave it out. The setting [scheduling_options] overload_control = "auto" | "on" | "off" turns overload control on or off for all services; "auto", the default, leaves it to dispatcher::set_overload_control. Retry-After may then exceed 4 s. The accounts' use that peers report also counts for the account shares.

--- a/packages/gateway/include/cardamompond/gateway/admission_controller.hpp
+++ b/packages/gateway/include/cardamompond/gateway/admission_controller.hpp
@@ -29,6 +29,13 @@
   duration m_retry_window = seconds(10);
 };
 
+// Whether a way of scheduling is in force for the services.
+enum class scheduling_switch {
+  automatic, // where it is told for a service, see dispatcher::set_overload_control
+  on,
+  off
+};
+
 // The result of waiting for a backend server: std::monostate if the wait was cancelled, otherwise a grant or
 // a refusal.
 using admission_result = std::variant<std::monostate, fleet::dispatch_grant, fleet::dispatch_refusal>;
@@ -41,6 +48,10 @@
   admission_controller(fleet_view& view, fleet::daemon_location self, shared_retry_limits limits,
                        std::uint64_t seed);
 
+  // Sets whether overload control is in force for the declared services, now and after each change of the
+  // declarations. With `automatic`, it is left to dispatcher::set_overload_control.
+  void set_overload_control(scheduling_switch control);
+
   // Submits the request and blocks the fiber until it is granted, refused or cancelled.
   admission_result acquire(fleet::submission request);
 
@@ -104,6 +115,7 @@
   void wake(fleet::ticket request, admission_result decision);
   bool tests_part(std::uint64_t part) const;
   void apply_collection_change(collection_kind kind);
+  void apply_overload_control();
   fleet::retry_budget::limits own_retry_limits() const; // this daemon's share of the group's limits
 
   fleet_view& m_fleet_view;
@@ -122,6 +134,7 @@
   std::unordered_map<fleet::ticket, waiter*> m_waiters;
   fleet::ticket m_last_ticket = 0;
   std::uint64_t m_pause_count = 0;
+  scheduling_switch m_overload_control = scheduling_switch::automatic;
 };
 
 } // namespace cardamompond::gateway
--- a/packages/gateway/include/cardamompond/gateway/gateway_settings.hpp
+++ b/packages/gateway/include/cardamompond/gateway/gateway_settings.hpp
@@ -22,6 +22,7 @@
   std::string m_store_address;
   std::vector<std::string> m_seeds; // exchange addresses of daemons to contact before the members are known
   shared_retry_limits m_retry_limits;
+  scheduling_switch m_overload_control = scheduling_switch::automatic;
   milliseconds m_drain_time{8'000}; // time from SIGTERM to the end of the process
   std::string m_log_level = "info";
 };
--- a/packages/gateway/include/cardamompond/gateway/peer_group.hpp
+++ b/packages/gateway/include/cardamompond/gateway/peer_group.hpp
@@ -126,6 +126,7 @@
   zone_addresses known_addresses() const;
   bool is_small_group() const;
   bool has_digest_turn() const;
+  bool has_load_totals_turn() const;
   std::vector<std::string> next_digest_targets();
   duration silence_timeout(const peer& remote) const;
   void apply_quota_use(peer& remote, const peer_report& report, bool restarted, time_point now);
--- a/packages/gateway/include/cardamompond/gateway/peer_report.hpp
+++ b/packages/gateway/include/cardamompond/gateway/peer_report.hpp
@@ -44,6 +44,7 @@
   std::vector<fleet::crash_suspicion> m_crashes;
   std::vector<fleet::part_suspicion> m_part_suspicions;
   fleet::blocked_totals m_blocked{};
+  std::vector<fleet::load_summary> m_load_summaries; // of the services with overload control
 };
 
 // A report that a daemon passes on.
--- a/packages/gateway/schema/exchange.capnp
+++ b/packages/gateway/schema/exchange.capnp
@@ -79,6 +79,15 @@
   report @1 :Data;        # a Report without the availability zone; most leave out the collections
 }
 
+# Load of one service with overload control, see fleet::load_summary. Totals wrap around.
+struct LoadSummary {
+  service @0 :UInt32;         # fleet::service_hash of the service
+  waiting @1 :List(UInt32);   # work that waits, by class
+  arrived @2 :List(UInt32);   # totals by level; empty if the totals are left out
+  granted @3 :List(UInt32);
+  blockedWithinShare @4 :List(UInt32);
+}
+
 # A report of one daemon, or, if `relayed` is not empty, reports that its sender passes on to another zone.
 struct Report {
   daemon @0 :Text;
@@ -99,6 +108,7 @@
   relayed @15 :List(RelayedReport);
   forwarded @16 :Bool;       # the relayed reports were passed on within the zone of the receiver
                              # availabilityZone is then that of all relayed reports
+  loadSummaries @17 :List(LoadSummary); # only in reports to the sender's zone, or in a small group
 }
 
 struct Document {
--- a/packages/gateway/src/admission_controller.cpp
+++ b/packages/gateway/src/admission_controller.cpp
@@ -45,6 +45,7 @@
   case collection_kind::declarations:
     if (const auto routes = m_fleet_view.routes()) {
       m_dispatcher.apply(routes->source());
+      apply_overload_control();
       m_quotas.apply(routes->source(), now);
     }
     break;
@@ -63,6 +64,26 @@
   deliver_decisions();
 }
 
+void admission_controller::set_overload_control(scheduling_switch control) {
+  m_overload_control = control;
+  apply_overload_control();
+}
+
+void admission_controller::apply_overload_control() {
+  const auto routes = m_fleet_view.routes();
+  if (m_overload_control == scheduling_switch::automatic || !routes) {
+    return;
+  }
+  for (const auto& each : routes->source().m_services) {
+    const bool enabled = m_overload_control == scheduling_switch::on;
+    if (m_dispatcher.overload_control_enabled(each.m_name) != enabled) {
+      m_dispatcher.set_overload_control(each.m_name, enabled);
+      log_event(log_level::info, "overload_control_changed",
+                {{"service", each.m_name}, {"enabled", enabled}, {"reason", "settings"}});
+    }
+  }
+}
+
 admission_result admission_controller::acquire(fleet::submission request) {
   waiter self;
   const fleet::ticket ticket = request.m_ticket;
--- a/packages/gateway/src/exchange.capnp.h
+++ b/packages/gateway/src/exchange.capnp.h
@@ -25,6 +25,7 @@
 CAPNP_DECLARE_SCHEMA(8bd76548a75f14c9);
 CAPNP_DECLARE_SCHEMA(b10fb6925e1f412b);
 CAPNP_DECLARE_SCHEMA(90a1451c77e7f9c8);
+CAPNP_DECLARE_SCHEMA(864935a7efe87db8);
 CAPNP_DECLARE_SCHEMA(9f9f84d4d7a8dc24);
 CAPNP_DECLARE_SCHEMA(fab845e96b66bc98);
 CAPNP_DECLARE_SCHEMA(b7861866a3899f1f);
@@ -171,6 +172,21 @@
   };
 };
 
+struct LoadSummary {
+  LoadSummary() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(864935a7efe87db8, 1, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Report {
   Report() = delete;
 
@@ -179,7 +195,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9f9f84d4d7a8dc24, 3, 12)
+    CAPNP_DECLARE_STRUCT_HEADER(9f9f84d4d7a8dc24, 3, 13)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1093,6 +1109,126 @@
 };
 #endif  // !CAPNP_LITE
 
+class LoadSummary::Reader {
+public:
+  typedef LoadSummary Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getService() const;
+
+  inline bool hasWaiting() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getWaiting() const;
+
+  inline bool hasArrived() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getArrived() const;
+
+  inline bool hasGranted() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getGranted() const;
+
+  inline bool hasBlockedWithinShare() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getBlockedWithinShare() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class LoadSummary::Builder {
+public:
+  typedef LoadSummary Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getService();
+  inline void setService( ::uint32_t value);
+
+  inline bool hasWaiting();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getWaiting();
+  inline void setWaiting( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setWaiting(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initWaiting(unsigned int size);
+  inline void adoptWaiting(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownWaiting();
+
+  inline bool hasArrived();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getArrived();
+  inline void setArrived( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setArrived(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initArrived(unsigned int size);
+  inline void adoptArrived(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownArrived();
+
+  inline bool hasGranted();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getGranted();
+  inline void setGranted( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setGranted(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initGranted(unsigned int size);
+  inline void adoptGranted(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownGranted();
+
+  inline bool hasBlockedWithinShare();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getBlockedWithinShare();
+  inline void setBlockedWithinShare( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setBlockedWithinShare(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initBlockedWithinShare(unsigned int size);
+  inline void adoptBlockedWithinShare(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownBlockedWithinShare();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class LoadSummary::Pipeline {
+public:
+  typedef LoadSummary Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Report::Reader {
 public:
   typedef Report Reads;
@@ -1156,6 +1292,9 @@
 
   inline bool getForwarded() const;
 
+  inline bool hasLoadSummaries() const;
+  inline  ::capnp::List< ::cardamompond::gateway::wire::LoadSummary,  ::capnp::Kind::STRUCT>::Reader getLoadSummaries() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1284,6 +1423,13 @@
   inline bool getForwarded();
   inline void setForwarded(bool value);
 
+  inline bool hasLoadSummaries();
+  inline  ::capnp::List< ::cardamompond::gateway::wire::LoadSummary,  ::capnp::Kind::STRUCT>::Builder getLoadSummaries();
+  inline void setLoadSummaries( ::capnp::List< ::cardamompond::gateway::wire::LoadSummary,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cardamompond::gateway::wire::LoadSummary,  ::capnp::Kind::STRUCT>::Builder initLoadSummaries(unsigned int size);
+  inline void adoptLoadSummaries(::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::LoadSummary,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::LoadSummary,  ::capnp::Kind::STRUCT>> disownLoadSummaries();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2204,6 +2350,172 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t LoadSummary::Reader::getService() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t LoadSummary::Builder::getService() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LoadSummary::Builder::setService( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool LoadSummary::Reader::hasWaiting() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadSummary::Builder::hasWaiting() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader LoadSummary::Reader::getWaiting() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder LoadSummary::Builder::getWaiting() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LoadSummary::Builder::setWaiting( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void LoadSummary::Builder::setWaiting(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder LoadSummary::Builder::initWaiting(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void LoadSummary::Builder::adoptWaiting(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> LoadSummary::Builder::disownWaiting() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool LoadSummary::Reader::hasArrived() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadSummary::Builder::hasArrived() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader LoadSummary::Reader::getArrived() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder LoadSummary::Builder::getArrived() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void LoadSummary::Builder::setArrived( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void LoadSummary::Builder::setArrived(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder LoadSummary::Builder::initArrived(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void LoadSummary::Builder::adoptArrived(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> LoadSummary::Builder::disownArrived() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool LoadSummary::Reader::hasGranted() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadSummary::Builder::hasGranted() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader LoadSummary::Reader::getGranted() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder LoadSummary::Builder::getGranted() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void LoadSummary::Builder::setGranted( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void LoadSummary::Builder::setGranted(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder LoadSummary::Builder::initGranted(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void LoadSummary::Builder::adoptGranted(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> LoadSummary::Builder::disownGranted() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool LoadSummary::Reader::hasBlockedWithinShare() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadSummary::Builder::hasBlockedWithinShare() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader LoadSummary::Reader::getBlockedWithinShare() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder LoadSummary::Builder::getBlockedWithinShare() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void LoadSummary::Builder::setBlockedWithinShare( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline void LoadSummary::Builder::setBlockedWithinShare(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder LoadSummary::Builder::initBlockedWithinShare(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void LoadSummary::Builder::adoptBlockedWithinShare(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> LoadSummary::Builder::disownBlockedWithinShare() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline bool Report::Reader::hasDaemon() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2686,6 +2998,40 @@
       ::capnp::bounded<130>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Report::Reader::hasLoadSummaries() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS).isNull();
+}
+inline bool Report::Builder::hasLoadSummaries() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cardamompond::gateway::wire::LoadSummary,  ::capnp::Kind::STRUCT>::Reader Report::Reader::getLoadSummaries() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::LoadSummary,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cardamompond::gateway::wire::LoadSummary,  ::capnp::Kind::STRUCT>::Builder Report::Builder::getLoadSummaries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::LoadSummary,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+inline void Report::Builder::setLoadSummaries( ::capnp::List< ::cardamompond::gateway::wire::LoadSummary,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::LoadSummary,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cardamompond::gateway::wire::LoadSummary,  ::capnp::Kind::STRUCT>::Builder Report::Builder::initLoadSummaries(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::LoadSummary,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), size);
+}
+inline void Report::Builder::adoptLoadSummaries(
+    ::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::LoadSummary,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::LoadSummary,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::LoadSummary,  ::capnp::Kind::STRUCT>> Report::Builder::disownLoadSummaries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::LoadSummary,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+
 inline bool Document::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/gateway/src/gateway_settings.cpp
+++ b/packages/gateway/src/gateway_settings.cpp
@@ -39,6 +39,7 @@
   void read_text(std::string_view section, std::string_view key, std::string& target);
   void read_address(std::string_view section, std::string_view key, std::string& target);
   void read_number(std::string_view section, std::string_view key, double low, double high, double& target);
+  void read_switch(std::string_view section, std::string_view key, scheduling_switch& target);
   void read_seeds(const std::string& exchange_address, std::vector<std::string>& target);
   void reject_unknown_keys();
   void check_distinct_addresses(const gateway_settings& settings);
@@ -108,6 +109,23 @@
   target = *value;
 }
 
+void settings_parser::read_switch(std::string_view section, std::string_view key, scheduling_switch& target) {
+  const auto* node = find(section, key);
+  if (node == nullptr) {
+    return;
+  }
+  const auto value = node->value_exact<std::string>().value_or("");
+  if (value == "auto") {
+    target = scheduling_switch::automatic;
+  } else if (value == "on") {
+    target = scheduling_switch::on;
+  } else if (value == "off") {
+    target = scheduling_switch::off;
+  } else {
+    record_error(node, full_name(section, key), "must be \"auto\", \"on\" or \"off\"");
+  }
+}
+
 // All daemons use the same port for the exchange. The port of a seed's address is therefore replaced by that
 // of this daemon's exchange address.
 void settings_parser::read_seeds(const std::string& exchange_address, std::vector<std::string>& target) {
@@ -178,6 +196,7 @@
   read_number("group", "retry_fixed", 0, 1e6, settings.m_retry_limits.m_fixed_retries);
   read_number("group", "retry_window_s", 1, max_s, window_s);
   read_number("drain", "time_s", 1, max_s, drain_s);
+  read_switch("scheduling_options", "overload_control", settings.m_overload_control);
   reject_unknown_keys();
   check_distinct_addresses(settings);
   if (m_error) {
--- a/packages/gateway/src/peer_group.cpp
+++ b/packages/gateway/src/peer_group.cpp
@@ -77,6 +77,10 @@
 constexpr std::uint32_t large_content_bytes = 64'000;
 constexpr duration large_content_fetch_delay = milliseconds(700);
 
+// The totals of the load are included once in this many rounds. They are rates over some seconds; what waits
+// is included in every report.
+constexpr std::uint64_t load_total_report_period = 4;
+
 // Number of contents suspected of crashing servers that one report includes.
 constexpr std::size_t max_reported_crashes = 12;
 
@@ -130,6 +134,7 @@
   m_admission.dispatcher().set_peer_loads(report.m_daemon, report.m_loads, received);
   if (is_small_group() || report.m_availability_zone == m_self.m_availability_zone) {
     m_admission.dispatcher().set_peer_blocked(report.m_daemon, report.m_blocked, received);
+    m_admission.dispatcher().set_peer_load_summaries(report.m_daemon, report.m_load_summaries, received);
   }
   m_admission.rollout_controller().set_peer_observations(report.m_daemon, report.m_incarnation,
                                                          report.m_outcomes);
@@ -176,14 +181,17 @@
   // One digest in several carries all totals. Whether the peers' latest reports happen to do so depends on
   // the moment of the turn, which may be the same each time.
   const bool with_all_totals = (m_round_number / digest_period) % full_use_report_period == 0;
-  add(make_report(false, false), duration::zero());
+  peer_report own = make_report(false, false);
+  own.m_load_summaries.clear();
+  add(std::move(own), duration::zero());
   for (const auto& [name, each] : m_peers) {
     const duration age = now - each.m_last_report_at;
     if (each.m_availability_zone != m_self.m_availability_zone || age > max_digest_age) {
       continue;
     }
     peer_report shortened = each.m_last_report;
-    shortened.m_collections = {}; // those of this daemon are about the same
+    shortened.m_collections = {};       // those of this daemon are about the same
+    shortened.m_load_summaries.clear(); // used in the own zone only
     if (with_all_totals && each.m_has_full_quota_use) {
       shortened.m_quota_use.assign(each.m_quota_use.begin(), each.m_quota_use.end());
       shortened.m_recent_use_only = false;
@@ -229,6 +237,7 @@
     const auto [previous_total, added] =
         remote.m_quota_use.try_emplace(account, remote.m_has_full_quota_use ? 0 : units);
     m_admission.quotas().record_peer_use(account, units - previous_total->second, now);
+    m_admission.dispatcher().record_peer_account_use(account, units - previous_total->second, now);
     previous_total->second = units;
   }
   remote.m_has_full_quota_use = remote.m_has_full_quota_use || !report.m_recent_use_only;
@@ -321,6 +330,7 @@
   }
   add_quota_use(report, now);
   report.m_blocked = m_admission.dispatcher().own_blocked();
+  report.m_load_summaries = m_admission.dispatcher().own_load_summaries(has_load_totals_turn());
   report.m_outcomes = m_admission.rollout_controller().own_observations();
   report.m_rolled_back_orders = m_admission.rollout_controller().rolled_back_orders();
   report.m_crashes = m_admission.crashes().recent(max_reported_crashes, now);
@@ -328,6 +338,12 @@
   return report;
 }
 
+// As for the speeds, the totals are sent for a full turn of the daemons of the zone.
+bool peer_group::has_load_totals_turn() const {
+  const std::uint64_t same_zone_turns = m_same_zone_count / max_same_zone_targets + 1;
+  return (m_round_number / same_zone_turns) % load_total_report_period == 0;
+}
+
 void peer_group::add_quota_use(peer_report& report, time_point now) {
   report.m_recent_use_only = m_round_number % (use_report_cycle * full_use_report_period) >= use_report_cycle;
   for (const auto& [account, units] : m_admission.quotas().admitted_units()) {
--- a/packages/gateway/src/peer_report.cpp
+++ b/packages/gateway/src/peer_report.cpp
@@ -132,6 +132,59 @@
   return suspicions;
 }
 
+template <typename Amounts> void encode_amounts(const Amounts& from, capnp::List<std::uint32_t>::Builder to) {
+  for (unsigned i = 0; i < to.size(); ++i) {
+    to.set(i, from[i]);
+  }
+}
+
+template <typename Amounts> void read_amounts(capnp::List<std::uint32_t>::Reader from, Amounts& to) {
+  for (unsigned i = 0; i < std::min<unsigned>(from.size(), to.size()); ++i) {
+    to[i] = from[i];
+  }
+}
+
+// Returns the number of values up to the last one that is not 0.
+unsigned count_used(const fleet::work_by_class& waiting) {
+  const auto last =
+      std::find_if(waiting.rbegin(), waiting.rend(), [](std::uint32_t each) { return each > 0; });
+  return static_cast<unsigned>(waiting.rend() - last);
+}
+
+// Reports are frequent, so that zeros at the end and the totals, in most reports, are left out.
+void encode_load_summaries(const std::vector<fleet::load_summary>& from, wire::Report::Builder to) {
+  if (from.empty()) {
+    return;
+  }
+  auto list = to.initLoadSummaries(static_cast<unsigned>(from.size()));
+  for (unsigned i = 0; i < list.size(); ++i) {
+    list[i].setService(from[i].m_service);
+    if (const unsigned used = count_used(from[i].m_waiting); used > 0) {
+      encode_amounts(from[i].m_waiting, list[i].initWaiting(used));
+    }
+    if (from[i].m_has_totals) {
+      encode_amounts(from[i].m_arrived, list[i].initArrived(fleet::urgency_levels));
+      encode_amounts(from[i].m_granted, list[i].initGranted(fleet::urgency_levels));
+      encode_amounts(from[i].m_blocked_within_share, list[i].initBlockedWithinShare(fleet::urgency_levels));
+    }
+  }
+}
+
+std::vector<fleet::load_summary> read_load_summaries(wire::Report::Reader from) {
+  std::vector<fleet::load_summary> summaries;
+  for (const auto& each : from.getLoadSummaries()) {
+    fleet::load_summary summary;
+    summary.m_service = each.getService();
+    summary.m_has_totals = each.getArrived().size() > 0;
+    read_amounts(each.getWaiting(), summary.m_waiting);
+    read_amounts(each.getArrived(), summary.m_arrived);
+    read_amounts(each.getGranted(), summary.m_granted);
+    read_amounts(each.getBlockedWithinShare(), summary.m_blocked_within_share);
+    summaries.push_back(summary);
+  }
+  return summaries;
+}
+
 peer_report read_report(capnp::MessageReader& message) {
   const auto from = message.getRoot<wire::Report>();
   peer_report report;
@@ -179,6 +232,7 @@
     report.m_crashes.push_back(std::move(suspicion));
   }
   report.m_part_suspicions = read_part_suspicions(from);
+  report.m_load_summaries = read_load_summaries(from);
   const auto blocked = from.getBlocked();
   for (unsigned i = 0; i < std::min<unsigned>(blocked.size(), report.m_blocked.size()); ++i) {
     report.m_blocked[i] = blocked[i];
@@ -231,6 +285,7 @@
   }
   encode_crashes(report.m_crashes, to);
   encode_part_suspicions(report.m_part_suspicions, to);
+  encode_load_summaries(report.m_load_summaries, to);
   auto blocked = to.initBlocked(static_cast<unsigned>(report.m_blocked.size()));
   for (unsigned i = 0; i < blocked.size(); ++i) {
     blocked.set(i, report.m_blocked[i]);
--- a/packages/gateway/src/request_processor.cpp
+++ b/packages/gateway/src/request_processor.cpp
@@ -207,6 +207,9 @@
     submission.m_abandoned_at =
         m_route->m_streamed ? std::min(m_deadline, submission.m_waiting_since + m_abandon_time) : m_deadline;
   }
+  submission.m_age = m_request_age;
+  submission.m_account_hash = m_account.empty() ? 0 : fleet::account_quotas::account_hash(m_account);
+  submission.m_resubmitted = m_dispatches > 0;
   submission.m_excluded_servers = m_tried_servers;
   submission.m_may_have_run = m_may_have_run;
   return submission;
@@ -400,8 +403,9 @@
     m_last_outcome = call_outcome::caller_gone;
     return;
   }
+  const bool planned = m_handler.m_admission.dispatcher().overload_control_enabled(m_service);
   m_retry_after = std::clamp(std::chrono::duration_cast<milliseconds>(refusal->m_retry_after),
-                             min_retry_after, max_retry_after);
+                             min_retry_after, planned ? max_planned_retry_after : max_retry_after);
   m_failure_reason =
       refusal->m_reason == fleet::refusal_reason::no_backend_server ? "no backend server in service"
       : refusal->m_reason == fleet::refusal_reason::paused          ? "all backend servers asked for a pause"
--- a/packages/gateway/src/request_processor.hpp
+++ b/packages/gateway/src/request_processor.hpp
@@ -14,6 +14,9 @@
 inline constexpr milliseconds min_retry_after{50};
 inline constexpr milliseconds max_retry_after{4'000};
 
+// The same where overload control plans the return within the caller's time left.
+inline constexpr milliseconds max_planned_retry_after{30'000};
+
 // Responses with this status or a higher one count as failures of the server.
 inline constexpr int first_server_failure_status = 500;
 
--- a/packages/gateway/tests/gateway_settings_test.cpp
+++ b/packages/gateway/tests/gateway_settings_test.cpp
@@ -46,6 +46,10 @@
   STRCMP_EQUAL("10.0.0.2:7600", read->m_seeds[1].c_str());
   LONGS_EQUAL(8'000, read->m_drain_time.count());
   DOUBLES_EQUAL(56, read->m_retry_limits.m_fixed_retries, 0);
+  CHECK(read->m_overload_control == scheduling_switch::automatic);
+  const auto with_control =
+      parse_gateway_settings(complete_file + "[scheduling_options]\noverload_control = \"on\"\n", "f");
+  CHECK(with_control->m_overload_control == scheduling_switch::on);
 }
 
 // Guards against a daemon starting with settings that are missing, unknown or invalid.
@@ -56,6 +60,8 @@
                error_after_replacing(complete_file, "name = ", "name = \"x\"\nnam = ").c_str());
   CHECK(error_after_replacing(complete_file, "retry_ratio = 0.2", "retry_ratio = 3")
             .find("group.retry_ratio: must be") != std::string::npos);
+  CHECK(error_after_replacing(complete_file, "[drain]", "[scheduling_options]\noverload_control = 1\n[drain]")
+            .find("scheduling_options.overload_control: must be") != std::string::npos);
   CHECK(error_after_replacing(complete_file, "127.0.0.1:2", "127.0.0.1:1").find("given twice") !=
         std::string::npos);
   CHECK(error_after_replacing(complete_file, "[listen]", "[listen").find("f:") == 0);
