--- a/packages/daemon/src/entry_daemon.cpp
+++ b/packages/daemon/src/entry_daemon.cpp
@@ -163,6 +163,7 @@
     , m_metrics_server(m_runtime, {.m_address = m_settings.m_metrics_address, .m_max_connections = 64},
                        [this](net::http_exchange& exchange) { serve_metrics(exchange); })
     , m_signal_set(m_runtime.context(), SIGTERM, SIGINT, SIGHUP) {
+  m_admission.set_overload_control(m_settings.m_overload_control);
   m_server.set_parse_failure_responder([this](net::http_parse_failure failure) {
     return m_request_handler.make_parse_failure_response(failure);
   });
@@ -240,6 +241,22 @@
                       static_cast<double>(m_admission.dispatcher().count_paused(now)));
   m_metrics.set_counter("cardamompond_backend_server_pauses_total",
                         static_cast<double>(m_admission.pause_count()));
+  const auto overload = m_admission.dispatcher().count_overload_decisions();
+  const auto set_overload_counter = [&](std::string_view name, std::string_view label, std::string_view value,
+                                        std::uint64_t count) {
+    m_metrics.set_counter(name, label, value, static_cast<double>(count));
+  };
+  set_overload_counter("cardamompond_overload_refusals_total", "cause", "on_arrival",
+                       overload.m_refused_on_arrival);
+  set_overload_counter("cardamompond_overload_refusals_total", "cause", "late", overload.m_refused_when_late);
+  set_overload_counter("cardamompond_overload_refusals_total", "cause", "waited",
+                       overload.m_refused_after_wait);
+  set_overload_counter("cardamompond_returned_requests_total", "result", "granted",
+                       overload.m_returned_granted);
+  set_overload_counter("cardamompond_returned_requests_total", "result", "refused",
+                       overload.m_returned_refused);
+  m_metrics.set_counter("cardamompond_planned_returns_total",
+                        static_cast<double>(overload.m_returns_in_room));
   const auto leaving = m_admission.dispatcher().count_leaving();
   m_metrics.set_gauge("cardamompond_backend_servers_leaving", "source", "own",
                       static_cast<double>(leaving.m_stated));
--- a/packages/fleet/tests/overload_control_test.cpp
+++ b/packages/fleet/tests/overload_control_test.cpp
@@ -180,3 +180,50 @@
   CHECK_EQUAL(1U, results.size());
   STRCMP_EQUAL("s1", results.at(11).c_str());
 }
+
+// Guards against plain requests that wait in a queue until a return within the objective is no longer
+// possible, or beyond the timeout of their route: twice the capacity of 18 slots of 60 ms comes for two
+// seconds.
+TEST(overload_control, plain_requests_are_refused_in_time_for_a_return) {
+  daemon_fixture daemon;
+  declarations source;
+  service orders;
+  orders.m_name = "chat"; // the service of the fixture's servers
+  source.m_services.push_back(orders);
+  daemon.m_dispatcher.apply(source);
+  daemon.m_dispatcher.set_overload_control("chat", true);
+  daemon.set_servers({make_server("s1", "a", 6), make_server("s2", "a", 6), make_server("s3", "a", 6)});
+  std::map<ticket, time_point> arrived;
+  std::multimap<time_point, ticket> running;
+  int refused = 0;
+  int refused_in_time = 0;
+  const time_point end = daemon.m_now + seconds(2);
+  while (daemon.m_now < end) {
+    daemon.m_now += milliseconds(5);
+    while (!running.empty() && running.begin()->first <= daemon.m_now) {
+      daemon.m_dispatcher.record_first_token(running.begin()->second, daemon.m_now);
+      daemon.m_dispatcher.finish(running.begin()->second, server_outcome::answered, daemon.m_now);
+      running.erase(running.begin());
+    }
+    for (int i = 0; i < 3; ++i) { // 600 per second, twice the capacity
+      submission request = daemon.make_request(++daemon.m_last_ticket);
+      request.m_first_token_due = daemon.m_now + milliseconds(300);
+      request.m_deadline = request.m_abandoned_at = daemon.m_now + milliseconds(800);
+      arrived[request.m_ticket] = daemon.m_now;
+      daemon.m_dispatcher.submit(request, daemon.m_now);
+    }
+    for (const auto& decision : daemon.m_dispatcher.tick(daemon.m_now)) {
+      if (const auto* grant = std::get_if<dispatch_grant>(&decision)) {
+        running.emplace(daemon.m_now + milliseconds(60), grant->m_ticket);
+        continue;
+      }
+      const auto& refusal = std::get<dispatch_refusal>(decision);
+      const duration waited = daemon.m_now - arrived[refusal.m_ticket];
+      CHECK(waited <= milliseconds(800));
+      ++refused;
+      refused_in_time += waited + refusal.m_retry_after <= milliseconds(300) ? 1 : 0;
+    }
+  }
+  CHECK(refused > 100);
+  CHECK(refused_in_time > refused * 8 / 10);
+}
