--- a/packages/fleet/src/dispatcher_impl.hpp
+++ b/packages/fleet/src/dispatcher_impl.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dispatch_tables.hpp"
+#include "overload_control.hpp"
 
 namespace cardamompond::fleet {
 
@@ -22,6 +23,13 @@
 
   // Removes a running request. Returns its server, or null if the request is unknown or the server is gone.
   server_row* erase_running(ticket request);
+
+  // Records that the server did not take a running request that is about to be removed.
+  void withdraw_grant(ticket request, time_point now) {
+    if (const auto found = m_tables.m_running.find(request); found != m_tables.m_running.end()) {
+      withdraw_controlled_grant(m_tables, found->second, now);
+    }
+  }
 };
 
 } // namespace cardamompond::fleet
--- a/packages/gateway/include/cardamompond/gateway/gateway_settings.hpp
+++ b/packages/gateway/include/cardamompond/gateway/gateway_settings.hpp
@@ -34,6 +34,7 @@
   std::string m_store_address;
   std::vector<std::string> m_seeds; // exchange addresses of daemons to contact before the members are known
   shared_retry_limits m_retry_limits;
+  scheduling_switch m_overload_control = scheduling_switch::automatic;
   milliseconds m_drain_time{8'000};    // time from SIGTERM to the end of the process
   std::vector<duty_settings> m_duties; // empty: this daemon takes part in no duty
   std::uint64_t m_memory_bytes = 0;    // memory of the host; 0: not stated, input is not limited by memory
--- a/packages/gateway/include/cardamompond/gateway/peer_report.hpp
+++ b/packages/gateway/include/cardamompond/gateway/peer_report.hpp
@@ -50,6 +50,7 @@
   fleet::blocked_totals m_blocked{};
   std::int64_t m_wall_clock_ms = 0; // when the report was made; 0 where no duties are configured
   std::vector<std::pair<fleet::duty, std::uint64_t>> m_held_duties; // with their tokens
+  std::vector<fleet::load_summary> m_load_summaries;                // of the services with overload control
 };
 
 // A report that a daemon passes on.
--- a/packages/gateway/schema/exchange.capnp
+++ b/packages/gateway/schema/exchange.capnp
@@ -109,6 +109,15 @@
   statements @0 :List(UsageStatement);
 }
 
+# Load of one service with overload control, see fleet::load_summary. Totals wrap around.
+struct LoadSummary {
+  service @0 :UInt32;         # fleet::service_hash of the service
+  waiting @1 :List(UInt32);   # work that waits, by class
+  arrived @2 :List(UInt32);   # totals by level; empty if the totals are left out
+  granted @3 :List(UInt32);
+  blockedWithinShare @4 :List(UInt32);
+}
+
 # A report of one daemon, or, if `relayed` is not empty, reports that its sender passes on to another zone.
 struct Report {
   daemon @0 :Text;
@@ -129,7 +138,7 @@
   relayed @15 :List(RelayedReport);
   forwarded @16 :Bool;       # the relayed reports were passed on within the zone of the receiver
                              # availabilityZone is then that of all relayed reports
-  unused17 @17 :Void;
+  loadSummaries @17 :List(LoadSummary); # only in reports to the sender's zone, or in a small group
   unused18 @18 :Void;
   unused19 @19 :Void;
   wallMs @20 :UInt64;        # wall clock of the sender, since 1970; 0 where no duties are configured
--- a/packages/gateway/src/admission_controller.cpp
+++ b/packages/gateway/src/admission_controller.cpp
@@ -45,6 +45,7 @@
   case collection_kind::declarations:
     if (const auto routes = m_fleet_view.routes()) {
       m_dispatcher.apply(routes->source());
+      apply_overload_control();
       m_quotas.apply(routes->source(), now);
     }
     break;
@@ -72,6 +73,31 @@
     if (m_dispatcher.learned_limits_enabled(service.m_name) &&
         m_logged_services.insert(service.m_name).second) {
       log_event(log_level::info, "learned_limits_on", {{"service", service.m_name}});
+      apply_overload_control();
+    }
+  }
+}
+
+void admission_controller::set_overload_control(scheduling_switch control) {
+  m_overload_control = control;
+  apply_overload_control();
+}
+
+void admission_controller::apply_overload_control() {
+  const auto routes = m_fleet_view.routes();
+  if (!routes) {
+    return;
+  }
+  const bool automatic = m_overload_control == scheduling_switch::automatic;
+  for (const auto& each : routes->source().m_services) {
+    const bool enabled = automatic ? m_dispatcher.learned_limits_enabled(each.m_name)
+                                   : m_overload_control == scheduling_switch::on;
+    if (m_dispatcher.overload_control_enabled(each.m_name) != enabled) {
+      m_dispatcher.set_overload_control(each.m_name, enabled);
+      log_event(log_level::info, "overload_control_changed",
+                {{"service", each.m_name},
+                 {"enabled", enabled},
+                 {"reason", automatic ? "learned_limits" : "settings"}});
     }
   }
 }
--- a/packages/gateway/src/gateway_settings.cpp
+++ b/packages/gateway/src/gateway_settings.cpp
@@ -44,6 +44,7 @@
   void read_text(std::string_view section, std::string_view key, std::string& target);
   void read_address(std::string_view section, std::string_view key, std::string& target);
   void read_number(std::string_view section, std::string_view key, double low, double high, double& target);
+  void read_switch(std::string_view section, std::string_view key, scheduling_switch& target);
   void read_seeds(const std::string& exchange_address, std::vector<std::string>& target);
   void read_duties(std::vector<duty_settings>& target);
   duty_settings read_duty(std::string_view name, const toml::table& table);
@@ -116,6 +117,23 @@
   target = *value;
 }
 
+void settings_parser::read_switch(std::string_view section, std::string_view key, scheduling_switch& target) {
+  const auto* node = find(section, key);
+  if (node == nullptr) {
+    return;
+  }
+  const auto value = node->value_exact<std::string>().value_or("");
+  if (value == "auto") {
+    target = scheduling_switch::automatic;
+  } else if (value == "on") {
+    target = scheduling_switch::on;
+  } else if (value == "off") {
+    target = scheduling_switch::off;
+  } else {
+    record_error(node, full_name(section, key), "must be \"auto\", \"on\" or \"off\"");
+  }
+}
+
 // All daemons use the same port for the exchange. The port of a seed's address is therefore replaced by that
 // of this daemon's exchange address.
 void settings_parser::read_seeds(const std::string& exchange_address, std::vector<std::string>& target) {
@@ -275,6 +293,7 @@
   double max_descriptors = 0;
   read_number("limits", "memory_mb", min_memory_mb, 1e6, memory_mb);
   read_number("limits", "max_descriptors", min_descriptors, 1e7, max_descriptors);
+  read_switch("scheduling_options", "overload_control", settings.m_overload_control);
   reject_unknown_keys();
   check_distinct_addresses(settings);
   if (m_error) {
--- a/packages/gateway/src/request_processor.hpp
+++ b/packages/gateway/src/request_processor.hpp
@@ -24,6 +24,8 @@
   return std::max({min_abandon_time, route.m_first_token_target * first_token_target_factor,
                    route.m_event_gap_target * event_gap_target_factor});
 }
+// The same where overload control plans the return within the caller's time left.
+inline constexpr milliseconds max_planned_retry_after{30'000};
 
 // Responses with this status or a higher one count as failures of the server.
 inline constexpr int first_server_failure_status = 500;
