--- a/packages/daemon/src/chat_request.cpp
+++ b/packages/daemon/src/chat_request.cpp
@@ -41,7 +41,7 @@
   }
 
   void do_deallocate(void* memory, std::size_t bytes, std::size_t alignment) override {
-    ::operator delete(memory, bytes, std::align_val_t(alignment));
+    ::operator delete(memory, std::align_val_t(alignment));
     m_left += bytes;
   }
 
--- a/packages/gateway/src/gateway_settings.cpp
+++ b/packages/gateway/src/gateway_settings.cpp
@@ -16,9 +16,6 @@
 constexpr std::string_view mode_key = "scheduling";
 constexpr std::string_view local_mode = "local";
 
-// A daemon without requests takes up to 20 MB, and needs about 300 descriptors beside those of its callers.
-constexpr double min_memory_mb = 32;
-constexpr double min_descriptors = 400;
 constexpr double bytes_per_mb = 1e6;
 
 std::optional<std::string> read_file(const std::string& file) {
@@ -185,8 +182,8 @@
   read_number("drain", "time_s", 1, max_s, drain_s);
   double memory_mb = 0;
   double max_descriptors = 0;
-  read_number("limits", "memory_mb", min_memory_mb, 1e6, memory_mb);
-  read_number("limits", "max_descriptors", min_descriptors, 1e7, max_descriptors);
+  read_number("limits", "memory_mb", 1, 1e6, memory_mb);
+  read_number("limits", "max_descriptors", 1, 1e7, max_descriptors);
   reject_unknown_keys();
   check_distinct_addresses(settings);
   if (m_error) {
