--- a/packages/gateway/src/gateway_settings.cpp
+++ b/packages/gateway/src/gateway_settings.cpp
@@ -16,9 +16,6 @@
 constexpr std::string_view mode_key = "scheduling";
 constexpr std::string_view local_mode = "local";
 
-// A daemon without requests takes up to 20 MB, and needs about 300 descriptors beside those of its callers.
-constexpr double min_memory_mb = 32;
-constexpr double min_descriptors = 400;
 constexpr double bytes_per_mb = 1e6;
 
 std::optional<std::string> read_file(const std::string& file) {
@@ -291,9 +288,9 @@
   read_duties(settings.m_duties);
   double memory_mb = 0;
   double max_descriptors = 0;
-  read_number("limits", "memory_mb", min_memory_mb, 1e6, memory_mb);
-  read_number("limits", "max_descriptors", min_descriptors, 1e7, max_descriptors);
   read_switch("scheduling_options", "overload_control", settings.m_overload_control);
+  read_number("limits", "memory_mb", 1, 1e6, memory_mb);
+  read_number("limits", "max_descriptors", 1, 1e7, max_descriptors);
   reject_unknown_keys();
   check_distinct_addresses(settings);
   if (m_error) {
