--- a/packages/fleet/src/dispatch_tables.hpp
+++ b/packages/fleet/src/dispatch_tables.hpp
@@ -19,6 +19,15 @@
 
 namespace cardamompond::fleet {
 
+// What is expected of a server at a moment, so that it is not computed anew for each request.
+struct cached_speed {
+  time_point m_at;             // when it was computed
+  std::uint32_t m_running = 0; // for one request more than this
+  speed_estimate m_lasting;    // see lasting_speed
+  speed_estimate m_expected;   // see expected_speed
+  double m_concurrency = 1;    // see server_capacity::relative_time
+};
+
 // State of one backend server.
 struct server_row {
   backend_server m_entry;
@@ -56,6 +65,7 @@
 
   speed_estimator m_own_speed;                       // observed by this daemon
   speed_estimate m_combined_speed = assumed_speed(); // observed by all daemons
+  mutable cached_speed m_cached_speed;               // see expected_times.cpp
   server_capacity m_capacity;                        // observed by this daemon
   std::uint32_t m_learned_limit = 0;                 // by all daemons of the zone; 0: no evidence
 };
@@ -125,8 +135,10 @@
   bool m_frequent_reports = true; // each daemon receives the reports of all others several times a second
   rollout_controller* m_rollout_controller = nullptr;
   std::mt19937_64 m_random;
+  std::uint64_t m_last_resorts = 0; // see dispatcher::last_resort_count
   learned_limits_mode m_learned_limits = learned_limits_mode::automatic;
   std::map<std::string, milliseconds, std::less<>> m_accepted_pauses; // shortest of the routes, by service
+  std::array<double, urgency_levels> m_typical_events{}; // mean number of events by urgency level
   std::array<double, urgency_levels>
       m_typical_prompts{}; // mean length in tokens by urgency level; 0: none seen
   std::set<std::string, std::less<>> m_stating_services; // their servers have stated their work time
