--- a/packages/gateway/src/usage_message.cpp
+++ b/packages/gateway/src/usage_message.cpp
@@ -42,13 +42,14 @@
 
 result<std::vector<fleet::usage_statement>, malformed_message>
 decode_usage_list(std::span<const char> bytes) {
-  return decode<std::vector<fleet::usage_statement>>(bytes, max_snapshot_words, [](capnp::MessageReader& message) {
-    std::vector<fleet::usage_statement> statements;
-    for (const auto& each : message.getRoot<wire::UsageStatements>().getStatements()) {
-      statements.push_back(read_usage(each));
-    }
-    return statements;
-  });
+  return decode<std::vector<fleet::usage_statement>>(
+      bytes, max_snapshot_words, [](capnp::MessageReader& message) {
+        std::vector<fleet::usage_statement> statements;
+        for (const auto& each : message.getRoot<wire::UsageStatements>().getStatements()) {
+          statements.push_back(read_usage(each));
+        }
+        return statements;
+      });
 }
 
 } // namespace cardamompond::gateway
