Draw plain servers by the requests that they serve in a second, in large groups

Cause: with learned limits, all daemons sent plain requests to the server that was fastest by reports that are older than a request lasts. Change: in a group with infrequent reports a plain server is drawn with a probability in proportion to its expected rate. A test of 300 daemons fails without it.

--- a/packages/fleet/src/timed_placement.cpp
+++ b/packages/fleet/src/timed_placement.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <limits>
 #include <numeric>
+#include <random>
 #include <span>
 #include <vector>
 
@@ -28,6 +29,9 @@
 // which is at least this, so that a request that is late already still goes to the fastest one.
 constexpr double min_available_s = 0.05;
 
+// Expected times below this are taken for this, so that no server draws all requests.
+constexpr double min_expected_s = 0.001;
+
 // A server of another zone costs this much of the available time of a plain request.
 constexpr double plain_remote_zone_penalty = 0.06;
 
@@ -117,6 +121,18 @@
 
 namespace {
 
+// Draws a server of a plain service with a probability in proportion to the requests that it serves in a
+// second. In a large group, the load that other zones reported is older than a request lasts, so that the
+// daemons would all choose the server that was fastest a second ago.
+server_row* draw_plain_server(dispatch_tables& tables, std::span<const timed_candidate> candidates) {
+  std::vector<double> weights;
+  for (const auto& each : candidates) {
+    weights.push_back(each.m_server->m_entry.m_slots / std::max(min_expected_s, each.m_times.m_end_s));
+  }
+  return candidates[std::discrete_distribution<std::size_t>(weights.begin(), weights.end())(tables.m_random)]
+      .m_server;
+}
+
 // Returns the best server with capacity among the given ones, or null.
 choice select_best(dispatch_tables& tables, std::span<server_row* const> servers, const submission& request,
                    spare_capacity& spare, double required_free, bool may_wait, time_point now) {
@@ -191,6 +207,10 @@
            expected_stalled_streams(*each.m_server, each.m_times, needs) >= 1 ||
            !spare.allows(*each.m_server, count_blocked_for(tables, *each.m_server, urgency_levels, needs));
   });
+  if (!tables.m_frequent_reports && !candidates.empty() && !candidates.front().m_server->m_uses_batching) {
+    best.m_server = draw_plain_server(tables, candidates);
+    return best;
+  }
   draw_half(tables, candidates);
   double best_score = std::numeric_limits<double>::max();
   for (const auto& each : candidates) {
--- a/packages/fleet/tests/timed_placement_test.cpp
+++ b/packages/fleet/tests/timed_placement_test.cpp
@@ -264,6 +264,34 @@
   CHECK(count_results(at_once, "slow") + count_results(run_until_decided(), "slow") == 4);
 }
 
+// Guards against daemons of a large group that all send their plain requests to the fastest server, since
+// none knows in time what the others sent. A server twice as slow as another gets about half as many.
+TEST(timed_placement, plain_requests_of_many_daemons_are_spread_by_speed) {
+  std::map<std::string, int> placed;
+  for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+    daemon_fixture each(seed);
+    declarations source;
+    service plain;
+    plain.m_name = "plain";
+    source.m_services = {plain};
+    each.m_dispatcher.apply(source);
+    each.set_member_count(70, false);
+    auto fast = make_server("fast", "a", 6);
+    auto slow = make_server("slow", "a", 6);
+    fast.m_service = slow.m_service = "plain";
+    each.set_servers({fast, slow});
+    each.m_dispatcher.record_work_time("fast", 100, each.m_now);
+    each.m_dispatcher.record_work_time("slow", 200, each.m_now);
+    auto request = each.make_request(1);
+    request.m_service = "plain";
+    each.m_dispatcher.submit(std::move(request), each.m_now);
+    ++placed[each.tick()[1]];
+  }
+  LONGS_EQUAL(300, placed["fast"] + placed["slow"]);
+  CHECK(placed["fast"] > 170);
+  CHECK(placed["slow"] > 70);
+}
+
 // Guards against a server that states that it is fast, but is not: requests follow what responses show.
 TEST(timed_placement, responses_count_more_than_statements) {
   list_plain_servers({"honest", "liar"}, 50);
