Keep delayed reports from putting the group's clock back

Cause: the clock of a peer was taken from each report as it came. In a large group the reports of other zones are relayed, and the time that they wait to be forwarded is not in their age. Change: the highest of the offsets of the last 3 to 6 s counts for each clock, and clocks of the own zone go before those of others.

--- a/packages/fleet/include/cardamompond/fleet/group_clock.hpp
+++ b/packages/fleet/include/cardamompond/fleet/group_clock.hpp
@@ -15,8 +15,9 @@
 // suspended.
 class group_clock {
 public:
-  // Records the offset of another daemon's clock.
-  void record(std::string_view daemon, duration offset);
+  // Records the offset of another daemon's clock, as a report shows it that arrived at `now` (boot time). The
+  // way of a report makes the clock seem to be behind, so the highest of the latest offsets counts.
+  void record(std::string_view daemon, duration offset, duration now);
 
   // Removes a daemon that no longer reports.
   void forget(std::string_view daemon);
@@ -28,7 +29,13 @@
   std::size_t peer_count() const { return m_offsets.size(); }
 
 private:
-  std::map<std::string, duration, std::less<>> m_offsets; // by name of the daemon
+  struct observed {
+    duration m_period_start{};
+    duration m_highest{};        // in the current period
+    duration m_highest_before{}; // in the period before it
+  };
+
+  std::map<std::string, observed, std::less<>> m_offsets; // by name of the daemon
 };
 
 } // namespace cardamompond::fleet
--- a/packages/fleet/tests/usage_windows_test.cpp
+++ b/packages/fleet/tests/usage_windows_test.cpp
@@ -3,6 +3,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <string>
+
 using namespace cardamompond;
 using namespace cardamompond::fleet;
 
@@ -73,11 +75,27 @@
 // Guards against requests that are counted in the wrong window because the clocks of some hosts jump.
 TEST(group_clock, a_minority_of_wrong_clocks_does_no_harm) {
   group_clock clock;
-  clock.record("a", seconds(1'000));
-  clock.record("b", seconds(1'000) + milliseconds(20));
-  clock.record("c", seconds(90'000));
+  clock.record("a", seconds(1'000), duration::zero());
+  clock.record("b", seconds(1'000) + milliseconds(20), duration::zero());
+  clock.record("c", seconds(90'000), duration::zero());
   LONGS_EQUAL(1'000, std::chrono::duration_cast<seconds>(clock.median_offset(duration::zero())).count());
-  clock.record("b", seconds(-3'000));
-  clock.record("d", seconds(1'000));
+  clock.record("b", seconds(-3'000), seconds(4));
+  clock.record("b", seconds(-3'000), seconds(8));
+  clock.record("d", seconds(1'000), seconds(8));
   LONGS_EQUAL(1'000, std::chrono::duration_cast<seconds>(clock.median_offset(seconds(1'000))).count());
 }
+
+// Guards against windows that begin late because most reports of a burst wait on their way: seen on the
+// bench, a second of requests was counted in the window before.
+TEST(group_clock, reports_that_arrive_late_do_not_put_the_clock_back) {
+  group_clock clock;
+  for (int round = 0; round < 20; ++round) {
+    const duration now = milliseconds(200) * round;
+    for (int peer = 0; peer < 5; ++peer) {
+      const duration delay = round % 5 == peer ? duration::zero() : duration(milliseconds(1'000));
+      clock.record(std::to_string(peer), seconds(1'000) - delay, now);
+    }
+  }
+  LONGS_EQUAL(1'000'000,
+              std::chrono::duration_cast<milliseconds>(clock.median_offset(seconds(1'000))).count());
+}
--- a/packages/gateway/include/cardamompond/gateway/duty_peers.hpp
+++ b/packages/gateway/include/cardamompond/gateway/duty_peers.hpp
@@ -64,7 +64,8 @@
 private:
   std::string m_availability_zone;
   std::function<held_duties()> m_held_duties = [] { return held_duties(); };
-  fleet::group_clock m_clocks;
+  fleet::group_clock m_clocks;      // of all peers
+  fleet::group_clock m_zone_clocks; // of those in the own zone
   std::map<fleet::duty, announcement> m_announcements;
   std::map<fleet::duty, std::string> m_last_zones;
   bool m_keeps_loads = false;
--- a/packages/gateway/src/duty_peers.cpp
+++ b/packages/gateway/src/duty_peers.cpp
@@ -9,6 +9,11 @@
 // another zone counts as gone, so that its successor can send a window's usage in time.
 constexpr duration max_announcement_age = seconds(4);
 
+// With at least this many clocks of the own zone, those of other zones do not count: in a large group their
+// reports are relayed, and the time that they wait to be forwarded is not known. It made the group's clock a
+// second late in a burst.
+constexpr std::size_t min_zone_clocks = 2;
+
 } // namespace
 
 duration wall_clock_offset() {
@@ -18,8 +23,12 @@
 void duty_peers::handle_report(const peer_report& report, time_point received) {
   if (report.m_wall_clock_ms > 0) {
     const duration age = monotonic_now() - received;
-    m_clocks.record(report.m_daemon,
-                    milliseconds(report.m_wall_clock_ms) - (boot_now().time_since_epoch() - age));
+    const duration now = boot_now().time_since_epoch();
+    const duration offset = milliseconds(report.m_wall_clock_ms) - (now - age);
+    m_clocks.record(report.m_daemon, offset, now);
+    if (report.m_availability_zone == m_availability_zone) {
+      m_zone_clocks.record(report.m_daemon, offset, now);
+    }
   }
   if (m_keeps_loads) {
     auto& loads = m_loads[report.m_daemon];
@@ -42,6 +51,7 @@
 
 void duty_peers::forget(std::string_view daemon) {
   m_clocks.forget(daemon);
+  m_zone_clocks.forget(daemon);
   if (const auto loads = m_loads.find(daemon); loads != m_loads.end()) {
     m_loads.erase(loads);
   }
@@ -78,7 +88,8 @@
 }
 
 duration duty_peers::true_now() const {
-  return boot_now().time_since_epoch() + m_clocks.median_offset(wall_clock_offset());
+  const auto& clocks = m_zone_clocks.peer_count() >= min_zone_clocks ? m_zone_clocks : m_clocks;
+  return boot_now().time_since_epoch() + clocks.median_offset(wall_clock_offset());
 }
 
 } // namespace cardamompond::gateway
