--- a/packages/gateway/include/cardamompond/gateway/request_protocol.hpp
+++ b/packages/gateway/include/cardamompond/gateway/request_protocol.hpp
@@ -72,9 +72,9 @@
                                                  const dispatch_parameters& parameters) const = 0;
 
   // Returns the request that reserves room and memory for `tokens` on a backend server for a request that
-  // follows at once. `id` identifies this reservation request; servers state it in their responses.
-  virtual net::http_request make_reservation_request(std::uint32_t tokens, milliseconds lifetime,
-                                                     std::string_view id) const = 0;
+  // follows at once. It carries no request id, so that a plain server that uses the address now does not run
+  // it.
+  virtual net::http_request make_reservation_request(std::uint32_t tokens, milliseconds lifetime) const = 0;
 
   // Returns the id of the reservation that the server made; nothing if the server has no room.
   virtual std::optional<std::string> read_reservation(const net::http_response& response) const = 0;
--- a/packages/gateway/include/cardamompond/gateway/response_match.hpp
+++ b/packages/gateway/include/cardamompond/gateway/response_match.hpp
@@ -3,7 +3,6 @@
 #include "cardamompond/gateway/request_protocol.hpp"
 #include "cardamompond/net/http_client.hpp"
 
-#include <string>
 #include <string_view>
 
 namespace cardamompond::gateway {
@@ -28,7 +27,4 @@
 // refused on it that this is not known.
 bool may_repeat_refusal(const net::connection_history& history, std::string_view request_id);
 
-// Returns an id for a request that the daemon itself sends to a server. It is used only once.
-std::string make_exchange_id();
-
 } // namespace cardamompond::gateway
--- a/packages/gateway/src/backend_call.cpp
+++ b/packages/gateway/src/backend_call.cpp
@@ -125,9 +125,8 @@
   if (const auto outcome = check_may_send()) {
     return outcome;
   }
-  const std::string id = make_exchange_id();
   const auto request =
-      m_protocol.make_reservation_request(m_options.m_reserved_tokens, m_options.m_reservation_lifetime, id);
+      m_protocol.make_reservation_request(m_options.m_reserved_tokens, m_options.m_reservation_lifetime);
   const auto abort_reservation = [&](const net::call_error& error) {
     const auto outcome = abort_after_error(error);
     m_reservation_timed_out = error.m_timeout;
@@ -160,7 +159,7 @@
       }
       head->m_body.append(part->data(), part->size());
     }
-    if (metadata.m_request_id && *metadata.m_request_id != id) {
+    if (metadata.m_request_id) {
       continue; // a late response to an earlier request
     }
     note_response(m_call->history(), metadata);
--- a/packages/gateway/src/response_match.cpp
+++ b/packages/gateway/src/response_match.cpp
@@ -3,10 +3,6 @@
 #include "cardamompond/core/hash.hpp"
 
 #include <algorithm>
-#include <array>
-#include <atomic>
-#include <cstdio>
-#include <random>
 
 namespace cardamompond::gateway {
 namespace {
@@ -44,15 +40,4 @@
          std::find(refused.begin(), refused.end(), hash64(request_id)) != refused.end();
 }
 
-std::string make_exchange_id() {
-  static const std::uint64_t process_id = std::random_device{}() | std::uint64_t{std::random_device{}()}
-                                                                       << 32U;
-  static std::atomic<std::uint64_t> last_number{0};
-  std::array<char, 64> text{};
-  const int length = std::snprintf(text.data(), text.size(), "hold-%016llx-%llx",
-                                   static_cast<unsigned long long>(process_id),
-                                   static_cast<unsigned long long>(++last_number));
-  return {text.data(), static_cast<std::size_t>(length)};
-}
-
 } // namespace cardamompond::gateway
