--- a/packages/fleet/include/cardamompond/fleet/zone_load.hpp
+++ b/packages/fleet/include/cardamompond/fleet/zone_load.hpp
@@ -54,7 +54,7 @@
   // Returns zero while nothing is known or nothing waits. For late classes, the requests that come on time in
   // the meantime are counted too; nothing is returned if they take all capacity. For the others, the wait is
   // a lower bound: to count more urgent requests that are only expected refuses many that would have begun on
-  // time (in a burst of 1.6 times the load, 84.7 % of the worth was earned instead of 86.7 %).
+  // time.
   std::optional<duration> predict_wait(std::size_t request_class, time_point now) const;
 
   // Predicts the work per second that is left beside the requests that will be on time at `when`. Bursts last
--- a/packages/fleet/src/overload_control.cpp
+++ b/packages/fleet/src/overload_control.cpp
@@ -19,10 +19,8 @@
 constexpr double max_late_wait_share = 0.7;
 
 // A server that has refused a request of this daemon stays out for this long if all servers of the zone have
-// lately, and for a part of it if a part of them has. On the bench, 37,000 of 51,000 reservations were
-// refused with 60 ms for each. In the simulation, in bursts of 2.5 times the load, servers refused 0.56
-// reservations for each served request with 60 ms, 0.51 with 240 ms and 0.48 with 500 ms; as many answers
-// were on time.
+// lately, and for a part of it if a part of them has. Daemons would otherwise ask full servers again and
+// again.
 constexpr duration max_full_pause = milliseconds(500);
 
 // Time for which blocked requests are counted, see blocked_requests.
@@ -34,9 +32,7 @@
 
 // Late requests leave free slots for the requests that will come on time during this time. A late answer is
 // worth half of an answer on time at most, and a late request that takes the last slot makes another one
-// late. In the simulation, at a load at which all servers are full in bursts of 2.5 times the load, 62.9 % of
-// the callers were answered on time without it and 64.3 % with half of this time; with twice as much not
-// clearly more.
+// late.
 constexpr double late_reserve_s = 0.2;
 
 // Time that the request and the first part of the response take on the network.
--- a/packages/fleet/tests/usage_windows_test.cpp
+++ b/packages/fleet/tests/usage_windows_test.cpp
@@ -85,8 +85,7 @@
   LONGS_EQUAL(1'000, std::chrono::duration_cast<seconds>(clock.median_offset(seconds(1'000))).count());
 }
 
-// Guards against windows that begin late because most reports of a burst wait on their way: seen on the
-// bench, a second of requests was counted in the window before.
+// Guards against windows of usage that begin late because most reports of a burst wait on their way.
 TEST(group_clock, reports_that_arrive_late_do_not_put_the_clock_back) {
   group_clock clock;
   for (int round = 0; round < 20; ++round) {
