Log responses that are skipped and connections that are replaced

What callers saw: requests that must run once ran twice, or ran after a 503 that promises that they had not. Logs did not tell whether an answer too many was taken for the answer to a request.

--- a/packages/gateway/include/cardamompond/gateway/backend_call.hpp
+++ b/packages/gateway/include/cardamompond/gateway/backend_call.hpp
@@ -108,6 +108,9 @@
   // Whether the request, or a part of it, has been sent to the server.
   bool sent() const { return m_sent; }
 
+  // Whether the connection had carried requests of earlier calls, whose responses may arrive late on it.
+  bool connection_reused() const { return m_call && m_call->reused(); }
+
   // Whether the call broke because the server closed the connection, as it does when it crashes.
   bool closed_by_server() const { return m_closed_by_server; }
 
--- a/packages/gateway/include/cardamompond/gateway/response_match.hpp
+++ b/packages/gateway/include/cardamompond/gateway/response_match.hpp
@@ -27,4 +27,9 @@
 // refused on it that this is not known.
 bool may_repeat_refusal(const net::connection_history& history, std::string_view request_id);
 
+// Logs that a response to another request, or one that may be a late copy, was skipped on the connection of
+// the request `own_id`. `awaiting` names what was expected: "reservation" or "answer".
+void log_skipped_response(std::string_view own_id, std::string_view server_id, std::string_view awaiting,
+                          const response_metadata& metadata, int status);
+
 } // namespace cardamompond::gateway
--- a/packages/gateway/src/backend_call.cpp
+++ b/packages/gateway/src/backend_call.cpp
@@ -1,6 +1,7 @@
 #include "cardamompond/gateway/backend_call.hpp"
 
 #include "cardamompond/gateway/response_match.hpp"
+#include "cardamompond/telemetry/log.hpp"
 
 #include <algorithm>
 #include <array>
@@ -108,6 +109,10 @@
   }
   m_call = std::move(*opened);
   if (may_repeat_refusal(m_call->history(), m_options.m_request_id)) {
+    log_event(log_level::info, "connection_replaced",
+              {{"request_id", m_options.m_request_id},
+               {"backend_server", m_options.m_parameters.m_server->m_id},
+               {"noted_refusals", m_call->history().m_refused_requests.size()}});
     m_call.reset();
     return connect(milliseconds(0));
   }
@@ -159,8 +164,10 @@
       }
       head->m_body.append(part->data(), part->size());
     }
-    if (metadata.m_request_id) {
-      continue; // a late response to an earlier request
+    if (metadata.m_request_id) { // a late response to an earlier request
+      log_skipped_response(m_options.m_request_id, m_options.m_parameters.m_server->m_id, "reservation",
+                           metadata, head->m_status);
+      continue;
     }
     note_response(m_call->history(), metadata);
     auto reservation = m_protocol.read_reservation(*head);
@@ -225,6 +232,8 @@
     const response_metadata metadata = m_protocol.read_response_metadata(*head);
     m_options.m_on_server_notices(metadata);
     if (!answers_request(metadata, m_options.m_request_id, m_call->history())) {
+      log_skipped_response(m_options.m_request_id, m_options.m_parameters.m_server->m_id, "answer", metadata,
+                           head->m_status);
       if (const auto outcome = skip_response()) {
         return outcome;
       }
--- a/packages/gateway/src/request_outcome.cpp
+++ b/packages/gateway/src/request_outcome.cpp
@@ -118,6 +118,7 @@
              {"status", outcome == call_outcome::answered ? call.response().m_status : 0},
              {"reason", call.failure()},
              {"ms", to_ms(took)},
+             {"connection_reused", call.connection_reused()},
              {"may_have_run", may_have_run_after(outcome, call)}});
 }
 
--- a/packages/gateway/src/response_match.cpp
+++ b/packages/gateway/src/response_match.cpp
@@ -1,6 +1,7 @@
 #include "cardamompond/gateway/response_match.hpp"
 
 #include "cardamompond/core/hash.hpp"
+#include "cardamompond/telemetry/log.hpp"
 
 #include <algorithm>
 
@@ -10,6 +11,9 @@
 // Connections on which more requests were refused are closed rather than searched for an id.
 constexpr std::size_t max_noted_refusals = 32;
 
+// The id that a response states is external input. Longer ones are cut in the log.
+constexpr std::size_t max_logged_id = 64;
+
 } // namespace
 
 bool answers_request(const response_metadata& metadata, std::string_view own_id,
@@ -40,4 +44,18 @@
          std::find(refused.begin(), refused.end(), hash64(request_id)) != refused.end();
 }
 
+void log_skipped_response(std::string_view own_id, std::string_view server_id, std::string_view awaiting,
+                          const response_metadata& metadata, int status) {
+  const std::string_view stated_id =
+      metadata.m_request_id ? std::string_view(*metadata.m_request_id) : std::string_view();
+  log_event(log_level::info, "response_skipped",
+            {{"request_id", own_id},
+             {"backend_server", server_id},
+             {"awaiting", awaiting},
+             {"reason", metadata.m_request_id ? "other_request" : "no_id"},
+             {"stated_id", stated_id.substr(0, max_logged_id)},
+             {"status", status},
+             {"states_not_run", metadata.m_not_run}});
+}
+
 } // namespace cardamompond::gateway
