Take statements about the moment only from the answer to the request

What callers saw: nothing by itself was reported; the fault was found while the cause of double runs was looked for elsewhere. A late copy of a refusal with Retry-After began the pause of its server anew, so that callers were refused although the server had room.

Cause: the notices of a response (pause, work time, leaving) were read before it was known which request it answers.

Change: of a skipped response only the statement that the server leaves counts, which holds for the life of its process. The answer to a reservation has no id, so that a copy cannot be told; a refusal that asks for a pause therefore closes its connection, which is not needed during the pause. The work time in a copied answer to a reservation still counts: it changes slowly, and leaving it out would discard most statements of busy servers.

--- a/packages/gateway/include/cardamompond/gateway/backend_call.hpp
+++ b/packages/gateway/include/cardamompond/gateway/backend_call.hpp
@@ -62,7 +62,8 @@
   std::function<void()> m_on_first_token; // called before the first event is relayed, or after a full body
   std::function<void(std::uint64_t events, duration took)> m_on_progress; // called every few events
   std::function<void(const response_metadata&)> m_on_response_metadata;
-  // Called with each response of the server, also those to reservations and late ones to other requests.
+  // Called with each response to the request or to a reservation, and with the lasting statements of those
+  // that are skipped.
   std::function<void(const response_metadata&)> m_on_server_notices;
   // Whether the server still takes requests; asked before each request that is sent to it.
   std::function<bool()> m_may_send;
@@ -126,6 +127,7 @@
   std::optional<call_outcome> connect_and_reserve();
   std::optional<call_outcome> reserve();
   std::optional<call_outcome> send(time_point until);
+  void note_skipped(const response_metadata& metadata, std::string_view awaiting, int status);
   std::optional<call_outcome> skip_response();
   std::optional<call_outcome> read_head();
   void close_if_unidentified();
--- a/packages/gateway/include/cardamompond/gateway/response_match.hpp
+++ b/packages/gateway/include/cardamompond/gateway/response_match.hpp
@@ -27,6 +27,11 @@
 // refused on it that this is not known.
 bool may_repeat_refusal(const net::connection_history& history, std::string_view request_id);
 
+// Returns what a response states that holds for as long as the process of the server runs: that it leaves.
+// Only this may be taken from a late copy. A pause, the load and the like describe the moment of the first
+// response.
+response_metadata lasting_statements(const response_metadata& metadata);
+
 // Logs that a response to another request, or one that may be a late copy, was skipped on the connection of
 // the request `own_id`. `awaiting` names what was expected: "reservation" or "answer".
 void log_skipped_response(std::string_view own_id, std::string_view server_id, std::string_view awaiting,
--- a/packages/gateway/src/backend_call.cpp
+++ b/packages/gateway/src/backend_call.cpp
@@ -125,7 +125,8 @@
 
 // Reserves room on the server. The request itself has not been sent yet, so after any failure it can still go
 // to another server. A response without an id is accepted although it may be a late copy: the request has not
-// been sent, and the server ignores an outdated reservation.
+// been sent, and the server ignores an outdated reservation. A refusal that asks for a pause closes the
+// connection, because a copy of it could not be told from a new one and would begin the pause anew.
 std::optional<call_outcome> backend_call::reserve() {
   if (const auto outcome = check_may_send()) {
     return outcome;
@@ -149,7 +150,11 @@
       return abort_reservation(head.error());
     }
     const response_metadata metadata = m_protocol.read_response_metadata(*head);
-    m_options.m_on_server_notices(metadata);
+    if (metadata.m_request_id) { // a late response to an earlier request
+      note_skipped(metadata, "reservation", head->m_status);
+    } else {
+      m_options.m_on_server_notices(metadata);
+    }
     std::array<char, 1024> buffer{};
     while (true) {
       auto part = m_call->read_some(buffer, reservation_timeout);
@@ -164,13 +169,14 @@
       }
       head->m_body.append(part->data(), part->size());
     }
-    if (metadata.m_request_id) { // a late response to an earlier request
-      log_skipped_response(m_options.m_request_id, m_options.m_parameters.m_server->m_id, "reservation",
-                           metadata, head->m_status);
+    if (metadata.m_request_id) {
       continue;
     }
     note_response(m_call->history(), metadata);
     auto reservation = m_protocol.read_reservation(*head);
+    if (metadata.m_pause) {
+      m_call->abort();
+    }
     if (!reservation) {
       m_failure = "the server has no room";
       return call_outcome::no_room;
@@ -202,6 +208,12 @@
   return std::nullopt;
 }
 
+void backend_call::note_skipped(const response_metadata& metadata, std::string_view awaiting, int status) {
+  log_skipped_response(m_options.m_request_id, m_options.m_parameters.m_server->m_id, awaiting, metadata,
+                       status);
+  m_options.m_on_server_notices(lasting_statements(metadata));
+}
+
 // Reads a response that belongs to another request to its end.
 std::optional<call_outcome> backend_call::skip_response() {
   std::array<char, 4096> skipped{};
@@ -230,15 +242,14 @@
       return abort_after_error(head.error());
     }
     const response_metadata metadata = m_protocol.read_response_metadata(*head);
-    m_options.m_on_server_notices(metadata);
     if (!answers_request(metadata, m_options.m_request_id, m_call->history())) {
-      log_skipped_response(m_options.m_request_id, m_options.m_parameters.m_server->m_id, "answer", metadata,
-                           head->m_status);
+      note_skipped(metadata, "answer", head->m_status);
       if (const auto outcome = skip_response()) {
         return outcome;
       }
       continue;
     }
+    m_options.m_on_server_notices(metadata);
     note_response(m_call->history(), metadata);
     m_response_identified = metadata.m_request_id.has_value();
     m_call->history().m_states_request_ids |= m_response_identified;
--- a/packages/gateway/src/response_match.cpp
+++ b/packages/gateway/src/response_match.cpp
@@ -44,6 +44,14 @@
          std::find(refused.begin(), refused.end(), hash64(request_id)) != refused.end();
 }
 
+response_metadata lasting_statements(const response_metadata& metadata) {
+  response_metadata lasting;
+  lasting.m_leaving = metadata.m_leaving;
+  lasting.m_misdirected = metadata.m_misdirected;
+  lasting.m_server_id = metadata.m_server_id;
+  return lasting;
+}
+
 void log_skipped_response(std::string_view own_id, std::string_view server_id, std::string_view awaiting,
                           const response_metadata& metadata, int status) {
   const std::string_view stated_id =
