Send no request again on the connection on which it failed

What callers saw: nothing was reported. A caller that sent an idempotent request again after a failure could get the old failure for the new attempt, while the server worked on it.

Cause: only refused requests were noted for their connection. A copy of any other unsuccessful response carries the id of the request, too, and the id tells nothing once the request is under way there again.

Change: each unsuccessful request is noted, and the names say so (note_unsuccessful, may_repeat_response, noted_requests in the log). Successful ones are not: nobody sends them again.

--- a/packages/gateway/include/cardamompond/gateway/response_match.hpp
+++ b/packages/gateway/include/cardamompond/gateway/response_match.hpp
@@ -19,13 +19,13 @@
 // Notes a response that was taken for the answer to a request or a reservation.
 void note_response(net::connection_history& history, const response_metadata& metadata);
 
-// Notes that the server refused the request. A copy of the refusal carries the id, so the same request must
-// not be sent on this connection again.
-void note_refusal(net::connection_history& history, std::string_view request_id);
+// Notes that the request was refused or failed, after which it may come again with the same id. A copy of the
+// response carries the id, so the request must not be sent on this connection again.
+void note_unsuccessful(net::connection_history& history, std::string_view request_id);
 
-// Whether a late copy of a refusal of this request may arrive on the connection, or so many requests were
-// refused on it that this is not known.
-bool may_repeat_refusal(const net::connection_history& history, std::string_view request_id);
+// Whether a late copy of a response to this request may arrive on the connection, or so many requests were
+// unsuccessful on it that this is not known.
+bool may_repeat_response(const net::connection_history& history, std::string_view request_id);
 
 // Returns what a response states that holds for as long as the process of the server runs: that it leaves.
 // Only this may be taken from a late copy. A pause, the load and the like describe the moment of the first
--- a/packages/gateway/src/backend_call.cpp
+++ b/packages/gateway/src/backend_call.cpp
@@ -108,11 +108,11 @@
     return m_cancelled ? call_outcome::caller_gone : call_outcome::unreachable;
   }
   m_call = std::move(*opened);
-  if (may_repeat_refusal(m_call->history(), m_options.m_request_id)) {
+  if (may_repeat_response(m_call->history(), m_options.m_request_id)) {
     log_event(log_level::info, "connection_replaced",
               {{"request_id", m_options.m_request_id},
                {"backend_server", m_options.m_parameters.m_server->m_id},
-               {"noted_refusals", m_call->history().m_refused_requests.size()}});
+               {"noted_requests", m_call->history().m_unsuccessful_requests.size()}});
     m_call.reset();
     return connect(milliseconds(0));
   }
@@ -255,8 +255,10 @@
     m_call->history().m_states_request_ids |= m_response_identified;
     m_options.m_on_response_metadata(metadata);
     m_response = std::move(*head);
+    if (metadata.m_not_run || m_response.m_status >= first_non_success_status) {
+      note_unsuccessful(m_call->history(), m_options.m_request_id);
+    }
     if (metadata.m_not_run || m_response.m_status == status_misdirected) {
-      note_refusal(m_call->history(), m_options.m_request_id);
       close_if_unidentified();
       return m_response.m_status == status_misdirected ? call_outcome::misdirected : call_outcome::refused;
     }
--- a/packages/gateway/src/response_match.cpp
+++ b/packages/gateway/src/response_match.cpp
@@ -8,8 +8,8 @@
 namespace cardamompond::gateway {
 namespace {
 
-// Connections on which more requests were refused are closed rather than searched for an id.
-constexpr std::size_t max_noted_refusals = 32;
+// Connections on which more requests were unsuccessful are closed rather than searched for an id.
+constexpr std::size_t max_noted_requests = 32;
 
 // The id that a response states is external input. Longer ones are cut in the log.
 constexpr std::size_t max_logged_id = 64;
@@ -32,16 +32,16 @@
   }
 }
 
-void note_refusal(net::connection_history& history, std::string_view request_id) {
-  if (history.m_refused_requests.size() <= max_noted_refusals) {
-    history.m_refused_requests.push_back(hash64(request_id));
+void note_unsuccessful(net::connection_history& history, std::string_view request_id) {
+  if (history.m_unsuccessful_requests.size() <= max_noted_requests) {
+    history.m_unsuccessful_requests.push_back(hash64(request_id));
   }
 }
 
-bool may_repeat_refusal(const net::connection_history& history, std::string_view request_id) {
-  const auto& refused = history.m_refused_requests;
-  return refused.size() > max_noted_refusals ||
-         std::find(refused.begin(), refused.end(), hash64(request_id)) != refused.end();
+bool may_repeat_response(const net::connection_history& history, std::string_view request_id) {
+  const auto& noted = history.m_unsuccessful_requests;
+  return noted.size() > max_noted_requests ||
+         std::find(noted.begin(), noted.end(), hash64(request_id)) != noted.end();
 }
 
 response_metadata lasting_statements(const response_metadata& metadata) {
--- a/packages/net/include/cardamompond/net/http_client.hpp
+++ b/packages/net/include/cardamompond/net/http_client.hpp
@@ -27,10 +27,11 @@
 // What the user of a connection notes about its earlier exchanges, so that a late copy of one of their
 // responses is not taken for the response to a later request. The client only keeps it with the connection.
 struct connection_history {
-  bool m_states_request_ids = false;             // the server stated the id of a request in its response
-  bool m_has_unidentified = false;               // a response carried no request id
-  bool m_has_unidentified_signed = false;        // such a response carried the server's signature
-  std::vector<std::uint64_t> m_refused_requests; // hashes of the ids of the requests that were refused
+  bool m_states_request_ids = false;      // the server stated the id of a request in its response
+  bool m_has_unidentified = false;        // a response carried no request id
+  bool m_has_unidentified_signed = false; // such a response carried the server's signature
+  std::vector<std::uint64_t>
+      m_unsuccessful_requests; // hashes of the ids of requests that were refused or failed
 };
 
 // A request in progress. It has exclusive use of its connection until it is destroyed.
