Skip late responses to as many requests as a connection may have left

What callers saw: 502 (may have run) although the server worked on the request.

Cause: at most two responses to other requests were skipped, but each earlier request of a connection may leave one.

Change: up to 32 responses are skipped, with one limit for the bytes of all their bodies. A server that sends such responses without end is still cut off.

--- a/packages/gateway/include/cardamompond/gateway/backend_call.hpp
+++ b/packages/gateway/include/cardamompond/gateway/backend_call.hpp
@@ -149,6 +149,7 @@
   std::unique_ptr<net::http_call> m_call;
   net::http_response m_response;
   std::string m_failure;
+  std::size_t m_skipped_bytes = 0; // in bodies of responses to other requests
   bool m_cancelled = false;
   bool m_sent = false;
   bool m_closed_by_server = false;
--- a/packages/gateway/src/backend_call.cpp
+++ b/packages/gateway/src/backend_call.cpp
@@ -21,11 +21,12 @@
 constexpr milliseconds max_idle_at_most_once{1'000};
 constexpr milliseconds max_idle_before_reservation{30'000};
 
-// Number of late responses to other requests that are skipped on a pooled connection.
-constexpr int max_stray_responses = 2;
+// Number of late responses to other requests that are skipped on a pooled connection, on which each earlier
+// request may have left one.
+constexpr int max_stray_responses = 32;
 
 // Responses that are not streamed are held in memory. Plain services respond with a few kilobytes. The limit
-// also holds for a response that is skipped because it belongs to another request.
+// also holds for all responses together that are skipped because they belong to other requests.
 constexpr std::size_t max_response_bytes = 4U << 20U;
 
 // An event is held in memory until it is complete. Engines send events of a few hundred bytes.
@@ -217,7 +218,6 @@
 // Reads a response that belongs to another request to its end.
 std::optional<call_outcome> backend_call::skip_response() {
   std::array<char, 4096> skipped{};
-  std::size_t skipped_bytes = 0;
   while (true) {
     auto part = m_call->read_some(skipped, io_timeout());
     if (!part) {
@@ -226,7 +226,7 @@
     if (part->empty()) {
       return std::nullopt;
     }
-    if ((skipped_bytes += part->size()) > max_response_bytes) {
+    if ((m_skipped_bytes += part->size()) > max_response_bytes) {
       return abort_after_error({"the answer to another request is too large", true, false});
     }
   }
