Keep an offer to a replacement open after a late response to another request

What callers saw: nothing was reported. A stream whose server fell silent was cut although another server had taken it over.

Cause: a late response on the connection of the replacement ended the wait for its answer after 100 ms as a timeout. The call was closed and counted as a possible run, so that no attempt was left.

Change: after a skipped response, the offer waits for the rest of its time and then stays open, as it does without one.

--- a/packages/gateway/include/cardamompond/gateway/backend_call.hpp
+++ b/packages/gateway/include/cardamompond/gateway/backend_call.hpp
@@ -129,7 +129,7 @@
   std::optional<call_outcome> send(time_point until);
   void note_skipped(const response_metadata& metadata, std::string_view awaiting, int status);
   std::optional<call_outcome> skip_response();
-  std::optional<call_outcome> read_head();
+  std::optional<call_outcome> read_head(std::optional<time_point> wait_until = std::nullopt);
   void close_if_unidentified();
   call_outcome read_body();
   call_outcome relay_events();
--- a/packages/gateway/src/backend_call.cpp
+++ b/packages/gateway/src/backend_call.cpp
@@ -234,8 +234,8 @@
 
 // Reads the head of the response. Skips responses to other requests, since the response to an earlier request
 // may arrive late. A refusal that may be a late copy is not believed: the server may be working on the
-// request.
-std::optional<call_outcome> backend_call::read_head() {
+// request. With `wait_until`, returns without a head if none arrives by then after a skipped response.
+std::optional<call_outcome> backend_call::read_head(std::optional<time_point> wait_until) {
   for (int stray = 0; stray <= max_stray_responses; ++stray) {
     auto head = m_call->read_head(io_timeout());
     if (!head) {
@@ -247,6 +247,9 @@
       if (const auto outcome = skip_response()) {
         return outcome;
       }
+      if (wait_until && !m_call->wait_for_input(*wait_until)) {
+        return std::nullopt;
+      }
       continue;
     }
     m_options.m_on_server_notices(metadata);
@@ -255,6 +258,7 @@
     m_call->history().m_states_request_ids |= m_response_identified;
     m_options.m_on_response_metadata(metadata);
     m_response = std::move(*head);
+    m_head_read = true;
     if (metadata.m_not_run || m_response.m_status >= first_non_success_status) {
       note_unsuccessful(m_call->history(), m_options.m_request_id);
     }
@@ -462,11 +466,10 @@
   if (!m_call->wait_for_input(until)) {
     return std::nullopt;
   }
-  if (const auto outcome = read_head()) {
+  if (const auto outcome = read_head(until)) {
     return outcome;
   }
-  m_head_read = true;
-  if (m_response.m_status >= first_non_success_status) {
+  if (m_head_read && m_response.m_status >= first_non_success_status) {
     m_call->abort();
     return call_outcome::answered;
   }
