Send each write to the object API of the cells on a connection of its own

What callers saw: nothing was reported. A cell daemon could have taken the late copy of an earlier response for the outcome of a conditional write.

Evidence: each_write_has_a_connection_of_its_own, which now also covers this client, fails on the parent commit (3 connections instead of 4).

Result: that test, each_write_for_a_duty_has_a_connection_of_its_own and the five tests of the group object_api pass.

--- a/packages/net/src/http_object_store.cpp
+++ b/packages/net/src/http_object_store.cpp
@@ -103,7 +103,11 @@
     ++(write ? m_counters.m_writes : m_counters.m_reads);
     http_request request{std::string(method), std::move(target), headers, std::string(body)};
     m_counters.m_bytes_sent += request.m_target.size() + body.size() + approximate_head_bytes;
-    auto response = m_client.fetch(m_options.m_address, request, timeout, max_response_bytes);
+    // The object API states no request ids. On a connection with earlier exchanges, a late copy of a response
+    // could be taken for the statement that this write was or was not executed.
+    using connection_choice = http_client::connection_choice;
+    auto response = m_client.fetch(m_options.m_address, request, timeout, max_response_bytes,
+                                   write ? connection_choice::fresh : connection_choice::any);
     if (!response) {
       ++m_counters.m_failures;
       const bool outcome_unknown = write && response.error().m_sent;
