--- a/packages/gateway/include/cardamompond/gateway/backend_call.hpp
+++ b/packages/gateway/include/cardamompond/gateway/backend_call.hpp
@@ -62,7 +62,8 @@
   std::function<void()> m_on_first_token; // called before the first event is relayed, or after a full body
   std::function<void(std::uint64_t events, duration took)> m_on_progress; // called every few events
   std::function<void(const response_metadata&)> m_on_response_metadata;
-  // Called with each response of the server, also those to reservations and late ones to other requests.
+  // Called with each response to the request or to a reservation, and with the lasting statements of those
+  // that are skipped.
   std::function<void(const response_metadata&)> m_on_server_notices;
   // Whether the server still takes requests; asked before each request that is sent to it.
   std::function<bool()> m_may_send;
@@ -108,6 +109,9 @@
   // Whether the request, or a part of it, has been sent to the server.
   bool sent() const { return m_sent; }
 
+  // Whether the connection had carried requests of earlier calls, whose responses may arrive late on it.
+  bool connection_reused() const { return m_call && m_call->reused(); }
+
   // Whether the call broke because the server closed the connection, as it does when it crashes.
   bool closed_by_server() const { return m_closed_by_server; }
 
@@ -123,8 +127,9 @@
   std::optional<call_outcome> connect_and_reserve();
   std::optional<call_outcome> reserve();
   std::optional<call_outcome> send(time_point until);
+  void note_skipped(const response_metadata& metadata, std::string_view awaiting, int status);
   std::optional<call_outcome> skip_response();
-  std::optional<call_outcome> read_head();
+  std::optional<call_outcome> read_head(std::optional<time_point> wait_until = std::nullopt);
   void close_if_unidentified();
   call_outcome read_body();
   call_outcome relay_events();
@@ -144,6 +149,7 @@
   std::unique_ptr<net::http_call> m_call;
   net::http_response m_response;
   std::string m_failure;
+  std::size_t m_skipped_bytes = 0; // in bodies of responses to other requests
   bool m_cancelled = false;
   bool m_sent = false;
   bool m_closed_by_server = false;
--- a/packages/gateway/src/backend_call.cpp
+++ b/packages/gateway/src/backend_call.cpp
@@ -1,6 +1,7 @@
 #include "cardamompond/gateway/backend_call.hpp"
 
 #include "cardamompond/gateway/response_match.hpp"
+#include "cardamompond/telemetry/log.hpp"
 
 #include <algorithm>
 #include <array>
@@ -20,11 +21,12 @@
 constexpr milliseconds max_idle_at_most_once{1'000};
 constexpr milliseconds max_idle_before_reservation{30'000};
 
-// Number of late responses to other requests that are skipped on a pooled connection.
-constexpr int max_stray_responses = 2;
+// Number of late responses to other requests that are skipped on a pooled connection, on which each earlier
+// request may have left one.
+constexpr int max_stray_responses = 32;
 
 // Responses that are not streamed are held in memory. Plain services respond with a few kilobytes. The limit
-// also holds for a response that is skipped because it belongs to another request.
+// also holds for all responses together that are skipped because they belong to other requests.
 constexpr std::size_t max_response_bytes = 4U << 20U;
 
 // An event is held in memory until it is complete. Engines send events of a few hundred bytes.
@@ -107,7 +109,11 @@
     return m_cancelled ? call_outcome::caller_gone : call_outcome::unreachable;
   }
   m_call = std::move(*opened);
-  if (may_repeat_refusal(m_call->history(), m_options.m_request_id)) {
+  if (may_repeat_response(m_call->history(), m_options.m_request_id)) {
+    log_event(log_level::info, "connection_replaced",
+              {{"request_id", m_options.m_request_id},
+               {"backend_server", m_options.m_parameters.m_server->m_id},
+               {"noted_requests", m_call->history().m_unsuccessful_requests.size()}});
     m_call.reset();
     return connect(milliseconds(0));
   }
@@ -120,7 +126,8 @@
 
 // Reserves room on the server. The request itself has not been sent yet, so after any failure it can still go
 // to another server. A response without an id is accepted although it may be a late copy: the request has not
-// been sent, and the server ignores an outdated reservation.
+// been sent, and the server ignores an outdated reservation. A refusal that asks for a pause closes the
+// connection, because a copy of it could not be told from a new one and would begin the pause anew.
 std::optional<call_outcome> backend_call::reserve() {
   if (const auto outcome = check_may_send()) {
     return outcome;
@@ -144,7 +151,11 @@
       return abort_reservation(head.error());
     }
     const response_metadata metadata = m_protocol.read_response_metadata(*head);
-    m_options.m_on_server_notices(metadata);
+    if (metadata.m_request_id) { // a late response to an earlier request
+      note_skipped(metadata, "reservation", head->m_status);
+    } else {
+      m_options.m_on_server_notices(metadata);
+    }
     std::array<char, 1024> buffer{};
     while (true) {
       auto part = m_call->read_some(buffer, reservation_timeout);
@@ -160,10 +171,13 @@
       head->m_body.append(part->data(), part->size());
     }
     if (metadata.m_request_id) {
-      continue; // a late response to an earlier request
+      continue;
     }
     note_response(m_call->history(), metadata);
     auto reservation = m_protocol.read_reservation(*head);
+    if (metadata.m_pause) {
+      m_call->abort();
+    }
     if (!reservation) {
       m_failure = "the server has no room";
       return call_outcome::no_room;
@@ -195,10 +209,15 @@
   return std::nullopt;
 }
 
+void backend_call::note_skipped(const response_metadata& metadata, std::string_view awaiting, int status) {
+  log_skipped_response(m_options.m_request_id, m_options.m_parameters.m_server->m_id, awaiting, metadata,
+                       status);
+  m_options.m_on_server_notices(lasting_statements(metadata));
+}
+
 // Reads a response that belongs to another request to its end.
 std::optional<call_outcome> backend_call::skip_response() {
   std::array<char, 4096> skipped{};
-  std::size_t skipped_bytes = 0;
   while (true) {
     auto part = m_call->read_some(skipped, io_timeout());
     if (!part) {
@@ -207,7 +226,7 @@
     if (part->empty()) {
       return std::nullopt;
     }
-    if ((skipped_bytes += part->size()) > max_response_bytes) {
+    if ((m_skipped_bytes += part->size()) > max_response_bytes) {
       return abort_after_error({"the answer to another request is too large", true, false});
     }
   }
@@ -215,28 +234,35 @@
 
 // Reads the head of the response. Skips responses to other requests, since the response to an earlier request
 // may arrive late. A refusal that may be a late copy is not believed: the server may be working on the
-// request.
-std::optional<call_outcome> backend_call::read_head() {
+// request. With `wait_until`, returns without a head if none arrives by then after a skipped response.
+std::optional<call_outcome> backend_call::read_head(std::optional<time_point> wait_until) {
   for (int stray = 0; stray <= max_stray_responses; ++stray) {
     auto head = m_call->read_head(io_timeout());
     if (!head) {
       return abort_after_error(head.error());
     }
     const response_metadata metadata = m_protocol.read_response_metadata(*head);
-    m_options.m_on_server_notices(metadata);
     if (!answers_request(metadata, m_options.m_request_id, m_call->history())) {
+      note_skipped(metadata, "answer", head->m_status);
       if (const auto outcome = skip_response()) {
         return outcome;
       }
+      if (wait_until && !m_call->wait_for_input(*wait_until)) {
+        return std::nullopt;
+      }
       continue;
     }
+    m_options.m_on_server_notices(metadata);
     note_response(m_call->history(), metadata);
     m_response_identified = metadata.m_request_id.has_value();
     m_call->history().m_states_request_ids |= m_response_identified;
     m_options.m_on_response_metadata(metadata);
     m_response = std::move(*head);
+    m_head_read = true;
+    if (metadata.m_not_run || m_response.m_status >= first_non_success_status) {
+      note_unsuccessful(m_call->history(), m_options.m_request_id);
+    }
     if (metadata.m_not_run || m_response.m_status == status_misdirected) {
-      note_refusal(m_call->history(), m_options.m_request_id);
       close_if_unidentified();
       return m_response.m_status == status_misdirected ? call_outcome::misdirected : call_outcome::refused;
     }
@@ -440,11 +466,10 @@
   if (!m_call->wait_for_input(until)) {
     return std::nullopt;
   }
-  if (const auto outcome = read_head()) {
+  if (const auto outcome = read_head(until)) {
     return outcome;
   }
-  m_head_read = true;
-  if (m_response.m_status >= first_non_success_status) {
+  if (m_head_read && m_response.m_status >= first_non_success_status) {
     m_call->abort();
     return call_outcome::answered;
   }
