--- a/packages/gateway/include/cardamompond/gateway/response_match.hpp
+++ b/packages/gateway/include/cardamompond/gateway/response_match.hpp
@@ -7,12 +7,8 @@
 
 namespace cardamompond::gateway {
 
-// Returns whether a response that arrives on a connection answers the request `own_id`, which was sent last.
-// Servers state the id of the request in their responses, and a late copy of an earlier response may arrive
-// where the next one is due. A response without an id may be such a copy if the connection carried another
-// one without an id. Answers to requests are signed and those to reservations are not, so that neither can be
-// a copy of the other. Once the server has stated the id of a request, no response without an id is taken for
-// the answer to one.
+// Returns whether a response that arrives on a connection answers the request `own_id`, which was sent last;
+// see net::answers_request(). Answers to requests are signed and those to reservations are not.
 bool answers_request(const response_metadata& metadata, std::string_view own_id,
                      const net::connection_history& history);
 
--- a/packages/gateway/src/backend_call.cpp
+++ b/packages/gateway/src/backend_call.cpp
@@ -1,6 +1,7 @@
 #include "cardamompond/gateway/backend_call.hpp"
 
 #include "cardamompond/gateway/response_match.hpp"
+#include "cardamompond/net/response_match.hpp"
 
 #include <algorithm>
 #include <array>
@@ -197,20 +198,10 @@
 
 // Reads a response that belongs to another request to its end.
 std::optional<call_outcome> backend_call::skip_response() {
-  std::array<char, 4096> skipped{};
-  std::size_t skipped_bytes = 0;
-  while (true) {
-    auto part = m_call->read_some(skipped, io_timeout());
-    if (!part) {
-      return abort_after_error(part.error());
-    }
-    if (part->empty()) {
-      return std::nullopt;
-    }
-    if ((skipped_bytes += part->size()) > max_response_bytes) {
-      return abort_after_error({"the answer to another request is too large", true, false});
-    }
+  if (const auto skipped = net::skip_body(*m_call, max_response_bytes, io_timeout()); !skipped) {
+    return abort_after_error(skipped.error());
   }
+  return std::nullopt;
 }
 
 // Reads the head of the response. Skips responses to other requests, since the response to an earlier request
--- a/packages/gateway/src/response_match.cpp
+++ b/packages/gateway/src/response_match.cpp
@@ -1,6 +1,7 @@
 #include "cardamompond/gateway/response_match.hpp"
 
 #include "cardamompond/core/hash.hpp"
+#include "cardamompond/net/response_match.hpp"
 
 #include <algorithm>
 
@@ -14,18 +15,11 @@
 
 bool answers_request(const response_metadata& metadata, std::string_view own_id,
                      const net::connection_history& history) {
-  if (metadata.m_request_id) {
-    return *metadata.m_request_id == own_id;
-  }
-  return !history.m_states_request_ids &&
-         !(metadata.m_has_server_stamp ? history.m_has_unidentified_signed : history.m_has_unidentified);
+  return net::answers_request({metadata.m_request_id, metadata.m_has_server_stamp}, own_id, history);
 }
 
 void note_response(net::connection_history& history, const response_metadata& metadata) {
-  if (!metadata.m_request_id) {
-    history.m_has_unidentified = true;
-    history.m_has_unidentified_signed = history.m_has_unidentified_signed || metadata.m_has_server_stamp;
-  }
+  net::note_response(history, {metadata.m_request_id, metadata.m_has_server_stamp});
 }
 
 void note_refusal(net::connection_history& history, std::string_view request_id) {
