Give each call of the object API a connection of its own

Cause: the object API states no request ids, and its calls went over kept connections. A late copy of an answer passed for the answer to the next call: a claim that another daemon holds was believed to be held, and the claim of one order was read for that of another. Evidence: object_store_tests, late_copy_does_not_answer_the_next_call, with http_client and http_object_store of: "CHECK(!second && second.error().m_kind == store_error_kind::conflict) failed", the put of a claim that is held succeeded. With new connections for writes only, the test fails at its last check: a read takes the copy of an earlier read. Change: all calls use connection_choice::fresh, and fetch() closes such a connection after the response. Until now it went to the pool, so that a copy of the answer to a write could still answer a later read. Why this works: a copy can only arrive on the connection of the first answer, which carries no other call. Cost: a TCP connection for each call. Token buckets limit a daemon to 50 reads and 20 writes a second. Writers: a claim and its record or its release for each request with an idempotency key, the usage of a daemon at most each 5 s, and the owner's status, at most each 2 s.

--- a/packages/net/include/cardamompond/net/http_client.hpp
+++ b/packages/net/include/cardamompond/net/http_client.hpp
@@ -139,8 +139,10 @@
   // Returns the number of connections opened since the client was created.
   std::uint64_t connections_opened() const;
 
-  // Sends a request and reads the whole response. A body longer than `max_body_bytes` is an error. The
-  // request may go over an idle connection unless `connection` is `fresh`.
+  // Sends a request and reads the whole response. A body longer than `max_body_bytes` is an error. With
+  // `fresh`, the request goes over a connection of its own, on which no late copy of another response can
+  // arrive, nor one of its response before that to a later request. Otherwise it may use an idle connection
+  // and leave it to others.
   enum class connection_choice { any, fresh };
   call_result<http_response> fetch(std::string_view address, const http_request& request,
                                    milliseconds timeout, std::size_t max_body_bytes = 4U << 20U,
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -537,6 +537,9 @@
       return part.error();
     }
     if (part->empty()) {
+      if (connection == connection_choice::fresh) {
+        call.abort();
+      }
       return response;
     }
     if (response.m_body.size() + part->size() > max_body_bytes) {
--- a/packages/net/src/http_object_store.cpp
+++ b/packages/net/src/http_object_store.cpp
@@ -103,7 +103,10 @@
     ++(write ? m_counters.m_writes : m_counters.m_reads);
     http_request request{std::string(method), std::move(target), headers, std::string(body)};
     m_counters.m_bytes_sent += request.m_target.size() + body.size() + approximate_head_bytes;
-    auto response = m_client.fetch(m_options.m_address, request, timeout, max_response_bytes);
+    // The object API states no request ids. On a connection with earlier exchanges, a late copy of an answer
+    // could be taken for that to this call.
+    auto response = m_client.fetch(m_options.m_address, request, timeout, max_response_bytes,
+                                   http_client::connection_choice::fresh);
     if (!response) {
       ++m_counters.m_failures;
       const bool outcome_unknown = write && response.error().m_sent;
