Match answers of backend servers with requests in a cell

Cause: the forwarder took each response on a kept connection for the answer to the request that was sent last. Evidence, with the forwarder of: forwarder_tests, late_copy_does_not_answer_the_next_request ("expected <r2> but was <r1>") and request_without_an_answer_of_its_own_may_have_run ("CHECK(received.m_verdict == verdict::may_have_run) failed"). A connection is closed after a response without an id and after a refusal, so that no later request meets their copies. A stream is resumed over a new connection. Why this works: a copy comes only on the connection of its response. There, either each later request has another id and the copy states its own, or no request follows.

--- a/packages/daemon/src/forwarder.cpp
+++ b/packages/daemon/src/forwarder.cpp
@@ -1,5 +1,6 @@
 #include "cardamompond/daemon/forwarder.hpp"
 
+#include "backend_answer.hpp"
 #include "cardamompond/cell/claim_store.hpp"
 #include "cardamompond/daemon/response_meter.hpp"
 
@@ -84,6 +85,8 @@
   forward_result run();
 
 private:
+  net::call_result<net::http_response> read_head();
+  forward_result forward_response();
   net::call_result<std::span<const char>> read_body_part(bool event_stream);
   forward_result handle_call_error(const net::call_error& error, bool response_begun);
   forward_result make_backend_refusal();
@@ -106,6 +109,7 @@
   std::optional<duration> m_first_token;
   response_meter m_meter;
   std::string m_stream_id;
+  bool m_answer_identified = false;  // the response states the id of the request
   bool m_ended_inside_event = false; // set by read_body_part()
   // The buffer is left uninitialized, so that a small response touches only one page of it.
   std::unique_ptr<char[]> m_buffer_storage = std::make_unique_for_overwrite<char[]>(buffer_bytes);
@@ -172,20 +176,43 @@
 
 net::http_headers dispatch::make_response_headers(const net::http_response& head) const {
   auto headers = end_to_end_headers(head.m_headers);
-  headers.push_back({"Cardamompond-Request-Id", m_request.m_request_id});
+  headers.push_back({std::string(request_id_header), m_request.m_request_id});
   return headers;
 }
 
+// Reads the head of the answer to the request.
+net::call_result<net::http_response> dispatch::read_head() {
+  m_answer_identified = false;
+  auto answer = read_answer(*m_call, m_request.m_request_id, m_request.m_permit->m_address,
+                            time_until(m_request.m_deadline));
+  if (!answer) {
+    return answer.error();
+  }
+  m_answer_identified = answer->m_identified;
+  return std::move(answer->m_head);
+}
+
 forward_result dispatch::run() {
+  auto forwarded = forward_response();
+  if (!m_answer_identified) {
+    // A late copy of the response could not be told from the response to the next request.
+    m_call->abort();
+  }
+  return forwarded;
+}
+
+forward_result dispatch::forward_response() {
   m_call->set_deadline(m_request.m_deadline);
   if (const auto sent = m_call->send(m_request.m_backend_request, time_until(m_request.m_deadline)); !sent) {
     return handle_call_error(sent.error(), false);
   }
-  auto head = m_call->read_head(time_until(m_request.m_deadline));
+  auto head = read_head();
   if (!head) {
     return handle_call_error(head.error(), false);
   }
-  if (head->m_status == 503 && net::find_header(head->m_headers, "X-Not-Run")) {
+  if (is_refusal(*head)) {
+    // A late copy of the refusal bears the id of the request, which may be sent to this server again.
+    m_call->abort();
     return make_backend_refusal();
   }
   m_stream_id = std::string(net::find_header(head->m_headers, "X-Stream-Id").value_or(""));
@@ -305,7 +332,8 @@
     if (attempt > 0) {
       boost::this_fiber::sleep_for(resume_interval);
     }
-    auto opened = m_client.open(m_request.m_permit->m_address);
+    // Over a new connection, the answer is known even if it states no id.
+    auto opened = m_client.open(m_request.m_permit->m_address, {.m_max_idle_time = milliseconds(0)});
     if (!opened) {
       continue;
     }
@@ -313,12 +341,12 @@
     m_call->set_deadline(m_request.m_deadline);
     const net::http_request request{"GET",
                                     "/streams/" + m_stream_id + "?offset=" + std::to_string(m_meter.bytes()),
-                                    {{"Cardamompond-Request-Id", m_request.m_request_id}},
+                                    {{std::string(request_id_header), m_request.m_request_id}},
                                     {}};
     if (!m_call->send(request, time_until(m_request.m_deadline))) {
       continue;
     }
-    const auto head = m_call->read_head(time_until(m_request.m_deadline));
+    const auto head = read_head();
     if (head && head->m_status == 200) {
       return true;
     }
--- a/packages/daemon/tests/forwarder_test.cpp
+++ b/packages/daemon/tests/forwarder_test.cpp
@@ -14,6 +14,8 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <tuple>
+#include <utility>
 #include <vector>
 
 using namespace cardamompond;
@@ -33,9 +35,13 @@
 // The last response is used again when the others are used up.
 class raw_backend {
 public:
-  // `endless_bytes` follow each response without end, until the client closes the connection.
-  explicit raw_backend(std::vector<std::string> responses, std::string endless_bytes = {})
+  // `endless_bytes` follow each response without end, until the client closes the connection. With
+  // `repeats_responses`, the connection stays open instead, and a late copy of each response on it precedes
+  // the next one.
+  explicit raw_backend(std::vector<std::string> responses, std::string endless_bytes = {},
+                       bool repeats_responses = false)
       : m_state(std::make_shared<state>(test_runtime(), std::move(responses), std::move(endless_bytes))) {
+    m_state->m_repeats_responses = repeats_responses;
     net::fiber_runtime::spawn([shared_state = m_state] { serve(*shared_state); });
   }
   ~raw_backend() {
@@ -49,6 +55,7 @@
     return "127.0.0.1:" + std::to_string(m_state->m_acceptor.local_endpoint().port());
   }
   const std::vector<std::string>& requests() const { return m_state->m_requests; }
+  int connections() const { return m_state->m_connections; }
 
 private:
   struct state {
@@ -60,6 +67,8 @@
     std::vector<std::string> m_responses;
     std::string m_endless_bytes;
     std::vector<std::string> m_requests;
+    bool m_repeats_responses = false;
+    int m_connections = 0;
   };
 
   static bool write(tcp::socket& socket, const std::string& bytes) {
@@ -76,24 +85,33 @@
       if (accepted.wait()) {
         return;
       }
-      std::string request(4'096, '\0');
-      net::io_wait received;
-      socket.async_read_some(asio::buffer(request), received.handler());
-      if (received.wait()) {
-        continue;
-      }
-      request.resize(received.bytes());
-      const auto number = std::min(shared_state.m_requests.size(), shared_state.m_responses.size() - 1);
-      shared_state.m_requests.push_back(std::move(request));
-      bool connected = write(socket, shared_state.m_responses[number]);
-      while (connected && !shared_state.m_endless_bytes.empty()) {
-        connected = write(socket, shared_state.m_endless_bytes);
+      ++shared_state.m_connections;
+      std::string copy;
+      while (serve_request(shared_state, socket, copy) && shared_state.m_repeats_responses) {
       }
       boost::system::error_code ignored;
       socket.shutdown(tcp::socket::shutdown_both, ignored);
     }
   }
 
+  static bool serve_request(state& shared_state, tcp::socket& socket, std::string& copy) {
+    std::string request(4'096, '\0');
+    net::io_wait received;
+    socket.async_read_some(asio::buffer(request), received.handler());
+    if (received.wait()) {
+      return false;
+    }
+    request.resize(received.bytes());
+    const auto number = std::min(shared_state.m_requests.size(), shared_state.m_responses.size() - 1);
+    shared_state.m_requests.push_back(std::move(request));
+    bool connected = write(socket, std::exchange(copy, shared_state.m_responses[number]) +
+                                       shared_state.m_responses[number]);
+    while (connected && !shared_state.m_endless_bytes.empty()) {
+      connected = write(socket, shared_state.m_endless_bytes);
+    }
+    return connected;
+  }
+
   std::shared_ptr<state> m_state;
 };
 
@@ -121,11 +139,17 @@
   std::string m_body;
   bool m_complete = false;
   std::optional<scheduler::outcome> m_outcome;
+  verdict m_verdict = verdict::not_run; // of the error that the caller received instead
 };
 
-received_response forward(const raw_backend& backend, milliseconds timeout = seconds(3)) {
-  recording_permits permits;
-  forwarder request_forwarder(test_runtime(), permits);
+struct test_forwarder {
+  recording_permits m_permits;
+  forwarder m_forwarder{test_runtime(), m_permits};
+};
+
+received_response forward(test_forwarder& target, const raw_backend& backend, milliseconds timeout,
+                          std::string_view id) {
+  verdict error_verdict = verdict::not_run;
   caller_monitor monitor;
   bool done = false;
   net::http_server server(test_runtime(), {.m_address = "127.0.0.1:0"}, [&](net::http_exchange& exchange) {
@@ -137,8 +161,13 @@
     request.m_routed = &routed;
     request.m_permit = &permit;
     request.m_backend_request = {"POST", "/v1/chat/completions", {}, "b"};
+    request.m_request_id = id;
     request.m_deadline = monotonic_now() + timeout;
-    request_forwarder.forward(exchange, watch, request, [](bool, duration) {});
+    const auto forwarded = target.m_forwarder.forward(exchange, watch, request, [](bool, duration) {});
+    if (forwarded.m_status == forward_status::failed) {
+      error_verdict = forwarded.m_error.m_verdict;
+      std::ignore = exchange.respond({502, {}, {}});
+    }
     done = true;
   });
   received_response received;
@@ -160,10 +189,16 @@
   while (!done) {
     boost::this_fiber::sleep_for(milliseconds(5));
   }
-  received.m_outcome = permits.m_outcome;
+  received.m_outcome = target.m_permits.m_outcome;
+  received.m_verdict = error_verdict;
   return received;
 }
 
+received_response forward(const raw_backend& backend, milliseconds timeout = seconds(3)) {
+  test_forwarder target;
+  return forward(target, backend, timeout, "r1");
+}
+
 } // namespace
 
 TEST_GROUP(forwarder_group){};
@@ -220,3 +255,39 @@
   CHECK_FALSE(received.m_complete);
   CHECK(received.m_outcome == scheduler::outcome::timed_out);
 }
+
+// Guards against a late copy of a response, also of a refusal, that is taken for the answer to the next
+// request on its connection: a request that runs would count as refused, or its caller would get another
+// answer.
+TEST(forwarder_group, late_copy_does_not_answer_the_next_request) {
+  const std::string refusal = "HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n";
+  const std::string success = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n";
+  const std::string id = "Cardamompond-Request-Id: ";
+  const std::string second_id = id + "r2\r\n\r\nr2";
+  struct copied_response {
+    std::string m_first;
+    std::string m_second;
+    std::string_view m_second_id = "r2";
+    int m_connections = 2;
+  };
+  for (const auto& copied : {copied_response{success + id + "r1\r\n\r\nr1", success + second_id, "r2", 1},
+                             {success + "\r\nr1", success + "\r\nr2"},
+                             {refusal + id + "r1\r\n\r\n", success + second_id},
+                             {refusal + id + "r1\r\n\r\n", success + id + "r1\r\n\r\nr2", "r1"},
+                             {refusal + "\r\n", success + "\r\nr2"}}) {
+    const raw_backend backend({copied.m_first, copied.m_second}, {}, true);
+    test_forwarder target;
+    forward(target, backend, seconds(3), "r1");
+    STRCMP_EQUAL("r2", forward(target, backend, seconds(3), copied.m_second_id).m_body.c_str());
+    LONGS_EQUAL(copied.m_connections, backend.connections());
+  }
+}
+
+// Guards against a refusal of another request that passes for a statement about this one.
+TEST(forwarder_group, request_without_an_answer_of_its_own_may_have_run) {
+  const std::string other =
+      "HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nCardamompond-Request-Id: r0\r\nContent-Length: 0\r\n\r\n";
+  const auto received = forward(raw_backend({other + other + other + other}, {}, true));
+  CHECK(received.m_verdict == verdict::may_have_run);
+  CHECK(received.m_outcome == scheduler::outcome::connection_broken);
+}
