Cancel a request over a connection of its own

Seen by callers: an empty answer, or that to a cancellation, in place of the answer to their request. Cause: DELETE /streams/ID carries no request id, and its connection went to the pool of the forwarder afterwards. A late copy of its answer was the first answer without an id on that connection for the next request, which took it. It could also go over an idle connection, where a copy of another answer confirmed a cancellation that the server had not done. Evidence: forwarder_tests, late_copy_does_not_follow_a_cancellation, on the parent of this commit: expected <r2> but was <>. Change: the call uses connection_choice::fresh.

--- a/packages/daemon/src/forwarder.cpp
+++ b/packages/daemon/src/forwarder.cpp
@@ -18,6 +18,7 @@
 namespace cardamompond::daemon {
 namespace {
 
+using connection_choice = net::http_client::connection_choice;
 using scheduler::outcome;
 
 constexpr std::string_view event_stream_type = "text/event-stream";
@@ -30,6 +31,7 @@
 
 // Timeout of the call that cancels a request at its backend server.
 constexpr milliseconds cancel_timeout{500};
+constexpr std::size_t max_cancel_response_bytes = 64U << 10U;
 
 bool header_names_equal(std::string_view left, std::string_view right) {
   return boost::beast::iequals(left, right);
@@ -137,8 +139,9 @@
 void dispatch::cancel_at_backend() {
   if (!m_stream_id.empty()) {
     m_call->abort();
-    const auto confirmed = m_client.fetch(m_request.m_permit->m_address,
-                                          {"DELETE", "/streams/" + m_stream_id, {}, {}}, cancel_timeout);
+    const auto confirmed =
+        m_client.fetch(m_request.m_permit->m_address, {"DELETE", "/streams/" + m_stream_id, {}, {}},
+                       cancel_timeout, max_cancel_response_bytes, connection_choice::fresh);
     if (confirmed) {
       return;
     }
--- a/packages/daemon/tests/forwarder_test.cpp
+++ b/packages/daemon/tests/forwarder_test.cpp
@@ -291,3 +291,16 @@
   CHECK(received.m_verdict == verdict::may_have_run);
   CHECK(received.m_outcome == scheduler::outcome::connection_broken);
 }
+
+// Guards against a late copy of the answer to a cancellation that is taken for the answer to the next request.
+TEST(forwarder_group, late_copy_does_not_follow_a_cancellation) {
+  const std::string id = "Cardamompond-Request-Id: ";
+  const raw_backend backend({head + id + "r1\r\nContent-Length: 99\r\n\r\ndata: a\n\n",
+                             "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+                             "HTTP/1.1 200 OK\r\n" + id + "r2\r\nContent-Length: 2\r\n\r\nr2"},
+                            {}, true);
+  test_forwarder target;
+  CHECK_FALSE(forward(target, backend, milliseconds(200), "r1").m_complete);
+  STRCMP_EQUAL("r2", forward(target, backend, seconds(3), "r2").m_body.c_str());
+  CHECK(backend.requests().at(1).starts_with("DELETE /streams/s1 "));
+}
