--- a/packages/daemon/tests/forwarder_test.cpp
+++ b/packages/daemon/tests/forwarder_test.cpp
@@ -292,7 +292,8 @@
   CHECK(received.m_outcome == scheduler::outcome::connection_broken);
 }
 
-// Guards against a late copy of the answer to a cancellation that is taken for the answer to the next request.
+// Guards against a late copy of the answer to a cancellation that is taken for the answer to the next
+// request.
 TEST(forwarder_group, late_copy_does_not_follow_a_cancellation) {
   const std::string id = "Cardamompond-Request-Id: ";
   const raw_backend backend({head + id + "r1\r\nContent-Length: 99\r\n\r\ndata: a\n\n",
