Repeat answers late in a test of a cell of real processes

The stand-ins repeat Cardamompond-Request-Id in their answers, as docs/design.md section 10 asks of backend servers, and tcp_relay::repeat_answers() sends answers of its target a second time, where the next one on the connection is due.

--- a/packages/standins/include/cardamompond/standins/standin.hpp
+++ b/packages/standins/include/cardamompond/standins/standin.hpp
@@ -71,6 +71,9 @@
 void respond_json(net::http_exchange& exchange, int status, const boost::json::value& body,
                   net::http_headers headers = {});
 
+// Adds the id of the request, if it states one, so that the client can tell which request is answered.
+void repeat_request_id(const net::http_exchange& exchange, net::http_headers& headers);
+
 // Returns the value of a request header, or an empty string if the header is missing.
 std::string header_or_empty(const net::http_request& request, std::string_view name);
 
--- a/packages/standins/src/engine.cpp
+++ b/packages/standins/src/engine.cpp
@@ -245,12 +245,11 @@
                               ? offset + static_cast<std::size_t>(m_cut_after_bytes)
                               : std::string::npos;
   ++generation->m_readers;
-  bool connected =
-      exchange
-          .begin(200,
-                 {{"Content-Type", generation->m_request.m_stream ? "text/event-stream" : "application/json"},
-                  {"X-Stream-Id", generation->m_id}})
-          .has_value();
+  net::http_headers headers = {
+      {"Content-Type", generation->m_request.m_stream ? "text/event-stream" : "application/json"},
+      {"X-Stream-Id", generation->m_id}};
+  repeat_request_id(exchange, headers);
+  bool connected = exchange.begin(200, headers).has_value();
   while (connected && !generation->m_cancelled) {
     const std::size_t end_offset = std::min(generation->m_response_body.size(), cut_offset);
     if (offset < end_offset) {
--- a/packages/standins/src/standin.cpp
+++ b/packages/standins/src/standin.cpp
@@ -17,9 +17,17 @@
 void respond_json(net::http_exchange& exchange, int status, const boost::json::value& body,
                   net::http_headers headers) {
   headers.push_back({"Content-Type", "application/json"});
+  repeat_request_id(exchange, headers);
   std::ignore = exchange.respond({status, std::move(headers), boost::json::serialize(body)});
 }
 
+void repeat_request_id(const net::http_exchange& exchange, net::http_headers& headers) {
+  constexpr std::string_view name = "Cardamompond-Request-Id";
+  if (const auto id = net::find_header(exchange.request().m_headers, name)) {
+    headers.push_back({std::string(name), std::string(*id)});
+  }
+}
+
 std::string header_or_empty(const net::http_request& request, std::string_view name) {
   return std::string(net::find_header(request.m_headers, name).value_or(std::string_view()));
 }
--- a/tests/processes/at_most_once_test.cpp
+++ b/tests/processes/at_most_once_test.cpp
@@ -192,3 +192,38 @@
                m_caller.records()[i].m_body.c_str());
   }
 }
+
+// The servers refuse some requests, and send every third answer twice, late. Guards against a copy, also of a
+// refusal, that passes for the answer to the next request, and against a claim taken from a copied answer of
+// the platform.
+TEST(at_most_once, servers_and_platform_repeat_answers) {
+  m_cell.add_backend("s1", {.m_service = "orders", .m_slots = 8, .m_settings = {"refuse_rate=0.3"}});
+  m_cell.add_backend("e1", {.m_slots = 8, .m_settings = {"refuse_rate=0.3", "tokens_per_s=2000"}});
+  tcp_relay relays[] = {tcp_relay(m_cell.m_backends[0].m_declared_address),
+                        tcp_relay(m_cell.m_backends[1].m_declared_address),
+                        tcp_relay(m_cell.object_api().address())};
+  m_cell.m_backends[0].m_declared_address = relays[0].address();
+  m_cell.m_backends[1].m_declared_address = relays[1].address();
+  m_cell.publish();
+  for (const char* name : {"d1", "d2"}) {
+    m_cell.add_daemon(name, "z1", relays[2].address());
+  }
+  m_cell.wait_until_ready();
+  for (auto& relay : relays) {
+    relay.repeat_answers(3);
+  }
+  auto callers = start_load(4);
+  background_load chats([this] { return addresses(); }, 4,
+                        [this](const std::string& address, std::uint64_t number) -> call_record& {
+                          return m_caller.send_chat(address, "text " + std::to_string(number),
+                                                    {.m_tokens = 2, .m_stream = number % 2 == 0});
+                        });
+  wait_until("complete answers", milliseconds(15'000), [&] { return count_complete_responses() > 400; });
+  callers.stop();
+  chats.stop();
+  check_histories();
+  for (const auto& record : m_caller.records()) {
+    CHECK_TEXT(!record.m_complete || record.m_body.find(record.m_idempotency_key) != std::string::npos,
+               ("the answer to another order: " + record.m_body).c_str());
+  }
+}
--- a/tests/support/include/cardamompond/testing/tcp_relay.hpp
+++ b/tests/support/include/cardamompond/testing/tcp_relay.hpp
@@ -32,6 +32,10 @@
   // Delays each piece of data that is forwarded, in both directions.
   void set_delay(milliseconds delay);
 
+  // Sends each `interval`-th answer of the target a second time, where the answer to the next request on its
+  // connection is due. 0: none.
+  void repeat_answers(int interval);
+
 private:
   class impl;
   std::shared_ptr<impl> m_impl;
--- a/tests/support/src/tcp_relay.cpp
+++ b/tests/support/src/tcp_relay.cpp
@@ -13,6 +13,8 @@
 #include <algorithm>
 #include <array>
 #include <set>
+#include <tuple>
+#include <utility>
 
 namespace cardamompond::testing {
 
@@ -50,6 +52,8 @@
   bool m_partitioned = false;
   bool m_refusing = false;
   milliseconds m_delay{0};
+  int m_repeat_interval = 0;
+  std::uint64_t m_answers = 0;
   time_point m_paused_until;
 
 private:
@@ -66,11 +70,27 @@
       return;
     }
     m_sockets.insert(server);
-    net::fiber_runtime::spawn([self = shared_from_this(), client, server] { self->forward(server, client); });
-    forward(client, server);
+    auto answer = std::make_shared<std::string>(); // to the last request
+    net::fiber_runtime::spawn([self = shared_from_this(), client, server, answer] {
+      self->forward(server, client, [&](std::string_view bytes) {
+        if (self->m_repeat_interval > 0) {
+          answer->append(bytes);
+        }
+      });
+    });
+    forward(client, server, [&](std::string_view) {
+      const std::string copy = std::exchange(*answer, {});
+      if (!copy.empty() && m_repeat_interval > 0 && ++m_answers % m_repeat_interval == 0) {
+        net::io_wait written;
+        boost::asio::async_write(*client, boost::asio::buffer(copy), written.handler());
+        std::ignore = written.wait();
+      }
+    });
   }
 
-  void forward(const socket_ptr& from, const socket_ptr& to) {
+  // Calls `on_bytes` before each part is forwarded.
+  template <typename Function>
+  void forward(const socket_ptr& from, const socket_ptr& to, const Function& on_bytes) {
     std::array<char, 16384> buffer{};
     while (true) {
       net::io_wait read_wait;
@@ -82,6 +102,7 @@
       if (m_delay.count() > 0) {
         boost::this_fiber::sleep_for(m_delay);
       }
+      on_bytes(std::string_view(buffer.data(), read_wait.bytes()));
       net::io_wait write_wait;
       boost::asio::async_write(*to, boost::asio::buffer(buffer.data(), read_wait.bytes()),
                                write_wait.handler());
@@ -141,4 +162,8 @@
   m_impl->m_delay = delay;
 }
 
+void tcp_relay::repeat_answers(int interval) {
+  m_impl->m_repeat_interval = interval;
+}
+
 } // namespace cardamompond::testing
