--- a/packages/gateway/src/backend_call.cpp
+++ b/packages/gateway/src/backend_call.cpp
@@ -1,6 +1,7 @@
 #include "cardamompond/gateway/backend_call.hpp"
 
 #include "cardamompond/gateway/response_match.hpp"
+#include "cardamompond/net/response_match.hpp"
 #include "cardamompond/telemetry/log.hpp"
 
 #include <algorithm>
@@ -217,19 +218,12 @@
 
 // Reads a response that belongs to another request to its end.
 std::optional<call_outcome> backend_call::skip_response() {
-  std::array<char, 4096> skipped{};
-  while (true) {
-    auto part = m_call->read_some(skipped, io_timeout());
-    if (!part) {
-      return abort_after_error(part.error());
-    }
-    if (part->empty()) {
-      return std::nullopt;
-    }
-    if ((m_skipped_bytes += part->size()) > max_response_bytes) {
-      return abort_after_error({"the answer to another request is too large", true, false});
-    }
+  const auto skipped = net::skip_body(*m_call, max_response_bytes - m_skipped_bytes, io_timeout());
+  if (!skipped) {
+    return abort_after_error(skipped.error());
   }
+  m_skipped_bytes += *skipped;
+  return std::nullopt;
 }
 
 // Reads the head of the response. Skips responses to other requests, since the response to an earlier request
