Copy answers late in the soak, refusals among them

Servers may send a second copy of an answer, late; it bears the id of its request, also when that request is under way again on the same connection. The soak sent no such copies.

Change: the relay before an engine sends copies of a share of its whole answers (503, 421, bodies and streams), 20 to 400 ms later or directly before the next answer on the connection. It is done there and not in the engine, because an http_exchange ends with its answer and product code would have had to change for the test. Callers send about half of the refused requests that must run at most once again, with the same id to the same daemon; each id may run once in all, and not at all if its last status says so or before it is sent again. The copies are among the random faults, drawn from random numbers of their own, so that a seed keeps its order of the other faults.

--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <array>
-#include <set>
 #include <string>
 #include <utility>
 
@@ -13,8 +12,6 @@
 
 using platform::standins::backend_engine;
 
-constexpr milliseconds request_timeout{2'500};
-
 // Returns whether a response with that status states that the request was not run.
 bool is_not_run_status(int status) {
   return status == 408 || status == 421 || status == 429 || status == 503;
@@ -31,9 +28,12 @@
 
 } // namespace
 
-soak_callers::soak_callers(soak_group& group, int caller_count, std::uint64_t seed)
+soak_callers::soak_callers(soak_group& group, int caller_count, std::uint64_t seed,
+                           milliseconds request_timeout)
     : m_group(group)
-    , m_seed(seed) {
+    , m_request_timeout(request_timeout)
+    , m_seed(seed)
+    , m_repetitions(seed) {
   for (int i = 0; i < caller_count; ++i) {
     ++m_running_callers;
     net::fiber_runtime::spawn([this, caller_seed = seed + static_cast<std::uint64_t>(i)] {
@@ -54,13 +54,29 @@
 }
 
 int soak_callers::send(const std::string& address, std::string_view route) {
-  const std::string id = std::to_string(m_seed) + "-" + std::to_string(++m_history->m_request_count);
-  if (route == "order" || route == "guide") {
+  const std::string id = std::to_string(m_seed) + "-" + std::to_string(m_history->m_request_count + 1);
+  const bool at_most_once = route == "order" || route == "guide";
+  if (at_most_once) {
     m_history->m_at_most_once_ids.push_back(id);
   }
+  int status = send(address, route, id);
+  // Sent again to the same daemon, it may reach a connection on which it was refused before.
+  while (at_most_once && is_not_run_status(status) && m_group.run_counter().runs(id) == 0 && !m_stopping &&
+         m_repetitions() % 2 == 0) {
+    boost::this_fiber::sleep_for(milliseconds(m_repetitions() % 50));
+    status = send(address, route, id);
+  }
+  if (is_not_run_status(status)) {
+    m_history->m_refused_ids.push_back(id);
+  }
+  return status;
+}
+
+int soak_callers::send(const std::string& address, std::string_view route, const std::string& id) {
+  ++m_history->m_request_count;
   for (const auto& daemon : m_group.daemons()) {
     if (m_group.callers_address(daemon) == address) {
-      m_history->m_dispatches[id] = {daemon.m_name, daemon.m_start_count, monotonic_now()};
+      m_history->m_dispatches[id].push_back({daemon.m_name, daemon.m_start_count, monotonic_now()});
     }
   }
   const std::string host = route == "moved" ? m_group.moved_host() : "h";
@@ -70,10 +86,10 @@
                               "/" + std::string(route) + "/x",
                               {{"Host", host},
                                {"X-Cardamompond-Request-Id", id},
-                               {"X-Cardamompond-Deadline-Ms", std::to_string(request_timeout.count())},
+                               {"X-Cardamompond-Deadline-Ms", std::to_string(m_request_timeout.count())},
                                {"Api-Key", "k"}},
                               "body of " + id},
-                             request_timeout);
+                             m_request_timeout);
   if (!response) {
     if (response.error().m_sent) {
       m_history->m_unanswered.push_back({id, response.error().m_message, monotonic_now()});
@@ -84,7 +100,7 @@
     const std::pair<std::string, std::string> answer(id, *stamp);
     for (const auto& engine : m_group.engines()) {
       if (engine.m_engine->log().m_leaving_answers.contains(answer)) {
-        const auto& [daemon, start_count, sent_at] = m_history->m_dispatches[id];
+        const auto& [daemon, start_count, sent_at] = m_history->m_dispatches[id].back();
         m_history->m_leaving_known.try_emplace({daemon, start_count, answer.second}, monotonic_now());
       }
     }
@@ -95,10 +111,6 @@
 
 void soak_callers::check_response(std::string_view route, const std::string& id,
                                   const net::http_response& response) {
-  if (is_not_run_status(response.m_status)) {
-    m_history->m_refused_ids.push_back(id);
-    return;
-  }
   if (response.m_status != 200) {
     return;
   }
@@ -115,9 +127,16 @@
   }
 }
 
+const soak_dispatch& soak_callers::find_dispatch(const std::string& id, time_point until) const {
+  const auto& dispatches = m_history->m_dispatches.at(id);
+  const auto last = std::find_if(dispatches.rbegin(), dispatches.rend(),
+                                 [&](const auto& each) { return each.m_sent_at <= until; });
+  return last == dispatches.rend() ? dispatches.front() : *last;
+}
+
 void soak_callers::stop() {
   m_stopping = true;
-  wait_until("the last calls are complete", request_timeout + milliseconds(3'000),
+  wait_until("the last calls are complete", m_request_timeout + milliseconds(3'000),
              [&] { return m_running_callers == 0; });
 }
 
@@ -125,7 +144,7 @@
 // must not reach that process.
 void soak_callers::check_leaving(const platform::standins::engine_log& log) {
   for (const auto& arrival : log.m_arrivals) {
-    const auto& [daemon, start_count, sent_at] = m_history->m_dispatches[arrival.m_request_id];
+    const auto& [daemon, start_count, sent_at] = find_dispatch(arrival.m_request_id, arrival.m_at);
     const auto known = m_history->m_leaving_known.find({daemon, start_count, arrival.m_stamp});
     if (known != m_history->m_leaving_known.end() && sent_at > known->second) {
       m_history->m_violations.push_back(arrival.m_request_id + ": sent by " + daemon +
@@ -141,7 +160,7 @@
   constexpr std::ptrdiff_t max_requests = 2;
   m_history->m_pauses += log.m_pauses.size();
   for (const auto& pause : log.m_pauses) {
-    const auto asked = m_history->m_dispatches[pause.m_request_id];
+    const auto& asked = find_dispatch(pause.m_request_id, pause.m_asked_at);
     if (m_group.was_disturbed(asked.m_daemon, pause.m_asked_at, pause.m_until) ||
         m_group.was_disturbed(engine, pause.m_asked_at, pause.m_until)) {
       continue;
@@ -150,7 +169,7 @@
         std::count_if(log.m_arrivals.begin(), log.m_arrivals.end(), [&](const auto& arrival) {
           return arrival.m_stamp == pause.m_stamp && arrival.m_at > pause.m_asked_at + reaction_time &&
                  arrival.m_at < pause.m_until &&
-                 m_history->m_dispatches[arrival.m_request_id].m_daemon == asked.m_daemon;
+                 find_dispatch(arrival.m_request_id, arrival.m_at).m_daemon == asked.m_daemon;
         });
     if (arrived > max_requests) {
       m_history->m_violations.push_back(std::to_string(arrived) + " requests of " + asked.m_daemon +
@@ -175,19 +194,21 @@
 
 std::size_t soak_callers::check_lost_requests() {
   constexpr milliseconds max_unread_time{200};
-  constexpr milliseconds clock_margin{10}; // engines get their deadline in whole milliseconds
-  std::set<std::string_view> arrived;
+  constexpr milliseconds clock_margin{10};        // engines get their deadline in whole milliseconds
+  std::map<std::string_view, time_point> arrived; // the last time
   for (const auto& engine : m_group.engines()) {
     for (const auto& arrival : engine.m_engine->log().m_arrivals) {
-      arrived.insert(arrival.m_request_id);
+      auto& last = arrived[arrival.m_request_id];
+      last = std::max(last, arrival.m_at);
     }
   }
   std::size_t cut_by_drain = 0;
   for (const auto& [id, reason, ended_at] : m_history->m_unanswered) {
-    const auto& sent = m_history->m_dispatches[id];
+    const auto& sent = m_history->m_dispatches[id].back();
     const duration took = ended_at - sent.m_sent_at;
-    const bool passed_on = arrived.contains(id);
-    if (took >= request_timeout - clock_margin || (!passed_on && took <= max_unread_time)) {
+    const auto arrival = arrived.find(id);
+    const bool passed_on = arrival != arrived.end() && arrival->second >= sent.m_sent_at;
+    if (took >= m_request_timeout - clock_margin || (!passed_on && took <= max_unread_time)) {
       continue;
     }
     if (passed_on && may_be_cut_by_drain(sent, ended_at)) {
--- a/tests/soak/soak_callers.hpp
+++ b/tests/soak/soak_callers.hpp
@@ -32,7 +32,8 @@
   std::vector<std::string> m_successful_ids;   // ids of requests with status 200
   std::vector<soak_unanswered> m_unanswered;   // without those that could not be sent
   std::vector<std::string> m_violations;       // descriptions for the log
-  std::map<std::string, soak_dispatch> m_dispatches; // of all requests, by id
+  // Of all requests, by id. A caller may send a refused request again with the same id.
+  std::map<std::string, std::vector<soak_dispatch>> m_dispatches;
   // By daemon, its start count and the stamp of an engine's process: when the daemon first passed on an
   // answer that stated that the process leaves.
   std::map<std::tuple<std::string, int, std::string>, time_point> m_leaving_known;
@@ -44,7 +45,8 @@
 // connections.
 class soak_callers {
 public:
-  soak_callers(soak_group& group, int caller_count, std::uint64_t seed);
+  soak_callers(soak_group& group, int caller_count, std::uint64_t seed,
+               milliseconds request_timeout = milliseconds(2'500));
 
   // Ends the callers and waits until their last calls are complete.
   void stop();
@@ -61,12 +63,16 @@
   // number of requests that were cut at the end of a drain as the rules allow.
   std::size_t check_lost_requests();
 
-  // Sends one request to the route of that name and checks its response. Returns the status, or 0 if there
-  // was no complete response.
+  // Sends one request to the route of that name and checks its response. If it must run at most once and is
+  // refused as not run, it may be sent again with the same id. Returns the last status, or 0 if there was no
+  // complete response.
   int send(const std::string& address, std::string_view route);
 
 private:
   void run(std::uint64_t seed);
+  int send(const std::string& address, std::string_view route, const std::string& id);
+  // Returns the last time before `until` at which the request was sent.
+  const soak_dispatch& find_dispatch(const std::string& id, time_point until) const;
   bool may_be_cut_by_drain(const soak_dispatch& sent, time_point ended_at) const;
   void check_leaving(const platform::standins::engine_log& log);
   void check_pauses(const platform::standins::engine_log& log, const std::string& engine);
@@ -74,7 +80,9 @@
 
   soak_group& m_group;
   std::shared_ptr<soak_history> m_history = std::make_shared<soak_history>();
+  milliseconds m_request_timeout;
   std::uint64_t m_seed;
+  std::mt19937_64 m_repetitions;
   bool m_stopping = false;
   int m_running_callers = 0;
 };
--- a/tests/soak/soak_group.cpp
+++ b/tests/soak/soak_group.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <numeric>
 
 #include <unistd.h>
 
@@ -195,12 +196,18 @@
   return response && response->m_status == 200;
 }
 
+unsigned long long soak_group::late_copies() const {
+  return std::accumulate(m_engines.begin(), m_engines.end(), 0ULL,
+                         [](auto sum, const auto& each) { return sum + each.m_relay->late_copies(); });
+}
+
 void soak_group::clear_faults() {
   m_store.set_fault(platform::standins::store_fault::none);
   for (auto& engine : m_engines) {
     engine.m_engine->set_faults({});
     set_relay_faults(engine, false, false);
     engine.m_relay->set_delay(milliseconds(0));
+    engine.m_relay->set_late_copies(0, 0);
     restart_engine(engine, true);
   }
   for (auto& daemon : m_daemons) {
--- a/tests/soak/soak_group.hpp
+++ b/tests/soak/soak_group.hpp
@@ -91,6 +91,9 @@
   // registers them as ready, and lets stopped daemons continue and starts those that have ended.
   void clear_faults();
 
+  // Returns the number of late copies that the relays of the engines have sent.
+  unsigned long long late_copies() const;
+
   std::vector<soak_daemon>& daemons() { return m_daemons; }
   std::vector<soak_engine>& engines() { return m_engines; }
   platform::standins::metadata_store& store() { return m_store; }
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -36,7 +36,8 @@
 public:
   fault_injector(soak_group& group, std::uint64_t seed)
       : m_group(group)
-      , m_random(seed) {}
+      , m_random(seed)
+      , m_random_copies(seed) {}
 
   void inject_fault() {
     auto& daemon = m_group.daemons()[m_random() % m_group.daemons().size()];
@@ -96,12 +97,23 @@
       break;
     }
     resume_daemons();
+    change_late_copies();
   }
 
 private:
   bool random_bool() { return m_random() % 2 == 0; }
   double random_probability() { return m_random() % 3 == 0 ? 0.15 : 0; }
 
+  // Lets an engine send copies of its answers, or no longer. The random numbers are others than those of the
+  // faults above, so that a seed keeps its order of those.
+  void change_late_copies() {
+    constexpr double copied_share = 0.3;
+    if (m_random_copies() % 3 == 0) {
+      auto& engine = m_group.engines()[m_random_copies() % m_group.engines().size()];
+      engine.m_relay->set_late_copies(m_random_copies() % 3 == 0 ? 0 : copied_share, m_random_copies());
+    }
+  }
+
   // Makes the engine state that it leaves, while the store still shows it as ready. If it does so already,
   // another process takes its place. At most two engines leave at a time.
   void leave_or_restart(soak_engine& engine) {
@@ -130,6 +142,7 @@
 
   soak_group& m_group;
   std::mt19937_64 m_random;
+  std::mt19937_64 m_random_copies;
 };
 
 // Does planned work, lets engines pause, and disturbs the links to the store. None of this excuses a request
@@ -221,6 +234,23 @@
   CHECK_TEXT(history.m_violations.empty(), "violations were found; see the lines above");
 }
 
+// Prints what the callers observed, and fails if it violates a guarantee.
+void report_history(const char* name, std::uint64_t seed, const soak_group& group,
+                    const soak_history& history) {
+  std::setvbuf(stdout, nullptr, _IOLBF, 0);
+  std::printf(
+      "%s, seed %llu: %llu requests (%llu sent again), %zu answered, %zu refused, %zu "
+      "violations; %zu times known that an engine leaves, %llu pauses, %llu late copies\n",
+      name, static_cast<unsigned long long>(seed), static_cast<unsigned long long>(history.m_request_count),
+      static_cast<unsigned long long>(history.m_request_count - history.m_dispatches.size()),
+      history.m_successful_ids.size(), history.m_refused_ids.size(), history.m_violations.size(),
+      history.m_leaving_known.size(), static_cast<unsigned long long>(history.m_pauses), group.late_copies());
+  for (const auto& violation : history.m_violations) {
+    std::printf("  %s\n", violation.c_str());
+  }
+  CHECK_TEXT(history.m_violations.empty(), "violations were found; see the lines above");
+}
+
 void run_soak(std::uint64_t seed, seconds duration) {
   soak_group group(daemon_count, engine_count, seed);
   wait_until_ready(group);
@@ -235,16 +265,7 @@
   check_recovery(group, callers);
   callers.stop();
   const auto& history = callers.check_history();
-  std::setvbuf(stdout, nullptr, _IOLBF, 0);
-  std::printf("seed %llu: %llu requests, %zu answered, %zu refused, %zu violations; "
-              "%zu times known that an engine leaves, %llu pauses\n",
-              static_cast<unsigned long long>(seed), static_cast<unsigned long long>(history.m_request_count),
-              history.m_successful_ids.size(), history.m_refused_ids.size(), history.m_violations.size(),
-              history.m_leaving_known.size(), static_cast<unsigned long long>(history.m_pauses));
-  for (const auto& violation : history.m_violations) {
-    std::printf("  %s\n", violation.c_str());
-  }
-  CHECK_TEXT(history.m_violations.empty(), "violations were found; see the lines above");
+  report_history("faults", seed, group, history);
   CHECK_TEXT(history.m_successful_ids.size() * 4 > history.m_request_count,
              "at most a quarter of the requests had status 200");
 }
@@ -262,13 +283,38 @@
 TEST_GROUP(soak){};
 
 // Guards against requests that run twice although they must run at most once, requests that run although they
-// were refused as not run, incomplete responses or those to another request, requests to engines that leave
+// were refused as not run, incomplete responses or those to another request (also beside late copies of
+// responses and refusals, while the refused request is sent again), requests to engines that leave
 // or have asked for a pause, and daemons that do not recover, while several faults are present at the same
 // time. The variables SOAK_SEEDS (a list) and SOAK_SECONDS (for each seed) select other runs.
 TEST(soak, guarantees_hold_under_faults) {
   run_seeds(run_soak, default_fault_seeds);
 }
 
+// Guards against late copies of refusals that pass for the answer to the same request when it is sent again
+// on that connection. One engine, one caller for each daemon and a short deadline make that the usual case.
+TEST(soak, late_copies_of_refusals_answer_nothing) {
+  constexpr std::uint64_t seed = 1;
+  soak_group group(daemon_count, 1, seed);
+  wait_until_ready(group);
+  auto& engine = group.engines().front();
+  engine.m_engine->set_faults({.m_refusal_probability = 0.4});
+  engine.m_relay->set_late_copies(1, seed);
+  soak_callers callers(group, 0, seed * 1'000'000, milliseconds(300));
+  int running = daemon_count;
+  for (const auto& daemon : group.daemons()) {
+    net::fiber_runtime::spawn([&] {
+      for (const time_point end = monotonic_now() + seconds(4); monotonic_now() < end;) {
+        callers.send(group.callers_address(daemon), "order");
+      }
+      --running;
+    });
+  }
+  wait_until("the callers have ended", seconds(12), [&] { return running == 0; });
+  callers.stop();
+  report_history("copied refusals", seed, group, callers.check_history());
+}
+
 // Guards against requests that end without an answer beside changes of the configuration, SIGHUP, SIGTERM,
 // disturbances of the store and engines that are silent for up to 2.5 s and go on.
 TEST(soak, planned_work_and_pauses_lose_no_request) {
--- a/tests/support/include/cardamompond/testing/tcp_relay.hpp
+++ b/tests/support/include/cardamompond/testing/tcp_relay.hpp
@@ -2,6 +2,7 @@
 
 #include "cardamompond/core/time.hpp"
 
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -11,7 +12,7 @@
 class tcp_relay {
 public:
   // `target` is an address "IP:PORT".
-  explicit tcp_relay(std::string target);
+  explicit tcp_relay(const std::string& target);
   ~tcp_relay();
   tcp_relay(const tcp_relay&) = delete;
   tcp_relay& operator=(const tcp_relay&) = delete;
@@ -32,6 +33,13 @@
   // Delays each piece of data that is forwarded, in both directions.
   void set_delay(milliseconds delay);
 
+  // Sends a second copy of that share of the HTTP answers, drawn at random: late, or directly before the next
+  // answer on the connection. Never within another answer.
+  void set_late_copies(double share, std::uint64_t seed);
+
+  // Returns the number of copies that have been sent.
+  std::uint64_t late_copies() const;
+
 private:
   class impl;
   std::shared_ptr<impl> m_impl;
