--- a/tests/processes/at_most_once_test.cpp
+++ b/tests/processes/at_most_once_test.cpp
@@ -210,7 +210,7 @@
   }
   m_cell.wait_until_ready();
   for (auto& relay : relays) {
-    relay.repeat_answers(3);
+    relay.set_late_copies(1.0 / 3, 1);
   }
   auto callers = start_load(4);
   background_load chats([this] { return addresses(); }, 4,
