Declare what the dispatcher learns of limits that servers state

Change: types and functions for statements and demands, without any effect yet, so that decision and wire can be written beside each other. Measured: nothing; compiled only.

--- a/packages/fleet/include/cardamompond/fleet/dispatcher.hpp
+++ b/packages/fleet/include/cardamompond/fleet/dispatcher.hpp
@@ -8,6 +8,7 @@
 #include "cardamompond/fleet/placement_explanation.hpp"
 #include "cardamompond/fleet/rollout_controller.hpp"
 #include "cardamompond/fleet/speed_estimator.hpp"
+#include "cardamompond/fleet/stated_limit.hpp"
 #include "cardamompond/fleet/work_time.hpp"
 
 #include <cstdint>
@@ -242,6 +243,39 @@
   // Whether a granted request may still be sent to the server.
   bool may_send(const backend_server& server, time_point now) const;
 
+  // Records what a server stated in its answer to a request of this daemon: the number of requests per second
+  // that it takes from all daemons together, or that it has no limit. The daemons share the limit; it holds
+  // until an answer states none or the process is gone.
+  limit_change record_limit(const backend_server& server, std::optional<double> requests_per_s,
+                            time_point now);
+
+  // Takes over what a peer reports: statements of servers that it received, and its demand for services
+  // with limited servers. A statement that is older than the one in force,
+  // or of another process, changes nothing. Returns the statements that changed something.
+  std::vector<limit_statement> set_peer_limits(std::string_view daemon,
+                                               std::span<const limit_statement> statements,
+                                               std::span<const service_demand> demands, time_point received);
+
+  // Which statements a report contains.
+  enum class limit_scope {
+    recent, // those to this daemon that changed something not long ago
+    own,    // all to this daemon that were made not long ago
+    zone    // those in force for the servers in the zone of this daemon, whichever daemon received them
+  };
+
+  // Returns what servers stated, for reports to the peers.
+  std::vector<limit_statement> limit_statements(limit_scope scope, time_point now) const;
+
+  // Returns the demand of this daemon for the services that have limited servers, for reports to the peers.
+  std::vector<service_demand> own_demands(time_point now) const;
+
+  // Returns the number of listed servers that state a limit, and the sum of their limits per second.
+  struct limit_totals {
+    std::size_t m_servers = 0;
+    double m_requests_per_s = 0;
+  };
+  limit_totals count_limits() const;
+
   // Records that the server stays cold for the given time, as it stated.
   void extend_cold_period(std::string_view server_id, milliseconds remaining, time_point now);
 
