Read the rate of requests that servers state in their answers, and log it

What callers of the group saw: servers that state in their answers how many requests per second they take from all daemons together got whatever their load allowed. Cause: nothing read the header; it was passed on to the caller. It counts only from answers that were matched with the request under way by their id, signed or stated refusals, not from a 421. That a server no longer states a limit is concluded only from an answer with its stamp or a stated refusal; an unreadable value changes nothing. The log lines go straight through dispatcher::record_limit.

--- a/packages/gateway/include/cardamompond/gateway/admission_controller.hpp
+++ b/packages/gateway/include/cardamompond/gateway/admission_controller.hpp
@@ -19,6 +19,7 @@
 #include <span>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -72,6 +73,10 @@
   // Records what the server that was called states about itself in a response.
   void record_notices(const fleet::backend_server& called, const response_metadata& metadata);
 
+  // Records whether the server that answered a request limits the rate of requests. Answers without a request
+  // id count for nothing, since they may be late copies.
+  void record_limit(const fleet::backend_server& called, const response_metadata& metadata);
+
   // Logs for which services learned limits have come into use since the last call.
   void log_learned_limits();
 
@@ -122,6 +127,7 @@
 
   void wake(fleet::ticket request, admission_result decision);
   bool tests_part(std::uint64_t part) const;
+  void log_unreadable_limit(const fleet::backend_server& server, std::string_view text);
   void apply_collection_change(collection_kind kind);
   void apply_overload_control();
   fleet::retry_budget::limits own_retry_limits() const; // this daemon's share of the group's limits
@@ -143,6 +149,8 @@
   fleet::ticket m_last_ticket = 0;
   std::uint64_t m_pause_count = 0;
   std::set<std::string, std::less<>> m_logged_services; // see log_learned_limits
+  // Limits that were not readable, as they were logged last, by id and start time of the server.
+  std::map<std::pair<std::string, std::int64_t>, std::string> m_unreadable_limits;
   scheduling_switch m_overload_control = scheduling_switch::automatic;
 };
 
--- a/packages/gateway/include/cardamompond/gateway/request_protocol.hpp
+++ b/packages/gateway/include/cardamompond/gateway/request_protocol.hpp
@@ -45,6 +45,15 @@
   std::string m_text;                     // as the server stated it, shortened; for the log
 };
 
+// A higher rate that a server states counts as this one; it is far above what any server takes.
+inline constexpr double max_stated_limit = 1e6;
+
+// The number of requests per second that a server takes from all daemons together.
+struct stated_limit {
+  std::optional<double> m_requests_per_s; // up to max_stated_limit; nothing if it is not readable
+  std::string m_text;                     // as the server stated it, shortened; for the log
+};
+
 // What the headers of a response state about the request and the server.
 struct response_metadata {
   bool m_has_server_stamp = false; // the response carries the stamp that backend servers add
@@ -53,6 +62,7 @@
   bool m_content_encoded = false;  // the body is encoded, so it is not what the server sent
   bool m_leaving = false;          // the server leaves and wants no new requests
   std::optional<requested_pause> m_pause;
+  std::optional<stated_limit> m_stated_limit;
   std::optional<std::string> m_server_id;  // id of the server that answers
   std::optional<std::string> m_request_id; // id of the request that is answered
   std::optional<fleet::reported_load> m_load;
--- a/packages/gateway/src/admission_controller.cpp
+++ b/packages/gateway/src/admission_controller.cpp
@@ -18,6 +18,21 @@
 // The share of the allowed retry ratio that the daemons use, for the same reason.
 constexpr double retry_ratio_share = 0.8;
 
+// Number of servers for which the last unreadable limit is kept, so that it is logged once.
+constexpr std::size_t max_logged_unreadable_limits = 1'000;
+
+// Logs that a server states another limit than before, or none any more. `source` is "answer" or the peer
+// that reported it.
+void log_limit_change(fleet::limit_change change, std::string_view server_id, std::optional<double> limit,
+                      std::string_view source) {
+  if (change == fleet::limit_change::ended) {
+    log_event(log_level::info, "server_limit_ended", {{"backend_server", server_id}, {"source", source}});
+  } else if (change == fleet::limit_change::stated && limit) {
+    log_event(log_level::info, "server_limit_stated",
+              {{"backend_server", server_id}, {"limit_per_s", *limit}, {"source", source}});
+  }
+}
+
 // Returns the id of a prompt part as callers send it.
 std::string to_part_id(std::uint64_t part) {
   std::array<char, 24> buffer{};
@@ -189,6 +204,35 @@
   }
 }
 
+void admission_controller::record_limit(const fleet::backend_server& called,
+                                        const response_metadata& metadata) {
+  if (!metadata.m_request_id || metadata.m_misdirected) {
+    return;
+  }
+  const auto& stated = metadata.m_stated_limit;
+  if (stated && !stated->m_requests_per_s) {
+    log_unreadable_limit(called, stated->m_text);
+    return;
+  }
+  if (!stated && !metadata.m_has_server_stamp && !metadata.m_not_run) {
+    return; // it may not come from the server itself
+  }
+  const auto limit = stated ? stated->m_requests_per_s : std::nullopt;
+  log_limit_change(m_dispatcher.record_limit(called, limit, monotonic_now()), called.m_id, limit, "answer");
+}
+
+void admission_controller::log_unreadable_limit(const fleet::backend_server& server, std::string_view text) {
+  if (m_unreadable_limits.size() >= max_logged_unreadable_limits) {
+    m_unreadable_limits.clear();
+  }
+  const auto [logged, added] = m_unreadable_limits.try_emplace({server.m_id, server.m_started_unix_ms}, text);
+  if (added || logged->second != text) {
+    logged->second = text;
+    log_event(log_level::warning, "server_limit_unreadable",
+              {{"backend_server", server.m_id}, {"stated", text}});
+  }
+}
+
 bool admission_controller::has_retry(std::string_view service) {
   const auto found = m_retry_budgets.find(service);
   return found != m_retry_budgets.end() && found->second.available(monotonic_now());
