Carry the limits that servers state, and the demand of the daemons, in the reports

A server's limit holds for all daemons together, so that a daemon must know of limits that were stated to others, and of their demand to know its share. Change: reports contain what servers stated (limits) and the demand for services with limited servers (demands), at most 64 entries of each so that a report fits one packet; further ones take turns. Every report contains recent changes, reports with speeds all that this daemon was told, the own report in a digest those of the zone; digests leave the limits of the relayed reports out and keep their demands. Rates are sent in thousandths; values that are negative or not finite are left out, and what a peer sends is bounded in number, rate and age. A change is not announced by a datagram of its own: the next report follows within 100 ms, and it would save that much at the price of a report to each daemon of the zone. The decisions in the dispatcher are stubs on this commit: reports stay as they were until it returns limits.

--- a/packages/gateway/include/cardamompond/gateway/admission_controller.hpp
+++ b/packages/gateway/include/cardamompond/gateway/admission_controller.hpp
@@ -77,6 +77,10 @@
   // id count for nothing, since they may be late copies.
   void record_limit(const fleet::backend_server& called, const response_metadata& metadata);
 
+  // Records what servers stated to a peer about the rate that they take, and the peer's demand.
+  void record_peer_limits(std::string_view daemon, std::span<const fleet::limit_statement> statements,
+                          std::span<const fleet::service_demand> demands, time_point received);
+
   // Logs for which services learned limits have come into use since the last call.
   void log_learned_limits();
 
--- a/packages/gateway/include/cardamompond/gateway/peer_report.hpp
+++ b/packages/gateway/include/cardamompond/gateway/peer_report.hpp
@@ -6,6 +6,7 @@
 #include "cardamompond/fleet/duty_claim.hpp"
 #include "cardamompond/fleet/part_crash_register.hpp"
 #include "cardamompond/fleet/rollout_controller.hpp"
+#include "cardamompond/fleet/stated_limit.hpp"
 #include "cardamompond/fleet/usage_windows.hpp"
 #include "cardamompond/gateway/document_store.hpp"
 
@@ -29,6 +30,9 @@
   milliseconds m_read_for{0};
 };
 
+// Number of limits of servers, and of demands, that one report contains at most; a report fits one packet.
+inline constexpr std::size_t max_reported_limits = 64;
+
 // What one daemon reports to the others. Totals count from the start of the daemon.
 struct peer_report {
   std::string m_daemon;
@@ -51,6 +55,8 @@
   std::int64_t m_wall_clock_ms = 0; // when the report was made; 0 where no duties are configured
   std::vector<std::pair<fleet::duty, std::uint64_t>> m_held_duties; // with their tokens
   std::vector<fleet::load_summary> m_load_summaries;                // of the services with overload control
+  std::vector<fleet::limit_statement> m_limits; // what servers stated about the rate that they take
+  std::vector<fleet::service_demand> m_demands; // for services that have servers with limits
 };
 
 // A report that a daemon passes on.
--- a/packages/gateway/schema/exchange.capnp
+++ b/packages/gateway/schema/exchange.capnp
@@ -118,6 +118,20 @@
   blockedWithinShare @4 :List(UInt32);
 }
 
+# What a server stated about the rate of requests that it takes, see fleet::limit_statement.
+struct LimitStatement {
+  server @0 :UInt32;      # fleet::server_id_hash of the server's id
+  instance @1 :UInt32;    # fleet::instance_hash of the process
+  limit @2 :UInt32;       # 1 + thousandths of a request per second; 0: the server no longer states a limit
+  ageMs @3 :UInt32;       # time since the server stated it
+}
+
+# Rate at which requests for a service reach the sender, see fleet::service_demand.
+struct ServiceDemand {
+  service @0 :UInt32;     # fleet::service_hash of the service
+  demand @1 :UInt32;      # thousandths of a request per second
+}
+
 # A report of one daemon, or, if `relayed` is not empty, reports that its sender passes on to another zone.
 struct Report {
   daemon @0 :Text;
@@ -144,6 +158,8 @@
   wallMs @20 :UInt64;        # wall clock of the sender, since 1970; 0 where no duties are configured
   duties @21 :List(HeldDuty);
   usage @22 :UsageStatement; # if present, the message holds nothing else
+  limits @23 :List(LimitStatement); # left out of reports that a daemon passes on
+  demands @24 :List(ServiceDemand); # of services that have servers with limits
 }
 
 struct Document {
--- a/packages/gateway/src/admission_controller.cpp
+++ b/packages/gateway/src/admission_controller.cpp
@@ -221,6 +221,28 @@
   log_limit_change(m_dispatcher.record_limit(called, limit, monotonic_now()), called.m_id, limit, "answer");
 }
 
+void admission_controller::record_peer_limits(std::string_view daemon,
+                                              std::span<const fleet::limit_statement> statements,
+                                              std::span<const fleet::service_demand> demands,
+                                              time_point received) {
+  const auto changes = m_dispatcher.set_peer_limits(daemon, statements, demands, received);
+  if (changes.empty()) {
+    return;
+  }
+  std::map<std::uint32_t, const fleet::limit_statement*> by_server;
+  for (const auto& each : changes) {
+    by_server[each.m_server] = &each;
+  }
+  for (const auto& server : m_fleet_view.backend_servers()) {
+    const auto found = by_server.find(fleet::server_id_hash(server.m_id));
+    if (found != by_server.end() && found->second->m_instance == fleet::instance_hash(server)) {
+      const auto& limit = found->second->m_requests_per_s;
+      log_limit_change(limit ? fleet::limit_change::stated : fleet::limit_change::ended, server.m_id, limit,
+                       daemon);
+    }
+  }
+}
+
 void admission_controller::log_unreadable_limit(const fleet::backend_server& server, std::string_view text) {
   if (m_unreadable_limits.size() >= max_logged_unreadable_limits) {
     m_unreadable_limits.clear();
--- a/packages/gateway/src/exchange.capnp.h
+++ b/packages/gateway/src/exchange.capnp.h
@@ -30,6 +30,8 @@
 CAPNP_DECLARE_SCHEMA(9aeaab5e22dbc789);
 CAPNP_DECLARE_SCHEMA(bb7adbcda7b87cea);
 CAPNP_DECLARE_SCHEMA(864935a7efe87db8);
+CAPNP_DECLARE_SCHEMA(c76d08d2cecd4848);
+CAPNP_DECLARE_SCHEMA(d23a1e5d3e987d92);
 CAPNP_DECLARE_SCHEMA(9f9f84d4d7a8dc24);
 CAPNP_DECLARE_SCHEMA(fab845e96b66bc98);
 CAPNP_DECLARE_SCHEMA(b7861866a3899f1f);
@@ -251,6 +253,36 @@
   };
 };
 
+struct LimitStatement {
+  LimitStatement() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c76d08d2cecd4848, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ServiceDemand {
+  ServiceDemand() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d23a1e5d3e987d92, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Report {
   Report() = delete;
 
@@ -259,7 +291,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9f9f84d4d7a8dc24, 4, 15)
+    CAPNP_DECLARE_STRUCT_HEADER(9f9f84d4d7a8dc24, 4, 17)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1652,6 +1684,178 @@
 };
 #endif  // !CAPNP_LITE
 
+class LimitStatement::Reader {
+public:
+  typedef LimitStatement Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getServer() const;
+
+  inline  ::uint32_t getInstance() const;
+
+  inline  ::uint32_t getLimit() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class LimitStatement::Builder {
+public:
+  typedef LimitStatement Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getServer();
+  inline void setServer( ::uint32_t value);
+
+  inline  ::uint32_t getInstance();
+  inline void setInstance( ::uint32_t value);
+
+  inline  ::uint32_t getLimit();
+  inline void setLimit( ::uint32_t value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class LimitStatement::Pipeline {
+public:
+  typedef LimitStatement Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ServiceDemand::Reader {
+public:
+  typedef ServiceDemand Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getService() const;
+
+  inline  ::uint32_t getDemand() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ServiceDemand::Builder {
+public:
+  typedef ServiceDemand Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getService();
+  inline void setService( ::uint32_t value);
+
+  inline  ::uint32_t getDemand();
+  inline void setDemand( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ServiceDemand::Pipeline {
+public:
+  typedef ServiceDemand Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Report::Reader {
 public:
   typedef Report Reads;
@@ -1730,6 +1934,12 @@
   inline bool hasUsage() const;
   inline  ::cardamompond::gateway::wire::UsageStatement::Reader getUsage() const;
 
+  inline bool hasLimits() const;
+  inline  ::capnp::List< ::cardamompond::gateway::wire::LimitStatement,  ::capnp::Kind::STRUCT>::Reader getLimits() const;
+
+  inline bool hasDemands() const;
+  inline  ::capnp::List< ::cardamompond::gateway::wire::ServiceDemand,  ::capnp::Kind::STRUCT>::Reader getDemands() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1888,6 +2098,20 @@
   inline void adoptUsage(::capnp::Orphan< ::cardamompond::gateway::wire::UsageStatement>&& value);
   inline ::capnp::Orphan< ::cardamompond::gateway::wire::UsageStatement> disownUsage();
 
+  inline bool hasLimits();
+  inline  ::capnp::List< ::cardamompond::gateway::wire::LimitStatement,  ::capnp::Kind::STRUCT>::Builder getLimits();
+  inline void setLimits( ::capnp::List< ::cardamompond::gateway::wire::LimitStatement,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cardamompond::gateway::wire::LimitStatement,  ::capnp::Kind::STRUCT>::Builder initLimits(unsigned int size);
+  inline void adoptLimits(::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::LimitStatement,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::LimitStatement,  ::capnp::Kind::STRUCT>> disownLimits();
+
+  inline bool hasDemands();
+  inline  ::capnp::List< ::cardamompond::gateway::wire::ServiceDemand,  ::capnp::Kind::STRUCT>::Builder getDemands();
+  inline void setDemands( ::capnp::List< ::cardamompond::gateway::wire::ServiceDemand,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cardamompond::gateway::wire::ServiceDemand,  ::capnp::Kind::STRUCT>::Builder initDemands(unsigned int size);
+  inline void adoptDemands(::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::ServiceDemand,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::ServiceDemand,  ::capnp::Kind::STRUCT>> disownDemands();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3197,6 +3421,90 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t LimitStatement::Reader::getServer() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t LimitStatement::Builder::getServer() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LimitStatement::Builder::setServer( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t LimitStatement::Reader::getInstance() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t LimitStatement::Builder::getInstance() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void LimitStatement::Builder::setInstance( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t LimitStatement::Reader::getLimit() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t LimitStatement::Builder::getLimit() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void LimitStatement::Builder::setLimit( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t LimitStatement::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t LimitStatement::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void LimitStatement::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ServiceDemand::Reader::getService() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ServiceDemand::Builder::getService() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ServiceDemand::Builder::setService( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ServiceDemand::Reader::getDemand() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ServiceDemand::Builder::getDemand() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ServiceDemand::Builder::setDemand( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Report::Reader::hasDaemon() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3828,6 +4136,74 @@
       ::capnp::bounded<14>() * ::capnp::POINTERS));
 }
 
+inline bool Report::Reader::hasLimits() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS).isNull();
+}
+inline bool Report::Builder::hasLimits() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cardamompond::gateway::wire::LimitStatement,  ::capnp::Kind::STRUCT>::Reader Report::Reader::getLimits() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::LimitStatement,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cardamompond::gateway::wire::LimitStatement,  ::capnp::Kind::STRUCT>::Builder Report::Builder::getLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::LimitStatement,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS));
+}
+inline void Report::Builder::setLimits( ::capnp::List< ::cardamompond::gateway::wire::LimitStatement,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::LimitStatement,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cardamompond::gateway::wire::LimitStatement,  ::capnp::Kind::STRUCT>::Builder Report::Builder::initLimits(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::LimitStatement,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS), size);
+}
+inline void Report::Builder::adoptLimits(
+    ::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::LimitStatement,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::LimitStatement,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::LimitStatement,  ::capnp::Kind::STRUCT>> Report::Builder::disownLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::LimitStatement,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS));
+}
+
+inline bool Report::Reader::hasDemands() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS).isNull();
+}
+inline bool Report::Builder::hasDemands() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cardamompond::gateway::wire::ServiceDemand,  ::capnp::Kind::STRUCT>::Reader Report::Reader::getDemands() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::ServiceDemand,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cardamompond::gateway::wire::ServiceDemand,  ::capnp::Kind::STRUCT>::Builder Report::Builder::getDemands() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::ServiceDemand,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS));
+}
+inline void Report::Builder::setDemands( ::capnp::List< ::cardamompond::gateway::wire::ServiceDemand,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::ServiceDemand,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cardamompond::gateway::wire::ServiceDemand,  ::capnp::Kind::STRUCT>::Builder Report::Builder::initDemands(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::ServiceDemand,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS), size);
+}
+inline void Report::Builder::adoptDemands(
+    ::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::ServiceDemand,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::ServiceDemand,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::ServiceDemand,  ::capnp::Kind::STRUCT>> Report::Builder::disownDemands() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::ServiceDemand,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS));
+}
+
 inline bool Document::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- /dev/null
+++ b/packages/gateway/src/limit_message.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "exchange.capnp.h"
+
+#include "cardamompond/fleet/stated_limit.hpp"
+
+#include <span>
+#include <vector>
+
+namespace cardamompond::gateway {
+
+// Adds statements of servers and demands to a report: the first max_reported_limits of each. Those whose rate
+// is negative or not finite are left out.
+void encode_limits(std::span<const fleet::limit_statement> from, wire::Report::Builder to);
+void encode_demands(std::span<const fleet::service_demand> from, wire::Report::Builder to);
+
+// Read the first max_reported_limits entries, with rates up to max_stated_limit.
+std::vector<fleet::limit_statement> read_limits(wire::Report::Reader from);
+std::vector<fleet::service_demand> read_demands(wire::Report::Reader from);
+
+} // namespace cardamompond::gateway
--- a/packages/gateway/src/peer_group.cpp
+++ b/packages/gateway/src/peer_group.cpp
@@ -96,6 +96,20 @@
 // change recently are included for daemons that start later, as seldom as the speeds.
 constexpr std::size_t max_reported_parts = 8;
 
+using limit_scope = fleet::dispatcher::limit_scope;
+
+// Returns the entries that the report with this number contains. If there are more than it may contain, they
+// take turns. The turns begin at a hash of the number, since a daemon of a large zone gets only every n-th
+// report.
+template <typename T> std::vector<T> select_in_turns(std::vector<T> entries, std::uint64_t sequence) {
+  if (entries.size() > max_reported_limits) {
+    const auto first = static_cast<std::ptrdiff_t>(hash64(std::to_string(sequence)) % entries.size());
+    std::rotate(entries.begin(), entries.begin() + first, entries.end());
+    entries.resize(max_reported_limits);
+  }
+  return entries;
+}
+
 } // namespace
 
 peer_group::peer_group(admission_controller& admission, member self, std::vector<std::string> seeds,
@@ -163,6 +177,7 @@
   compare_collections(remote, report, received);
   apply_quota_use(remote, report, restarted, received, now);
   m_admission.dispatcher().set_peer_loads(report.m_daemon, report.m_loads, received);
+  m_admission.record_peer_limits(report.m_daemon, report.m_limits, report.m_demands, received);
   if (is_small_group() || report.m_availability_zone == m_self.m_availability_zone) {
     m_admission.dispatcher().set_peer_blocked(report.m_daemon, report.m_blocked, received);
     m_admission.dispatcher().set_peer_load_summaries(report.m_daemon, report.m_load_summaries, received);
@@ -213,6 +228,8 @@
   // the moment of the turn, which may be the same each time.
   const bool with_all_totals = (m_round_number / digest_period) % full_use_report_period == 0;
   peer_report own = make_report(false, false);
+  own.m_limits =
+      select_in_turns(m_admission.dispatcher().limit_statements(limit_scope::zone, now), own.m_sequence);
   own.m_load_summaries.clear();
   add(std::move(own), duration::zero());
   for (const auto& [name, each] : m_peers) {
@@ -223,6 +240,7 @@
     peer_report shortened = each.m_last_report;
     shortened.m_collections = {};       // those of this daemon are about the same
     shortened.m_load_summaries.clear(); // used in the own zone only
+    shortened.m_limits.clear();         // the own report contains those of the zone
     if (with_all_totals && each.m_has_full_quota_use) {
       shortened.m_quota_use.assign(each.m_quota_use.begin(), each.m_quota_use.end());
       shortened.m_recent_use_only = false;
@@ -397,6 +415,10 @@
   add_quota_use(report, now);
   report.m_blocked = m_admission.dispatcher().own_blocked();
   report.m_load_summaries = m_admission.dispatcher().own_load_summaries(has_load_totals_turn());
+  report.m_limits = select_in_turns(
+      m_admission.dispatcher().limit_statements(with_speeds ? limit_scope::own : limit_scope::recent, now),
+      report.m_sequence);
+  report.m_demands = select_in_turns(m_admission.dispatcher().own_demands(now), report.m_sequence);
   report.m_outcomes = m_admission.rollout_controller().own_observations();
   report.m_rolled_back_orders = m_admission.rollout_controller().rolled_back_orders();
   report.m_crashes = m_admission.crashes().recent(max_reported_crashes, now);
--- a/packages/gateway/src/peer_report.cpp
+++ b/packages/gateway/src/peer_report.cpp
@@ -1,5 +1,6 @@
 #include "cardamompond/gateway/peer_report.hpp"
 
+#include "limit_message.hpp"
 #include "packed_message.hpp"
 #include "usage_message.hpp"
 
@@ -258,6 +259,8 @@
   }
   report.m_part_suspicions = read_part_suspicions(from);
   report.m_load_summaries = read_load_summaries(from);
+  report.m_limits = read_limits(from);
+  report.m_demands = read_demands(from);
   const auto blocked = from.getBlocked();
   for (unsigned i = 0; i < std::min<unsigned>(blocked.size(), report.m_blocked.size()); ++i) {
     report.m_blocked[i] = blocked[i];
@@ -322,6 +325,8 @@
   encode_crashes(report.m_crashes, to);
   encode_part_suspicions(report.m_part_suspicions, to);
   encode_load_summaries(report.m_load_summaries, to);
+  encode_limits(report.m_limits, to);
+  encode_demands(report.m_demands, to);
   auto blocked = to.initBlocked(static_cast<unsigned>(report.m_blocked.size()));
   for (unsigned i = 0; i < blocked.size(); ++i) {
     blocked.set(i, report.m_blocked[i]);
--- a/packages/gateway/tests/peer_group_test.cpp
+++ b/packages/gateway/tests/peer_group_test.cpp
@@ -517,6 +517,21 @@
   UNSIGNED_LONGS_EQUAL(7, report.m_loads.front().m_instance);
 }
 
+// Guards against digests that repeat the limits of a zone for each of its daemons, and against daemons of
+// other zones that do not know the demand there.
+TEST(peer_group, relayed_reports_contain_demands_but_no_limits) {
+  group_fixture group(40);
+  auto report = group.make_report(2, 1);
+  report.m_limits = {{77, 7, 2.4, milliseconds(0)}};
+  report.m_demands = {{11, 3}};
+  group.m_group.handle_report(report, group.m_now);
+  const auto relayed =
+      decode_report(group.m_group.make_digests(group.m_now).front().m_reports.back().m_encoded);
+  STRCMP_EQUAL("d2", relayed->m_daemon.c_str());
+  CHECK(relayed->m_limits.empty());
+  UNSIGNED_LONGS_EQUAL(11, relayed->m_demands.front().m_service);
+}
+
 // Guards against state without bound for senders with invented names, and against a registered daemon that is
 // ignored because of them.
 TEST(peer_group, unregistered_senders_are_limited) {
--- a/packages/gateway/tests/peer_report_test.cpp
+++ b/packages/gateway/tests/peer_report_test.cpp
@@ -206,3 +206,36 @@
   CHECK(read.m_granted == totals.m_granted);
   CHECK(read.m_blocked_within_share == totals.m_blocked_within_share);
 }
+
+// Guards against limits and demands that are swapped or lost, against rates of a peer that are none, and
+// against statements without bound that make a report too large for a packet.
+TEST(peer_report, limits_and_demands_round_trip_in_few_bytes) {
+  auto report = make_report();
+  const std::size_t bytes_before = encode_report(report).size();
+  report.m_limits = {{0x9e3779b9, 0x85ebca6b, 2.4, milliseconds(1'200)},
+                     {0x9e3779ba, 0x85ebca6c, std::nullopt, milliseconds(-5)},
+                     {3, 4, std::numeric_limits<double>::quiet_NaN(), {}},
+                     {5, 6, -1, {}},
+                     {7, 8, 1e9, std::chrono::hours(10'000)},
+                     {9, 10, 0, {}}};
+  report.m_demands = {{0xfedcba98, 3.25}, {1, std::numeric_limits<double>::infinity()}, {2, 0}};
+  const auto read = decode_report(encode_report(report));
+  UNSIGNED_LONGS_EQUAL(4, read->m_limits.size());
+  const auto& [server, instance, limit, age] = read->m_limits[0];
+  UNSIGNED_LONGS_EQUAL(0x9e3779b9, server);
+  UNSIGNED_LONGS_EQUAL(0x85ebca6b, instance);
+  DOUBLES_EQUAL(2.4, *limit, 1e-9);
+  CHECK(age == duration(milliseconds(1'200)));
+  CHECK(!read->m_limits[1].m_requests_per_s && read->m_limits[1].m_age == duration::zero());
+  DOUBLES_EQUAL(1e6, *read->m_limits[2].m_requests_per_s, 0);
+  CHECK(read->m_limits[2].m_age <= std::chrono::hours(1));
+  DOUBLES_EQUAL(0, *read->m_limits[3].m_requests_per_s, 0);
+  UNSIGNED_LONGS_EQUAL(2, read->m_demands.size());
+  UNSIGNED_LONGS_EQUAL(0xfedcba98, read->m_demands[0].m_service);
+  DOUBLES_EQUAL(3.25, read->m_demands[0].m_requests_per_s, 1e-9);
+  report.m_limits.assign(5'000, {0x9e3779b9, 0x85ebca6b, 4.8, milliseconds(900)});
+  report.m_demands.clear();
+  const std::string bytes = encode_report(report);
+  CHECK(bytes.size() <= bytes_before + 16 * max_reported_limits);
+  UNSIGNED_LONGS_EQUAL(max_reported_limits, decode_report(bytes)->m_limits.size());
+}
