--- a/packages/daemon/src/entry_daemon.cpp
+++ b/packages/daemon/src/entry_daemon.cpp
@@ -276,6 +276,9 @@
                       static_cast<double>(m_admission.dispatcher().count_paused(now)));
   m_metrics.set_counter("cardamompond_backend_server_pauses_total",
                         static_cast<double>(m_admission.pause_count()));
+  const auto [limited_servers, limited_requests_per_s] = m_admission.dispatcher().count_limits();
+  m_metrics.set_gauge("cardamompond_limited_servers", static_cast<double>(limited_servers));
+  m_metrics.set_gauge("cardamompond_limited_requests_per_second", limited_requests_per_s);
   const auto overload = m_admission.dispatcher().count_overload_decisions();
   const auto set_overload_counter = [&](std::string_view name, std::string_view label, std::string_view value,
                                         std::uint64_t count) {
