Share the limits that servers state among the daemons that have requests

Cause: the dispatcher knew a server's slots and pauses, but no rate that holds for all daemons; the limit is mostly below one request a second and daemon, so no static share can serve it.

Change: the limit is kept with the other notices of the process, by the latest statement to any daemon. Candidates are the live daemons with demand; at most floor(L) + 3 of them, by rendezvous hashing, send to the server, in proportion to their demands, one request per interval, and unused time is not saved up. Part of the rate is left out while registered daemons are not heard. The earliest next request serves the return from a pause and the limit alike. A server held by its limit has no capacity ("limited" in explain). If all servers in service are limited, a refusal states when there will be room. The rendezvous ranking of daemons exists once now.

--- a/packages/fleet/src/dispatch_tables.hpp
+++ b/packages/fleet/src/dispatch_tables.hpp
@@ -8,6 +8,8 @@
 #include "cardamompond/fleet/server_capacity.hpp"
 #include "cardamompond/fleet/zone_load.hpp"
 
+#include "demand_meter.hpp"
+#include "limit_sharers.hpp"
 #include "server_notices.hpp"
 
 #include <array>
@@ -118,6 +120,7 @@
   std::vector<server_load> m_loads;
   std::unordered_map<std::uint32_t, speed_estimate> m_speeds; // reported less often than the loads
   std::unordered_map<std::uint32_t, std::uint32_t> m_limits;  // learned limits, reported with the speeds
+  std::unordered_map<std::uint32_t, double> m_demands;        // requests per second by service_hash
   time_point m_received;
 };
 
@@ -150,13 +153,16 @@
   std::unordered_map<ticket, running_request> m_running;
   std::map<std::string, peer_row, std::less<>> m_peers;
   server_notices m_notices;
-  blocked_requests m_blocked;     // of this daemon and its peers
-  blocked_totals m_own_blocked{}; // totals of this daemon, for its reports
+  std::map<std::string, demand_meter, std::less<>> m_demands;  // by service
+  std::map<std::string, limit_sharers, std::less<>> m_sharers; // of the services with limits
+  blocked_requests m_blocked;                                  // of this daemon and its peers
+  blocked_totals m_own_blocked{};                              // totals of this daemon, for its reports
   std::map<std::string, controlled_service, std::less<>> m_controlled; // by service
   account_shares m_account_shares;
   overload_counts m_overload_counts;
   std::set<std::string, std::less<>> m_evacuated_zones;
   std::vector<daemon_location> m_members;
+  std::vector<std::uint64_t> m_other_members; // hashes of the names of the members, without this one
   daemon_location m_self;
   bool m_frequent_reports = true; // each daemon receives the reports of all others several times a second
   rollout_controller* m_rollout_controller = nullptr;
@@ -229,8 +235,23 @@
 // the requests to a cold server. Returns false if the server is already paused.
 bool record_pause(dispatch_tables& tables, const backend_server& server, duration pause, time_point now);
 
-// Counts a granted request against the rate at which the requests return to a server after its pause.
-void record_return(dispatch_tables& tables, const server_row& server, time_point now);
+// Counts a granted request against the limit of the server and the rate at which the requests return to it
+// after its pause.
+void record_sending(dispatch_tables& tables, const server_row& server, time_point now);
+
+// Whether the server states a limit, and this daemon may not send it a request now.
+inline bool is_held_by_limit(const server_row& server, time_point now) {
+  return server.m_notice != nullptr && server.m_notice->is_limited() && !server.m_notice->allows_request(now);
+}
+
+// Computes anew how this daemon shares the limits, from the present demands and members. To be called once a
+// second.
+void update_limits(dispatch_tables& tables, time_point now);
+
+// Returns the time after which there will be room for another caller of the service, if all its servers in
+// service state a limit; nothing otherwise. `waiting` requests come before it.
+std::optional<duration> retry_delay_for_limits(dispatch_tables& tables, std::string_view service,
+                                               std::size_t waiting, time_point now);
 
 // Returns the time after which a caller should retry if all servers of the service that are in service,
 // except the excluded ones, are paused for a while; nothing otherwise.
--- a/packages/fleet/src/dispatcher.cpp
+++ b/packages/fleet/src/dispatcher.cpp
@@ -184,6 +184,12 @@
   }
   tables.m_members = std::move(members);
   tables.m_self = std::move(self);
+  tables.m_other_members.clear();
+  for (const auto& each : tables.m_members) {
+    if (each.m_name != tables.m_self.m_name) {
+      tables.m_other_members.push_back(hash64(each.m_name));
+    }
+  }
   assign_slots(tables);
   index_servers(tables);
 }
@@ -402,6 +408,14 @@
     update_combined_speeds(m_impl->m_tables);
     update_learned_limits(m_impl->m_tables, now);
   }
+  constexpr duration limit_update_interval = seconds(1);
+  if (now - m_impl->m_limits_updated >= limit_update_interval) {
+    m_impl->m_limits_updated = now;
+    for (auto& [service, demand] : m_impl->m_tables.m_demands) {
+      demand.publish(now);
+    }
+    update_limits(m_impl->m_tables, now);
+  }
   process_queues(m_impl->m_tables, now, decisions);
   return decisions;
 }
--- a/packages/fleet/src/dispatcher_impl.hpp
+++ b/packages/fleet/src/dispatcher_impl.hpp
@@ -10,6 +10,7 @@
   dispatch_tables m_tables;
   time_point m_peer_loads_expired; // last call of expire_peer_loads
   time_point m_speeds_updated;     // last call of update_combined_speeds
+  time_point m_limits_updated;     // last call of update_limits
   time_point m_last_tick;
 
   void erase_unlisted_servers();
--- a/packages/fleet/src/pauses.cpp
+++ b/packages/fleet/src/pauses.cpp
@@ -77,7 +77,7 @@
   return is_new;
 }
 
-void record_return(dispatch_tables& tables, const server_row& server, time_point now) {
+void record_sending(dispatch_tables& tables, const server_row& server, time_point now) {
   if (server.m_notice != nullptr) {
     tables.m_notices.record_request(server.m_entry, return_interval(tables, server.m_entry), now);
   }
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -69,15 +69,6 @@
 // Score bonus, as a share of a server's slots, for a server on which this daemon has free assigned slots.
 constexpr double assigned_slots_bonus = 0.35;
 
-} // namespace
-
-std::uint64_t rendezvous_weight(std::uint64_t key, std::uint64_t server) {
-  const std::uint64_t pair[2] = {key, server};
-  return hash64(std::string_view(reinterpret_cast<const char*>(pair), sizeof pair));
-}
-
-namespace {
-
 // Returns how many requests this daemon may send to a cold server per second.
 std::uint32_t max_cold_requests(const dispatch_tables& tables, const server_row& server, double cold_rate) {
   const double shared_rate = cold_rate * cold_rate_share;
@@ -88,13 +79,11 @@
   }
   // There are fewer requests per second than daemons. The daemons that rank highest for this server by
   // rendezvous hashing may send one each.
-  const std::uint64_t own_weight = rendezvous_weight(hash64(tables.m_self.m_name), server.m_id_hash);
-  const auto higher_ranked =
-      std::count_if(tables.m_members.begin(), tables.m_members.end(), [&](const auto& each) {
-        return each.m_name != tables.m_self.m_name &&
-               rendezvous_weight(hash64(each.m_name), server.m_id_hash) > own_weight;
-      });
-  return static_cast<double>(higher_ranked) < std::floor(shared_rate) ? 1 : 0;
+  const auto senders = static_cast<std::size_t>(std::max(0.0, std::floor(shared_rate)));
+  return count_higher_ranked(tables.m_other_members, hash64(tables.m_self.m_name), server.m_id_hash,
+                             senders) < senders
+             ? 1
+             : 0;
 }
 
 bool has_cold_capacity(dispatch_tables& tables, server_row& server, double cold_rate, time_point now) {
@@ -182,11 +171,7 @@
       if (member_count == 0 || server.m_entry.m_availability_zone != tables.m_self.m_availability_zone) {
         continue;
       }
-      const std::uint64_t own_weight = rendezvous_weight(own_hash, server.m_id_hash);
-      const std::uint32_t id_hash = server.m_id_hash;
-      const auto higher_ranked = static_cast<std::size_t>(
-          std::count_if(zone_members.begin(), zone_members.end(),
-                        [&](std::uint64_t each) { return rendezvous_weight(each, id_hash) > own_weight; }));
+      const std::size_t higher_ranked = count_higher_ranked(zone_members, own_hash, server.m_id_hash);
       const std::uint32_t slots = server.m_entry.m_slots;
       server.m_assigned_slots =
           slots / static_cast<std::uint32_t>(member_count) + (higher_ranked < slots % member_count ? 1 : 0);
@@ -232,8 +217,9 @@
 }
 
 std::string_view to_string(exclusion reason) {
-  constexpr std::string_view names[] = {"none",      "tried",         "not_in_service", "failing",  "paused",
-                                        "returning", "recently_full", "full",           "reserved", "cold"};
+  constexpr std::string_view names[] = {"none",      "tried",   "not_in_service", "failing", "paused",
+                                        "returning", "limited", "recently_full",  "full",    "reserved",
+                                        "cold"};
   return names[static_cast<std::size_t>(reason)];
 }
 
@@ -256,7 +242,7 @@
     return exclusion::recently_full;
   }
   if (server.m_notice != nullptr && !server.m_notice->allows_request(now)) {
-    return exclusion::returning;
+    return server.m_notice->is_limited() ? exclusion::limited : exclusion::returning;
   }
   if (server.m_own_running + server.m_peer_running >= running_limit(tables, server)) {
     return exclusion::full;
@@ -291,9 +277,7 @@
   fit best_possible_fit = fit::none; // of all eligible servers, with or without capacity
   for (server_row* each : servers) {
     server_row& server = *each;
-    if (!is_eligible(tables, server, now) || is_paused(server, now) ||
-        std::find(request.m_excluded_servers.begin(), request.m_excluded_servers.end(),
-                  server.m_entry.m_id) != request.m_excluded_servers.end()) {
+    if (find_ineligibility(tables, server, request, now) != exclusion::none) {
       continue;
     }
     if (request.m_shared_prefix_hash != 0) {
@@ -307,9 +291,7 @@
     fastest_event_s = std::min(fastest_event_s, server.m_combined_speed.m_event_interval_s);
     const fit server_fit = evaluate_fit(server, request, events, now);
     best_possible_fit = std::max(best_possible_fit, server_fit);
-    if (now >= server.m_full_until && (server.m_notice == nullptr || server.m_notice->allows_request(now)) &&
-        server.m_own_running + server.m_peer_running < running_limit(tables, server) &&
-        spare.allows(server, required_free) && has_cold_capacity(tables, server, cold_rate, now)) {
+    if (find_lack_of_capacity(tables, server, spare, required_free, cold_rate, now) == exclusion::none) {
       candidates.push_back({&server, server_fit});
     }
   }
--- a/packages/fleet/src/placement_rules.hpp
+++ b/packages/fleet/src/placement_rules.hpp
@@ -2,6 +2,7 @@
 
 #include "dispatch_tables.hpp"
 #include "expected_times.hpp"
+#include "rendezvous.hpp"
 #include "spare_capacity.hpp"
 
 #include <cstdint>
@@ -17,6 +18,7 @@
   failing,        // excluded for its failures, silence, or by reports of peers
   paused,         // it asked for a pause
   returning,      // requests return to it one by one after its pause
+  limited,        // it states a limit, and this daemon may not send a request now
   recently_full,  // it refused a request or stated a queue a moment ago
   full,           // it runs as many requests as it may
   reserved,       // its free slots are left to more urgent requests
@@ -44,9 +46,6 @@
 double required_free_for(const dispatch_tables& tables, const server_row& server, const request_needs& needs,
                          double required_free);
 
-// Returns a pseudo-random weight of the pair for rendezvous hashing.
-std::uint64_t rendezvous_weight(std::uint64_t key, std::uint64_t server);
-
 // Returns the score penalty for servers of other zones, as a share of a server's slots.
 double remote_zone_penalty_for(const dispatch_tables& tables, const submission& request);
 
--- a/packages/fleet/src/queueing.cpp
+++ b/packages/fleet/src/queueing.cpp
@@ -64,7 +64,7 @@
   if (now < server.m_cold_until) {
     ++server.m_cold_sent;
   }
-  record_return(tables, server, now);
+  record_sending(tables, server, now);
   if (tables.m_rollout_controller != nullptr) {
     tables.m_rollout_controller->record_grant(request.m_service, server.m_entry.m_version);
   }
@@ -214,6 +214,9 @@
                             speed.m_event_interval_s * request.m_output_tokens / tokens_per_event <=
                         max_short_request_s;
   record_prompt(tables, request);
+  if (!request.m_resubmitted) {
+    tables.m_demands[request.m_service].record_request(now);
+  }
   auto& queue = tables.m_waiting[request.m_service];
   waiting_request waiting{std::move(request), refuse_at, is_short, false};
   waiting.m_effective_rank = waiting.m_request.m_rank;
@@ -272,11 +275,13 @@
               ? waiting.m_refuse_at
               : std::min(waiting.m_refuse_at, waiting_since(request) + max_wait_without_server);
       if (now >= refuse_at) {
+        const duration delay = controlled != nullptr && has_server
+                                   ? plan_return(tables, *controlled, waiting, typical_speed, now)
+                                   : retry_after;
         decisions.emplace_back(dispatch_refusal{
             request.m_ticket, has_server ? refusal_reason::no_capacity : refusal_reason::no_backend_server,
-            controlled != nullptr && has_server
-                ? plan_return(tables, *controlled, waiting, typical_speed, now)
-                : retry_after});
+            has_server ? retry_delay_for_limits(tables, name, remaining.size(), now).value_or(delay)
+                       : delay});
         continue;
       }
       remaining.push_back(std::move(waiting));
--- a/packages/fleet/src/server_notices.cpp
+++ b/packages/fleet/src/server_notices.cpp
@@ -1,6 +1,7 @@
 #include "server_notices.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace cardamompond::fleet {
 namespace {
@@ -9,6 +10,17 @@
 // outage are back within a few seconds of its return.
 constexpr duration unlisted_retention = seconds(60);
 
+// A statement without a limit ends the limit if none was made with one in this time before it.
+constexpr duration overtaking_time = seconds(1);
+
+// Reports round the limits. A smaller difference is no change.
+constexpr double min_relative_change = 0.01;
+
+bool is_same(std::optional<double> a, std::optional<double> b) {
+  return a.has_value() == b.has_value() &&
+         (!a || std::abs(*a - *b) <= min_relative_change * std::max(*a, *b));
+}
+
 } // namespace
 
 const server_notice* server_notices::find(const backend_server& server) const {
@@ -40,16 +52,78 @@
   const bool already_paused = notice.is_paused(now);
   if (end > notice.m_paused_until) {
     notice.m_paused_until = end;
-    notice.m_next_request = first_return;
+    notice.m_next_request =
+        notice.is_limited() ? std::max(notice.m_next_request, first_return) : first_return;
     notice.m_return_end = return_end;
     m_last_pause_end = std::max(m_last_pause_end, end);
   }
   return !already_paused;
 }
 
-void server_notices::record_request(const backend_server& server, duration interval, time_point now) {
-  if (find(server) != nullptr) {
-    find_or_add(server).m_next_request = now + interval;
+limit_change server_notices::record_limit(const backend_server& server, std::optional<double> requests_per_s,
+                                          time_point stated, bool to_this_daemon) {
+  if (!requests_per_s && find(server) == nullptr) {
+    return limit_change::none;
+  }
+  server_limit& limit = find_or_add(server).m_limit;
+  const duration after = limit.m_stated ? stated - *limit.m_stated : duration::max();
+  if (after < duration::zero() || (!requests_per_s && limit.m_requests_per_s && after < overtaking_time) ||
+      (!requests_per_s && !limit.m_stated)) {
+    return limit_change::none;
+  }
+  const bool changed = !is_same(limit.m_requests_per_s, requests_per_s);
+  limit.m_requests_per_s = requests_per_s;
+  limit.m_stated = stated;
+  if (changed) {
+    limit.m_changed = stated;
+  }
+  if (to_this_daemon) {
+    limit.m_own_stated = stated;
+    limit.m_own_changed = changed ? stated : limit.m_own_changed;
+  }
+  if (!changed) {
+    return limit_change::none;
+  }
+  if (!requests_per_s) {
+    limit.m_interval.reset();
+    return limit_change::ended;
+  }
+  m_has_limits = true;
+  return limit_change::stated;
+}
+
+void server_notices::set_interval(const backend_server& server, std::optional<duration> interval,
+                                  double phase, time_point now) {
+  server_notice& notice = find_or_add(server);
+  auto& current = notice.m_limit.m_interval;
+  const auto part = [](duration whole, double share) {
+    return std::chrono::duration_cast<duration>(whole * share);
+  };
+  if (now < notice.m_return_end) {
+    if (interval && !current) {
+      notice.m_next_request = std::max(notice.m_next_request, now + part(*interval, phase));
+    }
+  } else if (interval && !current) {
+    notice.m_next_request =
+        std::max(std::min(notice.m_next_request, now + *interval), now + part(*interval, phase));
+  } else if (interval && notice.m_next_request > now && *current > duration::zero()) {
+    const duration remaining = std::min(*current, notice.m_next_request - now);
+    notice.m_next_request =
+        now + part(*interval, static_cast<double>(remaining.count()) / static_cast<double>(current->count()));
+  }
+  current = interval;
+}
+
+void server_notices::record_request(const backend_server& server, duration return_interval, time_point now) {
+  if (find(server) == nullptr) {
+    return;
+  }
+  server_notice& notice = find_or_add(server);
+  notice.m_next_request = now + return_interval;
+  if (notice.is_limited()) {
+    const duration interval = notice.m_limit.m_interval.value_or(duration::zero());
+    notice.m_next_request =
+        now + (now < notice.m_return_end ? std::max(interval, return_interval) : interval);
   }
 }
 
@@ -74,6 +148,10 @@
     });
   }
   std::erase_if(m_records, [](const auto& each) { return each.second.empty(); });
+  m_has_limits = std::any_of(m_records.begin(), m_records.end(), [](const auto& each) {
+    return std::any_of(each.second.begin(), each.second.end(),
+                       [](const auto& notice) { return notice.second.m_limit.m_stated.has_value(); });
+  });
 }
 
 } // namespace cardamompond::fleet
--- a/packages/fleet/src/server_notices.hpp
+++ b/packages/fleet/src/server_notices.hpp
@@ -2,6 +2,7 @@
 
 #include "cardamompond/core/time.hpp"
 #include "cardamompond/fleet/backend_server.hpp"
+#include "cardamompond/fleet/stated_limit.hpp"
 
 #include <cstdint>
 #include <map>
@@ -11,23 +12,43 @@
 
 namespace cardamompond::fleet {
 
+// The rate of requests that a server takes from all daemons together, and the part of this daemon in it.
+struct server_limit {
+  std::optional<double> m_requests_per_s;  // nothing: the server states no limit
+  std::optional<time_point> m_stated;      // last statement to any daemon, with a limit or without
+  std::optional<time_point> m_changed;     // last one that changed the limit
+  std::optional<time_point> m_own_stated;  // last one to this daemon
+  std::optional<time_point> m_own_changed; // last one to this daemon that changed the limit
+  std::optional<duration> m_interval;      // between requests of this daemon; nothing: it sends none
+};
+
 // What one process of a backend server stated about itself.
 struct server_notice {
   bool m_leaving = false;
   time_point m_leaving_since;
   time_point m_paused_until;
-  time_point m_next_request; // not before m_paused_until; without meaning after m_return_end
+  time_point
+      m_next_request; // not before m_paused_until; without meaning after m_return_end and without limit
   time_point m_return_end;
+  server_limit m_limit;
   std::optional<time_point> m_missing_since; // first list without the server; none: the last list has it
 
   // Whether the server wants no requests at present.
   bool is_paused(time_point now) const { return now < m_paused_until; }
 
-  // Whether a request may be sent, as far as the last pause and the return from it are concerned.
-  bool allows_request(time_point now) const { return now >= m_return_end || now >= m_next_request; }
+  bool is_limited() const { return m_limit.m_requests_per_s.has_value(); }
+
+  // Whether a request may be sent, as far as the limit, the last pause and the return from it are concerned.
+  bool allows_request(time_point now) const {
+    if (is_limited()) {
+      return m_limit.m_interval && now >= m_next_request;
+    }
+    return now >= m_return_end || now >= m_next_request;
+  }
 };
 
-// What backend servers stated about themselves in their answers to this daemon. A statement holds for one
+// What backend servers stated about themselves in their answers to this daemon, and about their limits in
+// those to its peers. A statement holds for one
 // process, identified by the id and the start time of the server. It does not depend on the list of servers,
 // so it stays in force if the list still shows the server as ready, or loses and regains it. The statements
 // of a server are forgotten some time after it was last listed.
@@ -42,8 +63,19 @@
   bool record_pause(const backend_server& server, time_point end, time_point first_return,
                     time_point return_end, time_point now);
 
-  // Counts a request that is sent to the server: after a pause, the next one may follow after `interval`.
-  void record_request(const backend_server& server, duration interval, time_point now);
+  // Records what the server stated about its limit at the time `stated`, to this daemon or to a peer. Answers
+  // may overtake one another, so a limit ends only if it was not stated shortly before.
+  limit_change record_limit(const backend_server& server, std::optional<double> requests_per_s,
+                            time_point stated, bool to_this_daemon);
+
+  // Sets the time between two requests of this daemon to a limited server; nothing: it sends none. The first
+  // one may follow after `phase` (0 to 1) of the interval.
+  void set_interval(const backend_server& server, std::optional<duration> interval, double phase,
+                    time_point now);
+
+  // Counts a request that is sent to the server. The next one may follow after the interval of its limit and,
+  // after a pause, after `return_interval`.
+  void record_request(const backend_server& server, duration return_interval, time_point now);
 
   // Returns what the server stated; null if it stated nothing. The pointer is valid until update_listed().
   const server_notice* find(const backend_server& server) const;
@@ -51,6 +83,9 @@
   // Whether any server is paused.
   bool has_pauses(time_point now) const { return now < m_last_pause_end; }
 
+  // Whether any server has stated a limit, whether or not it has ended.
+  bool has_limits() const { return m_has_limits; }
+
   // Keeps the statements of the listed servers, and forgets those of servers that have been missing for long.
   void update_listed(std::span<const backend_server> servers, time_point now);
 
@@ -59,6 +94,7 @@
 
   std::map<std::string, std::map<std::int64_t, server_notice>, std::less<>> m_records; // by id and start time
   time_point m_last_pause_end;                                                         // of all servers
+  bool m_has_limits = false;
 };
 
 } // namespace cardamompond::fleet
--- a/packages/fleet/src/spare_capacity.cpp
+++ b/packages/fleet/src/spare_capacity.cpp
@@ -72,8 +72,9 @@
   }
   const std::uint32_t running = server.m_own_running + server.m_peer_running;
   to.m_slots += server.m_entry.m_slots;
-  if (m_now >= server.m_full_until && running < server.m_entry.m_slots) {
-    to.m_free += server.m_entry.m_slots - running;
+  if (m_now >= server.m_full_until && running < server.m_entry.m_slots && !is_held_by_limit(server, m_now)) {
+    const bool limited = server.m_notice != nullptr && server.m_notice->is_limited();
+    to.m_free += limited ? 1 : server.m_entry.m_slots - running;
   }
 }
 
