Leave the places of limited servers to the requests with the most work

What callers saw once limits were held: with 13 of 18 model servers limited to 2.2 to 5.7 requests a second, the five others were full and a third of the requests was refused, although two thirds of the slots were free. Cause: the limited servers got as many small requests as large ones; they limit the number of requests, not their work. Change: beside servers without a limit, each daemon keeps the threshold of work above which it has as many requests as it may send to limited servers. Smaller requests get such a server only after it has been unused for up to two intervals, the longer the smaller they are; larger ones go there first. Nothing changes where all requests have the same work or none that is known, nor where all servers or none of a service state limits.

--- a/packages/fleet/src/dispatch_tables.hpp
+++ b/packages/fleet/src/dispatch_tables.hpp
@@ -10,6 +10,7 @@
 
 #include "demand_meter.hpp"
 #include "limit_sharers.hpp"
+#include "limited_placement.hpp"
 #include "server_notices.hpp"
 
 #include <array>
@@ -153,10 +154,11 @@
   std::unordered_map<ticket, running_request> m_running;
   std::map<std::string, peer_row, std::less<>> m_peers;
   server_notices m_notices;
-  std::map<std::string, demand_meter, std::less<>> m_demands;  // by service
-  std::map<std::string, limit_sharers, std::less<>> m_sharers; // of the services with limits
-  blocked_requests m_blocked;                                  // of this daemon and its peers
-  blocked_totals m_own_blocked{};                              // totals of this daemon, for its reports
+  std::map<std::string, demand_meter, std::less<>> m_demands;          // by service
+  std::map<std::string, limit_sharers, std::less<>> m_sharers;         // of the services with limits
+  std::map<std::string, large_requests, std::less<>> m_large_requests; // of those with other servers, too
+  blocked_requests m_blocked;                                          // of this daemon and its peers
+  blocked_totals m_own_blocked{}; // totals of this daemon, for its reports
   std::map<std::string, controlled_service, std::less<>> m_controlled; // by service
   account_shares m_account_shares;
   overload_counts m_overload_counts;
--- a/packages/fleet/src/dispatcher.cpp
+++ b/packages/fleet/src/dispatcher.cpp
@@ -415,6 +415,7 @@
       demand.publish(now);
     }
     update_limits(m_impl->m_tables, now);
+    update_large_shares(m_impl->m_tables, now);
   }
   process_queues(m_impl->m_tables, now, decisions);
   return decisions;
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -66,6 +66,10 @@
 // Servers that a zone needs for its daemons to try them before those of other zones.
 constexpr std::size_t min_servers_of_own_zone = 8;
 
+// Score bonus, as a share of a server's slots, for a limited server to which a request may be sent now. What
+// it does not get now is lost, because unused time is not saved up.
+constexpr double limited_server_bonus = 0.5;
+
 // Score bonus, as a share of a server's slots, for a server on which this daemon has free assigned slots.
 constexpr double assigned_slots_bonus = 0.35;
 
@@ -233,7 +237,9 @@
   }
   const bool tried = std::find(request.m_excluded_servers.begin(), request.m_excluded_servers.end(),
                                server.m_entry.m_id) != request.m_excluded_servers.end();
-  return tried ? exclusion::tried : exclusion::none;
+  return tried                                                      ? exclusion::tried
+         : is_left_to_larger_requests(tables, server, request, now) ? exclusion::limited
+                                                                    : exclusion::none;
 }
 
 exclusion find_lack_of_capacity(dispatch_tables& tables, server_row& server, spare_capacity& spare,
@@ -326,7 +332,8 @@
         (server->m_uses_batching ? slow_server_bonus * slowness : 0) +
         (server->m_uses_batching
              ? stall_penalty * server->m_combined_speed.m_prompt_s_per_token * request.m_prompt_tokens
-             : 0) +
+             : 0) -
+        (server->m_notice != nullptr && server->m_notice->is_limited() ? limited_server_bonus : 0) +
         tie_breaker;
     if (server_fit > best_fit || score < best_score) {
       best_fit = server_fit;
--- a/packages/fleet/src/placement_rules.hpp
+++ b/packages/fleet/src/placement_rules.hpp
@@ -18,7 +18,7 @@
   failing,        // excluded for its failures, silence, or by reports of peers
   paused,         // it asked for a pause
   returning,      // requests return to it one by one after its pause
-  limited,        // it states a limit, and this daemon may not send a request now
+  limited,        // it states a limit, and this daemon may not send this request now
   recently_full,  // it refused a request or stated a queue a moment ago
   full,           // it runs as many requests as it may
   reserved,       // its free slots are left to more urgent requests
--- a/packages/fleet/src/queueing.cpp
+++ b/packages/fleet/src/queueing.cpp
@@ -206,16 +206,11 @@
   const auto max_wait = std::chrono::duration_cast<duration>(
       (request.m_abandoned_at - waiting_since(request)) * max_wait_share);
   const time_point refuse_at = waiting_since(request) + max_wait;
-  const auto declared_service = tables.m_services.find(request.m_service);
-  const double tokens_per_event =
-      declared_service == tables.m_services.end() ? 1 : declared_service->second.m_tokens_per_event;
-  const speed_estimate speed = assumed_speed();
-  const bool is_short = speed.m_prompt_s_per_token * request.m_prompt_tokens +
-                            speed.m_event_interval_s * request.m_output_tokens / tokens_per_event <=
-                        max_short_request_s;
+  const bool is_short = expected_work_s(tables, request) <= max_short_request_s;
   record_prompt(tables, request);
   if (!request.m_resubmitted) {
     tables.m_demands[request.m_service].record_request(now);
+    record_work_demand(tables, request);
   }
   auto& queue = tables.m_waiting[request.m_service];
   waiting_request waiting{std::move(request), refuse_at, is_short, false};
