Report only the statements of limits that servers made to this daemon

Cause: reports gave the age of the latest statement to any daemon. Two daemons that hear each other passed the same statement on to and fro; each report adds its delay, so its time followed the present, and answers without a limit counted as overtaken.

Change: limit and time of the last statement to this daemon are kept apart, and reports to those that hear the others contain only them. Reports for other zones still contain what is known of the own zone's servers; they are not passed on.

--- a/packages/fleet/src/server_notices.cpp
+++ b/packages/fleet/src/server_notices.cpp
@@ -78,6 +78,7 @@
     limit.m_changed = stated;
   }
   if (to_this_daemon) {
+    limit.m_own_requests_per_s = requests_per_s;
     limit.m_own_stated = stated;
     limit.m_own_changed = changed ? stated : limit.m_own_changed;
   }
--- a/packages/fleet/src/server_notices.hpp
+++ b/packages/fleet/src/server_notices.hpp
@@ -14,11 +14,12 @@
 
 // The rate of requests that a server takes from all daemons together, and the part of this daemon in it.
 struct server_limit {
-  std::optional<double> m_requests_per_s;  // nothing: the server states no limit
-  std::optional<time_point> m_stated;      // last statement to any daemon, with a limit or without
-  std::optional<time_point> m_changed;     // last one that changed the limit
-  std::optional<time_point> m_own_stated;  // last one to this daemon
-  std::optional<time_point> m_own_changed; // last one to this daemon that changed the limit
+  std::optional<double> m_requests_per_s;     // nothing: the server states no limit
+  std::optional<time_point> m_stated;         // last statement to any daemon, with a limit or without
+  std::optional<time_point> m_changed;        // last one that changed the limit
+  std::optional<double> m_own_requests_per_s; // the same by the last statement to this daemon
+  std::optional<time_point> m_own_stated;
+  std::optional<time_point> m_own_changed; // last statement to this daemon that changed the limit
   std::optional<duration> m_interval;      // between requests of this daemon; nothing: it sends none
 };
 
--- a/packages/fleet/src/stated_limits.cpp
+++ b/packages/fleet/src/stated_limits.cpp
@@ -154,21 +154,24 @@
   return when && now - *when <= time;
 }
 
-bool is_in_scope(const dispatch_tables& tables, const server_row& server, dispatcher::limit_scope scope,
-                 time_point now) {
+// Returns what a report of that scope contains about the server, if anything. Statements to peers are not
+// passed on to those that hear them: each report adds its delay to the time of the statement.
+std::optional<limit_statement> find_statement(const dispatch_tables& tables, const server_row& server,
+                                              dispatcher::limit_scope scope, time_point now) {
   const server_limit& limit = server.m_notice->m_limit;
-  const bool in_force = limit.m_requests_per_s.has_value();
-  switch (scope) {
-  case dispatcher::limit_scope::recent:
-    return is_within(limit.m_own_changed, recent_statement_time, now);
-  case dispatcher::limit_scope::own:
-    return in_force ? is_within(limit.m_own_stated, statement_time, now)
-                    : is_within(limit.m_own_changed, end_report_time, now);
-  case dispatcher::limit_scope::zone:
-    return server.m_entry.m_availability_zone == tables.m_self.m_availability_zone &&
-           (in_force || is_within(limit.m_changed, end_report_time, now));
+  const bool own = scope != dispatcher::limit_scope::zone;
+  const auto stated = own ? limit.m_own_stated : limit.m_stated;
+  if (!stated || (!own && server.m_entry.m_availability_zone != tables.m_self.m_availability_zone)) {
+    return std::nullopt;
   }
-  return false;
+  const auto requests_per_s = own ? limit.m_own_requests_per_s : limit.m_requests_per_s;
+  const bool reported = scope == dispatcher::limit_scope::recent
+                            ? is_within(limit.m_own_changed, recent_statement_time, now)
+                        : requests_per_s ? !own || is_within(stated, statement_time, now)
+                                         : is_within(limit.m_changed, end_report_time, now);
+  return reported ? std::optional(limit_statement{server.m_id_hash, instance_hash(server.m_entry),
+                                                  requests_per_s, std::max(duration::zero(), now - *stated)})
+                  : std::nullopt;
 }
 
 } // namespace
@@ -271,10 +274,11 @@
   }
   for (const auto& [service, lists] : tables.m_lists) {
     for (const server_row* each : lists.m_all) {
-      if (each->m_listed && each->m_notice != nullptr && is_in_scope(tables, *each, scope, now)) {
-        const server_limit& limit = each->m_notice->m_limit;
-        statements.push_back({each->m_id_hash, instance_hash(each->m_entry), limit.m_requests_per_s,
-                              std::max(duration::zero(), now - *limit.m_stated)});
+      if (!each->m_listed || each->m_notice == nullptr) {
+        continue;
+      }
+      if (const auto statement = find_statement(tables, *each, scope, now)) {
+        statements.push_back(*statement);
       }
     }
   }
--- a/packages/fleet/tests/stated_limits_test.cpp
+++ b/packages/fleet/tests/stated_limits_test.cpp
@@ -205,6 +205,21 @@
   CHECK_TRUE(*least >= milliseconds(100) && *most <= seconds(4));
 }
 
+// Guards against limits that outlive their end because daemons pass on one another's statements, each time
+// with a later time.
+TEST(stated_limits, reports_contain_only_the_statements_to_this_daemon) {
+  daemon_fixture daemon;
+  daemon.set_servers({make_server("s1")});
+  auto& dispatcher = daemon.m_dispatcher;
+  dispatcher.record_limit(make_server("s1"), 2, daemon.m_now);
+  daemon.m_now += milliseconds(500);
+  const limit_statement later{server_id_hash("s1"), 0, 3, milliseconds(0)};
+  dispatcher.set_peer_limits("d1", {&later, 1}, {}, daemon.m_now);
+  const auto own = dispatcher.limit_statements(dispatcher::limit_scope::own, daemon.m_now);
+  LONGS_EQUAL(500'000, own.at(0).m_age.count());
+  DOUBLES_EQUAL(2, own.at(0).m_requests_per_s.value_or(0), 0);
+}
+
 // Guards against limits that end by an answer that was overtaken, or that change by old statements or those
 // of another process, and against limits that the explanation of a decision does not show.
 TEST(stated_limits, the_latest_statement_of_the_process_counts) {
