Check the limits that servers state in the soak

No run of processes of our own had such a server.

The callers note when a daemon first passes such an answer on. From 3 s after the first statement no 4 s may bring more than 1.5 * 4 * limit + 5 requests from daemons that had passed one on half a second before; a daemon or connection that was disturbed in the last 3 s does not count. When a limit changes, the old one is checked until then and the new one from 3 s later. The limit is among the random faults, from random numbers of its own.

--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <deque>
 #include <string>
 #include <utility>
 
@@ -98,9 +99,13 @@
   }
   if (const auto stamp = net::find_header(response->m_headers, "X-Cardamompond-Server-Stamp")) {
     const std::pair<std::string, std::string> answer(id, *stamp);
+    const auto& [daemon, start_count, sent_at] = m_history->m_dispatches[id].back();
     for (const auto& engine : m_group.engines()) {
+      const auto& limits = engine.m_engine->log().m_limit_answers;
+      if (const auto limit = limits.find(answer); limit != limits.end()) {
+        m_history->m_limit_known.try_emplace({daemon, answer.second, limit->second}, monotonic_now());
+      }
       if (engine.m_engine->log().m_leaving_answers.contains(answer)) {
-        const auto& [daemon, start_count, sent_at] = m_history->m_dispatches[id].back();
         m_history->m_leaving_known.try_emplace({daemon, start_count, answer.second}, monotonic_now());
       }
     }
@@ -178,6 +183,41 @@
   }
 }
 
+// From 3 s after an engine first stated a limit, it gets in no 4 s more than one and a half times what that
+// allows, and 5 requests, from all daemons that had passed on an answer with it half a second before. Daemons
+// and connections that were disturbed in the last 3 s do not count.
+void soak_callers::check_limits(const platform::standins::engine_log& log, const std::string& engine) {
+  constexpr milliseconds reaction_time{500};
+  constexpr milliseconds settling_time{3'000};
+  constexpr seconds window{4};
+  for (std::size_t index = 0; index < log.m_limits.size(); ++index) {
+    const auto& limit = log.m_limits[index];
+    const double allowed = 1.5 * static_cast<double>(window.count()) * limit.m_per_s + 5;
+    std::deque<time_point> counted; // within the window that ends with the last arrival
+    std::size_t most = 0;
+    for (const auto& [id, stamp, at] : log.m_arrivals) {
+      const auto& daemon = find_dispatch(id, at).m_daemon;
+      const auto known = m_history->m_limit_known.find({daemon, stamp, index});
+      if (stamp != limit.m_stamp || at < limit.m_stated_at + settling_time || at >= limit.m_until ||
+          known == m_history->m_limit_known.end() || at < known->second + reaction_time ||
+          m_group.was_disturbed(daemon, at - settling_time, at) ||
+          m_group.was_disturbed(engine, at - settling_time, at)) {
+        continue;
+      }
+      counted.push_back(at);
+      while (counted.front() <= at - window) {
+        counted.pop_front();
+      }
+      most = std::max(most, counted.size());
+    }
+    m_history->m_max_limit_use = std::max(m_history->m_max_limit_use, static_cast<double>(most) / allowed);
+    if (static_cast<double>(most) > allowed) {
+      m_history->m_violations.push_back(std::to_string(most) + " requests reached " + limit.m_stamp +
+                                        " in 4 s, allowed " + std::to_string(allowed));
+    }
+  }
+}
+
 // The process may be ended by force at the end of the drain time, so requests that were sent soon after
 // SIGTERM may be cut if their engine was still at work in the last sixth of the drain time.
 bool soak_callers::may_be_cut_by_drain(const soak_dispatch& sent, time_point ended_at) const {
@@ -229,6 +269,7 @@
   for (const auto& engine : m_group.engines()) {
     check_leaving(engine.m_engine->log());
     check_pauses(engine.m_engine->log(), engine.m_relay->address());
+    check_limits(engine.m_engine->log(), engine.m_relay->address());
   }
   for (const auto& id : m_history->m_at_most_once_ids) {
     if (const int runs = m_group.run_counter().runs(id); runs > 1) {
--- a/tests/soak/soak_callers.hpp
+++ b/tests/soak/soak_callers.hpp
@@ -37,6 +37,10 @@
   // By daemon, its start count and the stamp of an engine's process: when the daemon first passed on an
   // answer that stated that the process leaves.
   std::map<std::tuple<std::string, int, std::string>, time_point> m_leaving_known;
+  // By daemon, the stamp of an engine's process and the index of the limit in its log: when the daemon first
+  // passed on an answer that stated the limit.
+  std::map<std::tuple<std::string, std::string, std::size_t>, time_point> m_limit_known;
+  double m_max_limit_use = 0;        // largest share used of what a limit allows in 4 s
   std::uint64_t m_pauses = 0;        // times that engines asked for
   std::uint64_t m_request_count = 0; // number of requests that were sent
 };
@@ -53,7 +57,8 @@
 
   // Checks the requests that must run at most once against the runs that the engines counted. Adds a
   // violation for each that ran more than once, and for each that ran although it was refused as not run.
-  // Also checks that daemons left leaving engines alone and observed the pauses that engines asked for.
+  // Also checks that daemons left leaving engines alone and observed the pauses and limits that engines asked
+  // for.
   // Returns the history with all violations.
   const soak_history& check_history();
 
@@ -76,6 +81,7 @@
   bool may_be_cut_by_drain(const soak_dispatch& sent, time_point ended_at) const;
   void check_leaving(const platform::standins::engine_log& log);
   void check_pauses(const platform::standins::engine_log& log, const std::string& engine);
+  void check_limits(const platform::standins::engine_log& log, const std::string& engine);
   void check_response(std::string_view route, const std::string& id, const net::http_response& response);
 
   soak_group& m_group;
--- a/tests/soak/soak_group.cpp
+++ b/tests/soak/soak_group.cpp
@@ -205,6 +205,7 @@
   m_store.set_fault(platform::standins::store_fault::none);
   for (auto& engine : m_engines) {
     engine.m_engine->set_faults({});
+    engine.m_engine->set_limit(std::nullopt);
     set_relay_faults(engine, false, false);
     engine.m_relay->set_delay(milliseconds(0));
     engine.m_relay->set_late_copies(0, 0);
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -37,7 +37,8 @@
   fault_injector(soak_group& group, std::uint64_t seed)
       : m_group(group)
       , m_random(seed)
-      , m_random_copies(seed) {}
+      , m_random_copies(seed)
+      , m_random_limits(seed) {}
 
   void inject_fault() {
     auto& daemon = m_group.daemons()[m_random() % m_group.daemons().size()];
@@ -98,6 +99,7 @@
     }
     resume_daemons();
     change_late_copies();
+    change_limit();
   }
 
 private:
@@ -114,6 +116,18 @@
     }
   }
 
+  // Lets one engine at a time state a limit, for some seconds.
+  void change_limit() {
+    const auto limited = std::find_if(m_group.engines().begin(), m_group.engines().end(),
+                                      [](const soak_engine& each) { return each.m_engine->limited(); });
+    const bool none = limited == m_group.engines().end();
+    if (m_random_limits() % (none ? 3 : 25) == 0) {
+      auto& engine = none ? m_group.engines()[m_random_limits() % m_group.engines().size()] : *limited;
+      const double limit = 1 + static_cast<double>(m_random_limits() % 39) / 10;
+      engine.m_engine->set_limit(none || m_random_limits() % 2 == 0 ? std::optional(limit) : std::nullopt);
+    }
+  }
+
   // Makes the engine state that it leaves, while the store still shows it as ready. If it does so already,
   // another process takes its place. At most two engines leave at a time.
   void leave_or_restart(soak_engine& engine) {
@@ -143,6 +157,7 @@
   soak_group& m_group;
   std::mt19937_64 m_random;
   std::mt19937_64 m_random_copies;
+  std::mt19937_64 m_random_limits;
 };
 
 // Does planned work, lets engines pause, and disturbs the links to the store. None of this excuses a request
@@ -238,13 +253,15 @@
 void report_history(const char* name, std::uint64_t seed, const soak_group& group,
                     const soak_history& history) {
   std::setvbuf(stdout, nullptr, _IOLBF, 0);
-  std::printf(
-      "%s, seed %llu: %llu requests (%llu sent again), %zu answered, %zu refused, %zu "
-      "violations; %zu times known that an engine leaves, %llu pauses, %llu late copies\n",
-      name, static_cast<unsigned long long>(seed), static_cast<unsigned long long>(history.m_request_count),
-      static_cast<unsigned long long>(history.m_request_count - history.m_dispatches.size()),
-      history.m_successful_ids.size(), history.m_refused_ids.size(), history.m_violations.size(),
-      history.m_leaving_known.size(), static_cast<unsigned long long>(history.m_pauses), group.late_copies());
+  std::printf("%s, seed %llu: %llu requests (%llu sent again), %zu answered, %zu refused, %zu "
+              "violations; %zu times known that an engine leaves, %llu pauses, %llu late copies, "
+              "%.2f of a limit used\n",
+              name, static_cast<unsigned long long>(seed),
+              static_cast<unsigned long long>(history.m_request_count),
+              static_cast<unsigned long long>(history.m_request_count - history.m_dispatches.size()),
+              history.m_successful_ids.size(), history.m_refused_ids.size(), history.m_violations.size(),
+              history.m_leaving_known.size(), static_cast<unsigned long long>(history.m_pauses),
+              group.late_copies(), history.m_max_limit_use);
   for (const auto& violation : history.m_violations) {
     std::printf("  %s\n", violation.c_str());
   }
@@ -285,12 +302,68 @@
 // Guards against requests that run twice although they must run at most once, requests that run although they
 // were refused as not run, incomplete responses or those to another request (also beside late copies of
 // responses and refusals, while the refused request is sent again), requests to engines that leave
-// or have asked for a pause, and daemons that do not recover, while several faults are present at the same
-// time. The variables SOAK_SEEDS (a list) and SOAK_SECONDS (for each seed) select other runs.
+// or have asked for a pause, more requests than engines have stated to take, and daemons that do not recover,
+// while several faults are present at the same time. The variables SOAK_SEEDS (a list) and SOAK_SECONDS (for
+// each seed) select other runs.
 TEST(soak, guarantees_hold_under_faults) {
   run_seeds(run_soak, default_fault_seeds);
 }
 
+// Guards against daemons that together send an engine more requests than it states to take: beside SIGTERM in
+// series, a kill and a freeze, after the limit was halved, and when another engine states one too. Also
+// against an engine that gets none, while it is limited or afterwards.
+TEST(soak, stated_limits_hold_through_restarts) {
+  constexpr std::uint64_t seed = 1;
+  soak_group group(6, engine_count, seed);
+  wait_until_ready(group);
+  soak_callers callers(group, caller_count, seed * 1'000'000);
+  auto& daemons = group.daemons();
+  auto& engine = *group.engines()[0].m_engine;
+  const auto run_for = [&](milliseconds length) {
+    for (const time_point end = monotonic_now() + length; monotonic_now() < end;) {
+      for (auto& daemon : daemons) {
+        if (daemon.m_process->exit_code()) {
+          group.start(daemon);
+        }
+      }
+      boost::this_fiber::sleep_for(milliseconds(50));
+    }
+  };
+  run_for(seconds(1));
+  engine.set_limit(2.4);
+  run_for(seconds(3));
+  for (const std::size_t each : {0U, 1U}) {
+    group.terminate(daemons[each]);
+    group.begin_disturbance(daemons[each].m_name);
+    run_for(milliseconds(700));
+  }
+  daemons[2].m_process->kill();
+  run_for(seconds(1));
+  daemons[3].m_process->signal(SIGSTOP);
+  group.begin_disturbance(daemons[3].m_name);
+  run_for(seconds(1));
+  daemons[3].m_process->signal(SIGCONT);
+  group.end_disturbance(daemons[3].m_name);
+  engine.set_limit(1.2);
+  group.engines()[1].m_engine->set_limit(4.8);
+  run_for(seconds(7));
+  engine.set_limit(std::nullopt);
+  const std::size_t arrivals_in_limits = engine.log().m_arrivals.size();
+  run_for(seconds(5));
+  callers.stop();
+  report_history("limits", seed, group, callers.check_history());
+  const auto count_arrivals = [&](time_point from, time_point until) {
+    return std::count_if(engine.log().m_arrivals.begin(), engine.log().m_arrivals.end(),
+                         [&](const auto& each) { return each.m_at >= from && each.m_at < until; });
+  };
+  for (const auto& limit : engine.log().m_limits) {
+    CHECK_TEXT(count_arrivals(limit.m_stated_at + seconds(1), limit.m_until) > 1,
+               "the limited engine got no requests");
+  }
+  CHECK_TEXT(engine.log().m_arrivals.size() > arrivals_in_limits + 30,
+             "the engine got few requests after its limit had ended");
+}
+
 // Guards against late copies of refusals that pass for the answer to the same request when it is sent again
 // on that connection. One engine, one caller for each daemon and a short deadline make that the usual case.
 TEST(soak, late_copies_of_refusals_answer_nothing) {
