--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -1,9 +1,11 @@
 #include "soak_callers.hpp"
 
+#include <CppUTest/TestHarness.h>
 #include <boost/fiber/operations.hpp>
 
 #include <algorithm>
 #include <array>
+#include <cstdio>
 #include <deque>
 #include <string>
 #include <utility>
@@ -286,4 +288,23 @@
   return *m_history;
 }
 
+const soak_history& soak_callers::report_history(const char* name) {
+  const auto& history = check_history();
+  std::setvbuf(stdout, nullptr, _IOLBF, 0);
+  std::printf("%s, seed %llu: %llu requests (%llu sent again), %zu answered, %zu refused, %zu "
+              "violations; %zu times known that an engine leaves, %llu pauses, %llu late copies, "
+              "%.2f of a limit used\n",
+              name, static_cast<unsigned long long>(m_seed / 1'000'000),
+              static_cast<unsigned long long>(history.m_request_count),
+              static_cast<unsigned long long>(history.m_request_count - history.m_dispatches.size()),
+              history.m_successful_ids.size(), history.m_refused_ids.size(), history.m_violations.size(),
+              history.m_leaving_known.size(), static_cast<unsigned long long>(history.m_pauses),
+              m_group.late_copies(), history.m_max_limit_use);
+  for (const auto& violation : history.m_violations) {
+    std::printf("  %s\n", violation.c_str());
+  }
+  CHECK_TEXT(history.m_violations.empty(), "violations were found; see the lines above");
+  return history;
+}
+
 } // namespace cardamompond::testing
--- a/tests/soak/soak_callers.hpp
+++ b/tests/soak/soak_callers.hpp
@@ -62,6 +62,9 @@
   // Returns the history with all violations.
   const soak_history& check_history();
 
+  // Calls check_history(), prints what the callers observed, and fails the test if it violates a guarantee.
+  const soak_history& report_history(const char* name);
+
   // Adds a violation for each request that was lost: its connection ended before its deadline without a
   // complete response, although it had reached an engine or had been sent for longer than an unread request
   // may take. Valid if the engines only paused and the daemons were disturbed only by signals. Returns the
--- a/tests/soak/soak_group.cpp
+++ b/tests/soak/soak_group.cpp
@@ -201,6 +201,13 @@
                          [](auto sum, const auto& each) { return sum + each.m_relay->late_copies(); });
 }
 
+void soak_group::wait_until_ready() {
+  wait_until("all daemons are ready", milliseconds(8'000), [&] {
+    return std::all_of(m_daemons.begin(), m_daemons.end(),
+                       [&](const soak_daemon& daemon) { return is_ready(daemon); });
+  });
+}
+
 void soak_group::clear_faults() {
   m_store.set_fault(platform::standins::store_fault::none);
   for (auto& engine : m_engines) {
--- a/tests/soak/soak_group.hpp
+++ b/tests/soak/soak_group.hpp
@@ -64,6 +64,7 @@
 
   std::string callers_address(const soak_daemon& daemon) const;
   bool is_ready(const soak_daemon& daemon);
+  void wait_until_ready(); // all daemons
 
   // Starts another process of the engine, with the same id or a new one, and registers it. The old one is
   // gone without having been shown as draining.
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -213,16 +213,9 @@
 constexpr int engine_count = 4;
 constexpr int caller_count = 12;
 
-void wait_until_ready(soak_group& group) {
-  wait_until("all daemons are ready", milliseconds(8'000), [&] {
-    return std::all_of(group.daemons().begin(), group.daemons().end(),
-                       [&](const soak_daemon& daemon) { return group.is_ready(daemon); });
-  });
-}
-
 void run_planned_work(std::uint64_t seed, seconds duration) {
   soak_group group(daemon_count, engine_count, seed);
-  wait_until_ready(group);
+  group.wait_until_ready();
   soak_callers callers(group, caller_count, seed * 1'000'000);
   std::mt19937_64 random(seed);
   for (auto& engine : group.engines()) {
@@ -249,28 +242,9 @@
   CHECK_TEXT(history.m_violations.empty(), "violations were found; see the lines above");
 }
 
-// Prints what the callers observed, and fails if it violates a guarantee.
-void report_history(const char* name, std::uint64_t seed, const soak_group& group,
-                    const soak_history& history) {
-  std::setvbuf(stdout, nullptr, _IOLBF, 0);
-  std::printf("%s, seed %llu: %llu requests (%llu sent again), %zu answered, %zu refused, %zu "
-              "violations; %zu times known that an engine leaves, %llu pauses, %llu late copies, "
-              "%.2f of a limit used\n",
-              name, static_cast<unsigned long long>(seed),
-              static_cast<unsigned long long>(history.m_request_count),
-              static_cast<unsigned long long>(history.m_request_count - history.m_dispatches.size()),
-              history.m_successful_ids.size(), history.m_refused_ids.size(), history.m_violations.size(),
-              history.m_leaving_known.size(), static_cast<unsigned long long>(history.m_pauses),
-              group.late_copies(), history.m_max_limit_use);
-  for (const auto& violation : history.m_violations) {
-    std::printf("  %s\n", violation.c_str());
-  }
-  CHECK_TEXT(history.m_violations.empty(), "violations were found; see the lines above");
-}
-
 void run_soak(std::uint64_t seed, seconds duration) {
   soak_group group(daemon_count, engine_count, seed);
-  wait_until_ready(group);
+  group.wait_until_ready();
   soak_callers callers(group, caller_count, seed * 1'000'000);
   fault_injector injector(group, seed);
   std::mt19937_64 random(seed + 1);
@@ -281,8 +255,7 @@
   group.clear_faults();
   check_recovery(group, callers);
   callers.stop();
-  const auto& history = callers.check_history();
-  report_history("faults", seed, group, history);
+  const auto& history = callers.report_history("faults");
   CHECK_TEXT(history.m_successful_ids.size() * 4 > history.m_request_count,
              "at most a quarter of the requests had status 200");
 }
@@ -309,139 +282,8 @@
   run_seeds(run_soak, default_fault_seeds);
 }
 
-// Guards against daemons that together send an engine more requests than it states to take: beside SIGTERM in
-// series, a kill and a freeze, after the limit was halved, and when another engine states one too. Also
-// against an engine that gets none, while it is limited or afterwards.
-TEST(soak, stated_limits_hold_through_restarts) {
-  constexpr std::uint64_t seed = 1;
-  soak_group group(6, engine_count, seed);
-  wait_until_ready(group);
-  soak_callers callers(group, caller_count, seed * 1'000'000);
-  auto& daemons = group.daemons();
-  auto& engine = *group.engines()[0].m_engine;
-  const auto run_for = [&](milliseconds length) {
-    for (const time_point end = monotonic_now() + length; monotonic_now() < end;) {
-      for (auto& daemon : daemons) {
-        if (daemon.m_process->exit_code()) {
-          group.start(daemon);
-        }
-      }
-      boost::this_fiber::sleep_for(milliseconds(50));
-    }
-  };
-  run_for(seconds(1));
-  engine.set_limit(2.4);
-  run_for(seconds(3));
-  for (const std::size_t each : {0U, 1U}) {
-    group.terminate(daemons[each]);
-    group.begin_disturbance(daemons[each].m_name);
-    run_for(milliseconds(700));
-  }
-  daemons[2].m_process->kill();
-  run_for(seconds(1));
-  daemons[3].m_process->signal(SIGSTOP);
-  group.begin_disturbance(daemons[3].m_name);
-  run_for(seconds(1));
-  daemons[3].m_process->signal(SIGCONT);
-  group.end_disturbance(daemons[3].m_name);
-  engine.set_limit(1.2);
-  group.engines()[1].m_engine->set_limit(4.8);
-  run_for(seconds(7));
-  engine.set_limit(std::nullopt);
-  const std::size_t arrivals_in_limits = engine.log().m_arrivals.size();
-  run_for(seconds(5));
-  callers.stop();
-  report_history("limits", seed, group, callers.check_history());
-  const auto count_arrivals = [&](time_point from, time_point until) {
-    return std::count_if(engine.log().m_arrivals.begin(), engine.log().m_arrivals.end(),
-                         [&](const auto& each) { return each.m_at >= from && each.m_at < until; });
-  };
-  for (const auto& limit : engine.log().m_limits) {
-    CHECK_TEXT(count_arrivals(limit.m_stated_at + seconds(1), limit.m_until) > 1,
-               "the limited engine got no requests");
-  }
-  CHECK_TEXT(engine.log().m_arrivals.size() > arrivals_in_limits + 30,
-             "the engine got few requests after its limit had ended");
-}
-
-// Guards against late copies of refusals that pass for the answer to the same request when it is sent again
-// on that connection. One engine, one caller for each daemon and a short deadline make that the usual case.
-TEST(soak, late_copies_of_refusals_answer_nothing) {
-  constexpr std::uint64_t seed = 1;
-  soak_group group(daemon_count, 1, seed);
-  wait_until_ready(group);
-  auto& engine = group.engines().front();
-  engine.m_engine->set_faults({.m_refusal_probability = 0.4});
-  engine.m_relay->set_late_copies(1, seed);
-  soak_callers callers(group, 0, seed * 1'000'000, milliseconds(300));
-  int running = daemon_count;
-  for (const auto& daemon : group.daemons()) {
-    net::fiber_runtime::spawn([&] {
-      for (const time_point end = monotonic_now() + seconds(4); monotonic_now() < end;) {
-        callers.send(group.callers_address(daemon), "order");
-      }
-      --running;
-    });
-  }
-  wait_until("the callers have ended", seconds(12), [&] { return running == 0; });
-  callers.stop();
-  report_history("copied refusals", seed, group, callers.check_history());
-}
-
 // Guards against requests that end without an answer beside changes of the configuration, SIGHUP, SIGTERM,
 // disturbances of the store and engines that are silent for up to 2.5 s and go on.
 TEST(soak, planned_work_and_pauses_lose_no_request) {
   run_seeds(run_planned_work, default_planned_work_seeds);
 }
-
-// Guards against requests that end without an answer because the process ends before their engine, which is
-// silent, has reached its deadline.
-TEST(soak, drain_answers_requests_whose_engine_is_silent) {
-  soak_group group(1, 1, 1);
-  wait_until_ready(group);
-  soak_callers callers(group, 0, 1'000'000);
-  auto& daemon = group.daemons().front();
-  group.terminate(daemon);
-  // The daemon refuses requests in the last 1.8 s of its drain time; the route's timeout is 3 s.
-  boost::this_fiber::sleep_for(milliseconds(2'900));
-  group.engines().front().m_relay->set_partitioned(true);
-  const std::string address = group.callers_address(daemon);
-  int read_status = 0;
-  bool read_ended = false;
-  net::fiber_runtime::spawn([&] {
-    read_status = callers.send(address, "read");
-    read_ended = true;
-  });
-  const int order_status = callers.send(address, "order");
-  wait_until("both requests have ended", milliseconds(4'000), [&] { return read_ended; });
-  CHECK_EQUAL(502, order_status);
-  CHECK_EQUAL(502, read_status);
-}
-
-// Guards against a daemon that ends its drain although requests have arrived while its event loop stood
-// still.
-TEST(soak, drain_answers_requests_that_arrived_while_the_daemon_stood_still) {
-  soak_group group(1, 1, 1);
-  wait_until_ready(group);
-  soak_callers callers(group, 0, 1'000'000);
-  auto& daemon = group.daemons().front();
-  const std::string address = group.callers_address(daemon);
-  CHECK_EQUAL(200, callers.send(address, "read")); // leaves an open connection behind
-  group.terminate(daemon);
-  // The daemon may end 3.3 s after SIGTERM.
-  boost::this_fiber::sleep_for(milliseconds(3'100));
-  daemon.m_process->signal(SIGSTOP);
-  constexpr int request_count = 4;
-  int ended = 0;
-  int unanswered = 0;
-  for (int i = 0; i < request_count; ++i) {
-    net::fiber_runtime::spawn([&] {
-      unanswered += callers.send(address, "read") == 0 ? 1 : 0;
-      ++ended;
-    });
-  }
-  boost::this_fiber::sleep_for(milliseconds(600));
-  daemon.m_process->signal(SIGCONT);
-  wait_until("all requests have ended", milliseconds(4'000), [&] { return ended == request_count; });
-  CHECK_EQUAL(0, unanswered);
-}
