Poll the load of a backend server over a connection of its own

What operators would have seen: after one answer too many, each later report of the load on the connection is that to the poll before, and with cache events neither a report nor a failure follows. Cause: the polls of a cell go over one kept connection and their answers bear no id. No test of its own; process_at_most_once has copies of these answers, too.

--- a/packages/daemon/src/backend_poller.cpp
+++ b/packages/daemon/src/backend_poller.cpp
@@ -17,7 +17,8 @@
 
 std::optional<json::object> fetch_json_object(net::http_client& client, const std::string& address,
                                               std::string target, milliseconds timeout) {
-  const auto response = client.fetch(address, {"GET", std::move(target), {}, {}}, timeout, max_report_bytes);
+  const auto response = client.fetch(address, {"GET", std::move(target), {}, {}}, timeout, max_report_bytes,
+                                     net::http_client::connection_choice::fresh);
   if (!response || response->m_status != 200) {
     return std::nullopt;
   }
