End a limit only by the answer to a request that followed its last statement

What servers would have seen: their limit forgotten by all daemons until the next answer states it, after one daemon read an answer late. Cause: that an answer states no limit was dated when it was read; a daemon that stood still, or whose link lost packets, reads answers from before the statement, and a second after the last one they counted. Change: record_limit gets the time after which the request was sent; a peer's report of the end still has to be a second younger than the last statement.

--- a/packages/fleet/include/cardamompond/fleet/dispatcher.hpp
+++ b/packages/fleet/include/cardamompond/fleet/dispatcher.hpp
@@ -243,11 +243,12 @@
   // Whether a granted request may still be sent to the server.
   bool may_send(const backend_server& server, time_point now) const;
 
-  // Records what a server stated in its answer to a request of this daemon: the number of requests per second
-  // that it takes from all daemons together, or that it has no limit. The daemons share the limit; it holds
-  // until an answer states none or the process is gone.
+  // Records what a server stated in its answer to a request of this daemon that was sent after `sent_after`:
+  // the number of requests per second that it takes from all daemons together, or that it has no limit. The
+  // daemons share the limit; it holds until the answer to a later request states none, until no daemon was
+  // told it for a while, or until the process is gone.
   limit_change record_limit(const backend_server& server, std::optional<double> requests_per_s,
-                            time_point now);
+                            time_point sent_after, time_point now);
 
   // Takes over what a peer reports: statements of servers that it received, and its demand for services
   // with limited servers. A statement that is older than the one in force,
--- a/packages/fleet/src/server_notices.cpp
+++ b/packages/fleet/src/server_notices.cpp
@@ -10,7 +10,7 @@
 // outage are back within a few seconds of its return.
 constexpr duration unlisted_retention = seconds(60);
 
-// A statement without a limit ends the limit if none was made with one in this time before it.
+// A peer's statement without a limit ends the limit if none was made with one in this time before it.
 constexpr duration overtaking_time = seconds(1);
 
 // Reports round the limits. A smaller difference is no change.
@@ -61,14 +61,16 @@
 }
 
 limit_change server_notices::record_limit(const backend_server& server, std::optional<double> requests_per_s,
-                                          time_point stated, bool to_this_daemon) {
+                                          time_point stated, std::optional<time_point> sent_after) {
   if (!requests_per_s && find(server) == nullptr) {
     return limit_change::none;
   }
   server_limit& limit = find_or_add(server).m_limit;
-  const duration after = limit.m_stated ? stated - *limit.m_stated : duration::max();
-  if (after < duration::zero() || (!requests_per_s && limit.m_requests_per_s && after < overtaking_time) ||
-      (!requests_per_s && !limit.m_stated)) {
+  if (limit.m_stated ? stated < *limit.m_stated : !requests_per_s) {
+    return limit_change::none;
+  }
+  if (!requests_per_s && limit.m_requests_per_s &&
+      (sent_after ? *sent_after <= *limit.m_stated : stated - *limit.m_stated < overtaking_time)) {
     return limit_change::none;
   }
   const bool changed = !is_same(limit.m_requests_per_s, requests_per_s);
@@ -77,7 +79,7 @@
   if (changed) {
     limit.m_changed = stated;
   }
-  if (to_this_daemon) {
+  if (sent_after) {
     limit.m_own_requests_per_s = requests_per_s;
     limit.m_own_stated = stated;
     limit.m_own_changed = changed ? stated : limit.m_own_changed;
--- a/packages/fleet/src/server_notices.hpp
+++ b/packages/fleet/src/server_notices.hpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 
 namespace cardamompond::fleet {
 
@@ -64,10 +65,12 @@
   bool record_pause(const backend_server& server, time_point end, time_point first_return,
                     time_point return_end, time_point now);
 
-  // Records what the server stated about its limit at the time `stated`, to this daemon or to a peer. Answers
-  // may overtake one another, so a limit ends only if it was not stated shortly before.
+  // Records what the server stated about its limit at the time `stated`: to this daemon, in the answer to a
+  // request that was sent after `sent_after`, or to a peer. Answers may arrive late and overtake one another.
+  // That there is no limit any more counts if the request followed the last statement of one; from a peer, if
+  // that statement is older by a second.
   limit_change record_limit(const backend_server& server, std::optional<double> requests_per_s,
-                            time_point stated, bool to_this_daemon);
+                            time_point stated, std::optional<time_point> sent_after);
 
   // Sets the time between two requests of this daemon to a limited server; nothing: it sends none. The first
   // one may follow after `phase` (0 to 1) of the interval.
--- a/packages/fleet/src/stated_limits.cpp
+++ b/packages/fleet/src/stated_limits.cpp
@@ -122,15 +122,15 @@
 }
 
 limit_change record_statement(dispatch_tables& tables, const backend_server& server,
-                              std::optional<double> requests_per_s, time_point stated, bool to_this_daemon,
-                              time_point now) {
+                              std::optional<double> requests_per_s, time_point stated,
+                              std::optional<time_point> sent_after, time_point now) {
   if (!is_valid(requests_per_s)) {
     return limit_change::none;
   }
   if (requests_per_s) {
     requests_per_s = std::min(*requests_per_s, max_rate);
   }
-  const limit_change change = tables.m_notices.record_limit(server, requests_per_s, stated, to_this_daemon);
+  const limit_change change = tables.m_notices.record_limit(server, requests_per_s, stated, sent_after);
   if (change == limit_change::none) {
     return change;
   }
@@ -232,8 +232,8 @@
 }
 
 limit_change dispatcher::record_limit(const backend_server& server, std::optional<double> requests_per_s,
-                                      time_point now) {
-  return record_statement(m_impl->m_tables, server, requests_per_s, now, true, now);
+                                      time_point sent_after, time_point now) {
+  return record_statement(m_impl->m_tables, server, requests_per_s, now, sent_after, now);
 }
 
 std::vector<limit_statement> dispatcher::set_peer_limits(std::string_view daemon,
@@ -258,8 +258,8 @@
       continue;
     }
     const time_point stated = received - std::max(duration::zero(), each.m_age);
-    if (record_statement(tables, found->second->m_entry, each.m_requests_per_s, stated, false, received) !=
-        limit_change::none) {
+    if (record_statement(tables, found->second->m_entry, each.m_requests_per_s, stated, std::nullopt,
+                         received) != limit_change::none) {
       changes.push_back(each);
     }
   }
--- a/packages/fleet/tests/limited_placement_test.cpp
+++ b/packages/fleet/tests/limited_placement_test.cpp
@@ -24,7 +24,7 @@
   int large = 0, small = 0, large_limited = 0, small_limited = 0;
   for (int step = 0; step < 6'000; ++step, daemon.m_now += milliseconds(10)) {
     for (int i = 0; i < 3; ++i) {
-      daemon.m_dispatcher.record_limit(servers[static_cast<std::size_t>(i)], 1.0, daemon.m_now);
+      daemon.m_dispatcher.record_limit(servers[static_cast<std::size_t>(i)], 1.0, daemon.m_now, daemon.m_now);
     }
     const bool is_large = random() % 4 == 0;
     if (random() % 100 < 12) {
--- a/packages/fleet/tests/stated_limits_test.cpp
+++ b/packages/fleet/tests/stated_limits_test.cpp
@@ -66,7 +66,7 @@
   void answer(std::size_t daemon, const dispatch_grant& granted) {
     const auto limit = m_limits.find(granted.m_server.m_id);
     const auto stated = limit == m_limits.end() ? std::nullopt : std::optional(limit->second);
-    m_daemons[daemon]->m_dispatcher.record_limit(granted.m_server, stated, m_now);
+    m_daemons[daemon]->m_dispatcher.record_limit(granted.m_server, stated, m_now - milliseconds(300), m_now);
     m_daemons[daemon]->m_dispatcher.finish(granted.m_ticket, server_outcome::answered, m_now);
   }
 
@@ -211,7 +211,7 @@
   daemon_fixture daemon;
   daemon.set_servers({make_server("s1")});
   auto& dispatcher = daemon.m_dispatcher;
-  dispatcher.record_limit(make_server("s1"), 2, daemon.m_now);
+  dispatcher.record_limit(make_server("s1"), 2, daemon.m_now, daemon.m_now);
   daemon.m_now += milliseconds(500);
   const limit_statement later{server_id_hash("s1"), 0, 3, milliseconds(0)};
   dispatcher.set_peer_limits("d1", {&later, 1}, {}, daemon.m_now);
@@ -238,10 +238,27 @@
       "limited",
       std::string(dispatcher.explain(daemon.make_request(1), daemon.m_now).m_servers.front().m_exclusion)
           .c_str());
-  CHECK_TRUE(dispatcher.record_limit(server, std::nullopt, daemon.m_now) == limit_change::none);
+  const time_point stated = daemon.m_now - milliseconds(100);
   daemon.m_now += seconds(1);
-  CHECK_TRUE(dispatcher.record_limit(server, std::nullopt, daemon.m_now) == limit_change::ended);
+  CHECK_TRUE(dispatcher.record_limit(server, std::nullopt, stated, daemon.m_now) == limit_change::none);
+  CHECK_TRUE(dispatcher.record_limit(server, std::nullopt, stated + milliseconds(1), daemon.m_now) ==
+             limit_change::ended);
   UNSIGNED_LONGS_EQUAL(0, from_peer(0, 2, 100));
   UNSIGNED_LONGS_EQUAL(1, dispatcher.limit_statements(dispatcher::limit_scope::recent, daemon.m_now).size());
   LONGS_EQUAL(2, count_results(daemon.submit(2), "s1"));
 }
+
+// Guards against a daemon that ends a limit for all others because it reads an answer late that a server gave
+// before it stated the limit: the answer was held up by a stop of the daemon, or by its network.
+TEST(stated_limits, an_answer_from_before_the_statement_does_not_end_the_limit) {
+  daemon_fixture daemon;
+  const backend_server server = make_server("s1");
+  daemon.set_servers({server});
+  auto& dispatcher = daemon.m_dispatcher;
+  // The answer to a request of this daemon is under way. A peer hears of a limit of 0.4 requests per second.
+  const limit_statement statement{server_id_hash("s1"), 0, 0.4, milliseconds(0)};
+  dispatcher.set_peer_limits("d1", {&statement, 1}, {}, daemon.m_now);
+  const time_point sent = daemon.m_now - milliseconds(10);
+  daemon.m_now += milliseconds(1'500);
+  CHECK_TRUE(dispatcher.record_limit(server, std::nullopt, sent, daemon.m_now) == limit_change::none);
+}
--- a/packages/gateway/include/cardamompond/gateway/admission_controller.hpp
+++ b/packages/gateway/include/cardamompond/gateway/admission_controller.hpp
@@ -73,9 +73,10 @@
   // Records what the server that was called states about itself in a response.
   void record_notices(const fleet::backend_server& called, const response_metadata& metadata);
 
-  // Records whether the server that answered a request limits the rate of requests. Answers without a request
-  // id count for nothing, since they may be late copies.
-  void record_limit(const fleet::backend_server& called, const response_metadata& metadata);
+  // Records whether the server that answered a request, which was sent after `sent_after`, limits the rate of
+  // requests. Answers without a request id count for nothing, since they may be late copies.
+  void record_limit(const fleet::backend_server& called, const response_metadata& metadata,
+                    time_point sent_after);
 
   // Records what servers stated to a peer about the rate that they take, and the peer's demand.
   void record_peer_limits(std::string_view daemon, std::span<const fleet::limit_statement> statements,
--- a/packages/gateway/src/admission_controller.cpp
+++ b/packages/gateway/src/admission_controller.cpp
@@ -205,7 +205,7 @@
 }
 
 void admission_controller::record_limit(const fleet::backend_server& called,
-                                        const response_metadata& metadata) {
+                                        const response_metadata& metadata, time_point sent_after) {
   if (!metadata.m_request_id || metadata.m_misdirected) {
     return;
   }
@@ -218,7 +218,8 @@
     return; // it may not come from the server itself
   }
   const auto limit = stated ? stated->m_requests_per_s : std::nullopt;
-  log_limit_change(m_dispatcher.record_limit(called, limit, monotonic_now()), called.m_id, limit, "answer");
+  log_limit_change(m_dispatcher.record_limit(called, limit, sent_after, monotonic_now()), called.m_id, limit,
+                   "answer");
 }
 
 void admission_controller::record_peer_limits(std::string_view daemon,
--- a/packages/gateway/src/request_processor.cpp
+++ b/packages/gateway/src/request_processor.cpp
@@ -242,7 +242,8 @@
     m_handler.m_admission.dispatcher().record_events(ticket, events, took);
     m_handler.m_admission.part_crashes().record_answer(m_request.m_shared_parts, monotonic_now());
   };
-  options.m_on_response_metadata = [this, &grant](const response_metadata& metadata) {
+  options.m_on_response_metadata = [this, &grant,
+                                    created_at = monotonic_now()](const response_metadata& metadata) {
     const time_point now = monotonic_now();
     auto& dispatcher = m_handler.m_admission.dispatcher();
     if (metadata.m_load) {
@@ -255,7 +256,7 @@
     if (metadata.m_cold_remaining) {
       dispatcher.extend_cold_period(grant.m_server.m_id, *metadata.m_cold_remaining, now);
     }
-    m_handler.m_admission.record_limit(grant.m_server, metadata);
+    m_handler.m_admission.record_limit(grant.m_server, metadata, created_at);
   };
   options.m_on_server_notices = [this, &grant](const response_metadata& metadata) {
     m_handler.m_admission.record_notices(grant.m_server, metadata);
