Forget a limit that no daemon was told for 30 s

What operators would have seen: a server that gets nothing from a daemon, and from those that start later in other zones, although its limit ended long ago. Cause: the end is reported for 30 s. A daemon that missed it and sends the server nothing, since others rank higher, never learns of it, and repeats the limit to other zones without a bound on its age. Change: a limit lapses 30 s after its last statement to any daemon; one in demand is stated every few seconds.

--- a/packages/fleet/src/server_notices.cpp
+++ b/packages/fleet/src/server_notices.cpp
@@ -16,6 +16,10 @@
 // Reports round the limits. A smaller difference is no change.
 constexpr double min_relative_change = 0.01;
 
+// Time after which a limit is forgotten that no daemon was told again. A limited server that is in demand is
+// sent a request every few seconds.
+constexpr duration limit_lifetime = seconds(30);
+
 bool is_same(std::optional<double> a, std::optional<double> b) {
   return a.has_value() == b.has_value() &&
          (!a || std::abs(*a - *b) <= min_relative_change * std::max(*a, *b));
@@ -130,6 +134,18 @@
   }
 }
 
+void server_notices::expire_limits(time_point now) {
+  for (auto& [id, by_start] : m_records) {
+    for (auto& [started, notice] : by_start) {
+      server_limit& limit = notice.m_limit;
+      if (limit.m_requests_per_s && now - *limit.m_stated > limit_lifetime) {
+        limit.m_requests_per_s.reset();
+        limit.m_interval.reset();
+      }
+    }
+  }
+}
+
 void server_notices::update_listed(std::span<const backend_server> servers, time_point now) {
   if (m_records.empty()) {
     return;
--- a/packages/fleet/src/server_notices.hpp
+++ b/packages/fleet/src/server_notices.hpp
@@ -72,6 +72,9 @@
   limit_change record_limit(const backend_server& server, std::optional<double> requests_per_s,
                             time_point stated, std::optional<time_point> sent_after);
 
+  // Forgets limits that no daemon was told for some time, so that one whose end was missed does not stay.
+  void expire_limits(time_point now);
+
   // Sets the time between two requests of this daemon to a limited server; nothing: it sends none. The first
   // one may follow after `phase` (0 to 1) of the interval.
   void set_interval(const backend_server& server, std::optional<duration> interval, double phase,
--- a/packages/fleet/src/stated_limits.cpp
+++ b/packages/fleet/src/stated_limits.cpp
@@ -181,6 +181,7 @@
   if (!tables.m_notices.has_limits()) {
     return;
   }
+  tables.m_notices.expire_limits(now);
   const auto peers = find_live_peers(tables);
   for (const auto& [service, lists] : tables.m_lists) {
     if (std::none_of(lists.m_all.begin(), lists.m_all.end(),
--- a/packages/fleet/tests/stated_limits_test.cpp
+++ b/packages/fleet/tests/stated_limits_test.cpp
@@ -248,6 +248,42 @@
   LONGS_EQUAL(2, count_results(daemon.submit(2), "s1"));
 }
 
+// Guards against a limit that stays for ever at a daemon that did not hear of its end, because it was cut off
+// or stopped at that time, and that sends the server nothing itself, because other daemons rank higher.
+TEST(stated_limits, a_daemon_that_missed_the_end_of_a_limit_learns_of_it) {
+  daemon_fixture daemon;
+  daemon.set_member_count(8);
+  std::vector<backend_server> servers;
+  std::vector<limit_statement> stated;
+  for (int i = 0; i < 12; ++i) {
+    servers.push_back(make_server("s" + std::to_string(i)));
+    stated.push_back({server_id_hash(servers.back().m_id), 0, 1, {}});
+  }
+  daemon.set_servers(servers);
+  auto& dispatcher = daemon.m_dispatcher;
+  const service_demand demand{service_hash("chat"), 12};
+  const auto hear_peers = [&](std::span<const limit_statement> statements) {
+    for (int i = 1; i < 8; ++i) {
+      const std::string name = "d" + std::to_string(i);
+      dispatcher.set_peer_loads(name, {}, daemon.m_now);
+      dispatcher.set_peer_limits(name, statements, {&demand, 1}, daemon.m_now);
+    }
+  };
+  hear_peers(stated);
+  // The limits end, but no report of that arrives. The reports after that contain no statements.
+  for (int s = 0; s < 600; ++s) {
+    daemon.m_now += seconds(1);
+    hear_peers({});
+    for (const auto& [id, result] : daemon.submit(20)) {
+      if (result != "refused") { // the answers show that the limit ended
+        dispatcher.record_limit(make_server(result), std::nullopt, daemon.m_now, daemon.m_now);
+        dispatcher.finish(id, server_outcome::answered, daemon.m_now);
+      }
+    }
+  }
+  UNSIGNED_LONGS_EQUAL(0, dispatcher.count_limits().m_servers);
+}
+
 // Guards against a daemon that ends a limit for all others because it reads an answer late that a server gave
 // before it stated the limit: the answer was held up by a stop of the daemon, or by its network.
 TEST(stated_limits, an_answer_from_before_the_statement_does_not_end_the_limit) {
@@ -262,3 +298,25 @@
   daemon.m_now += milliseconds(1'500);
   CHECK_TRUE(dispatcher.record_limit(server, std::nullopt, sent, daemon.m_now) == limit_change::none);
 }
+
+// Guards against limits that stay for ever at a daemon that was stopped when they ended, and that it passes
+// on to daemons of other zones that start later.
+TEST(stated_limits, limits_that_ended_while_a_daemon_was_stopped_end_there_and_at_new_daemons) {
+  limit_simulation simulation(60, 18, 12);
+  simulation.m_rates.assign(60, 3.0);
+  simulation.run(seconds(15));
+  auto stopped = std::move(simulation.m_daemons[0]);
+  simulation.start(0); // stands for the stopped daemon and gets no requests
+  simulation.m_rates[0] = 0;
+  simulation.m_limits.clear();
+  simulation.run(seconds(45));
+  simulation.m_events.clear();
+  simulation.m_daemons[0] = std::move(stopped);
+  simulation.m_rates[0] = 3;
+  simulation.run(seconds(60));
+  simulation.start(1); // in another zone
+  simulation.run(seconds(30));
+  for (const auto& each : simulation.m_daemons) {
+    UNSIGNED_LONGS_EQUAL(0, each->m_dispatcher.count_limits().m_servers);
+  }
+}
