Keep a limit when the list shows late that its process had started

What servers would have seen: more than their limit at once, seconds after they had started again under the same id. Cause: until the list shows the start, what the new process states is recorded for the old one, and forgotten with it. Change: a limit that was stated in the last 5 s is carried over to a new process of the same id; its next answer tells whether it holds.

--- a/packages/fleet/src/server_notices.cpp
+++ b/packages/fleet/src/server_notices.cpp
@@ -20,6 +20,10 @@
 // sent a request every few seconds.
 constexpr duration limit_lifetime = seconds(30);
 
+// The list of servers shows the start of a process this much later. A limit that was stated since then may be
+// that of the new process; its next answer tells.
+constexpr duration list_delay = seconds(5);
+
 bool is_same(std::optional<double> a, std::optional<double> b) {
   return a.has_value() == b.has_value() &&
          (!a || std::abs(*a - *b) <= min_relative_change * std::max(*a, *b));
@@ -146,6 +150,18 @@
   }
 }
 
+const server_notice* server_notices::find_recent_limit(std::string_view id, time_point now) const {
+  const auto by_start = m_records.find(id);
+  if (by_start == m_records.end()) {
+    return nullptr;
+  }
+  const auto found = std::find_if(by_start->second.begin(), by_start->second.end(), [&](const auto& each) {
+    const server_limit& limit = each.second.m_limit;
+    return limit.m_requests_per_s && now - *limit.m_stated <= list_delay;
+  });
+  return found == by_start->second.end() ? nullptr : &found->second;
+}
+
 void server_notices::update_listed(std::span<const backend_server> servers, time_point now) {
   if (m_records.empty()) {
     return;
@@ -158,6 +174,10 @@
   for (const auto& server : servers) {
     if (find(server) != nullptr) {
       find_or_add(server).m_missing_since.reset();
+    } else if (const server_notice* earlier = find_recent_limit(server.m_id, now); earlier != nullptr) {
+      server_notice& notice = find_or_add(server);
+      notice.m_limit = earlier->m_limit;
+      notice.m_next_request = earlier->m_next_request;
     }
   }
   for (auto& [id, by_start] : m_records) {
--- a/packages/fleet/src/server_notices.hpp
+++ b/packages/fleet/src/server_notices.hpp
@@ -99,6 +99,9 @@
 private:
   server_notice& find_or_add(const backend_server& server);
 
+  // Returns what a process with that id stated if it stated a limit not long ago; null if there is none.
+  const server_notice* find_recent_limit(std::string_view id, time_point now) const;
+
   std::map<std::string, std::map<std::int64_t, server_notice>, std::less<>> m_records; // by id and start time
   time_point m_last_pause_end;                                                         // of all servers
   bool m_has_limits = false;
--- a/packages/fleet/tests/stated_limits_test.cpp
+++ b/packages/fleet/tests/stated_limits_test.cpp
@@ -299,6 +299,24 @@
   CHECK_TRUE(dispatcher.record_limit(server, std::nullopt, sent, daemon.m_now) == limit_change::none);
 }
 
+// Guards against a limit that is forgotten when the list of servers shows, seconds late, that the server had
+// started again under its id before it stated the limit.
+TEST(stated_limits, a_limit_holds_when_the_list_shows_the_start_of_its_process_late) {
+  daemon_fixture daemon;
+  backend_server server = make_server("s1", "a", 32);
+  server.m_started_unix_ms = 1'000;
+  daemon.set_servers({server});
+  auto& dispatcher = daemon.m_dispatcher;
+  for (int s = 0; s < 6; ++s) { // the process started at 2'000 and answers requests since
+    dispatcher.record_limit(server, 1, daemon.m_now, daemon.m_now);
+    daemon.submit(1);
+    daemon.m_now += seconds(1);
+  }
+  server.m_started_unix_ms = 2'000;
+  daemon.set_servers({server});
+  CHECK_TRUE(count_results(daemon.submit(32), "s1") <= 11);
+}
+
 // Guards against limits that stay for ever at a daemon that was stopped when they ended, and that it passes
 // on to daemons of other zones that start later.
 TEST(stated_limits, limits_that_ended_while_a_daemon_was_stopped_end_there_and_at_new_daemons) {
