Count the demand of a request once while its server is silent

What callers would have seen: places of limited servers that go unused, because a daemon with silent calls states a higher demand than it has. Cause: each attempt to find a replacement for a silent call, ten a second, counted as a new request for the service. Change: such attempts are marked as resubmitted. No test of its own.

--- a/packages/gateway/src/request_processor.cpp
+++ b/packages/gateway/src/request_processor.cpp
@@ -202,7 +202,7 @@
   }
   submission.m_age = m_request_age;
   submission.m_account_hash = m_account.empty() ? 0 : fleet::account_quotas::account_hash(m_account);
-  submission.m_resubmitted = m_dispatches > 0;
+  submission.m_resubmitted = m_dispatches > 0 || m_current_call != nullptr;
   submission.m_excluded_servers = m_tried_servers;
   submission.m_may_have_run = m_may_have_run;
   return submission;
