--- a/packages/fleet/src/limit_sharers.hpp
+++ b/packages/fleet/src/limit_sharers.hpp
@@ -11,7 +11,8 @@
 
 namespace cardamompond::fleet {
 
-// The live daemons that have requests for one service, ordered by what they are for the servers of each zone.
+// The live daemons that have requests for one service. For the servers of each zone, those of the same zone
+// and of zones without servers come first.
 class limit_sharers {
 public:
   // `server_zones` are those with servers in service; `live_share` is the part of the registered daemons that
--- a/packages/fleet/src/server_notices.hpp
+++ b/packages/fleet/src/server_notices.hpp
@@ -29,8 +29,8 @@
   bool m_leaving = false;
   time_point m_leaving_since;
   time_point m_paused_until;
-  time_point
-      m_next_request; // not before m_paused_until; without meaning after m_return_end and without limit
+  // Not before m_paused_until; without meaning after m_return_end unless the server states a limit.
+  time_point m_next_request;
   time_point m_return_end;
   server_limit m_limit;
   std::optional<time_point> m_missing_since; // first list without the server; none: the last list has it
@@ -49,11 +49,11 @@
   }
 };
 
-// What backend servers stated about themselves in their answers to this daemon, and about their limits in
-// those to its peers. A statement holds for one
-// process, identified by the id and the start time of the server. It does not depend on the list of servers,
-// so it stays in force if the list still shows the server as ready, or loses and regains it. The statements
-// of a server are forgotten some time after it was last listed.
+// What backend servers stated about themselves in their answers to this daemon, and about their limits also
+// in those to its peers. A statement holds for one process, identified by the id and the start time of the
+// server. It does not depend on the list of servers, so it stays in force if the list still shows the server
+// as ready, or loses and regains it. The statements of a server are forgotten some time after it was last
+// listed.
 class server_notices {
 public:
   // Records that the server leaves. Returns false if that was known.
--- a/packages/net/include/cardamompond/net/http_client.hpp
+++ b/packages/net/include/cardamompond/net/http_client.hpp
@@ -30,8 +30,8 @@
   bool m_states_request_ids = false;      // the server stated the id of a request in its response
   bool m_has_unidentified = false;        // a response carried no request id
   bool m_has_unidentified_signed = false; // such a response carried the server's signature
-  std::vector<std::uint64_t>
-      m_unsuccessful_requests; // hashes of the ids of requests that were refused or failed
+  // Hashes of the ids of the requests that were refused or failed.
+  std::vector<std::uint64_t> m_unsuccessful_requests;
 };
 
 // A request in progress. It has exclusive use of its connection until it is destroyed.
@@ -141,9 +141,9 @@
   std::uint64_t connections_opened() const;
 
   // Sends a request and reads the whole response. A body longer than `max_body_bytes` is an error. With
-  // `fresh`, the request goes over a connection of its own, on which no late copy of another response can
-  // arrive, nor one of its response before that to a later request. Otherwise it may use an idle connection
-  // and leave it to others.
+  // `fresh`, the request goes over a new connection, which is closed afterwards, so that no late copy of a
+  // response can be taken for that to another request. Otherwise the connection may be one that was idle, and
+  // is kept for others.
   enum class connection_choice { any, fresh };
   call_result<http_response> fetch(std::string_view address, const http_request& request,
                                    milliseconds timeout, std::size_t max_body_bytes = 4U << 20U,
