--- a/review/standins-2/standins.hpp
+++ b/review/standins-2/standins.hpp
@@ -9,6 +9,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -595,6 +596,7 @@
     const int log_fd = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
     m_pid = ::fork();
     if (m_pid == 0) {
+      ::prctl(PR_SET_PDEATHSIG, SIGKILL); // no daemon outlives the case, however it ends
       ::dup2(log_fd, 1);
       ::dup2(log_fd, 2);
       ::execl("target/bin/cardamompondd", "target/bin/cardamompondd", "--settings", file.c_str(),
