--- a/review/standins-2/prompt_parts.hpp
+++ b/review/standins-2/prompt_parts.hpp
@@ -12,11 +12,14 @@
   int m_run_ms = 30'000;
   // Returns how many requests with the deadly part are sent at that moment, in steps of 100 ms.
   std::function<int(int step)> m_deadly_requests;
+  // Moments, in ms after the begin of traffic, at which all daemons are killed.
+  std::vector<int> m_kills;
 };
 
 constexpr int parts_engine_count = 9;
 constexpr int parts_daemon_count = 2;
 constexpr int contact_ms = 3'000;
+constexpr int restart_ms = 1'500;
 constexpr std::size_t fifth = 5;
 constexpr std::size_t allowed = 3;
 
@@ -43,7 +46,8 @@
 
   std::mutex mutex;
   std::vector<clock::time_point> crashes;
-  std::vector<clock::time_point> deadly_arrivals;
+  std::map<std::string, clock::time_point> deadly_sent; // by the id of the request
+  std::vector<clock::time_point> deadly_arrivals;       // when those that reached an engine were sent
   const auto serve = [&](engine& self, int fd, const message& request) {
     const std::string id = request.header("X-Cardamompond-Request-Id");
     if (request.header("X-Cardamompond-Prefix-Hash").find("dead0001") == std::string::npos) {
@@ -52,7 +56,9 @@
     }
     {
       const std::lock_guard lock(mutex);
-      deadly_arrivals.push_back(clock::now());
+      if (const auto sent = deadly_sent.find(id); sent != deadly_sent.end()) {
+        deadly_arrivals.push_back(sent->second);
+      }
     }
     out.line("%s reaches engine %s", id.c_str(), self.id().c_str());
     sleep_ms(40);
@@ -119,6 +125,10 @@
   const auto send = [&](int number, bool deadly) {
     std::thread([&, number, deadly] {
       const auto& to = daemons[static_cast<std::size_t>(number % parts_daemon_count)]->settings();
+      if (deadly) {
+        const std::lock_guard lock(mutex);
+        deadly_sent["deadly-" + std::to_string(number)] = clock::now();
+      }
       const answer got = ask(to.m_ip, to.m_port, make_parts_request(number, deadly), 13'000);
       if (deadly || !got.m_complete || got.m_status != 200) {
         out.line("%s-%d: status %d, %d events, %s", deadly ? "deadly" : "sound", number, got.m_status,
@@ -133,15 +143,34 @@
       }
     }).detach();
   };
+  // Spans in which the machines are out of touch: from a kill until contact_ms after the start.
+  std::vector<std::pair<clock::time_point, clock::time_point>> out_of_touch;
   out.line("traffic begins: 10 sound streams a second%s",
            has_trouble() ? ", and requests with the deadly part" : "");
   const auto begin = clock::now();
   int deadly_number = 0;
+  clock::time_point restart_at = clock::time_point::max(); // max: no daemon is down
   for (int step = 0; step < plan.m_run_ms / 100; ++step) {
     send(step, false);
     for (int i = has_trouble() ? plan.m_deadly_requests(step) : 0; i > 0; --i) {
       send(deadly_number++, true);
     }
+    if (std::find(plan.m_kills.begin(), plan.m_kills.end(), step * 100) != plan.m_kills.end()) {
+      out.line("all daemons are killed");
+      for (auto& each : daemons) {
+        each->kill(SIGKILL);
+      }
+      const auto start = clock::now() + milliseconds(restart_ms);
+      out_of_touch.emplace_back(clock::now(), start + milliseconds(contact_ms));
+      restart_at = start;
+    }
+    if (clock::now() >= restart_at) {
+      restart_at = clock::time_point::max();
+      for (auto& each : daemons) {
+        each->start();
+      }
+      out.line("all daemons start again");
+    }
     std::this_thread::sleep_until(begin + milliseconds(100 * (step + 1)));
   }
   sleep_ms(4'000);
@@ -151,8 +180,12 @@
   if (crashes.size() >= fifth) {
     std::sort(crashes.begin(), crashes.end());
     const auto from = crashes[fifth - 1] + milliseconds(contact_ms);
-    late = static_cast<std::size_t>(std::count_if(deadly_arrivals.begin(), deadly_arrivals.end(),
-                                                  [&](auto each) { return each > from; }));
+    late = static_cast<std::size_t>(
+        std::count_if(deadly_arrivals.begin(), deadly_arrivals.end(), [&](auto each) {
+          return each > from && std::none_of(out_of_touch.begin(), out_of_touch.end(), [&](const auto& span) {
+                   return each >= span.first && each <= span.second;
+                 });
+        }));
   }
   const bool is_broken = late > allowed;
   out.line("sound streams: %d, whole %d, refused %d, broken off or failed %d", sound.load(), whole.load(),
