--- a/review/6/case_2.cpp
+++ b/review/6/case_2.cpp
@@ -14,7 +14,7 @@
 constexpr int spell_ms = 5'000; // of trouble
 constexpr int pause_ms = 1'000; // between two spells
 constexpr int run_ms = 90'000;
-constexpr double spoiled_share = 0.05; // of the answers of one engine
+constexpr int spoiled_every = 20; // answers of one engine
 constexpr std::size_t body_bytes = 800;
 
 // The whole body of an engine's answer to a request.
@@ -42,6 +42,7 @@
   std::mutex mutex;
   std::mt19937 random(std::random_device{}());
   int spoiled = 0;
+  int answers_in_spells = 0; // of that engine
   const auto serve = [&](engine& self, int fd, const message& request) {
     const std::string id = request.header("X-Cardamompond-Request-Id");
     const std::string server = self.id();
@@ -55,7 +56,7 @@
       work_ms = std::uniform_int_distribution<int>(20, 60)(random);
       const auto at = std::chrono::duration_cast<milliseconds>(clock::now() - begin).count();
       const bool in_spell = has_trouble() && *traffic_begins && at % (spell_ms + pause_ms) < spell_ms;
-      if (in_spell && server.rfind("i-0", 0) == 0 && std::bernoulli_distribution(spoiled_share)(random)) {
+      if (in_spell && server.rfind("i-0", 0) == 0 && ++answers_in_spells % spoiled_every == 0) {
         stall_ms = std::uniform_int_distribution<int>(560, 700)(random);
         ++spoiled;
       }
