Log the release of a replacement

What callers saw: nothing changes for them.

Cause of the gap: a replacement that is offered the request of a silent server and then not needed was released without a line, so that "the reset was taken for the end while a replacement was offered" could not be told from "the reset was never seen" and "two answers were mixed".

Change: `replacement_released` with the request's id, the server released and how the silent call ended.

--- a/packages/gateway/src/request_processor.cpp
+++ b/packages/gateway/src/request_processor.cpp
@@ -1,6 +1,7 @@
 #include "request_processor.hpp"
 
 #include "cardamompond/core/hash.hpp"
+#include "cardamompond/telemetry/log.hpp"
 
 #include <algorithm>
 #include <random>
@@ -362,6 +363,17 @@
   return false;
 }
 
+// Ends the call to the server that should take over, since the silent one has answered after all or the
+// caller has gone.
+void request_handler::request_processor::release_replacement(call_outcome outcome) {
+  const auto released = std::exchange(m_replacement, nullptr);
+  log_event(log_level::info, "replacement_released",
+            {{"request_id", m_request.m_id},
+             {"backend_server", released->m_grant.m_server.m_id},
+             {"end", to_string(outcome)}});
+  m_handler.m_admission.dispatcher().release(released->m_grant.m_ticket);
+}
+
 std::optional<request_error> request_handler::request_processor::serve() {
   auto& admission = m_handler.m_admission;
   while (true) {
@@ -399,7 +411,7 @@
       continue; // the replacement may have the request already
     }
     if (m_replacement) {
-      admission.dispatcher().release(std::exchange(m_replacement, nullptr)->m_grant.m_ticket);
+      release_replacement(outcome);
     }
     if (answered) {
       return std::nullopt;
--- a/packages/gateway/src/request_processor.hpp
+++ b/packages/gateway/src/request_processor.hpp
@@ -78,6 +78,7 @@
   bool handle_silence(const fleet::dispatch_grant& grant);
   bool prepare_replacement();
   bool offer_to_replacement(attempt& next);
+  void release_replacement(call_outcome outcome);
   void handle_refusal(const admission_result& decision);
   bool may_retry(call_outcome outcome, const backend_call& call);
   void record_prompt_outcome(const fleet::dispatch_grant& grant, call_outcome outcome,
