A look at whether a connection has ended leaves its error to the next read

The engine had sent an answer without a length, fallen silent and reset the connection while another server was offered the request.

Cause: input_ended() peeked with recv(MSG_PEEK). The kernel reports the error of a connection once; the peek took it, and the next read saw an orderly end, which is the end of an answer without a length.

The test a_reset_that_was_noticed_before_the_read_cuts_the_response_off failed on, and so did an_unframed_answer_that_is_reset_while_another_server_takes_over_is_not_complete ("expected whole, but was id: 1").

Change: fiber_stream::input_ended() asks poll() and the number of unread bytes. It replaces the three peeks of the tree: calls to servers, idle connections, callers' connections. The forwarder of a cell and the clients of stores share the client.

--- a/packages/net/include/cardamompond/net/http_client.hpp
+++ b/packages/net/include/cardamompond/net/http_client.hpp
@@ -87,7 +87,8 @@
   // Whether the server has sent more bytes or has closed the connection since the last read.
   virtual bool has_input() = 0;
 
-  // Whether the server has closed the connection and everything that it sent has been read.
+  // Whether the server has closed or reset the connection and everything that it sent has been read. Only the
+  // next read tells whether the response is complete.
   virtual bool input_ended() = 0;
 
   // Returns whether the response has neither a length nor chunks, so that it ends with its connection. Valid
--- a/packages/net/src/fiber_stream.cpp
+++ b/packages/net/src/fiber_stream.cpp
@@ -88,6 +88,14 @@
   return ::poll(&descriptor, 1, 0) > 0;
 }
 
+bool fiber_stream::input_ended() {
+  if (!m_socket.is_open()) {
+    return true;
+  }
+  error_code error;
+  return readable() && (m_socket.available(error) == 0 || error);
+}
+
 void fiber_stream::on_timer() {
   if (m_wait == nullptr || m_wait->completed()) {
     return; // the next call that blocks arms the timer again
--- a/packages/net/src/fiber_stream.hpp
+++ b/packages/net/src/fiber_stream.hpp
@@ -52,6 +52,10 @@
   // Whether a read would return at once, with data or with an error.
   bool readable() { return is_ready(readiness::input); }
 
+  // Whether the connection has ended and all that the peer sent has been read. Leaves a pending error of the
+  // socket to the next read, since the kernel reports it only once.
+  bool input_ended();
+
   // Waits until data arrives and reads what is available, at least one byte.
   std::size_t read_some(boost::asio::mutable_buffer buffer, boost::system::error_code& error);
 
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -17,8 +17,6 @@
 #include <tuple>
 #include <utility>
 
-#include <sys/socket.h>
-
 namespace cardamompond::net {
 namespace {
 
@@ -113,13 +111,6 @@
   std::size_t m_bytes_left = 0;
 };
 
-// Returns whether the server has closed an idle connection or sent data without a request.
-bool closed_or_has_unexpected_data(fiber_stream::socket_type& socket) {
-  char byte = 0;
-  const auto received = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return received >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
-}
-
 std::string serialise_request(const http_request& request, std::string_view address) {
   std::string head;
   head.reserve(256);
@@ -177,7 +168,7 @@
     const duration age = now - connection.m_idle_since;
     if (age < connection.m_max_idle_time && age < options.m_max_idle_time &&
         connection.m_opened_at >= options.m_opened_after &&
-        !closed_or_has_unexpected_data(connection.m_stream->socket())) {
+        !connection.m_stream->readable()) { // neither closed by the server nor with data without a request
       return connection;
     }
   }
@@ -365,11 +356,7 @@
 
   bool has_input() override { return m_stream->readable(); }
 
-  bool input_ended() override {
-    char byte = 0;
-    const auto received = ::recv(m_stream->socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
-  }
+  bool input_ended() override { return m_stream->input_ended(); }
 
   void abort() override {
     m_reusable = false;
--- a/packages/net/src/http_request_reader.cpp
+++ b/packages/net/src/http_request_reader.cpp
@@ -5,8 +5,6 @@
 #include <algorithm>
 #include <array>
 
-#include <sys/socket.h>
-
 namespace cardamompond::net {
 namespace {
 
@@ -315,12 +313,7 @@
 }
 
 bool http_server::impl::connection::client_closed() {
-  if (!m_stream.socket().is_open()) {
-    return true;
-  }
-  char byte = 0;
-  const auto received = ::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+  return m_stream.input_ended();
 }
 
 } // namespace cardamompond::net
