Servers that crash together with an unanswered part lead to a test of it

Cause: part_crash_register counted crashes within 150 ms as one, as the work of a common cause, also for a part that nobody had answered. For such a part a rack that fails and requests that come together look the same.

Change: each server of a group is kept. Three or more together count as two crashes unless a daemon had an answer with the part in the minute before (recent_answers). Such a part is tested at once by one request at a time; another crash refuses it, an answer clears it. Retries after the loss of a rack go on as before.

--- a/packages/fleet/include/cardamompond/fleet/part_crash_register.hpp
+++ b/packages/fleet/include/cardamompond/fleet/part_crash_register.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cardamompond/core/time.hpp"
+#include "cardamompond/fleet/recent_answers.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -30,10 +31,12 @@
 // ends all requests on the server, so it is evidence against every part of those that it had not begun to
 // answer. An answer to a request with a part is evidence against all earlier suspicions of that part.
 //
-// A part is refused after several crashes without an answer. Crashes within a short time count as one,
-// because a common cause, such as the loss of a zone, ends requests on many servers at once. Crashes that a
-// refused part explains do not count against the other parts of the requests on those servers. Of two parts
-// with the same crashes the later one in the prompts is refused, because fewer requests share it.
+// A part is refused after several crashes without an answer. Crashes within a short time count as one if the
+// part was answered lately, because a common cause, such as the loss of a zone, ends requests on many servers
+// at once. If it was not, several servers that crash together may be the work of the part: they count as two,
+// and one request at a time finds out. Crashes that a refused or tested part explains do not count against
+// the other parts of the requests on those servers. Of two parts with the same crashes the later one in the
+// prompts is refused, because fewer requests share it.
 class part_crash_register {
 public:
   // Whether requests with a part may be sent to backend servers.
@@ -52,7 +55,7 @@
   void record_answer(std::span<const std::uint64_t> parts, time_point now);
 
   // Records that this daemon sends a request to test a part. Until a crash or an answer follows, or until the
-  // interval between two tests has passed, judge() returns `refused` for this part.
+  // time for a test has passed, judge() returns `refused` for this part.
   void record_test(std::uint64_t part, time_point now);
 
   // Adds the evidence that another daemon reports.
@@ -101,12 +104,23 @@
     verdict m_verdict = verdict::allowed;
   };
 
+  // The crashes that count against a part.
+  struct tally {
+    std::size_t m_count = 0;
+    bool m_several_servers = false;
+    std::optional<time_point> m_together_at; // when servers crashed together that count as two
+    std::optional<time_point> m_enough_at;   // when the count reached the number that refuses the part
+  };
+
   static bool add_crash(record& to, const crash& added);
+  static tally count_crashes(const record& of, std::span<const time_point> explained);
+  static bool is_being_tested(const record& of, time_point now);
   static bool add_answer(record& to, time_point answered_at);
   record* find_or_add(std::uint64_t part, time_point now);
   void remove_expired(time_point now);
 
   std::unordered_map<std::uint64_t, record> m_records;
+  recent_answers m_recent_answers;
 };
 
 // Returns the verdict as it appears in logs, e.g. "refused".
--- a/packages/fleet/src/part_crash_register.cpp
+++ b/packages/fleet/src/part_crash_register.cpp
@@ -17,12 +17,21 @@
 // once, have ages that make one crash look like several.
 constexpr duration min_restart_time = seconds(3);
 
-// Crashes within this time count as one.
+// Crashes within this time happened together.
 constexpr duration common_cause_time = milliseconds(150);
 
+// Crashes together that ended requests with a part on this many servers count as two, unless the part was
+// answered within `answer_memory` before.
+constexpr std::size_t min_servers_together = 3;
+constexpr duration answer_memory = seconds(60);
+
 // How long a part is refused after its last crash. Then it is tested, at most once in this time.
 constexpr duration refusal_time = seconds(60);
 
+// How long a request that tests a part after crashes together may take to begin its answer before another one
+// is sent.
+constexpr duration short_test_time = seconds(10);
+
 // Evidence is dropped after this time. It covers several tests.
 constexpr duration retention = seconds(600);
 
@@ -30,7 +39,9 @@
 constexpr duration spreading_time = seconds(5);
 
 // Limits of the memory use. The newest crashes of a part and the most recently changed parts are kept.
+// Servers that crash together leave room for crashes before and after.
 constexpr std::size_t max_crashes_per_part = 8;
+constexpr std::size_t max_crashes_together = 5;
 constexpr std::size_t max_records = 2048;
 
 duration difference(time_point a, time_point b) {
@@ -53,11 +64,15 @@
 
 bool part_crash_register::add_crash(record& to, const crash& added) {
   auto& crashes = to.m_crashes;
-  const bool known = std::any_of(crashes.begin(), crashes.end(), [&](const crash& each) {
+  std::size_t together = 0;
+  for (const auto& each : crashes) {
     const duration apart = difference(each.m_at, added.m_at);
-    return apart <= common_cause_time || (each.m_server == added.m_server && apart <= min_restart_time);
-  });
-  if (known || (to.m_answered_at && added.m_at <= *to.m_answered_at)) {
+    if (each.m_server == added.m_server && apart <= min_restart_time) {
+      return false;
+    }
+    together += apart <= common_cause_time ? 1 : 0;
+  }
+  if (together >= max_crashes_together || (to.m_answered_at && added.m_at <= *to.m_answered_at)) {
     return false;
   }
   const auto position =
@@ -91,6 +106,7 @@
     return &found->second;
   }
   found->second.m_changed = now;
+  found->second.m_answered_at = m_recent_answers.find(part);
   if (m_records.size() <= max_records) {
     return &found->second;
   }
@@ -116,6 +132,7 @@
 }
 
 void part_crash_register::record_answer(std::span<const std::uint64_t> parts, time_point now) {
+  m_recent_answers.record(parts, now);
   if (m_records.empty()) {
     return;
   }
@@ -172,6 +189,42 @@
   });
 }
 
+// Counts the crashes that no part judged before explains. The crashes of a record are in the order of time.
+part_crash_register::tally part_crash_register::count_crashes(const record& of,
+                                                              std::span<const time_point> explained) {
+  tally counted;
+  const crash* first = nullptr; // of all
+  const crash* start = nullptr; // of those that happened together
+  std::size_t together = 0;
+  for (const auto& each : of.m_crashes) {
+    if (std::any_of(explained.begin(), explained.end(),
+                    [&](time_point at) { return difference(at, each.m_at) <= common_cause_time; })) {
+      continue;
+    }
+    first = first == nullptr ? &each : first;
+    counted.m_several_servers = counted.m_several_servers || each.m_server != first->m_server;
+    if (start == nullptr || each.m_at - start->m_at > common_cause_time) {
+      start = &each;
+      together = 0;
+    }
+    const bool answered_before = of.m_answered_at && start->m_at - *of.m_answered_at < answer_memory;
+    ++together;
+    const bool counts_twice = together == min_servers_together && !answered_before;
+    if (counts_twice && !counted.m_together_at) {
+      counted.m_together_at = each.m_at;
+    }
+    if ((together == 1 || counts_twice) && ++counted.m_count == min_crashes) {
+      counted.m_enough_at = each.m_at;
+    }
+  }
+  return counted;
+}
+
+bool part_crash_register::is_being_tested(const record& of, time_point now) {
+  const bool refused_before = count_crashes(of, {}).m_count >= min_crashes;
+  return of.m_tested_at && now - *of.m_tested_at < (refused_before ? refusal_time : short_test_time);
+}
+
 std::vector<part_crash_register::verdict_change> part_crash_register::update(time_point now) {
   remove_expired(now);
   std::vector<std::pair<std::uint64_t, record*>> suspects;
@@ -196,31 +249,22 @@
   });
   std::vector<time_point> explained;
   for (auto& [part, suspect] : suspects) {
-    std::size_t crashes = 0;
-    bool several_servers = false;
-    const crash* first = nullptr;
-    time_point confirmed_from{};
-    for (const auto& each : suspect->m_crashes) {
-      if (std::any_of(explained.begin(), explained.end(),
-                      [&](time_point at) { return difference(at, each.m_at) <= common_cause_time; })) {
-        continue;
-      }
-      first = first == nullptr ? &each : first;
-      several_servers = several_servers || each.m_server != first->m_server;
-      if (++crashes == min_crashes) {
-        confirmed_from = each.m_at + confirmation_time;
-      }
-    }
-    if (crashes < min_crashes || !several_servers || now < confirmed_from) {
-      apply(part, *suspect, verdict::allowed, crashes);
+    const tally counted = count_crashes(*suspect, explained);
+    const auto confirmed = [&](const std::optional<time_point>& at) {
+      return at && now >= *at + confirmation_time;
+    };
+    const bool together = confirmed(counted.m_together_at);
+    const bool enough = counted.m_enough_at && (together || confirmed(counted.m_enough_at));
+    if (!counted.m_several_servers || (!together && !enough)) {
+      apply(part, *suspect, verdict::allowed, counted.m_count);
       continue;
     }
     for (const auto& each : suspect->m_crashes) {
       explained.push_back(each.m_at);
     }
     const bool recent_crash = now - suspect->m_crashes.back().m_at < refusal_time;
-    const bool tested = suspect->m_tested_at && now - *suspect->m_tested_at < refusal_time;
-    apply(part, *suspect, recent_crash || tested ? verdict::refused : verdict::test_only, crashes);
+    const bool refused = (enough && recent_crash) || is_being_tested(*suspect, now);
+    apply(part, *suspect, refused ? verdict::refused : verdict::test_only, counted.m_count);
   }
   return changes;
 }
@@ -236,11 +280,10 @@
     if (found == m_records.end()) {
       continue;
     }
-    const auto& tested_at = found->second.m_tested_at;
-    const bool being_tested = tested_at && now - *tested_at < refusal_time;
-    const verdict current = found->second.m_verdict == verdict::test_only && being_tested
-                                ? verdict::refused
-                                : found->second.m_verdict;
+    const verdict current =
+        found->second.m_verdict == verdict::test_only && is_being_tested(found->second, now)
+            ? verdict::refused
+            : found->second.m_verdict;
     if (current > strictest.m_verdict) {
       strictest = {current, part};
     }
@@ -251,10 +294,13 @@
 bool part_crash_register::is_suspected(std::span<const std::uint64_t> parts) const {
   return std::any_of(parts.begin(), parts.end(), [&](std::uint64_t part) {
     const auto found = m_records.find(part);
-    return found != m_records.end() && found->second.m_crashes.size() + 1 >= min_crashes &&
-           std::any_of(
-               found->second.m_crashes.begin(), found->second.m_crashes.end(),
-               [&](const crash& each) { return each.m_server != found->second.m_crashes.front().m_server; });
+    if (found == m_records.end()) {
+      return false;
+    }
+    const auto counted = count_crashes(found->second, {});
+    // Servers that crashed together count once here, so that requests survive the loss of a zone.
+    const std::size_t crashes = counted.m_count - (counted.m_together_at ? 1 : 0);
+    return crashes + 1 >= min_crashes && counted.m_several_servers;
   });
 }
 
