A crash counts against a part however many events of the answers had come

Cause: a crash was evidence only before the first event, to spare the streams that another request's crash cuts off. And eight events of an answer cleared the part, so that one which crashes servers later would have cleared itself each time.

Change: a crash counts against all parts of the requests on the server, with the events of the longest answer that it cut off. A whole answer disproves all earlier crashes, one that goes on those that cut off answers shorter by eight events, since a part that crashes servers at some place never gets beyond it. Of two parts with the same crashes the one cut off earlier is refused. Crashes together count as two only if they cut the answers off at the same place. Crashes that a refused part explains no longer keep other requests from being sent again; a stream is not continued once its part is refused. The reports carry the events; the new fields are ignored by older daemons, and missing ones read as 0.

--- a/packages/fleet/include/cardamompond/fleet/part_crash_register.hpp
+++ b/packages/fleet/include/cardamompond/fleet/part_crash_register.hpp
@@ -16,6 +16,13 @@
 struct part_crash {
   std::uint32_t m_server = 0; // server_id_hash of its id
   milliseconds m_age{0};
+  std::uint32_t m_events = 0; // of the longest answer to a request with the part that the crash cut off
+};
+
+// An answer that goes on.
+struct answer_progress {
+  std::uint32_t m_events = 0;
+  milliseconds m_age{0};
 };
 
 // What a daemon knows of one prompt part, for the other daemons. Ages count from the time of the report.
@@ -23,20 +30,23 @@
   std::uint64_t m_part = 0;
   std::uint32_t m_position = 0; // in the prompts, from 0
   std::vector<part_crash> m_crashes;
-  std::optional<milliseconds>
-      m_answer_age; // age of the last answer to a request with this part; none: no answer
+  // Age of the last whole answer to a request with this part; none: no answer.
+  std::optional<milliseconds> m_answer_age;
+  std::optional<answer_progress> m_progress; // of the answer that went furthest; none: no answer goes on
 };
 
 // Detects parts of prompts that crash each backend server that begins to answer a request with them. A crash
-// ends all requests on the server, so it is evidence against every part of those that it had not begun to
-// answer. An answer to a request with a part is evidence against all earlier suspicions of that part.
+// ends all requests on the server, so it is evidence against every part of those, however much of their
+// answers had come. A whole answer to a request with a part disproves all earlier crashes, and an answer that
+// goes on those that cut off clearly shorter ones: a part that crashes servers in the middle of its answers
+// never gets beyond that point.
 //
 // A part is refused after several crashes without an answer. Crashes within a short time count as one if the
 // part was answered lately, because a common cause, such as the loss of a zone, ends requests on many servers
 // at once. If it was not, several servers that crash together may be the work of the part: they count as two,
 // and one request at a time finds out. Crashes that a refused or tested part explains do not count against
-// the other parts of the requests on those servers. Of two parts with the same crashes the later one in the
-// prompts is refused, because fewer requests share it.
+// the other parts of the requests on those servers. Of two parts with the same crashes the one whose answers
+// were cut off earlier is refused, then the later one in the prompts, because fewer requests share it.
 class part_crash_register {
 public:
   // Whether requests with a part may be sent to backend servers.
@@ -48,12 +58,16 @@
   };
 
   // Records that `server` ended the connection of a request with these parts, in the order of the prompt,
-  // before it began to answer.
-  void record_crash(std::span<const std::uint64_t> parts, std::uint32_t server, time_point now);
+  // when `events` of its answer had come.
+  void record_crash(std::span<const std::uint64_t> parts, std::uint32_t server, std::uint64_t events,
+                    time_point now);
 
-  // Records that a server answered a request with these parts, or a part of the answer.
+  // Records that a server sent the whole answer to a request with these parts.
   void record_answer(std::span<const std::uint64_t> parts, time_point now);
 
+  // Records that an answer to a request with these parts goes on, and how many events of it have come.
+  void record_progress(std::span<const std::uint64_t> parts, std::uint64_t events, time_point now);
+
   // Records that this daemon sends a request to test a part. Until a crash or an answer follows, or until the
   // time for a test has passed, judge() returns `refused` for this part.
   void record_test(std::uint64_t part, time_point now);
@@ -92,12 +106,19 @@
   struct crash {
     std::uint32_t m_server = 0;
     time_point m_at;
+    std::uint32_t m_events = 0;
+  };
+
+  struct progress {
+    std::uint32_t m_events = 0;
+    time_point m_at;
   };
 
   struct record {
     std::uint32_t m_position = 0;
     std::vector<crash> m_crashes; // after the last answer, in the order of time
     std::optional<time_point> m_answered_at;
+    std::optional<progress> m_progress;
     std::size_t m_cleared_crashes = 0; // crashes that the last answer disproved
     time_point m_changed;
     std::optional<time_point> m_tested_at;
@@ -116,11 +137,16 @@
   static tally count_crashes(const record& of, std::span<const time_point> explained);
   static bool is_being_tested(const record& of, time_point now);
   static bool add_answer(record& to, time_point answered_at);
+  static bool is_disproved_by(const progress& answer, const crash& each);
+  static bool add_progress(record& to, const progress& added);
+  template <typename Predicate> static bool clear_crashes(record& of, const Predicate& is_disproved);
+  static std::uint32_t most_events(const record& of);
   record* find_or_add(std::uint64_t part, time_point now);
   void remove_expired(time_point now);
 
   std::unordered_map<std::uint64_t, record> m_records;
   recent_answers m_recent_answers;
+  std::vector<time_point> m_explained; // crashes of the parts that are refused or tested
 };
 
 // Returns the verdict as it appears in logs, e.g. "refused".
--- a/packages/fleet/src/part_crash_register.cpp
+++ b/packages/fleet/src/part_crash_register.cpp
@@ -1,6 +1,7 @@
 #include "cardamompond/fleet/part_crash_register.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <tuple>
 
 namespace cardamompond::fleet {
@@ -21,7 +22,7 @@
 constexpr duration common_cause_time = milliseconds(150);
 
 // Crashes together that ended requests with a part on this many servers count as two, unless the part was
-// answered within `answer_memory` before.
+// answered within `answer_memory` before or the answers were cut off at different places.
 constexpr std::size_t min_servers_together = 3;
 constexpr duration answer_memory = seconds(60);
 
@@ -35,6 +36,9 @@
 // Evidence is dropped after this time. It covers several tests.
 constexpr duration retention = seconds(600);
 
+// An answer that goes on disproves a crash that cut off one with this many events fewer.
+constexpr std::uint32_t min_events_beyond = 8;
+
 // A suspicion counts as recent for this long, so that it spreads although some reports get lost.
 constexpr duration spreading_time = seconds(5);
 
@@ -44,6 +48,11 @@
 constexpr std::size_t max_crashes_together = 5;
 constexpr std::size_t max_records = 2048;
 
+std::uint32_t to_event_count(std::uint64_t events) {
+  return static_cast<std::uint32_t>(
+      std::min<std::uint64_t>(events, std::numeric_limits<std::uint32_t>::max()));
+}
+
 duration difference(time_point a, time_point b) {
   return a > b ? a - b : b - a;
 }
@@ -65,14 +74,18 @@
 bool part_crash_register::add_crash(record& to, const crash& added) {
   auto& crashes = to.m_crashes;
   std::size_t together = 0;
-  for (const auto& each : crashes) {
+  for (auto& each : crashes) {
     const duration apart = difference(each.m_at, added.m_at);
     if (each.m_server == added.m_server && apart <= min_restart_time) {
-      return false;
+      const bool is_longer = added.m_events > each.m_events;
+      each.m_events = std::max(each.m_events, added.m_events);
+      return is_longer;
     }
     together += apart <= common_cause_time ? 1 : 0;
   }
-  if (together >= max_crashes_together || (to.m_answered_at && added.m_at <= *to.m_answered_at)) {
+  const bool disproved = (to.m_answered_at && added.m_at <= *to.m_answered_at) ||
+                         (to.m_progress && is_disproved_by(*to.m_progress, added));
+  if (together >= max_crashes_together || disproved) {
     return false;
   }
   const auto position =
@@ -87,17 +100,46 @@
   return true;
 }
 
+bool part_crash_register::is_disproved_by(const progress& answer, const crash& each) {
+  return each.m_at <= answer.m_at && answer.m_events >= min_events_beyond &&
+         each.m_events <= answer.m_events - min_events_beyond;
+}
+
+// Returns whether there were such crashes.
+template <typename Predicate>
+bool part_crash_register::clear_crashes(record& of, const Predicate& is_disproved) {
+  const auto cleared = std::erase_if(of.m_crashes, is_disproved);
+  if (cleared > 0) {
+    of.m_cleared_crashes = cleared;
+  }
+  return cleared > 0;
+}
+
 bool part_crash_register::add_answer(record& to, time_point answered_at) {
   if (to.m_answered_at && *to.m_answered_at >= answered_at) {
     return false;
   }
   to.m_answered_at = answered_at;
-  const auto cleared =
-      std::erase_if(to.m_crashes, [&](const crash& each) { return each.m_at <= answered_at; });
-  if (cleared > 0) {
-    to.m_cleared_crashes = cleared;
+  return clear_crashes(to, [&](const crash& each) { return each.m_at <= answered_at; });
+}
+
+bool part_crash_register::add_progress(record& to, const progress& added) {
+  // A shorter answer takes the place of a longer one once the longer one has been told.
+  if (auto& known = to.m_progress;
+      !known || (added.m_at > known->m_at &&
+                 (added.m_events >= known->m_events || added.m_at - known->m_at > spreading_time))) {
+    known = added;
   }
-  return cleared > 0;
+  return clear_crashes(to, [&](const crash& each) { return is_disproved_by(added, each); });
+}
+
+// Returns the length of the longest answer that a crash cut off.
+std::uint32_t part_crash_register::most_events(const record& of) {
+  std::uint32_t most = 0;
+  for (const auto& each : of.m_crashes) {
+    most = std::max(most, each.m_events);
+  }
+  return most;
 }
 
 part_crash_register::record* part_crash_register::find_or_add(std::uint64_t part, time_point now) {
@@ -120,10 +162,10 @@
 }
 
 void part_crash_register::record_crash(std::span<const std::uint64_t> parts, std::uint32_t server,
-                                       time_point now) {
+                                       std::uint64_t events, time_point now) {
   for (std::size_t i = 0; i < parts.size(); ++i) {
     record* found = find_or_add(parts[i], now);
-    if (found != nullptr && add_crash(*found, {server, now})) {
+    if (found != nullptr && add_crash(*found, {server, now, to_event_count(events)})) {
       found->m_position = std::max(found->m_position, static_cast<std::uint32_t>(i));
       found->m_changed = now;
       found->m_tested_at.reset();
@@ -146,6 +188,20 @@
   }
 }
 
+void part_crash_register::record_progress(std::span<const std::uint64_t> parts, std::uint64_t events,
+                                          time_point now) {
+  if (m_records.empty()) {
+    return;
+  }
+  for (const auto part : parts) {
+    const auto found = m_records.find(part);
+    if (found != m_records.end() && add_progress(found->second, {to_event_count(events), now})) {
+      found->second.m_changed = now;
+      found->second.m_tested_at.reset();
+    }
+  }
+}
+
 void part_crash_register::record_test(std::uint64_t part, time_point now) {
   if (const auto found = m_records.find(part); found != m_records.end()) {
     found->second.m_tested_at = now;
@@ -168,9 +224,13 @@
   if (suspicion.m_answer_age && *suspicion.m_answer_age < retention) {
     changed = add_answer(*found, now - std::max(*suspicion.m_answer_age, milliseconds(0)));
   }
+  if (suspicion.m_progress && suspicion.m_progress->m_age < retention) {
+    const duration age = std::max(suspicion.m_progress->m_age, milliseconds(0));
+    changed = add_progress(*found, {suspicion.m_progress->m_events, now - age}) || changed;
+  }
   for (const auto& each : suspicion.m_crashes) {
     if (each.m_age >= milliseconds(0) && each.m_age < retention) {
-      changed = add_crash(*found, {each.m_server, now - each.m_age}) || changed;
+      changed = add_crash(*found, {each.m_server, now - each.m_age, each.m_events}) || changed;
     }
   }
   if (changed) {
@@ -196,6 +256,8 @@
   const crash* first = nullptr; // of all
   const crash* start = nullptr; // of those that happened together
   std::size_t together = 0;
+  std::uint32_t fewest_events = 0; // of those that happened together
+  std::uint32_t most_events = 0;
   for (const auto& each : of.m_crashes) {
     if (std::any_of(explained.begin(), explained.end(),
                     [&](time_point at) { return difference(at, each.m_at) <= common_cause_time; })) {
@@ -206,10 +268,14 @@
     if (start == nullptr || each.m_at - start->m_at > common_cause_time) {
       start = &each;
       together = 0;
+      fewest_events = most_events = each.m_events;
     }
-    const bool answered_before = of.m_answered_at && start->m_at - *of.m_answered_at < answer_memory;
     ++together;
-    const bool counts_twice = together == min_servers_together && !answered_before;
+    fewest_events = std::min(fewest_events, each.m_events);
+    most_events = std::max(most_events, each.m_events);
+    const bool answered_before = of.m_answered_at && start->m_at - *of.m_answered_at < answer_memory;
+    const bool counts_twice = together == min_servers_together && !answered_before &&
+                              most_events - fewest_events < min_events_beyond;
     if (counts_twice && !counted.m_together_at) {
       counted.m_together_at = each.m_at;
     }
@@ -244,12 +310,12 @@
   }
   // The part with most crashes explains most of them, so it is judged first.
   std::sort(suspects.begin(), suspects.end(), [](const auto& a, const auto& b) {
-    return std::tuple(b.second->m_crashes.size(), b.second->m_position, b.first) <
-           std::tuple(a.second->m_crashes.size(), a.second->m_position, a.first);
+    return std::tuple(b.second->m_crashes.size(), most_events(*a.second), b.second->m_position, b.first) <
+           std::tuple(a.second->m_crashes.size(), most_events(*b.second), a.second->m_position, a.first);
   });
-  std::vector<time_point> explained;
+  m_explained.clear();
   for (auto& [part, suspect] : suspects) {
-    const tally counted = count_crashes(*suspect, explained);
+    const tally counted = count_crashes(*suspect, m_explained);
     const auto confirmed = [&](const std::optional<time_point>& at) {
       return at && now >= *at + confirmation_time;
     };
@@ -260,7 +326,7 @@
       continue;
     }
     for (const auto& each : suspect->m_crashes) {
-      explained.push_back(each.m_at);
+      m_explained.push_back(each.m_at);
     }
     const bool recent_crash = now - suspect->m_crashes.back().m_at < refusal_time;
     const bool refused = (enough && recent_crash) || is_being_tested(*suspect, now);
@@ -297,7 +363,11 @@
     if (found == m_records.end()) {
       return false;
     }
-    const auto counted = count_crashes(found->second, {});
+    if (found->second.m_verdict == verdict::refused) {
+      return true;
+    }
+    const auto counted = count_crashes(
+        found->second, found->second.m_verdict == verdict::allowed ? m_explained : std::vector<time_point>());
     // Servers that crashed together count once here, so that requests survive the loss of a zone.
     const std::size_t crashes = counted.m_count - (counted.m_together_at ? 1 : 0);
     return crashes + 1 >= min_crashes && counted.m_several_servers;
@@ -324,13 +394,16 @@
   std::vector<part_suspicion> found;
   for (std::size_t i = 0; i < count; ++i) {
     const auto& [part, from] = *candidates[i];
-    part_suspicion suspicion{part, from.m_position, {}, std::nullopt};
+    part_suspicion suspicion{part, from.m_position, {}, std::nullopt, std::nullopt};
     for (const auto& each : from.m_crashes) {
-      suspicion.m_crashes.push_back({each.m_server, age(each.m_at)});
+      suspicion.m_crashes.push_back({each.m_server, age(each.m_at), each.m_events});
     }
     if (from.m_answered_at) {
       suspicion.m_answer_age = age(*from.m_answered_at);
     }
+    if (from.m_progress) {
+      suspicion.m_progress = {from.m_progress->m_events, age(from.m_progress->m_at)};
+    }
     found.push_back(std::move(suspicion));
   }
   return found;
--- a/packages/fleet/tests/part_crash_register_test.cpp
+++ b/packages/fleet/tests/part_crash_register_test.cpp
@@ -24,11 +24,15 @@
   std::uint32_t m_next_server = 1;
 
   static void crash(part_crash_register & at, std::initializer_list<std::uint64_t> parts,
-                    std::uint32_t server, time_point now) {
-    at.record_crash({parts.begin(), parts.size()}, server, now);
+                    std::uint32_t server, time_point now, std::uint64_t events = 0) {
+    at.record_crash({parts.begin(), parts.size()}, server, events, now);
   }
-  void crash(std::initializer_list<std::uint64_t> parts) {
-    crash(m_register, parts, m_next_server++, m_now);
+  // `events` of the answer had come before the crash.
+  void crash(std::initializer_list<std::uint64_t> parts, std::uint64_t events = 0) {
+    crash(m_register, parts, m_next_server++, m_now, events);
+  }
+  void progress(std::initializer_list<std::uint64_t> parts, std::uint64_t events) {
+    m_register.record_progress({parts.begin(), parts.size()}, events, m_now);
   }
   void answer(std::initializer_list<std::uint64_t> parts) {
     m_register.record_answer({parts.begin(), parts.size()}, m_now);
@@ -266,8 +270,9 @@
   }
   CHECK(judge(deadly_part) == verdict::allowed);
   part_crash_register late;
-  late.merge({deadly_part, 0, {{1, seconds(700)}, {2, seconds(650)}, {3, seconds(601)}}, std::nullopt},
-             m_now);
+  late.merge(
+      {deadly_part, 0, {{1, seconds(700)}, {2, seconds(650)}, {3, seconds(601)}}, std::nullopt, std::nullopt},
+      m_now);
   CHECK(late.recent(8, true, m_now).empty());
 }
 
@@ -299,12 +304,12 @@
     for (std::uint32_t i = 0; i < 2; ++i) {
       crashes.push_back({i, milliseconds(1'000 * i)});
     }
-    m_register.merge({part, 0, crashes, std::nullopt}, m_now);
+    m_register.merge({part, 0, crashes, std::nullopt, std::nullopt}, m_now);
   }
   CHECK(judge(deadly_part) == verdict::refused);
   UNSIGNED_LONGS_EQUAL(2048, m_register.recent(10'000, true, m_now).size());
   std::vector<part_crash> many(100'000, {1, milliseconds(5)});
-  m_register.merge({deadly_part, 0, many, std::nullopt}, m_now);
+  m_register.merge({deadly_part, 0, many, std::nullopt, std::nullopt}, m_now);
   const auto reported = m_register.recent(1, true, m_now);
   CHECK(reported.front().m_crashes.size() <= 8);
 }
@@ -312,13 +317,104 @@
 // Guards against one crash that counts several times, because a daemon that stood still reads its reports
 // late and takes the ages in them for those of different crashes.
 TEST(part_crash_register, late_reports_of_one_crash_count_once) {
-  m_register.record_crash(std::array{deadly_part}, 7, m_now);
+  m_register.record_crash(std::array{deadly_part}, 7, 0, m_now);
   m_now += milliseconds(500);
-  m_register.record_crash(std::array{deadly_part}, 8, m_now);
+  m_register.record_crash(std::array{deadly_part}, 8, 0, m_now);
   m_now += seconds(3);
   for (int age_ms = 0; age_ms < 700; age_ms += 100) {
-    m_register.merge({deadly_part, 0, {{8, milliseconds(age_ms)}}, std::nullopt}, m_now);
+    m_register.merge({deadly_part, 0, {{8, milliseconds(age_ms)}}, std::nullopt, std::nullopt}, m_now);
   }
   m_now += seconds(1);
   CHECK(judge(deadly_part) == verdict::allowed);
 }
+
+// Guards against a part that crashes one server after the other in the middle of its answers, while events of
+// each answer count as a sign that the part is sound.
+TEST(part_crash_register, crashes_count_however_many_events_had_come) {
+  for (const std::uint64_t events_before : {1, 3, 20, 300}) {
+    part_crash_register fresh;
+    for (std::uint32_t server = 1; server <= 3; ++server) {
+      for (std::uint64_t events = 8; events <= events_before; events += 8) {
+        fresh.record_progress(std::array{system_part, deadly_part}, events, m_now);
+        m_now += milliseconds(20);
+      }
+      crash(fresh, {system_part, deadly_part}, server, m_now, events_before);
+      m_now += milliseconds(200);
+      fresh.record_answer(std::array{system_part}, m_now);
+      m_now += seconds(1);
+    }
+    CHECK(judge(fresh, deadly_part, m_now) == verdict::refused);
+    CHECK(judge(fresh, system_part, m_now) == verdict::allowed);
+  }
+}
+
+// Guards against sound parts of long streams that are refused while engines end one after the other, before
+// any of the streams is whole.
+TEST(part_crash_register, an_answer_that_goes_beyond_those_cut_off_clears_the_part) {
+  for (const std::uint64_t events_before : {25, 50, 75}) {
+    crash({document_part}, events_before);
+    m_now += seconds(1);
+    progress({document_part}, events_before + 7);
+    CHECK(m_register.recent(1, true, m_now).front().m_crashes.size() == 1);
+    progress({document_part}, events_before + 8);
+    CHECK(judge(document_part) == verdict::allowed);
+  }
+  CHECK(m_register.recent(1, true, m_now).front().m_crashes.empty());
+}
+
+// Guards against an answer that goes on at one daemon and is not known to the others, which then refuse the
+// part.
+TEST(part_crash_register, progress_at_another_daemon_clears_the_part) {
+  part_crash_register other;
+  for (const std::uint64_t events_before : {25, 2, 40}) {
+    crash({document_part}, events_before);
+    m_now += milliseconds(400);
+  }
+  const auto exchange = [&](part_crash_register& from, part_crash_register& to) {
+    for (const auto& each : from.recent(8, false, m_now)) {
+      to.merge(each, m_now);
+    }
+  };
+  exchange(m_register, other);
+  m_now += seconds(1);
+  CHECK(judge(other, document_part, m_now) == verdict::refused);
+  progress({document_part}, 50);
+  exchange(m_register, other);
+  CHECK(judge(other, document_part, m_now) == verdict::allowed);
+  // Late reports of the crashes change nothing.
+  exchange(other, m_register);
+  CHECK(judge(document_part) == verdict::allowed);
+}
+
+// Guards against a new part that is held back because a rack fails that runs its first streams. A part that
+// crashes servers does so at the same place of each answer.
+TEST(part_crash_register, streams_of_different_lengths_that_a_rack_cuts_off_count_once) {
+  for (const std::uint64_t events_before : {4, 90, 33}) {
+    crash({document_part}, events_before);
+    m_now += milliseconds(10);
+  }
+  m_now += seconds(1);
+  CHECK(judge(document_part) == verdict::allowed);
+  for (int i = 0; i < 3; ++i) {
+    crash({deadly_part}, 3);
+    m_now += milliseconds(10);
+  }
+  m_now += seconds(1);
+  CHECK(judge(deadly_part) == verdict::test_only);
+}
+
+// Guards against the refusal of a sound part whose streams were on each of the servers that a deadly part
+// crashed, at the same place of the prompts.
+TEST(part_crash_register, of_two_parts_the_one_whose_answers_were_cut_off_earlier_is_refused) {
+  for (const std::uint64_t deadly_id : {std::uint64_t(0), std::uint64_t(1'000)}) {
+    part_crash_register fresh;
+    for (std::uint32_t server = 1; server <= 3; ++server) {
+      crash(fresh, {system_part, document_part}, server, m_now, 30 * server);
+      crash(fresh, {system_part, deadly_id}, server, m_now, 1);
+      m_now += seconds(1);
+    }
+    CHECK(judge(fresh, deadly_id, m_now) == verdict::refused);
+    CHECK(judge(fresh, document_part, m_now) == verdict::allowed);
+    CHECK_FALSE(fresh.is_suspected(std::array{document_part}));
+  }
+}
--- a/packages/gateway/include/cardamompond/gateway/backend_call.hpp
+++ b/packages/gateway/include/cardamompond/gateway/backend_call.hpp
@@ -100,6 +100,9 @@
   // Unlike the mean, it hardly depends on the prompts that the server processed in between.
   duration median_event_gap() const;
 
+  // Returns the number of events that this call relayed. Those of earlier calls of the stream are left out.
+  std::uint64_t events_relayed() const { return m_events_relayed; }
+
   // Returns the time that prepare() took: the connection and the reservation.
   duration reservation_time() const { return m_reservation_time; }
 
@@ -141,6 +144,7 @@
 
   net::http_client& m_client;
   const request_protocol& m_protocol;
+  std::uint64_t m_events_relayed = 0;
   std::uint64_t m_events_reported = 0; // value of stream_relay::m_events_relayed at the last report
   time_point m_progress_reported_at;
   time_point m_last_part_at;          // time_point{}: no part was relayed
--- a/packages/gateway/schema/exchange.capnp
+++ b/packages/gateway/schema/exchange.capnp
@@ -68,6 +68,7 @@
 struct PartCrash {
   server @0 :UInt32;      # fleet::server_id_hash of the server's id
   ageMs @1 :UInt32;       # time since the crash
+  events @2 :UInt32;      # events of an answer with the part that had come before the crash
 }
 
 # A prompt part under suspicion of crashing backend servers, or one that an answer cleared.
@@ -77,6 +78,8 @@
   answered @2 :Bool;      # a request with this part was answered
   answerAgeMs @3 :UInt32; # time since the last answer
   position @4 :UInt32;    # of the part in the prompts, from 0
+  progressEvents @5 :UInt32; # events of an answer with this part that goes on; 0: none
+  progressAgeMs @6 :UInt32;  # time since the last of them
 }
 
 # A report that a daemon passes on.
--- a/packages/gateway/src/backend_call.cpp
+++ b/packages/gateway/src/backend_call.cpp
@@ -316,6 +316,7 @@
   relay.m_last_event = now;
   const std::size_t event_count = relay.m_splitter.event_count();
   relay.m_events_relayed += event_count;
+  m_events_relayed += event_count;
   record_event_gap(event_count);
   if (!relay.m_head_sent) {
     relay.m_head_sent = true;
--- a/packages/gateway/src/exchange.capnp.h
+++ b/packages/gateway/src/exchange.capnp.h
@@ -141,7 +141,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8bd76548a75f14c9, 1, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(8bd76548a75f14c9, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -156,7 +156,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b10fb6925e1f412b, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(b10fb6925e1f412b, 4, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -978,6 +978,8 @@
 
   inline  ::uint32_t getAgeMs() const;
 
+  inline  ::uint32_t getEvents() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1012,6 +1014,9 @@
   inline  ::uint32_t getAgeMs();
   inline void setAgeMs( ::uint32_t value);
 
+  inline  ::uint32_t getEvents();
+  inline void setEvents( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1066,6 +1071,10 @@
 
   inline  ::uint32_t getPosition() const;
 
+  inline  ::uint32_t getProgressEvents() const;
+
+  inline  ::uint32_t getProgressAgeMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1113,6 +1122,12 @@
   inline  ::uint32_t getPosition();
   inline void setPosition( ::uint32_t value);
 
+  inline  ::uint32_t getProgressEvents();
+  inline void setProgressEvents( ::uint32_t value);
+
+  inline  ::uint32_t getProgressAgeMs();
+  inline void setProgressAgeMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2951,6 +2966,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t PartCrash::Reader::getEvents() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PartCrash::Builder::getEvents() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PartCrash::Builder::setEvents( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t PartSuspicion::Reader::getPart() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3041,6 +3070,34 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t PartSuspicion::Reader::getProgressEvents() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PartSuspicion::Builder::getProgressEvents() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void PartSuspicion::Builder::setProgressEvents( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PartSuspicion::Reader::getProgressAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PartSuspicion::Builder::getProgressAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void PartSuspicion::Builder::setProgressAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t RelayedReport::Reader::getAgeMs() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/packages/gateway/src/peer_report.cpp
+++ b/packages/gateway/src/peer_report.cpp
@@ -119,24 +119,32 @@
     for (unsigned j = 0; j < crashes.size(); ++j) {
       crashes[j].setServer(from[i].m_crashes[j].m_server);
       crashes[j].setAgeMs(to_wire_ms(from[i].m_crashes[j].m_age));
+      crashes[j].setEvents(from[i].m_crashes[j].m_events);
     }
     if (from[i].m_answer_age) {
       list[i].setAnswered(true);
       list[i].setAnswerAgeMs(to_wire_ms(*from[i].m_answer_age));
     }
+    if (from[i].m_progress) {
+      list[i].setProgressEvents(from[i].m_progress->m_events);
+      list[i].setProgressAgeMs(to_wire_ms(from[i].m_progress->m_age));
+    }
   }
 }
 
 std::vector<fleet::part_suspicion> read_part_suspicions(wire::Report::Reader from) {
   std::vector<fleet::part_suspicion> suspicions;
   for (const auto& each : from.getParts()) {
-    fleet::part_suspicion suspicion{each.getPart(), each.getPosition(), {}, std::nullopt};
+    fleet::part_suspicion suspicion{each.getPart(), each.getPosition(), {}, std::nullopt, std::nullopt};
     for (const auto& crash : each.getCrashes()) {
-      suspicion.m_crashes.push_back({crash.getServer(), milliseconds(crash.getAgeMs())});
+      suspicion.m_crashes.push_back({crash.getServer(), milliseconds(crash.getAgeMs()), crash.getEvents()});
     }
     if (each.getAnswered()) {
       suspicion.m_answer_age = milliseconds(each.getAnswerAgeMs());
     }
+    if (each.getProgressEvents() > 0) {
+      suspicion.m_progress = {each.getProgressEvents(), milliseconds(each.getProgressAgeMs())};
+    }
     suspicions.push_back(std::move(suspicion));
   }
   return suspicions;
--- a/packages/gateway/src/request_outcome.cpp
+++ b/packages/gateway/src/request_outcome.cpp
@@ -50,20 +50,20 @@
 }
 
 // Records what the end of a call says about the parts of the prompt. A server that crashes closes its
-// connections; a call that the daemon ends, or one whose link is lost, says nothing. Requests that the server
-// had begun to answer are not suspected.
+// connections, however much of the answer has come; a call that the daemon ends, or one whose link is lost,
+// says nothing.
 void request_handler::request_processor::record_prompt_outcome(const fleet::dispatch_grant& grant,
-                                                               call_outcome outcome, const backend_call& call,
-                                                               bool has_events) {
+                                                               call_outcome outcome,
+                                                               const backend_call& call) {
   if (m_request.m_shared_parts.empty()) {
     return;
   }
   constexpr int first_non_success_status = 300;
   auto& admission = m_handler.m_admission;
   const time_point now = monotonic_now();
-  if (outcome == call_outcome::broken && !has_events && call.closed_by_server()) {
-    admission.part_crashes().record_crash(m_request.m_shared_parts,
-                                          fleet::server_id_hash(grant.m_server.m_id), now);
+  if (outcome == call_outcome::broken && call.closed_by_server()) {
+    admission.part_crashes().record_crash(
+        m_request.m_shared_parts, fleet::server_id_hash(grant.m_server.m_id), call.events_relayed(), now);
     admission.update_part_verdicts(now);
   } else if (outcome == call_outcome::relayed ||
              (outcome == call_outcome::answered && call.response().m_status < first_non_success_status)) {
--- a/packages/gateway/src/request_processor.cpp
+++ b/packages/gateway/src/request_processor.cpp
@@ -155,7 +155,11 @@
 
 // Refuses the request if a part of its prompt crashes backend servers.
 std::optional<request_error> request_handler::request_processor::refuse_crashing_part() {
-  const auto judgement = m_handler.m_admission.judge_parts(m_request.m_shared_parts, monotonic_now());
+  // A stream that lost its server goes on while its part is only tested.
+  auto& admission = m_handler.m_admission;
+  const auto judgement = m_relay.m_head_sent
+                             ? admission.part_crashes().judge(m_request.m_shared_parts, monotonic_now())
+                             : admission.judge_parts(m_request.m_shared_parts, monotonic_now());
   if (judgement.m_verdict != fleet::part_crash_register::verdict::refused) {
     return std::nullopt;
   }
@@ -241,7 +245,8 @@
   };
   options.m_on_progress = [this, ticket = grant.m_ticket](std::uint64_t events, duration took) {
     m_handler.m_admission.dispatcher().record_events(ticket, events, took);
-    m_handler.m_admission.part_crashes().record_answer(m_request.m_shared_parts, monotonic_now());
+    m_handler.m_admission.part_crashes().record_progress(m_request.m_shared_parts,
+                                                         m_current_call->events_relayed(), monotonic_now());
   };
   options.m_on_response_metadata = [this, &grant,
                                     created_at = monotonic_now()](const response_metadata& metadata) {
@@ -357,7 +362,7 @@
     return true;
   }
   const bool silence_recorded = std::exchange(m_silence_recorded, false);
-  record_prompt_outcome(next.m_grant, *outcome, *next.m_call, false);
+  record_prompt_outcome(next.m_grant, *outcome, *next.m_call);
   record_call_outcome(next.m_grant, *outcome, *next.m_call, offered_at);
   m_silence_recorded = silence_recorded;
   return false;
@@ -389,7 +394,7 @@
       m_queued += monotonic_now() - queued_since;
       if (auto* grant = std::get_if<fleet::dispatch_grant>(&decision)) {
         // The part may have been found to crash servers while the request waited or ran.
-        if (auto refusal = m_relay.m_head_sent ? std::nullopt : refuse_crashing_part()) {
+        if (auto refusal = refuse_crashing_part()) {
           admission.dispatcher().release(grant->m_ticket);
           if (!m_may_have_run && m_quota_units > 0) {
             admission.quotas().refund(m_account, m_quota_units);
@@ -443,11 +448,10 @@
   backend_call& call = *current.m_call;
   m_server_id = grant.m_server.m_id;
   m_current_call = &call;
-  const std::uint64_t events_before = m_relay.m_events_relayed;
   call_outcome outcome = call.run();
   m_current_call = nullptr;
   m_reserving = call.reservation_time();
-  record_prompt_outcome(grant, outcome, call, m_relay.m_events_relayed > events_before);
+  record_prompt_outcome(grant, outcome, call);
   m_last_outcome = outcome;
   const int status = call.response().m_status;
   if (outcome == call_outcome::answered && status_implies_not_run(status)) {
--- a/packages/gateway/src/request_processor.hpp
+++ b/packages/gateway/src/request_processor.hpp
@@ -82,7 +82,7 @@
   void handle_refusal(const admission_result& decision);
   bool may_retry(call_outcome outcome, const backend_call& call);
   void record_prompt_outcome(const fleet::dispatch_grant& grant, call_outcome outcome,
-                             const backend_call& call, bool has_events);
+                             const backend_call& call);
   void record_call_outcome(const fleet::dispatch_grant& grant, call_outcome outcome, const backend_call& call,
                            time_point dispatched_at);
   void log_dispatch_failure(const fleet::dispatch_grant& grant, call_outcome outcome,
--- a/packages/gateway/tests/peer_report_test.cpp
+++ b/packages/gateway/tests/peer_report_test.cpp
@@ -27,8 +27,9 @@
   report.m_outcomes = {{"chat", "v2", "r1", {3, 1, {{513, 7, 255, 2}}}, 6}};
   report.m_rolled_back_orders = {{"chat", 5}};
   report.m_crashes = {{{1, 2}, {3, 4}}};
-  report.m_part_suspicions = {{0xabc, 2, {{5, milliseconds(40)}}, milliseconds(60)},
-                              {0xdef, 0, {}, std::nullopt}};
+  report.m_part_suspicions = {
+      {0xabc, 2, {{5, milliseconds(40), 3}}, milliseconds(60), {{70, milliseconds(80)}}},
+      {0xdef, 0, {}, std::nullopt, std::nullopt}};
   return report;
 }
 
@@ -65,13 +66,17 @@
         make_report().m_outcomes.front().m_outcomes.m_timings);
   UNSIGNED_LONGS_EQUAL(5, read->m_rolled_back_orders.front().second);
   UNSIGNED_LONGS_EQUAL(4, read->m_crashes.front().m_servers.back());
-  const auto& [part, position, crashes, answer_age] = read->m_part_suspicions.front();
+  const auto& [part, position, crashes, answer_age, progress] = read->m_part_suspicions.front();
   UNSIGNED_LONGS_EQUAL(0xabc, part);
   UNSIGNED_LONGS_EQUAL(2, position);
   UNSIGNED_LONGS_EQUAL(5, crashes.front().m_server);
   LONGS_EQUAL(40, crashes.front().m_age.count());
+  UNSIGNED_LONGS_EQUAL(3, crashes.front().m_events);
   LONGS_EQUAL(60, answer_age->count());
+  UNSIGNED_LONGS_EQUAL(70, progress->m_events);
+  LONGS_EQUAL(80, progress->m_age.count());
   CHECK_FALSE(read->m_part_suspicions.back().m_answer_age.has_value());
+  CHECK_FALSE(read->m_part_suspicions.back().m_progress.has_value());
 }
 
 // Guards against work times that a report changes by more than its precision, or that it cannot carry.
@@ -95,9 +100,10 @@
   const auto size_without = encode_report(report).size();
   constexpr std::uint64_t id_step = 0x0123'4567'89ab'cdef;
   for (std::uint64_t part = 1; part <= 8; ++part) {
-    fleet::part_suspicion suspicion{part * id_step, 1, {}, milliseconds(100'000)};
+    fleet::part_suspicion suspicion{
+        part * id_step, 1, {}, milliseconds(100'000), {{900, milliseconds(90'000)}}};
     for (std::uint32_t crash = 1; crash <= 8; ++crash) {
-      suspicion.m_crashes.push_back({0x89ab'cdef + crash, milliseconds(70'000 + crash)});
+      suspicion.m_crashes.push_back({0x89ab'cdef + crash, milliseconds(70'000 + crash), 300 + crash});
     }
     report.m_part_suspicions.push_back(std::move(suspicion));
   }
