A reset that ended a write is not the end of a response

Cause: after a skipped response the client writes the rest of the upload and leaves errors to the next read. The kernel reports a reset once, to the write, and the read saw an orderly end.

Change: fiber_stream keeps the error of a write and reports it in place of the end of the data. Not a broken pipe, which the kernel reports when the server had ended its answer before the reset: a whole answer whose server does not read the rest of the upload stays whole, with a test of its own.

--- a/packages/net/src/fiber_stream.cpp
+++ b/packages/net/src/fiber_stream.cpp
@@ -190,6 +190,9 @@
   std::size_t bytes = 0;
   error = wait_for(
       readiness::input, [&](auto handler) { m_socket.async_read_some(buffer, handler); }, &bytes);
+  if (error == asio::error::eof && m_write_error) {
+    error = m_write_error;
+  }
   return bytes;
 }
 
@@ -304,7 +307,13 @@
         continue;
       }
       if (errno != EAGAIN && errno != EWOULDBLOCK) {
-        return {errno, boost::system::system_category()};
+        const error_code error(errno, boost::system::system_category());
+        // EPIPE does not concern what the peer sent: it had closed its side before the reset, or an earlier
+        // call has reported the reset.
+        if (error != asio::error::broken_pipe) {
+          m_write_error = error;
+        }
+        return error;
       }
       bool readable = false;
       const auto error = m_give_up ? wait_writable_during_silence(stop_when_readable, readable)
--- a/packages/net/src/fiber_stream.hpp
+++ b/packages/net/src/fiber_stream.hpp
@@ -56,7 +56,9 @@
   // socket to the next read, since the kernel reports it only once.
   bool input_ended();
 
-  // Waits until data arrives and reads what is available, at least one byte.
+  // Waits until data arrives and reads what is available, at least one byte. After a write that failed
+  // because the connection was reset or lost, the end of the data is reported as that error and not as end of
+  // file.
   std::size_t read_some(boost::asio::mutable_buffer buffer, boost::system::error_code& error);
 
   template <typename Buffers>
@@ -119,6 +121,7 @@
   const io_wait* m_wait = nullptr; // of the blocked call; null: no call is blocked
   readiness m_awaited = readiness::input;
   int m_completion_checks = 0; // made since the deadline passed while the blocked call can complete
+  boost::system::error_code m_write_error; // of the connection, which the kernel reports only once
   bool m_timed_out = false;
   bool m_keeps_open = false;   // the blocked call ends at its deadline without closing the socket
   bool m_wait_expired = false; // it has ended for that reason
--- a/packages/net/tests/response_end_test.cpp
+++ b/packages/net/tests/response_end_test.cpp
@@ -60,6 +60,9 @@
 
   void close() { m_socket.close(); }
 
+  // Closes the sending side only.
+  void shut_down_sending() { m_socket.shutdown(tcp::socket::shutdown_send); }
+
 private:
   tcp::acceptor m_acceptor;
   tcp::socket m_socket;
@@ -84,6 +87,21 @@
     CHECK(m_call->send({"POST", "/", {}, body}, timeout).has_value());
   }
 
+  // Sends a request whose body the server does not read, and skips a response to an earlier request that
+  // comes meanwhile. Then the server sends half a response and ends the connection.
+  void skip_response_during_upload(const std::function<void()>& end_connection) {
+    fiber_runtime::spawn([this] {
+      m_server.accept();
+      m_server.write("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold");
+    });
+    send(std::string(16U << 20U, 'x')); // exceeds the socket buffers
+    CHECK(m_call->read_head(timeout).has_value());
+    CHECK(m_call->read_some(m_buffer, timeout).has_value());
+    m_server.write(half_response);
+    end_connection();
+    boost::this_fiber::sleep_for(milliseconds(50)); // the end arrives
+  }
+
   void read_half_response() {
     const auto head = m_call->read_head(timeout);
     CHECK(head.has_value());
@@ -139,3 +157,42 @@
   CHECK(m_call->wait_for_input(monotonic_now() + timeout));
   CHECK(m_call->input_ended());
 }
+
+// Guards against a part of a response that passes for complete: the server reset the connection while an
+// upload was written, so that the write got the error and the next read saw an end without one.
+TEST(response_end, a_reset_that_ended_a_write_cuts_the_response_off) {
+  skip_response_during_upload([this] { m_server.reset(); });
+  read_half_response();
+  const auto end = m_call->read_some(m_buffer, timeout);
+  CHECK_FALSE(end.has_value());
+  CHECK(end.error().m_closed_by_server);
+}
+
+// Guards against a whole response that fails because its server, which had ended it in an orderly way, does
+// not read the rest of the upload.
+TEST(response_end, a_reset_after_an_orderly_end_leaves_the_response_complete) {
+  skip_response_during_upload([this] {
+    m_server.shut_down_sending();
+    boost::this_fiber::sleep_for(milliseconds(50));
+    m_server.reset();
+  });
+  read_half_response();
+  const auto end = m_call->read_some(m_buffer, timeout);
+  CHECK(end.has_value());
+  CHECK(end->empty());
+}
+
+// Guards against a part of a response that passes for complete when it comes while the upload is written,
+// with no other response before it.
+TEST(response_end, a_response_that_is_reset_during_the_upload_is_cut_off) {
+  fiber_runtime::spawn([this] {
+    m_server.accept();
+    m_server.write(half_response);
+    boost::this_fiber::sleep_for(milliseconds(50));
+    m_server.reset();
+  });
+  send(std::string(16U << 20U, 'x'));
+  read_half_response();
+  CHECK(m_call->wait_for_input(monotonic_now() + timeout));
+  CHECK_FALSE(m_call->read_some(m_buffer, timeout).has_value());
+}
