A status that does not exist ends the call at once

By reading, a status of 600 to 999 was passed on.

Cause: the client took every status below 200 for an interim response and waited for the final one; none was too high.

Change: 100 to 199 are interim, 200 to 599 final; any other is an error of the call. It sits in the client that engines, backend servers of a cell, stores, peers and duties share.

--- a/packages/net/include/cardamompond/net/http_client.hpp
+++ b/packages/net/include/cardamompond/net/http_client.hpp
@@ -68,7 +68,7 @@
 
   // Reads the status and headers of the response; m_body stays empty. A call after the end of a response
   // reads the head of the next one. Interim (1xx) responses are skipped; together with the head they must not
-  // exceed http_client_options::m_max_header_bytes.
+  // exceed http_client_options::m_max_header_bytes. A status outside 100 to 599 is an error.
   virtual call_result<http_response> read_head(milliseconds timeout) = 0;
 
   // Reads a part of the body. An empty span means that the response is complete; a response that is cut
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -71,6 +71,14 @@
   return {error.message(), sent, error == beast::error::timeout, closed_by_server};
 }
 
+bool is_interim_status(unsigned status) {
+  return status >= 100 && status < 200;
+}
+
+bool is_final_status(unsigned status) {
+  return status >= 200 && status < 600;
+}
+
 call_error make_framing_error() {
   return {"the chunk headers or trailers of the response are too large", true};
 }
@@ -290,8 +298,7 @@
     reader.set_limit(m_max_header_bytes);
     boost::system::error_code error;
     http::read_header(reader, m_buffer, *m_parser, error);
-    constexpr unsigned first_final_status = 200;
-    while (!error && m_parser->get().result_int() < first_final_status) {
+    while (!error && is_interim_status(m_parser->get().result_int())) {
       prepare_parser(); // skips interim (1xx) responses, which carry nothing for the caller
       m_parser->skip(m_is_head_request);
       continue_sending();
@@ -303,8 +310,13 @@
     if (error) {
       return to_call_error(error, true);
     }
+    const unsigned status = m_parser->get().result_int();
+    if (!is_final_status(status)) {
+      return call_error{"the response has the status " + std::to_string(status) + ", which does not exist",
+                        true};
+    }
     http_response response;
-    response.m_status = static_cast<int>(m_parser->get().result_int());
+    response.m_status = static_cast<int>(status);
     for (const auto& field : m_parser->get()) {
       response.m_headers.push_back({std::string(field.name_string()), std::string(field.value())});
     }
