A crash of a server that kept its id refuses the request again

Engines start again under the ids that they had.

Cause: crash_register renewed a refusal only for a server that its record did not hold. Reports named servers without a time, so that other daemons could not tell a new crash from a known one either.

Change: a crash renews the refusal from 3 s after the last one on, whatever the server. Reports state the time since the last crash; late reports of the same crash renew nothing (repeated_reports_do_not_prolong_a_refusal), and reports without the time count as before.

--- a/packages/fleet/include/cardamompond/fleet/crash_register.hpp
+++ b/packages/fleet/include/cardamompond/fleet/crash_register.hpp
@@ -4,6 +4,7 @@
 #include "cardamompond/core/time.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -14,10 +15,13 @@
 struct crash_suspicion {
   hash128 m_content;
   std::vector<std::uint64_t> m_servers; // hashes of their ids
+  // Time since the last crash, counted from the time of the report; none: a daemon that does not state it.
+  std::optional<milliseconds> m_age = std::nullopt;
 };
 
 // Detects request contents that crash the backend servers. A content is refused for some time after the
-// connections to several servers broke without a response while they ran it. A response clears the suspicion.
+// connections to several servers broke without a response while they ran it. After that time it is let
+// through, and another crash refuses it again, whichever server crashed. A response clears the suspicion.
 class crash_register {
 public:
   // Records that the connection to `server` broke without a response while it ran this content.
@@ -38,7 +42,7 @@
 private:
   struct record {
     std::vector<std::uint64_t> m_servers;
-    time_point m_changed;
+    time_point m_changed;       // the last crash or response
     time_point m_cleared_until; // other daemons' reports are ignored until then
   };
 
@@ -46,7 +50,8 @@
     std::size_t operator()(const hash128& content) const { return content.m_low; }
   };
 
-  void add(const hash128& content, std::uint64_t server, time_point now);
+  void add(const hash128& content, std::uint64_t server, std::optional<time_point> crashed_at,
+           time_point now);
   void remove_expired(time_point now);
 
   std::unordered_map<hash128, record, content_hash> m_records;
--- a/packages/fleet/src/crash_register.cpp
+++ b/packages/fleet/src/crash_register.cpp
@@ -12,6 +12,9 @@
 // How long a content stays refused after the last broken connection.
 constexpr duration retention = seconds(60);
 
+// A server that has crashed needs this long to come back. Ages in reports of one crash differ by less.
+constexpr duration min_restart_time = seconds(3);
+
 // How long reports of other daemons about a content are ignored after a response to it, since the reports may
 // be this old.
 constexpr duration clearance_time = seconds(5);
@@ -30,11 +33,17 @@
   }
 }
 
-void crash_register::add(const hash128& content, std::uint64_t server, time_point now) {
+// Without `crashed_at`, a crash of a server that the record holds is the one that is known.
+void crash_register::add(const hash128& content, std::uint64_t server, std::optional<time_point> crashed_at,
+                         time_point now) {
   record& found = m_records[content];
-  if (std::find(found.m_servers.begin(), found.m_servers.end(), server) == found.m_servers.end()) {
+  const bool is_known =
+      std::find(found.m_servers.begin(), found.m_servers.end(), server) != found.m_servers.end();
+  if (!is_known) {
     found.m_servers.push_back(server);
-    found.m_changed = now;
+    found.m_changed = std::max(found.m_changed, crashed_at.value_or(now));
+  } else if (crashed_at && *crashed_at > found.m_changed + min_restart_time) {
+    found.m_changed = *crashed_at; // a server that starts again may keep its id
   }
   if (m_records.size() > max_records) {
     remove_expired(now);
@@ -42,7 +51,7 @@
 }
 
 void crash_register::record_broken_connection(const hash128& content, std::uint64_t server, time_point now) {
-  add(content, server, now);
+  add(content, server, now, now);
 }
 
 void crash_register::record_response(const hash128& content, time_point now) {
@@ -56,8 +65,12 @@
   if (known != m_records.end() && now < known->second.m_cleared_until) {
     return;
   }
+  if (suspicion.m_age && (*suspicion.m_age < milliseconds(0) || *suspicion.m_age > retention)) {
+    return;
+  }
+  const auto crashed_at = suspicion.m_age ? std::optional(now - *suspicion.m_age) : std::nullopt;
   for (const auto server : suspicion.m_servers) {
-    add(suspicion.m_content, server, now);
+    add(suspicion.m_content, server, crashed_at, now);
   }
 }
 
@@ -80,7 +93,9 @@
                     [](const auto& a, const auto& b) { return a->second.m_changed > b->second.m_changed; });
   std::vector<crash_suspicion> found;
   for (std::size_t i = 0; i < count; ++i) {
-    found.push_back({candidates[i]->first, candidates[i]->second.m_servers});
+    const auto& [content, suspected] = *candidates[i];
+    found.push_back(
+        {content, suspected.m_servers, std::chrono::duration_cast<milliseconds>(now - suspected.m_changed)});
   }
   return found;
 }
--- a/packages/fleet/tests/crash_register_test.cpp
+++ b/packages/fleet/tests/crash_register_test.cpp
@@ -51,3 +51,62 @@
   crashes.record_broken_connection(content, 3, start + seconds(1));
   CHECK_FALSE(crashes.is_refused(content, start + seconds(1)));
 }
+
+// Guards against a content that crashes servers again and again once its refusal has run out, because the
+// servers start again under the ids that they had.
+TEST(crash_register, a_crash_of_a_known_server_refuses_the_content_again) {
+  crash_register crashes;
+  for (std::uint64_t server = 1; server <= 3; ++server) {
+    crashes.record_broken_connection(content, server, start);
+  }
+  time_point now = start;
+  for (int i = 0; i < 3; ++i) {
+    now += seconds(61);
+    CHECK_FALSE(crashes.is_refused(content, now));
+    crashes.record_broken_connection(content, 2, now);
+    CHECK(crashes.is_refused(content, now + seconds(59)));
+  }
+}
+
+// Guards against daemons that each let the content through after its refusal, although one of them has seen
+// it crash a server again.
+TEST(crash_register, a_repeated_crash_reaches_other_daemons) {
+  crash_register one;
+  crash_register other;
+  for (std::uint64_t server = 1; server <= 3; ++server) {
+    one.record_broken_connection(content, server, start);
+  }
+  other.merge(one.recent(10, start).front(), start);
+  const time_point later = start + seconds(61);
+  CHECK_FALSE(other.is_refused(content, later));
+  one.record_broken_connection(content, 1, later);
+  const auto reported = one.recent(10, later + seconds(1));
+  UNSIGNED_LONGS_EQUAL(1, reported.size());
+  other.merge(reported.front(), later + seconds(1));
+  CHECK(other.is_refused(content, later + seconds(2)));
+}
+
+// Guards against a refusal that never ends because daemons tell each other of the same crashes, each time a
+// little later or, in an older version, without their age.
+TEST(crash_register, repeated_reports_do_not_prolong_a_refusal) {
+  for (const bool states_age : {true, false}) {
+    crash_register one;
+    crash_register other;
+    for (std::uint64_t server = 1; server <= 3; ++server) {
+      one.record_broken_connection(content, server, start);
+    }
+    time_point now = start;
+    while (now < start + seconds(70)) {
+      for (auto [from, to] : {std::pair(&one, &other), std::pair(&other, &one)}) {
+        for (auto each : from->recent(10, now)) {
+          each.m_age = states_age ? each.m_age : std::nullopt;
+          now += milliseconds(50);
+          to->merge(each, now);
+        }
+      }
+      now += milliseconds(50);
+    }
+    CHECK_FALSE(one.is_refused(content, now));
+    CHECK_FALSE(other.is_refused(content, now));
+  }
+}
--- a/packages/gateway/schema/exchange.capnp
+++ b/packages/gateway/schema/exchange.capnp
@@ -63,6 +63,8 @@
   contentHigh @0 :UInt64;
   contentLow @1 :UInt64;
   servers @2 :List(UInt64);
+  statesAge @3 :Bool;
+  ageMs @4 :UInt32;       # time since the last crash
 }
 
 struct PartCrash {
--- a/packages/gateway/src/exchange.capnp.h
+++ b/packages/gateway/src/exchange.capnp.h
@@ -126,7 +126,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a544bfc4ca3d48f4, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(a544bfc4ca3d48f4, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -889,6 +889,10 @@
   inline bool hasServers() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getServers() const;
 
+  inline bool getStatesAge() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -931,6 +935,12 @@
   inline void adoptServers(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownServers();
 
+  inline bool getStatesAge();
+  inline void setStatesAge(bool value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2938,6 +2948,34 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool CrashSuspicion::Reader::getStatesAge() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool CrashSuspicion::Builder::getStatesAge() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void CrashSuspicion::Builder::setStatesAge(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t CrashSuspicion::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CrashSuspicion::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void CrashSuspicion::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t PartCrash::Reader::getServer() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/packages/gateway/src/peer_report.cpp
+++ b/packages/gateway/src/peer_report.cpp
@@ -59,6 +59,11 @@
   }
 }
 
+std::uint32_t to_wire_ms(milliseconds value) {
+  return static_cast<std::uint32_t>(
+      std::clamp<std::int64_t>(value.count(), 0, std::numeric_limits<std::uint32_t>::max()));
+}
+
 void encode_crashes(const std::vector<fleet::crash_suspicion>& from, wire::Report::Builder to) {
   auto list = to.initCrashes(static_cast<unsigned>(from.size()));
   for (unsigned i = 0; i < list.size(); ++i) {
@@ -68,14 +73,13 @@
     for (unsigned j = 0; j < servers.size(); ++j) {
       servers.set(j, from[i].m_servers[j]);
     }
+    if (from[i].m_age) {
+      list[i].setStatesAge(true);
+      list[i].setAgeMs(to_wire_ms(*from[i].m_age));
+    }
   }
 }
 
-std::uint32_t to_wire_ms(milliseconds value) {
-  return static_cast<std::uint32_t>(
-      std::clamp<std::int64_t>(value.count(), 0, std::numeric_limits<std::uint32_t>::max()));
-}
-
 std::uint8_t to_wire_byte(std::int64_t value) {
   return static_cast<std::uint8_t>(
       std::clamp<std::int64_t>(value, 0, std::numeric_limits<std::uint8_t>::max()));
@@ -263,6 +267,9 @@
     for (const auto server : each.getServers()) {
       suspicion.m_servers.push_back(server);
     }
+    if (each.getStatesAge()) {
+      suspicion.m_age = milliseconds(each.getAgeMs());
+    }
     report.m_crashes.push_back(std::move(suspicion));
   }
   report.m_part_suspicions = read_part_suspicions(from);
