Crashes count together only if they cut answers off at the same place

What callers saw: nothing yet. Since streams that had begun are evidence, too. By reading: a sound part whose few long streams are cut off while engines end one after the other, none of them whole and none going beyond the others, would have been refused for a minute.

Cause: a crash counted wherever it cut an answer off. A part that crashes servers does so at one place of its answers; a crash with another cause cuts them off anywhere.

Evidence: streams_that_crashes_cut_off_at_different_places_are_no_evidence failed on (is_suspected after the third crash).

Change: only crashes that cut answers off less than eight events apart count together; the rule for servers that crash at once follows from it. Parts with an answer are remembered for a minute at least, as answer_memory asks.

--- a/packages/fleet/include/cardamompond/fleet/part_crash_register.hpp
+++ b/packages/fleet/include/cardamompond/fleet/part_crash_register.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cardamompond/core/time.hpp"
+#include "cardamompond/fleet/part_evidence.hpp"
 #include "cardamompond/fleet/recent_answers.hpp"
 
 #include <cstddef>
@@ -36,10 +37,8 @@
 };
 
 // Detects parts of prompts that crash each backend server that begins to answer a request with them. A crash
-// ends all requests on the server, so it is evidence against every part of those, however much of their
-// answers had come. A whole answer to a request with a part disproves all earlier crashes, and an answer that
-// goes on those that cut off clearly shorter ones: a part that crashes servers in the middle of its answers
-// never gets beyond that point.
+// ends all requests on the server, so it is evidence against every part of those; part_evidence tells what
+// disproves it.
 //
 // A part is refused after several crashes without an answer. Crashes within a short time count as one if the
 // part was answered lately, because a common cause, such as the loss of a zone, ends requests on many servers
@@ -103,44 +102,15 @@
   std::vector<verdict_change> update(time_point now);
 
 private:
-  struct crash {
-    std::uint32_t m_server = 0;
-    time_point m_at;
-    std::uint32_t m_events = 0;
-  };
-
-  struct progress {
-    std::uint32_t m_events = 0;
-    time_point m_at;
-  };
-
   struct record {
     std::uint32_t m_position = 0;
-    std::vector<crash> m_crashes; // after the last answer, in the order of time
-    std::optional<time_point> m_answered_at;
-    std::optional<progress> m_progress;
-    std::size_t m_cleared_crashes = 0; // crashes that the last answer disproved
+    part_evidence m_evidence;
     time_point m_changed;
     std::optional<time_point> m_tested_at;
     verdict m_verdict = verdict::allowed;
   };
 
-  // The crashes that count against a part.
-  struct tally {
-    std::size_t m_count = 0;
-    bool m_several_servers = false;
-    std::optional<time_point> m_together_at; // when servers crashed together that count as two
-    std::optional<time_point> m_enough_at;   // when the count reached the number that refuses the part
-  };
-
-  static bool add_crash(record& to, const crash& added);
-  static tally count_crashes(const record& of, std::span<const time_point> explained);
   static bool is_being_tested(const record& of, time_point now);
-  static bool add_answer(record& to, time_point answered_at);
-  static bool is_disproved_by(const progress& answer, const crash& each);
-  static bool add_progress(record& to, const progress& added);
-  template <typename Predicate> static bool clear_crashes(record& of, const Predicate& is_disproved);
-  static std::uint32_t most_events(const record& of);
   record* find_or_add(std::uint64_t part, time_point now);
   void remove_expired(time_point now);
 
--- a/packages/fleet/src/recent_answers.cpp
+++ b/packages/fleet/src/recent_answers.cpp
@@ -5,7 +5,7 @@
 namespace cardamompond::fleet {
 namespace {
 
-constexpr duration generation_time = seconds(30);
+constexpr duration generation_time = seconds(60);
 constexpr std::size_t max_parts_per_generation = 2048;
 
 } // namespace
