--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -175,8 +175,8 @@
     idle.pop_back();
     const duration age = now - connection.m_idle_since;
     if (age < connection.m_max_idle_time && age < options.m_max_idle_time &&
-        connection.m_opened_at >= options.m_opened_after &&
-        !connection.m_stream->input_ended() && !connection.m_stream->readable()) { // no data without a request
+        connection.m_opened_at >= options.m_opened_after && !connection.m_stream->input_ended() &&
+        !connection.m_stream->readable()) { // no data without a request
       return connection;
     }
   }
