--- a/packages/gateway/src/request_processor.cpp
+++ b/packages/gateway/src/request_processor.cpp
@@ -155,7 +155,8 @@
 
 // Refuses the request if a part of its prompt crashes backend servers.
 std::optional<request_error> request_handler::request_processor::refuse_crashing_part() {
-  // A stream that lost its server goes on while its part is only tested.
+  // A stream that lost its server goes on unless its part is refused or a test of it is under way. It need
+  // not be the one request that tests the part.
   auto& admission = m_handler.m_admission;
   const auto judgement = m_relay.m_head_sent
                              ? admission.part_crashes().judge(m_request.m_shared_parts, monotonic_now())
