--- a/review/11/case_3.cpp
+++ b/review/11/case_3.cpp
@@ -24,13 +24,15 @@
   std::string m_stock_service = "desk";
 
   std::string spec() const {
-    const std::string common = "\"host\":\"" + std::string(host) + "\",\"timeout_ms\":" + std::to_string(m_timeout_ms) +
+    const std::string common = "\"host\":\"" + std::string(host) +
+                               "\",\"timeout_ms\":" + std::to_string(m_timeout_ms) +
                                ",\"target_latency_ms\":100,\"priority\":2,\"max_attempts\":1,"
                                "\"allow_anonymous\":false,\"resumable\":false";
     return "{\"version\":" + std::to_string(m_version) +
            ",\"routes\":[{\"name\":\"orders\",\"path_prefix\":\"/orders/\",\"type\":\"non_idempotent\","
            "\"service\":\"desk\"," +
-           common + "},{\"name\":\"stock\",\"path_prefix\":\"/stock/\",\"type\":\"idempotent\",\"service\":\"" +
+           common +
+           "},{\"name\":\"stock\",\"path_prefix\":\"/stock/\",\"type\":\"idempotent\",\"service\":\"" +
            m_stock_service + "\"," + common +
            "}],\"services\":[{\"name\":\"desk\",\"health_path\":\"/healthz\",\"max_connections\":110,"
            "\"cold_start_s\":0.0,\"cold_per_s\":0.0},{\"name\":\"desk2\",\"health_path\":\"/healthz\","
@@ -64,7 +66,8 @@
     record("run at %s of %s: %s %s", m_id.c_str(), m_service.c_str(), message.m_method.c_str(),
            message.m_target.c_str());
     const std::string body = "{\"service\":\"" + m_service + "\"}";
-    return send_all(fd, engine_head(m_id, id) + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    return send_all(fd, engine_head(m_id, id) + "Content-Length: " + std::to_string(body.size()) +
+                            "\r\n\r\n" + body);
   }
 
   std::string m_id, m_service, m_zone;
@@ -76,7 +79,8 @@
   return call(at.callers(),
               method + " " + target + " HTTP/1.1\r\nHost: " + host + "\r\nX-Cardamompond-Request-Id: " +
                   next_request_id() + "\r\nX-Cardamompond-Deadline-Ms: 1000\r\nApi-Key: " + key +
-                  (body.empty() ? "" : "\r\nContent-Length: " + std::to_string(body.size())) + "\r\n\r\n" + body,
+                  (body.empty() ? "" : "\r\nContent-Length: " + std::to_string(body.size())) + "\r\n\r\n" +
+                  body,
               3'000);
 }
 
@@ -99,7 +103,8 @@
   versions config;
   const auto write_config = [&] {
     const auto revision = platform.put("config", "main", config.spec());
-    record("operator writes version %d: revision %lu", config.m_version, static_cast<unsigned long>(revision));
+    record("operator writes version %d: revision %lu", config.m_version,
+           static_cast<unsigned long>(revision));
   };
   const auto write_entries = [&] {
     for (const auto& each : engines) {
@@ -152,7 +157,8 @@
     platform.go_away();
     sleep_ms(1'000);
     platform.come_back_from_copy();
-    record("the store is back from the copy at revision %lu", static_cast<unsigned long>(platform.revision()));
+    record("the store is back from the copy at revision %lu",
+           static_cast<unsigned long>(platform.revision()));
   } else {
     sleep_ms(1'000);
   }
@@ -200,7 +206,8 @@
   heartbeat.join();
   const std::string summary = std::to_string(with_dropped_key) + " of " + std::to_string(asked) +
                               " orders ran with the dropped key, " + std::to_string(by_old_service) + " of " +
-                              std::to_string(asked) + " reads ran at the old service, 2.5 to 22 s after the "
-                                                      "acknowledgement";
+                              std::to_string(asked) +
+                              " reads ran at the old service, 2.5 to 22 s after the "
+                              "acknowledgement";
   finish(with_dropped_key + by_old_service > 0 ? exit_broken : exit_held, summary);
 }
--- a/review/standins-3/standins.hpp
+++ b/review/standins-3/standins.hpp
@@ -8,6 +8,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -125,7 +126,8 @@
   const int one = 1;
   ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
   const sockaddr_in address = loopback(port);
-  if (::bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 || ::listen(fd, 512) != 0) {
+  if (::bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 ||
+      ::listen(fd, 512) != 0) {
     finish(exit_not_run, std::string("cannot listen: ") + std::strerror(errno));
   }
   return fd;
@@ -138,12 +140,26 @@
   return ntohs(address.sin_port);
 }
 
-// Returns a port that was free a moment ago, for TCP and UDP.
-inline std::uint16_t free_port() {
-  const int fd = listen_on(0);
-  const std::uint16_t port = port_of(fd);
+// Whether nothing is bound to the port.
+inline bool is_free(std::uint16_t port, int type) {
+  const int fd = ::socket(AF_INET, type | SOCK_CLOEXEC, 0);
+  const sockaddr_in address = loopback(port);
+  const bool bound = ::bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
   ::close(fd);
-  return port;
+  return bound;
+}
+
+// Returns a port that is free for TCP and UDP, below those that the kernel gives to connections.
+inline std::uint16_t free_port() {
+  constexpr int first = 20'000;
+  constexpr int count = 12'000;
+  static int next = static_cast<int>(::getpid()) * 61 % count;
+  while (true) {
+    const auto port = static_cast<std::uint16_t>(first + next++ % count);
+    if (is_free(port, SOCK_STREAM) && is_free(port, SOCK_DGRAM)) {
+      return port;
+    }
+  }
 }
 
 inline std::string address_of(std::uint16_t port) {
@@ -236,7 +252,8 @@
 
   // Reads a body by its length or chunks, or to the end of the connection if `until_close`. Calls `on_data`
   // for each part.
-  read_end read_body(const headers& all, bool until_close, const std::function<void(std::string_view)>& on_data) {
+  read_end read_body(const headers& all, bool until_close,
+                     const std::function<void(std::string_view)>& on_data) {
     const auto* encoding = find_header(all, "Transfer-Encoding");
     if (encoding != nullptr && ::strcasecmp(encoding->c_str(), "chunked") == 0) {
       return read_chunks(on_data);
@@ -432,8 +449,7 @@
       std::istringstream words(first_line);
       words >> message.m_method >> message.m_target;
       const auto append = [&](std::string_view part) { message.m_body += part; };
-      if (reader.read_body(message.m_headers, false, append) != read_end::complete ||
-          !m_serve(fd, message)) {
+      if (reader.read_body(message.m_headers, false, append) != read_end::complete || !m_serve(fd, message)) {
         break;
       }
     }
@@ -476,8 +492,8 @@
       received.m_end = read_end::malformed;
     } else {
       received.m_status = std::atoi(first_line.c_str() + 9);
-      received.m_end = reader.read_body(received.m_headers, true,
-                                        [&](std::string_view part) { received.m_body += part; });
+      received.m_end =
+          reader.read_body(received.m_headers, true, [&](std::string_view part) { received.m_body += part; });
     }
   }
   received.m_ended_at = now_ms();
@@ -659,7 +675,8 @@
   static std::string serialise(const std::string& name, const object& each) {
     return "{\"metadata\":{\"name\":\"" + name + "\",\"revision\":" + std::to_string(each.m_revision) +
            ",\"created\":" + std::to_string(each.m_created) +
-           ",\"finalizers\":[],\"deleting\":false},\"spec\":" + each.m_spec + ",\"status\":" + each.m_status + "}";
+           ",\"finalizers\":[],\"deleting\":false},\"spec\":" + each.m_spec + ",\"status\":" + each.m_status +
+           "}";
   }
 
   void write(const std::string& kind, const std::string& name, object& to, const std::string& spec,
@@ -687,9 +704,10 @@
   }
 
   bool respond(int fd, int status, const std::string& body) const {
-    return send_all(fd, "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Type: application/json\r\nStore-Era: " +
-                            std::to_string(m_era.load()) + "\r\nContent-Length: " + std::to_string(body.size()) +
-                            "\r\n\r\n" + body);
+    return send_all(fd,
+                    "HTTP/1.1 " + std::to_string(status) +
+                        " X\r\nContent-Type: application/json\r\nStore-Era: " + std::to_string(m_era.load()) +
+                        "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
   }
 
   // Counts the call. Returns false if it is beyond the rate that all daemons together may use.
@@ -734,7 +752,8 @@
       }
       as_of = m_state.m_revision;
     }
-    return respond(fd, 200, "{\"items\":[" + items + "],\"has_more\":false,\"as_of\":" + std::to_string(as_of) + "}");
+    return respond(fd, 200,
+                   "{\"items\":[" + items + "],\"has_more\":false,\"as_of\":" + std::to_string(as_of) + "}");
   }
 
   bool watch(int fd, const std::string& kind, const request& message) {
@@ -756,8 +775,9 @@
         }
         for (const auto& each : m_state.m_history) {
           if (each.m_revision > after && each.m_kind == kind) {
-            events += std::string(events.empty() ? "" : ",") + "{\"removed\":" + (each.m_removed ? "true" : "false") +
-                      ",\"object\":" + each.m_object + "}";
+            events += std::string(events.empty() ? "" : ",") +
+                      "{\"removed\":" + (each.m_removed ? "true" : "false") + ",\"object\":" + each.m_object +
+                      "}";
           }
         }
         as_of = m_state.m_revision;
@@ -782,7 +802,8 @@
     auto& objects = m_state.m_kinds[kind];
     const auto found = objects.find(name);
     const bool exists = found != objects.end();
-    record("store %s %s/%s %s", message.m_method.c_str(), kind.c_str(), name.c_str(), exists ? "exists" : "new");
+    record("store %s %s/%s %s", message.m_method.c_str(), kind.c_str(), name.c_str(),
+           exists ? "exists" : "new");
     int status = 200;
     std::string body = "{}";
     const std::string revision = json_member(metadata, "revision");
@@ -790,7 +811,8 @@
       status = exists ? 200 : 404;
     } else if (message.m_method == "POST" ? exists : !exists) {
       status = exists ? 409 : 404;
-    } else if (exists && !revision.empty() && std::strtoull(revision.c_str(), nullptr, 10) != found->second.m_revision) {
+    } else if (exists && !revision.empty() &&
+               std::strtoull(revision.c_str(), nullptr, 10) != found->second.m_revision) {
       status = 409;
     } else if (message.m_method == "DELETE") {
       remove_locked(kind, name);
@@ -825,11 +847,12 @@
 
 // ------------------------------------------------------------------------------------------------ engines
 
-inline std::string engine_spec(const std::string& service, std::uint16_t port, const std::string& zone, int slots,
-                               const std::string& state = "ready") {
+inline std::string engine_spec(const std::string& service, std::uint16_t port, const std::string& zone,
+                               int slots, const std::string& state = "ready") {
   return "{\"service\":\"" + service + "\",\"address\":\"" + address_of(port) + "\",\"zone\":\"" + zone +
          "\",\"version\":\"v1\",\"slots\":" + std::to_string(slots) + ",\"state\":\"" + state +
-         "\",\"cold_remaining_ms\":0,\"phase\":\"both\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}]"
+         "\",\"cold_remaining_ms\":0,\"phase\":\"both\",\"models\":[{\"name\":\"m\",\"version\":1,"
+         "\"adapters\":[]}]"
          ",\"sequence\":1}";
 }
 
@@ -849,16 +872,19 @@
   const std::string expected = message.header("X-Cardamompond-Expect-Instance");
   if (!expected.empty() && expected != engine) {
     keep = send_all(fd, "HTTP/1.1 421 Misdirected Request\r\nX-Cardamompond-Request-Id: " +
-                            message.header("X-Cardamompond-Request-Id") + "\r\nX-Cardamompond-Instance-Id: " + engine +
-                            "\r\nContent-Length: 0\r\n\r\n");
+                            message.header("X-Cardamompond-Request-Id") +
+                            "\r\nX-Cardamompond-Instance-Id: " + engine + "\r\nContent-Length: 0\r\n\r\n");
     return true;
   }
   if (message.path() == "/hold-take") {
-    keep = send_all(fd, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 12\r\n\r\n{\"hold\":\"h\"}");
+    keep = send_all(
+        fd,
+        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 12\r\n\r\n{\"hold\":\"h\"}");
     return true;
   }
   if (message.header("X-Cardamompond-Request-Id").empty()) {
-    keep = send_all(fd, "HTTP/1.1 400 Bad Request\r\nX-Cardamompond-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+    keep = send_all(
+        fd, "HTTP/1.1 400 Bad Request\r\nX-Cardamompond-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
     return true;
   }
   return false;
@@ -902,10 +928,15 @@
       file << (i == 0 ? "" : ",") << '"' << m_seeds[i] << '"';
     }
     file << "]\nretry_ratio = 0.2\nretry_fixed = 56\nretry_window_s = 10\n\n[drain]\ntime_s = 8\n\n"
-         << "[limits]\nmemory_mb = " << m_memory_mb << "\nmax_descriptors = 4100\n\n[log]\nlevel = \"info\"\n";
+         << "[limits]\nmemory_mb = " << m_memory_mb
+         << "\nmax_descriptors = 4100\n\n[log]\nlevel = \"info\"\n";
     file.close();
     m_pid = ::fork();
     if (m_pid == 0) {
+      ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+      sigset_t none;
+      sigemptyset(&none);
+      ::sigprocmask(SIG_SETMASK, &none, nullptr);
       const int log = ::open(log_path().c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       ::dup2(log, STDOUT_FILENO);
       ::dup2(log, STDERR_FILENO);
@@ -920,7 +951,8 @@
   // Waits until /readyz answers 200.
   void wait_ready() {
     for (const long until = now_ms() + 15'000; now_ms() < until; sleep_ms(50)) {
-      if (call(m_admin, "GET /readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", 500).m_status == 200) {
+      if (call(m_admin, "GET /readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", 500).m_status ==
+          200) {
         record("daemon %s is ready", m_name.c_str());
         return;
       }
@@ -1000,11 +1032,17 @@
   };
 }
 
-// Ends a case that takes too long.
+// Ends a case that takes too long, or that gets SIGTERM or SIGINT. Must be called before threads are started.
 inline void limit_duration(long ms) {
-  std::thread([ms] {
-    sleep_ms(ms);
-    finish(exit_not_run, "the case took too long");
+  sigset_t ending;
+  sigemptyset(&ending);
+  sigaddset(&ending, SIGTERM);
+  sigaddset(&ending, SIGINT);
+  ::sigprocmask(SIG_BLOCK, &ending, nullptr);
+  std::thread([ms, ending] {
+    const timespec timeout{ms / 1'000, ms % 1'000 * 1'000'000};
+    const bool signalled = ::sigtimedwait(&ending, nullptr, &timeout) > 0;
+    finish(exit_not_run, signalled ? "ended by a signal" : "the case took too long");
   }).detach();
 }
 
