--- a/review/12/case_3.cpp
+++ b/review/12/case_3.cpp
@@ -1,8 +1,8 @@
-// Two of nine model engines crash shortly one after the other while they serve a resumable stream. The engines
-// answer with neither a length nor chunks, so that an answer ends with its connection. The first engine ends
-// inside an event; the second one, which goes on with the stream, ends after its head and before its first
-// event. Checks whether a stream that lacks events looks complete to its caller. Without trouble (TROUBLE=0)
-// no engine crashes.
+// Two of nine model engines crash shortly one after the other while they serve a resumable stream. The
+// engines answer with neither a length nor chunks, so that an answer ends with its connection. The first
+// engine ends inside an event; the second one, which goes on with the stream, ends after its head and before
+// its first event. Checks whether a stream that lacks events looks complete to its caller. Without trouble
+// (TROUBLE=0) no engine crashes.
 
 #include "standins.hpp"
 
@@ -61,7 +61,8 @@
     const int first = last_id.empty() ? 1 : std::atoi(last_id.c_str()) + 1;
     const bool meets_crash = trouble_enabled() && id == target_request && crashes < 2;
     record("run at %s: request %s from event %d", m_id.c_str(), id.c_str(), first);
-    if (!send_all(fd, engine_head(m_id, id) + "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n")) {
+    if (!send_all(fd,
+                  engine_head(m_id, id) + "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n")) {
       return false;
     }
     if (meets_crash && first > 1) {
@@ -92,11 +93,13 @@
   return "{\"version\":1,\"routes\":[{\"name\":\"advice\",\"host\":\"" + std::string(host) +
          "\",\"path_prefix\":\"/advice/\",\"type\":\"stream\",\"timeout_ms\":12000,\"target_latency_ms\":400,"
          "\"priority\":1,\"service\":\"llm\",\"max_attempts\":2,\"allow_anonymous\":false,\"sticky\":true,"
-         "\"resumable\":true,\"gap_aim_ms\":400}],\"services\":[{\"name\":\"llm\",\"health_path\":\"/healthz\","
+         "\"resumable\":true,\"gap_aim_ms\":400}],\"services\":[{\"name\":\"llm\",\"health_path\":\"/"
+         "healthz\","
          "\"max_connections\":620,\"cold_start_s\":3.0,\"cold_per_s\":16.0,\"engine\":{\"slots\":12,"
          "\"kv_capacity_tokens\":686209,\"stride\":6,\"hold_ms\":2000.0,\"models\":[{\"name\":\"m\"}]}}],"
          "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,"
-         "\"idle_timeout_ms\":15000},\"tenants\":[{\"name\":\"tenant-a\",\"api_keys\":[\"key-1\"],\"priority\":1,"
+         "\"idle_timeout_ms\":15000},\"tenants\":[{\"name\":\"tenant-a\",\"api_keys\":[\"key-1\"],"
+         "\"priority\":1,"
          "\"rate_per_s\":0,\"burst\":0}]}";
 }
 
@@ -139,7 +142,8 @@
   platform.put("config", "main", config());
   std::vector<std::unique_ptr<engine>> engines;
   for (int i = 0; i < 9; ++i) {
-    engines.push_back(std::make_unique<engine>("engine-" + std::to_string(i), i % 2 == 0 ? "zone-a" : "zone-b"));
+    engines.push_back(
+        std::make_unique<engine>("engine-" + std::to_string(i), i % 2 == 0 ? "zone-a" : "zone-b"));
     engines.back()->write_entry(platform);
   }
   std::vector<std::unique_ptr<daemon_process>> daemons;
@@ -167,9 +171,7 @@
   std::vector<answer> answers(streams);
   std::vector<std::thread> callers;
   for (int i = 0; i < streams; ++i) {
-    callers.emplace_back([&, i] {
-      answers[i] = ask(*daemons[i % 2], ids[i], i);
-    });
+    callers.emplace_back([&, i] { answers[i] = ask(*daemons[i % 2], ids[i], i); });
     sleep_ms(60);
   }
   for (auto& each : callers) {
