--- a/review/14x/run.sh
+++ /dev/null
@@ -1,7 +0,0 @@
-#!/usr/bin/env bash
-# Runs the case once; writes record.txt. Exit code 1: the rule was broken, 0: it held, 2: it could not run.
-# TROUBLE=0: without the disruption.
-cd "$(dirname "$0")/../.."
-here=review/14
-[ -x target/bin/cardamompondd ] && [ -x build-review-3/case-14 ] || exit 2
-build-review-3/case-14 "$here/record.txt"
