Log and count lists of the store that are discarded as older

list_discarded names both revisions, and a counter by collection counts all such lists. No logic changes.

--- a/packages/daemon/src/entry_daemon.cpp
+++ b/packages/daemon/src/entry_daemon.cpp
@@ -258,6 +258,8 @@
                           static_cast<double>(counters.m_watches));
     m_metrics.set_counter("cardamompond_store_failures_total", "collection", name,
                           static_cast<double>(counters.m_failures));
+    m_metrics.set_counter("cardamompond_store_lists_discarded_total", "collection", name,
+                          static_cast<double>(counters.m_discarded_lists));
   }
   const auto exchange_counters = m_peer_exchange.counters();
   m_metrics.set_counter("cardamompond_reports_sent_total",
--- a/packages/gateway/include/cardamompond/gateway/collection_watcher.hpp
+++ b/packages/gateway/include/cardamompond/gateway/collection_watcher.hpp
@@ -6,7 +6,9 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <random>
+#include <utility>
 
 namespace cardamompond::gateway {
 
@@ -15,6 +17,23 @@
   std::uint64_t m_lists = 0;
   std::uint64_t m_watches = 0;
   std::uint64_t m_failures = 0;
+  std::uint64_t m_discarded_lists = 0; // lists older than the replica
+};
+
+// Bounds the log lines of an event that may repeat without end: admits it when its key changes, and once per
+// interval while the key stays the same.
+class repeated_event_filter {
+public:
+  using event_key = std::pair<std::uint64_t, std::uint64_t>;
+
+  // Returns the number of events that were not admitted since the last that was, or nothing if this event is
+  // not to be logged.
+  std::optional<std::uint64_t> admit(event_key key, time_point now);
+
+private:
+  std::optional<event_key> m_key;
+  time_point m_admitted_at;
+  std::uint64_t m_suppressed = 0;
 };
 
 // Keeps one collection up to date from the store: lists it once, then watches it, and lists it again when the
@@ -51,6 +70,8 @@
   void handle_failure(const document_error& error);
   void handle_success();
   void apply_snapshot(const collection_snapshot& snapshot);
+  void report_discarded_list(const collection_snapshot& snapshot);
+  void report_history_gone();
   void wait_for_restored_entries();
 
   document_store& m_store;
@@ -59,6 +80,8 @@
   peer_callbacks m_peer_callbacks;
   std::mt19937_64 m_random;
   store_call_counters m_counters;
+  repeated_event_filter m_discarded_lists;
+  repeated_event_filter m_history_gone;
   bool m_connected = false;
   bool m_list_next = true;
   std::uint32_t m_consecutive_failures = 0;
--- a/packages/gateway/src/collection_watcher.cpp
+++ b/packages/gateway/src/collection_watcher.cpp
@@ -5,6 +5,7 @@
 #include <boost/fiber/operations.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace cardamompond::gateway {
 namespace {
@@ -58,8 +59,21 @@
 constexpr duration min_outage_for_expiry = milliseconds(1'500);
 constexpr duration entries_restore_time = milliseconds(2'200);
 
+// An event that repeats without a change is logged once in this time.
+constexpr duration repeated_event_interval = seconds(5);
+
 } // namespace
 
+std::optional<std::uint64_t> repeated_event_filter::admit(event_key key, time_point now) {
+  if (m_key == key && now - m_admitted_at < repeated_event_interval) {
+    ++m_suppressed;
+    return std::nullopt;
+  }
+  m_key = key;
+  m_admitted_at = now;
+  return std::exchange(m_suppressed, 0);
+}
+
 collection_watcher::collection_watcher(document_store& store, fleet_view& view, collection_kind kind,
                                        peer_callbacks peers, std::uint64_t seed)
     : m_store(store)
@@ -137,6 +151,7 @@
 // may have expired during the outage although the servers are alive. If peers read the store meanwhile, the
 // outage was one of this daemon alone, and what the list lacks has left.
 void collection_watcher::apply_snapshot(const collection_snapshot& snapshot) {
+  report_discarded_list(snapshot);
   if (m_kind != collection_kind::backend_servers || monotonic_now() >= m_entries_restored_at ||
       m_peer_callbacks.m_read_by_peers_since(m_kind, m_keeping_since, m_keeping_as_of)) {
     m_entries_restored_at = {};
@@ -147,6 +162,31 @@
   m_fleet_view.apply_keeping(m_kind, snapshot, "store_after_outage");
 }
 
+// The revision of the list beside that of the replica tells a store whose revisions went back from one that
+// does not answer.
+void collection_watcher::report_discarded_list(const collection_snapshot& snapshot) {
+  const auto known = m_fleet_view.collection(m_kind).as_of();
+  if (snapshot.m_as_of >= known) {
+    return;
+  }
+  ++m_counters.m_discarded_lists;
+  if (const auto suppressed = m_discarded_lists.admit({snapshot.m_as_of, known}, monotonic_now())) {
+    log_event(log_level::warning, "list_discarded",
+              {{"collection", to_string(m_kind)},
+               {"as_of", known},
+               {"list_as_of", snapshot.m_as_of},
+               {"suppressed", *suppressed}});
+  }
+}
+
+void collection_watcher::report_history_gone() {
+  const auto known = m_fleet_view.collection(m_kind).as_of();
+  if (const auto suppressed = m_history_gone.admit({known, 0}, monotonic_now())) {
+    log_event(log_level::info, "watch_history_gone",
+              {{"collection", to_string(m_kind)}, {"as_of", known}, {"suppressed", *suppressed}});
+  }
+}
+
 // Waits before the next list after an outage. Forgets what was kept as soon as a peer shows that it read the
 // store during the outage; a daemon that was cut off hears of its peers only after it has read the store.
 void collection_watcher::wait_for_restored_entries() {
@@ -168,8 +208,7 @@
   const auto changes = m_store.watch(m_kind, m_fleet_view.collection(m_kind).as_of(), watch_timeout(m_kind));
   if (!changes) {
     if (changes.error().m_kind == document_error_kind::history_gone) {
-      log_event(log_level::info, "watch_history_gone",
-                {{"collection", to_string(m_kind)}, {"as_of", m_fleet_view.collection(m_kind).as_of()}});
+      report_history_gone();
       m_list_next = true;
       return;
     }
--- a/packages/gateway/tests/collection_watcher_test.cpp
+++ b/packages/gateway/tests/collection_watcher_test.cpp
@@ -39,6 +39,9 @@
   }
   document_result<collection_changes> watch(collection_kind, std::uint64_t after, milliseconds) override {
     boost::this_fiber::sleep_for(milliseconds(20));
+    if (m_history_gone && check()) {
+      return document_error{document_error_kind::history_gone, "gone"};
+    }
     return check() ? document_result<collection_changes>(collection_changes{after, {}, 0}) : unavailable();
   }
   document_result<success> create(collection_kind, std::string_view, std::string_view,
@@ -55,6 +58,7 @@
 
   collection_snapshot m_content;
   bool m_available = true;
+  bool m_history_gone = false; // watches fail
   bool m_ended = false;
   int m_calls = 0;
 
@@ -192,3 +196,14 @@
   boost::this_fiber::sleep_for(milliseconds(700));
   CHECK(daemon.m_store.m_calls > calls);
 }
+
+// Guards against a log that a repeated event fills, and against changes that it hides.
+TEST(collection_watcher, a_repeated_event_is_logged_again_when_it_changes_and_after_the_interval) {
+  repeated_event_filter filter;
+  const time_point begin{seconds(100)};
+  CHECK(filter.admit({7, 9}, begin) == std::optional<std::uint64_t>(0));
+  CHECK_FALSE(filter.admit({7, 9}, begin + seconds(1)).has_value());
+  CHECK_FALSE(filter.admit({7, 9}, begin + seconds(2)).has_value());
+  CHECK(filter.admit({8, 9}, begin + seconds(2)) == std::optional<std::uint64_t>(2));
+  CHECK(filter.admit({8, 9}, begin + seconds(8)) == std::optional<std::uint64_t>(0));
+}
