Back off when lists do not help a watch that gets 410

A watch from a revision that the store does not have leads to a list, and a list that does not change the replica's revision to the same watch again.

From the second 410 in a row on, the watcher waits as after a failure before the next list, up to the same limit; the first list still follows at once.

The new test failed before (more than 20 calls in a second) and passes now; gateway_tests -g collection_watcher: 7 tests passed.

--- a/packages/gateway/include/cardamompond/gateway/collection_watcher.hpp
+++ b/packages/gateway/include/cardamompond/gateway/collection_watcher.hpp
@@ -72,6 +72,7 @@
   void apply_snapshot(const collection_snapshot& snapshot);
   void report_discarded_list(const collection_snapshot& snapshot);
   void report_history_gone();
+  void back_off(std::uint32_t earlier_attempts);
   void wait_for_restored_entries();
 
   document_store& m_store;
@@ -85,11 +86,12 @@
   bool m_connected = false;
   bool m_list_next = true;
   std::uint32_t m_consecutive_failures = 0;
-  time_point m_outage_began;         // when the first of the consecutive failures occurred
-  std::uint64_t m_outage_as_of = 0;  // revision of the replica at that time
-  std::uint64_t m_keeping_as_of = 0; // the same for the last outage after which entries were kept
-  time_point m_keeping_since;        // beginning of the last outage after which entries were kept
-  time_point m_entries_restored_at;  // until then the store may lack entries that expired during its outage
+  std::uint32_t m_consecutive_history_gone = 0; // watches that failed since the last that succeeded
+  time_point m_outage_began;                    // when the first of the consecutive failures occurred
+  std::uint64_t m_outage_as_of = 0;             // revision of the replica at that time
+  std::uint64_t m_keeping_as_of = 0;            // the same for the last outage after which entries were kept
+  time_point m_keeping_since;                   // beginning of the last outage after which entries were kept
+  time_point m_entries_restored_at; // until then the store may lack entries that expired during its outage
 };
 
 } // namespace cardamompond::gateway
--- a/packages/gateway/src/collection_watcher.cpp
+++ b/packages/gateway/src/collection_watcher.cpp
@@ -210,6 +210,9 @@
     if (changes.error().m_kind == document_error_kind::history_gone) {
       report_history_gone();
       m_list_next = true;
+      if (m_consecutive_history_gone++ > 0) {
+        back_off(m_consecutive_history_gone - 2); // the list in between did not help
+      }
       return;
     }
     handle_failure(changes.error());
@@ -217,6 +220,7 @@
     return;
   }
   handle_success();
+  m_consecutive_history_gone = 0;
   if (m_list_next) {
     return; // after an outage only a full list shows which entries expired meanwhile
   }
@@ -244,7 +248,12 @@
                {"message", error.m_message},
                {"as_of", m_fleet_view.collection(m_kind).as_of()}});
   }
-  const auto doublings = std::min(m_consecutive_failures++, 5U);
+  back_off(m_consecutive_failures++);
+}
+
+// Sleeps for a random time that doubles with each attempt.
+void collection_watcher::back_off(std::uint32_t earlier_attempts) {
+  const auto doublings = std::min(earlier_attempts, 5U);
   const auto backoff_limit = std::min(min_backoff * (1U << doublings), max_backoff_for(m_kind));
   std::uniform_int_distribution<std::int64_t> backoff_ms(backoff_limit.count() / 2, backoff_limit.count());
   boost::this_fiber::sleep_for(milliseconds(backoff_ms(m_random)));
--- a/packages/gateway/tests/collection_watcher_test.cpp
+++ b/packages/gateway/tests/collection_watcher_test.cpp
@@ -197,6 +197,18 @@
   CHECK(daemon.m_store.m_calls > calls);
 }
 
+// Guards against a loop of lists and watches without a pause, which uses up the rate of the whole group: a
+// store whose revisions went back, or that drops its history at once, answers 410 to each watch.
+TEST(collection_watcher, lists_that_do_not_help_a_watch_are_bounded) {
+  watcher_fixture daemon;
+  boost::this_fiber::sleep_for(milliseconds(1'200)); // the first list and the wait for readers
+  daemon.m_store.m_content = {5, {{"i-1", 3, ""}}, 0};
+  daemon.m_store.m_history_gone = true;
+  const int calls = daemon.m_store.m_calls;
+  boost::this_fiber::sleep_for(milliseconds(1'000));
+  CHECK(daemon.m_store.m_calls - calls <= 20);
+}
+
 // Guards against a log that a repeated event fills, and against changes that it hides.
 TEST(collection_watcher, a_repeated_event_is_logged_again_when_it_changes_and_after_the_interval) {
   repeated_event_filter filter;
