Read the era of the store with the objects of duties

Cause: duty_store_client reads no Store-Era, and the object of a duty does not name the era for which it was written.

Change: reads, writes and conflicts carry the era of the answer to duty_claim; the object holds store_era and windows_unknown. usage_duty does not gather windows again that were due before a claim over a copy or a missing object, and says so in usage_dropped. duty_store_restored names both eras and tokens. A store without the header is used as before.

Not tested: usage_duty's skip with a real runner.

--- a/packages/gateway/include/cardamompond/gateway/duty_runner.hpp
+++ b/packages/gateway/include/cardamompond/gateway/duty_runner.hpp
@@ -7,6 +7,7 @@
 #include "cardamompond/gateway/peer_group.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -34,6 +35,8 @@
     peer_group* m_group = nullptr;
     duty_peers* m_peers = nullptr;
     duty_task* m_task = nullptr;
+    // Returns the newest era that the store stated to this daemon; 0: none.
+    std::function<std::uint64_t()> m_store_era = [] { return std::uint64_t{0}; };
   };
 
   duty_runner(fleet::duty which, fleet::claim_options options, double calls_per_s, dependencies with);
@@ -74,6 +77,7 @@
   void read();
   bool write(const fleet::claim_write& write);
   void release(bool api_unreachable);
+  void log_era(std::uint64_t era_before, std::uint64_t found_token);
   void log_change(bool held_before, std::uint64_t token_before, std::string_view reason);
 
   fleet::duty m_duty;
--- a/packages/gateway/include/cardamompond/gateway/duty_store.hpp
+++ b/packages/gateway/include/cardamompond/gateway/duty_store.hpp
@@ -19,6 +19,13 @@
   std::uint64_t m_revision = 0;               // if written
   std::optional<fleet::stored_claim> m_found; // what the object holds in case of a conflict, if that is known
   std::string m_reason;                       // if it was not written
+  std::uint64_t m_store_era = 0;              // the era that the answer states; 0: none
+};
+
+// What the store holds of a duty.
+struct duty_object {
+  std::optional<fleet::stored_claim> m_claim; // nothing if the object does not exist
+  std::uint64_t m_store_era = 0;              // the era that the answer states; 0: none
 };
 
 // The objects of the duties in the platform's store. A call blocks the fiber for at most `timeout`.
@@ -26,9 +33,7 @@
 public:
   virtual ~duty_store() = default;
 
-  // Returns nothing if the object does not exist.
-  virtual document_result<std::optional<fleet::stored_claim>> read(fleet::duty which,
-                                                                   milliseconds timeout) = 0;
+  virtual document_result<duty_object> read(fleet::duty which, milliseconds timeout) = 0;
 
   virtual duty_write_result write(fleet::duty which, const fleet::claim_write& write,
                                   milliseconds timeout) = 0;
--- a/packages/gateway/include/cardamompond/gateway/usage_duty.hpp
+++ b/packages/gateway/include/cardamompond/gateway/usage_duty.hpp
@@ -26,6 +26,7 @@
 private:
   void record_due_windows(duty_runner& runner);
   void send_recorded_window(duty_runner& runner);
+  bool is_due(std::int64_t window) const;
   bool gather(std::int64_t window);
 
   net::http_client& m_client;
--- a/packages/gateway/src/duty_runner.cpp
+++ b/packages/gateway/src/duty_runner.cpp
@@ -77,7 +77,7 @@
                          dependencies with)
     : m_duty(which)
     , m_options(std::move(options))
-    , m_with(with)
+    , m_with(std::move(with))
     , m_claim(m_options, boot_now())
     , m_call_interval(calls_per_s > 0 ? std::chrono::duration_cast<duration>(std::chrono::duration<double>(
                                             1 / (calls_per_s * used_share_of_rate)))
@@ -137,6 +137,7 @@
   fleet::claim_surroundings now;
   const auto announced = m_with.m_peers->holder_of(m_duty, monotonic_now());
   now.m_announced_token = announced ? announced->m_token : 0;
+  now.m_store_era = m_with.m_store_era();
   now.m_known_holder_live = m_with.m_group->is_live(m_claim.known_holder());
   if (announced || m_claim.holds()) {
     return now; // the order of the daemons, whose cost grows with the group, is not needed
@@ -160,10 +161,13 @@
 void duty_runner::read() {
   const bool held = m_claim.holds();
   const auto token = m_claim.record().m_token;
+  const auto era = m_claim.store_era();
   m_claim.begin_read();
   auto found = m_with.m_store->read(m_duty, store_timeout);
   if (found) {
-    m_claim.read_done(std::move(*found), boot_now());
+    const std::uint64_t copied_token = found->m_claim ? found->m_claim->m_record.m_token : 0;
+    m_claim.read_done(std::move(found->m_claim), boot_now(), found->m_store_era);
+    log_era(era, copied_token);
     log_change(held, token, "the store names another holder");
   } else {
     m_claim.read_failed(boot_now());
@@ -180,10 +184,10 @@
   const time_point now = boot_now();
   switch (result.m_outcome) {
   case duty_write_result::outcome::written:
-    m_claim.write_done(result.m_revision, now);
+    m_claim.write_done(result.m_revision, now, result.m_store_era);
     break;
   case duty_write_result::outcome::conflict:
-    m_claim.write_conflicted(std::move(result.m_found), now);
+    m_claim.write_conflicted(std::move(result.m_found), now, result.m_store_era);
     break;
   case duty_write_result::outcome::failed:
     m_claim.write_failed(now);
@@ -202,11 +206,27 @@
   return result.m_outcome == duty_write_result::outcome::written;
 }
 
+void duty_runner::log_era(std::uint64_t era_before, std::uint64_t found_token) {
+  if (era_before == 0 || m_claim.store_era() == era_before) {
+    return;
+  }
+  log_event(log_level::warning, "duty_store_restored",
+            {{"duty", fleet::to_string(m_duty)},
+             {"era_before", era_before},
+             {"era", m_claim.store_era()},
+             {"found_token", found_token},
+             {"token", m_claim.record().m_token},
+             {"claims_again", m_claim.reclaims()}});
+}
+
 void duty_runner::log_change(bool held_before, std::uint64_t token_before, std::string_view reason) {
   const auto& record = m_claim.record();
   if (m_claim.holds() && (!held_before || record.m_token != token_before)) {
     log_event(log_level::info, "duty_claimed",
-              {{"duty", fleet::to_string(m_duty)}, {"token", record.m_token}});
+              {{"duty", fleet::to_string(m_duty)},
+               {"token", record.m_token},
+               {"store_era", record.m_store_era},
+               {"windows_unknown", record.m_windows_unknown}});
     m_unreachable_since.reset();
   } else if (held_before && !m_claim.holds()) {
     log_event(log_level::info, "duty_lost",
--- a/packages/gateway/src/usage_duty.cpp
+++ b/packages/gateway/src/usage_duty.cpp
@@ -53,6 +53,10 @@
   send_recorded_window(runner);
 }
 
+bool usage_duty::is_due(std::int64_t window) const {
+  return m_ledger.time_since_end(window) >= share_of(m_late_after, gathering_share);
+}
+
 void usage_duty::record_due_windows(duty_runner& runner) {
   if (!runner.claim().may_write(boot_now())) {
     return;
@@ -60,12 +64,24 @@
   const std::int64_t last_recorded = runner.claim().record().m_last_window;
   std::int64_t window = last_recorded == 0 ? m_ledger.first_window() : last_recorded + 1;
   window = std::max(window, m_ledger.current_window() - static_cast<std::int64_t>(max_waiting_windows) + 1);
+  const bool skips = runner.claim().record().m_windows_unknown;
+  if (skips) {
+    // A holder whose records the store lost may have sent what was due by now, with other counts.
+    const std::int64_t first = window;
+    while (is_due(window)) {
+      ++window;
+    }
+    log_event(log_level::error, "usage_dropped",
+              {{"first_window", first},
+               {"windows", window - first},
+               {"reason", "the store lost the record of what was sent"}});
+  }
   std::vector<fleet::recorded_window> added;
-  while (m_ledger.time_since_end(window) >= share_of(m_late_after, gathering_share) && gather(window)) {
+  while (is_due(window) && gather(window)) {
     added.push_back({window, m_ledger.counts(window)});
     ++window;
   }
-  if (added.empty()) {
+  if (added.empty() && !skips) {
     return;
   }
   std::vector<fleet::recorded_window> windows;
