Keep decisions of rollouts when the store comes back from a copy

What could happen: an order that was completed or rolled back is judged anew from the start. While the store lacks the order, a version that was rolled back gets all requests again; when it is written again, its creation has another revision, so that it counts as a new order.

Cause: orders are identified by the revision at which they were created, which the store gives out again, and are forgotten as soon as a list lacks them.

Change: set_orders() takes the era of the store. An order of an earlier era is recognised by its service, its target version, and its period or creation revision, the first time that the new era lists it; it keeps its outcomes, its start and its decision. Until then it stays in force for 30 s at most, also where the copy lists an older order of the service that was decided. A second creation in the new era, or another target, is a new order. Within one era the creation revision decides as before.

Assumed: who writes an order again states the same period; an order with the same service, target and period that is created before the lost one was written again is taken for it.

--- a/packages/fleet/include/cardamompond/fleet/rollout_controller.hpp
+++ b/packages/fleet/include/cardamompond/fleet/rollout_controller.hpp
@@ -8,6 +8,7 @@
 #include <deque>
 #include <limits>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -55,8 +56,13 @@
 class rollout_controller {
 public:
   // Replaces the orders in force. A new order, recognised by its creation revision, resets this daemon's
-  // outcomes of its service.
-  void set_orders(const std::vector<rollout_order>& orders, time_point now);
+  // outcomes of its service. `store_era` is that of the store which lists the orders; 0: none is stated.
+  //
+  // A store that comes back from a copy, in a new era, lists orders as they were some seconds before, and
+  // those that it lost are written again with other revisions. An order is then recognised by its service,
+  // its target version, and its period or creation revision, and keeps its progress and its decision. Until
+  // it is listed again, or for 30 s, it stays in force.
+  void set_orders(const std::vector<rollout_order>& orders, time_point now, std::uint64_t store_era = 0);
 
   // Sets the number of daemons in the group, which share the requests that the target gets regardless of its
   // share.
@@ -107,7 +113,10 @@
     time_point m_started; // when this daemon received the order
     rollout_order::state m_decided_state = rollout_order::state::running;
     std::string m_reason;
-    std::uint64_t m_granted = 0; // requests that this daemon granted, to all versions
+    std::uint64_t m_listed_in_era = 0;      // the last era in which the store listed the order
+    std::optional<time_point> m_kept_until; // set while the store of a new era does not list it
+    bool m_completed_in_store = false;      // the store has shown the order as completed
+    std::uint64_t m_granted = 0;            // requests that this daemon granted, to all versions
     std::uint64_t m_granted_to_target = 0;
     time_point m_compared_at; // last comparison of the timings
     slowness_evidence m_slowness;
@@ -119,6 +128,13 @@
     std::vector<version_observation> m_current;
     std::vector<version_observation> m_earlier; // of processes that have ended
   };
+  static bool is_same_order(const rollout_progress& known, const rollout_order& order,
+                            std::uint64_t store_era);
+  static bool is_decided(rollout_order::state state);
+  std::vector<rollout_progress> take_known_orders(time_point now, std::uint64_t store_era);
+  void rename_order(const std::string& service, std::uint64_t before, std::uint64_t after);
+  void drop_outdated_observations();
+
   using outcome_key = std::pair<std::string, std::string>; // version, route
 
   std::map<outcome_key, version_outcomes> total_outcomes(const rollout_order& order, bool with_timings) const;
@@ -128,6 +144,10 @@
   void evaluate(rollout_progress& progress, time_point now);
 
   std::map<std::string, rollout_progress, std::less<>> m_rollouts; // by service
+  std::vector<rollout_progress>
+      m_displaced;                     // of an earlier era, while another order of the service is listed
+  std::vector<rollout_order> m_listed; // as of the last set_orders()
+  std::uint64_t m_store_era = 0;
   std::map<std::string, std::map<outcome_key, version_outcomes>, std::less<>>
       m_own_outcomes; // outcomes of this daemon, by service
   std::map<std::string, peer_observations, std::less<>> m_peer_observations; // reports of other daemons
--- a/packages/fleet/src/rollout_controller.cpp
+++ b/packages/fleet/src/rollout_controller.cpp
@@ -71,6 +71,10 @@
 constexpr duration decision_delay_without_evidence = milliseconds(600);
 constexpr std::size_t min_old_samples = 20;
 
+// An order that the store lost stays in force for this long after the store came back, until it is written
+// again.
+constexpr duration rewrite_time = seconds(30);
+
 double rate(std::uint64_t count, std::uint64_t total) {
   return total == 0 ? 0.0 : static_cast<double>(count) / static_cast<double>(total);
 }
@@ -121,25 +125,117 @@
 
 } // namespace
 
-void rollout_controller::set_orders(const std::vector<rollout_order>& orders, time_point now) {
-  std::map<std::string, rollout_progress, std::less<>> next;
+bool rollout_controller::is_decided(state of) {
+  return of == state::completed || of == state::rolled_back;
+}
+
+// Within one era the revision of its creation identifies an order. It may differ in the next era, where it
+// may also stand for another order.
+bool rollout_controller::is_same_order(const rollout_progress& known, const rollout_order& order,
+                                       std::uint64_t store_era) {
+  if (known.m_order.m_service != order.m_service ||
+      known.m_order.m_target_version != order.m_target_version) {
+    return false;
+  }
+  const bool same_creation = known.m_order.m_created_revision == order.m_created_revision;
+  return same_creation || (known.m_listed_in_era != store_era && known.m_order.m_period == order.m_period);
+}
+
+// Moves out all orders that are known, but none that has waited for too long to be listed again.
+std::vector<rollout_controller::rollout_progress>
+rollout_controller::take_known_orders(time_point now, std::uint64_t store_era) {
+  std::vector<rollout_progress> known = std::move(m_displaced);
+  m_displaced.clear();
+  for (auto& [service, progress] : m_rollouts) {
+    known.push_back(std::move(progress));
+  }
+  m_rollouts.clear();
+  for (auto& progress : known) {
+    if (progress.m_listed_in_era != store_era && !progress.m_kept_until) {
+      progress.m_kept_until = now + rewrite_time;
+    }
+  }
+  std::erase_if(known, [&](const auto& each) { return each.m_kept_until && now >= *each.m_kept_until; });
+  return known;
+}
+
+void rollout_controller::set_orders(const std::vector<rollout_order>& orders, time_point now,
+                                    std::uint64_t store_era) {
+  std::vector<rollout_progress> known = take_known_orders(now, store_era);
+  const auto is_awaited = [&](const rollout_progress& each, const std::string& service) {
+    return each.m_kept_until && each.m_order.m_service == service;
+  };
+  std::vector<const rollout_order*> unknown;
   for (const auto& order : orders) {
+    const auto same = std::find_if(known.begin(), known.end(), [&](const rollout_progress& each) {
+      return is_same_order(each, order, store_era);
+    });
+    if (same == known.end()) {
+      unknown.push_back(&order);
+      continue;
+    }
+    rollout_progress progress = std::move(*same);
+    known.erase(same);
+    rename_order(order.m_service, progress.m_order.m_created_revision, order.m_created_revision);
+    // A decision of an earlier era holds although the copy does not show it.
+    if (is_decided(order.m_state) && !(progress.m_kept_until && is_decided(progress.m_decided_state))) {
+      progress.m_decided_state = order.m_state;
+    }
+    progress.m_order = order;
+    progress.m_listed_in_era = store_era;
+    progress.m_kept_until.reset();
+    progress.m_completed_in_store = progress.m_completed_in_store || order.m_state == state::completed;
+    m_rollouts.insert_or_assign(order.m_service, std::move(progress));
+  }
+  for (const rollout_order* order : unknown) {
+    // A decided order that this daemon does not know was replaced by one that the store has lost.
+    if (is_decided(order->m_state) && std::any_of(known.begin(), known.end(), [&](const auto& each) {
+          return is_awaited(each, order->m_service);
+        })) {
+      continue;
+    }
+    m_own_outcomes.erase(order->m_service);
     rollout_progress progress;
     progress.m_started = now;
-    const auto known = m_rollouts.find(order.m_service);
-    if (known != m_rollouts.end() && known->second.m_order.m_created_revision == order.m_created_revision &&
-        known->second.m_order.m_target_version == order.m_target_version) {
-      progress = known->second;
+    progress.m_order = *order;
+    progress.m_listed_in_era = store_era;
+    progress.m_completed_in_store = order->m_state == state::completed;
+    if (is_decided(order->m_state)) {
+      progress.m_decided_state = order->m_state;
+    }
+    m_rollouts.insert_or_assign(order->m_service, std::move(progress));
+  }
+  for (auto& each : known) {
+    if (!each.m_kept_until) {
+      continue; // removed in this era
+    }
+    if (m_rollouts.contains(each.m_order.m_service)) {
+      m_displaced.push_back(std::move(each));
     } else {
-      m_own_outcomes.erase(order.m_service);
+      m_rollouts.emplace(each.m_order.m_service, std::move(each));
     }
-    progress.m_order = order;
-    if (order.m_state == state::completed || order.m_state == state::rolled_back) {
-      progress.m_decided_state = order.m_state;
+  }
+  m_store_era = store_era;
+  if (&orders != &m_listed) {
+    m_listed = orders;
+  }
+  drop_outdated_observations();
+}
+
+// Assigns what peers reported about an order to its new creation revision.
+void rollout_controller::rename_order(const std::string& service, std::uint64_t before, std::uint64_t after) {
+  for (auto& [daemon, peer] : m_peer_observations) {
+    for (auto* rows : {&peer.m_current, &peer.m_earlier}) {
+      for (auto& each : *rows) {
+        if (each.m_service == service && each.m_order == before) {
+          each.m_order = after;
+        }
+      }
     }
-    next.insert_or_assign(order.m_service, std::move(progress));
   }
-  m_rollouts = std::move(next);
+}
+
+void rollout_controller::drop_outdated_observations() {
   for (auto& [daemon, peer] : m_peer_observations) {
     for (auto* rows : {&peer.m_current, &peer.m_earlier}) {
       std::erase_if(*rows, [&](const version_observation& each) {
@@ -265,7 +361,7 @@
   const bool is_target = version == progress.m_order.m_target_version;
   switch (progress.m_decided_state) {
   case state::completed:
-    return is_target || progress.m_order.m_state != state::completed;
+    return is_target || !progress.m_completed_in_store;
   case state::rolled_back:
     return !is_target;
   case state::ordered:
@@ -392,6 +488,13 @@
 }
 
 void rollout_controller::tick(time_point now) {
+  const auto has_expired = [&](const rollout_progress& each) {
+    return each.m_kept_until && now >= *each.m_kept_until;
+  };
+  if (std::any_of(m_rollouts.begin(), m_rollouts.end(),
+                  [&](const auto& each) { return has_expired(each.second); })) {
+    set_orders(m_listed, now, m_store_era);
+  }
   for (auto& [service, progress] : m_rollouts) {
     if (progress.m_decided_state == state::running || progress.m_decided_state == state::ordered) {
       evaluate(progress, now);
--- a/packages/fleet/tests/rollout_controller_test.cpp
+++ b/packages/fleet/tests/rollout_controller_test.cpp
@@ -221,3 +221,62 @@
   controller.tick(start + milliseconds(10'600));
   CHECK(decided_state(controller) == rollout_order::state::rolled_back);
 }
+
+// Guards against an order that is judged anew after the store came back from a copy: its decision holds while
+// the store lacks the order, when it is written again with another revision, and where the copy shows it as
+// running. Later orders of the service are judged.
+TEST(rollout, a_decision_holds_when_the_store_comes_back_from_a_copy) {
+  rollout_controller controller;
+  controller.set_orders({make_order(50)}, start, 1);
+  record_outcomes(controller, "v1", "a", true, milliseconds(50), 100);
+  record_outcomes(controller, "v2", "a", false, milliseconds(50), 10);
+  controller.tick(start + seconds(1));
+  CHECK(decided_state(controller) == rollout_order::state::rolled_back);
+
+  controller.set_orders({}, start + seconds(2), 2);
+  CHECK_FALSE(controller.allows("chat", "v2"));
+  auto again = make_order(41);
+  again.m_state = rollout_order::state::running;
+  controller.set_orders({again}, start + seconds(3), 2);
+  CHECK(decided_state(controller) == rollout_order::state::rolled_back);
+  CHECK_FALSE(controller.allows("chat", "v2"));
+  // A second restore right after the first.
+  controller.set_orders({make_order(39)}, start + seconds(4), 3);
+  CHECK(decided_state(controller) == rollout_order::state::rolled_back);
+
+  controller.set_orders({make_order(44)}, start + seconds(5), 3);
+  CHECK(decided_state(controller) == rollout_order::state::running);
+  auto other = make_order(44);
+  other.m_target_version = "v3";
+  controller.set_orders({other}, start + seconds(6), 4);
+  CHECK(decided_state(controller) == rollout_order::state::running);
+}
+
+// Guards against old servers that get requests again because the copy shows a completed order as running.
+TEST(rollout, a_completed_order_stays_completed_in_a_new_era) {
+  rollout_controller controller;
+  auto order = make_order(50);
+  order.m_state = rollout_order::state::completed;
+  controller.set_orders({order}, start, 1);
+  order.m_state = rollout_order::state::running;
+  controller.set_orders({order}, start + seconds(1), 2);
+  CHECK(decided_state(controller) == rollout_order::state::completed);
+  CHECK_FALSE(controller.allows("chat", "v1"));
+}
+
+// Guards against a lost order that an older one, decided long ago, replaces until it is written again, and
+// against one that nobody writes again and that stays in force for good.
+TEST(rollout, a_lost_order_stays_in_force_for_a_bounded_time) {
+  rollout_controller controller;
+  controller.set_orders({make_order(50)}, start, 1);
+  auto older = make_order(20);
+  older.m_target_version = "v1";
+  older.m_state = rollout_order::state::completed;
+  controller.set_orders({older}, start + seconds(1), 2);
+  STRCMP_EQUAL("v2", controller.decisions().front().m_target_version.c_str());
+  CHECK(controller.allows("chat", "v1"));
+  controller.tick(start + seconds(32));
+  STRCMP_EQUAL("v1", controller.decisions().front().m_target_version.c_str());
+  controller.set_orders({}, start + seconds(33), 2);
+  CHECK(controller.decisions().empty());
+}
