Write lost members' entries again in turns, each daemon once

What could happen: after the store came back from a copy without their entries, all daemons of a group create them within half a second, and each again every half second until its copy of the list shows the entry. 195 daemons exceed the store's rate, at the time at which states of rollouts and duties are written again.

Cause: group_maintenance registers at each look at a list that lacks the entry.

Change: registration_schedule gives daemons whose entries were listed and are missing a turn each 10 ms, and writes again only if the entry has not appeared 2 s later. A daemon that starts registers at once as before. Entries that are kept after an outage count neither as registered nor as to be removed. The log line says again=true.

--- a/packages/gateway/include/cardamompond/gateway/group_maintenance.hpp
+++ b/packages/gateway/include/cardamompond/gateway/group_maintenance.hpp
@@ -3,9 +3,11 @@
 #include "cardamompond/gateway/admission_controller.hpp"
 #include "cardamompond/gateway/document_store.hpp"
 #include "cardamompond/gateway/peer_group.hpp"
+#include "cardamompond/gateway/registration_schedule.hpp"
 
 #include <map>
 #include <string>
+#include <string_view>
 #include <utility>
 
 namespace cardamompond::gateway {
@@ -19,8 +21,8 @@
   group_maintenance(document_store& store, admission_controller& admission, peer_group& group,
                     const document_reader& reader, member self);
 
-  // Registers this daemon whenever the list of members lacks it, and otherwise removes members that no longer
-  // report. Never returns.
+  // Registers this daemon when the list of members lacks it, in turns with others if the store has lost the
+  // entries, and removes members that no longer report. Never returns.
   void run_membership();
 
   // Evaluates the rollouts and writes their states. Never returns.
@@ -30,6 +32,8 @@
   void deregister();
 
 private:
+  // Whether the store lists a member of this name; one that is only kept after an outage is not listed.
+  bool is_listed(std::string_view name) const;
   bool is_registered() const;
   void register_self();
   void remove_silent_members(time_point now);
@@ -42,6 +46,7 @@
   const document_reader& m_reader;
   member m_self;
   bool m_deregistering = false;
+  registration_schedule m_registration;
   std::map<std::string, time_point, std::less<>> m_silent_since;    // by name of the member
   std::map<std::string, time_point, std::less<>> m_unwritten_since; // by service with an unwritten decision
   std::map<std::string, std::pair<std::string, fleet::rollout_order::state>, std::less<>>
--- a/packages/gateway/src/group_maintenance.cpp
+++ b/packages/gateway/src/group_maintenance.cpp
@@ -19,6 +19,9 @@
 // writes.
 constexpr duration write_delay_per_rank = milliseconds(400);
 
+// Orders the daemons whose entries the store has lost.
+constexpr std::string_view registration_key = "registration";
+
 std::string_view state_name(fleet::rollout_order::state state) {
   switch (state) {
   case fleet::rollout_order::state::completed:
@@ -42,7 +45,14 @@
     , m_reader(reader)
     , m_self(std::move(self)) {}
 
+bool group_maintenance::is_listed(std::string_view name) const {
+  return m_admission.known_fleet().collection(collection_kind::members).documents().contains(name);
+}
+
 bool group_maintenance::is_registered() const {
+  if (!is_listed(m_self.m_name)) {
+    return false;
+  }
   for (const auto& each : m_admission.known_fleet().members()) {
     if (each.m_name == m_self.m_name && each.m_exchange_address == m_self.m_exchange_address) {
       return true;
@@ -57,20 +67,27 @@
   if (!created && created.error().m_kind == document_error_kind::conflict) {
     // Either the entry belongs to an earlier process at another address, or it is this daemon's own and the
     // replica does not contain it yet.
-    if (m_admission.known_fleet().collection(collection_kind::members).documents().contains(m_self.m_name)) {
+    if (!is_listed(m_self.m_name)) {
+      m_registration.record_write(monotonic_now());
+    } else {
       const auto removed = m_store.remove(collection_kind::members, m_self.m_name, write_timeout);
       log_event(log_level::info, "member_replaced",
                 {{"name", m_self.m_name}, {"removed", removed.has_value()}});
     }
   } else {
+    if (created) {
+      m_registration.record_write(monotonic_now());
+    }
     log_event(created ? log_level::info : log_level::warning, "member_registered",
-              {{"name", m_self.m_name}, {"result", created ? "done" : to_string(created.error().m_kind)}});
+              {{"name", m_self.m_name},
+               {"again", m_registration.is_lost()},
+               {"result", created ? "done" : to_string(created.error().m_kind)}});
   }
 }
 
 void group_maintenance::remove_silent_members(time_point now) {
   for (const auto& each : m_admission.known_fleet().members()) {
-    if (each.m_name == m_self.m_name || m_group.is_live(each.m_name)) {
+    if (each.m_name == m_self.m_name || m_group.is_live(each.m_name) || !is_listed(each.m_name)) {
       m_silent_since.erase(each.m_name);
       continue;
     }
@@ -91,10 +108,11 @@
 void group_maintenance::run_membership() {
   while (!m_deregistering) {
     if (m_admission.known_fleet().collection(collection_kind::members).loaded()) {
-      if (is_registered()) {
-        remove_silent_members(monotonic_now());
-      } else {
+      const bool registered = is_registered();
+      if (m_registration.is_due(registered, m_group.rank_for(registration_key), monotonic_now())) {
         register_self();
+      } else if (registered) {
+        remove_silent_members(monotonic_now());
       }
     }
     boost::this_fiber::sleep_for(membership_interval);
