Order what the store says by era and revision

A store that came back from a copy gives its revisions out again.

A watch that answers from a later era leads to a list, since its changes do not continue the known state. A peer confirms only content of its own era, and an era that only a peer stated holds until the store states one. A daemon of the version before leaves the new fields out, which reads as era 0.

--- a/packages/daemon/src/entry_daemon.cpp
+++ b/packages/daemon/src/entry_daemon.cpp
@@ -212,7 +212,7 @@
         gateway::collection_watcher::peer_callbacks{
             [this](gateway::collection_kind of) { return m_group.updated_by_peers(of, monotonic_now()); },
             [this] { m_peer_exchange.announce_state(); },
-            [this](gateway::collection_kind of, time_point since, std::uint64_t as_of) {
+            [this](gateway::collection_kind of, time_point since, store_version as_of) {
               return m_group.is_read_by_peers_since(of, since, as_of);
             }},
         m_random()));
--- a/packages/fleet/include/cardamompond/fleet/backend_server.hpp
+++ b/packages/fleet/include/cardamompond/fleet/backend_server.hpp
@@ -29,6 +29,7 @@
   milliseconds m_period{0};             // time allowed from the order to its completion
   std::uint64_t m_created_revision = 0; // store revision at which the order was created
   std::uint64_t m_revision = 0;         // current revision of the order's object, for conditional updates
+  std::uint64_t m_era = 0;              // era of the store in which m_revision was read
   enum class state { ordered, running, completed, rolled_back };
   state m_state = state::ordered;
 };
--- a/packages/gateway/include/cardamompond/gateway/collection_replica.hpp
+++ b/packages/gateway/include/cardamompond/gateway/collection_replica.hpp
@@ -9,8 +9,10 @@
 
 namespace cardamompond::gateway {
 
-// This daemon's copy of one collection of the store, filled from the store or from a peer. Its revision never
-// decreases, so neither a stale response of the store nor a peer with an older copy can undo a change.
+// This daemon's copy of one collection of the store, filled from the store or from a peer. Its version never
+// decreases, so neither a stale response of the store nor a peer with an older copy can undo a change. Its
+// revision does when the store begins a new era. An era that only a peer stated holds until the store states
+// another one.
 //
 // Beside the store's documents, a replica may keep documents that the store no longer lists. They have no
 // revision of the collection, are known to this daemon only, and appear neither in snapshots nor in
@@ -19,10 +21,17 @@
 public:
   using document_map = std::map<std::string, document, std::less<>>;
 
+  // Where a snapshot was read. What the store says about its era takes precedence over what a peer says.
+  enum class origin { store, peer };
+
   // Replaces the content unless the snapshot is older. Returns whether the content changed.
-  bool apply(const collection_snapshot& snapshot);
+  bool apply(const collection_snapshot& snapshot, origin from = origin::store);
+
+  // Whether the snapshot would be discarded as older than the content.
+  bool is_older(const collection_snapshot& snapshot, origin from) const;
 
-  // Applies the changes unless they are older than the content. Returns whether the content changed.
+  // Applies the changes unless they are older than the content or of another era. Returns whether the content
+  // changed.
   bool apply(const collection_changes& changes);
 
   // Applies a snapshot like apply(), and keeps the documents that were known and are not in it. Returns
@@ -37,18 +46,18 @@
   void set_read_since(time_point since) { m_read_since = since; }
   time_point read_since() const { return m_read_since; }
 
-  // Records that the content was complete up to the revision `as_of` at the time `when`, according to the
-  // store or to a peer with the same content.
-  void confirm(std::uint64_t as_of, time_point when);
+  // Records that the content was complete up to the version `as_of` at the time `when`, according to the
+  // store or to a peer with the same content. Says nothing about the content if it is of another era.
+  void confirm(store_version as_of, time_point when);
 
   // Whether the content has been received at least once.
-  bool loaded() const { return m_as_of > 0; }
+  bool loaded() const { return m_as_of.m_revision > 0; }
 
-  // The revision of the store up to which the content is complete.
-  std::uint64_t as_of() const { return m_as_of; }
+  // The version of the store up to which the content is complete.
+  store_version as_of() const { return m_as_of; }
 
-  // The revision of the last known change of the content; at most as_of().
-  std::uint64_t changed_at() const { return m_changed_at; }
+  // The version of the last known change of the content; at most as_of(), and of the same era.
+  store_version changed_at() const { return m_changed_at; }
 
   // The last time at which the content was known to equal that of the store.
   time_point confirmed_at() const { return m_confirmed_at; }
@@ -68,8 +77,9 @@
 private:
   document_map m_documents;
   document_map m_kept;
-  std::uint64_t m_as_of = 0;
-  std::uint64_t m_changed_at = 0;
+  store_version m_as_of;
+  store_version m_changed_at;
+  bool m_era_from_store = false; // whether the store itself stated the era of the content
   time_point m_confirmed_at;
   time_point m_read_since;
 };
--- a/packages/gateway/include/cardamompond/gateway/collection_watcher.hpp
+++ b/packages/gateway/include/cardamompond/gateway/collection_watcher.hpp
@@ -24,7 +24,7 @@
 // interval while the key stays the same.
 class repeated_event_filter {
 public:
-  using event_key = std::pair<std::uint64_t, std::uint64_t>;
+  using event_key = std::pair<store_version, store_version>;
 
   // Returns the number of events that were not admitted since the last that was, or nothing if this event is
   // not to be logged.
@@ -46,8 +46,8 @@
     std::function<bool(collection_kind)> m_updated_by_peers; // whether peers keep the collection up to date
     std::function<void()> m_announce_change;                 // called after a change read from the store
     // Whether a peer has read the collection from the store without a failure since the time given, or
-    // longer, and has heard of the store after that time or knows a change after the revision given.
-    std::function<bool(collection_kind, time_point, std::uint64_t)> m_read_by_peers_since;
+    // longer, and has heard of the store after that time or knows a change after the version given.
+    std::function<bool(collection_kind, time_point, store_version)> m_read_by_peers_since;
   };
 
   collection_watcher(document_store& store, fleet_view& view, collection_kind kind, peer_callbacks peers,
@@ -88,8 +88,8 @@
   std::uint32_t m_consecutive_failures = 0;
   std::uint32_t m_consecutive_history_gone = 0; // watches that failed since the last that succeeded
   time_point m_outage_began;                    // when the first of the consecutive failures occurred
-  std::uint64_t m_outage_as_of = 0;             // revision of the replica at that time
-  std::uint64_t m_keeping_as_of = 0;            // the same for the last outage after which entries were kept
+  store_version m_outage_as_of;                 // version of the replica at that time
+  store_version m_keeping_as_of;                // the same for the last outage after which entries were kept
   time_point m_keeping_since;                   // beginning of the last outage after which entries were kept
   time_point m_entries_restored_at; // until then the store may lack entries that expired during its outage
 };
--- a/packages/gateway/include/cardamompond/gateway/document_store.hpp
+++ b/packages/gateway/include/cardamompond/gateway/document_store.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cardamompond/core/result.hpp"
+#include "cardamompond/core/store_version.hpp"
 #include "cardamompond/core/time.hpp"
 
 #include <array>
@@ -24,13 +25,13 @@
 // One object of the store. Only a document_reader interprets the content.
 struct document {
   std::string m_name;
-  std::uint64_t m_revision = 0; // revision of the last change; revisions order all changes in the store
+  store_version m_version; // of the last change, in the era in which the document was read
   std::string m_content;
 };
 
-// All documents of a collection at one revision of the store.
+// All documents of a collection at one version of the store, which is also the era of all documents.
 struct collection_snapshot {
-  std::uint64_t m_as_of = 0;
+  store_version m_as_of;
   std::vector<document> m_documents;
   std::size_t m_unreadable_entries = 0; // entries without a name or a revision; they are left out
 };
@@ -40,9 +41,9 @@
   bool m_removed = false;
 };
 
-// The changes since an earlier revision up to `m_as_of`; empty if there were none.
+// The changes since an earlier revision of the same era up to `m_as_of`; empty if there were none.
 struct collection_changes {
-  std::uint64_t m_as_of = 0;
+  store_version m_as_of;
   std::vector<document_change> m_changes;
   std::size_t m_unreadable_entries = 0; // events without the name or the revision of an object; left out
 };
@@ -75,8 +76,12 @@
   // Reads a whole collection.
   virtual document_result<collection_snapshot> list(collection_kind kind, milliseconds timeout) = 0;
 
-  // Waits up to `wait` for changes after the revision `after`.
-  virtual document_result<collection_changes> watch(collection_kind kind, std::uint64_t after,
+  // The latest era that an answer of the store stated; 0 if none did.
+  virtual std::uint64_t era() const = 0;
+
+  // Waits up to `wait` for changes after the version `after`. The answer may be of a later era, and is then
+  // not a continuation of `after` even if the store accepted its revision.
+  virtual document_result<collection_changes> watch(collection_kind kind, store_version after,
                                                     milliseconds wait) = 0;
 
   // Creates an object that belongs to the daemons. Fails with `conflict` if it exists.
@@ -87,8 +92,9 @@
   virtual document_result<success> remove(collection_kind kind, std::string_view name,
                                           milliseconds timeout) = 0;
 
-  // Writes the state of a rollout if the revision of its object is still `revision`.
-  virtual document_result<success> write_rollout_state(std::string_view service, std::uint64_t revision,
+  // Writes the state of a rollout if the version of its object is still `version`. Nothing is sent if the
+  // store is known to be in another era, in which the revision may stand for other content.
+  virtual document_result<success> write_rollout_state(std::string_view service, store_version version,
                                                        std::string_view target_version,
                                                        std::string_view state, milliseconds timeout) = 0;
 };
--- a/packages/gateway/include/cardamompond/gateway/fleet_view.hpp
+++ b/packages/gateway/include/cardamompond/gateway/fleet_view.hpp
@@ -29,7 +29,8 @@
 
   // Applies a newer state to a collection and calls the observers if its content changed; returns whether it
   // did. `source` names the origin of the state in the log.
-  bool apply(collection_kind kind, const collection_snapshot& snapshot, std::string_view source);
+  bool apply(collection_kind kind, const collection_snapshot& snapshot, std::string_view source,
+             collection_replica::origin from = collection_replica::origin::store);
   bool apply(collection_kind kind, const collection_changes& changes, std::string_view source);
 
   // Applies a snapshot after an outage of the store. Known documents that are not in it are kept, since they
@@ -45,8 +46,8 @@
     m_collections[static_cast<std::size_t>(kind)].set_read_since(since);
   }
 
-  // Records that the replica was complete up to the revision `as_of` at the time `when`.
-  void confirm(collection_kind kind, std::uint64_t as_of, time_point when);
+  // Records that the replica was complete up to the version `as_of` at the time `when`.
+  void confirm(collection_kind kind, store_version as_of, time_point when);
 
   void on_change(observer callback) { m_observers.push_back(std::move(callback)); }
 
@@ -64,9 +65,9 @@
 private:
   void decode(collection_kind kind, std::string_view source);
   void decode_declarations(std::string_view source);
-  // The objects read from the documents of a collection, by name, with the revision that they were read from.
+  // The objects read from the documents of a collection, by name, with the version that they were read from.
   template <typename T> struct decoded_document {
-    std::optional<std::uint64_t> m_revision;
+    std::optional<store_version> m_version;
     std::optional<T> m_object; // nothing: the document could not be read
   };
   template <typename T> using decoded_documents = std::map<std::string, decoded_document<T>, std::less<>>;
--- a/packages/gateway/include/cardamompond/gateway/peer_group.hpp
+++ b/packages/gateway/include/cardamompond/gateway/peer_group.hpp
@@ -78,11 +78,11 @@
   bool updated_by_peers(collection_kind kind, time_point now) const;
 
   // Whether a live peer has read the collection from the store without a failure since before the time
-  // `since`, and has heard of the store after it or knows a change after the revision `as_of`, the last that
+  // `since`, and has heard of the store after it or knows a change after the version `as_of`, the last that
   // this daemon knew then. An outage of the store that this daemon saw from then on was its own. The change
   // counts because the cut may have begun some seconds before this daemon noticed it, and watches without a
-  // change last as long.
-  bool is_read_by_peers_since(collection_kind kind, time_point since, std::uint64_t as_of) const;
+  // change last as long. A peer in another era does not count: the entries may have been lost with this one.
+  bool is_read_by_peers_since(collection_kind kind, time_point since, store_version as_of) const;
 
   // Replaces the addresses of daemons to contact before the members are known.
   void set_seeds(std::vector<std::string> seeds) { m_seeds = std::move(seeds); }
--- a/packages/gateway/include/cardamompond/gateway/peer_report.hpp
+++ b/packages/gateway/include/cardamompond/gateway/peer_report.hpp
@@ -22,10 +22,10 @@
 
 // State of the sender's copy of one collection.
 struct collection_state {
-  std::uint64_t m_as_of = 0;
-  std::uint64_t m_changed_at = 0;
-  milliseconds m_age{0};     // time since the copy was last known to equal the content of the store
-  std::uint32_t m_bytes = 0; // size of the content
+  store_version m_as_of;
+  store_version m_changed_at; // of the same era
+  milliseconds m_age{0};      // time since the copy was last known to equal the content of the store
+  std::uint32_t m_bytes = 0;  // size of the content
   // How long the sender has read the collection from the store without a failure; 0: it does not read it now.
   milliseconds m_read_for{0};
 };
--- a/packages/gateway/src/collection_replica.cpp
+++ b/packages/gateway/src/collection_replica.cpp
@@ -16,19 +16,27 @@
   return names[static_cast<std::size_t>(kind)];
 }
 
-bool collection_replica::apply(const collection_snapshot& snapshot) {
-  if (snapshot.m_as_of < m_as_of || snapshot.m_as_of == 0) {
+bool collection_replica::is_older(const collection_snapshot& snapshot, origin from) const {
+  const bool replaces_era_of_peer =
+      from == origin::store && !m_era_from_store && snapshot.m_as_of.m_era != m_as_of.m_era;
+  return snapshot.m_as_of < m_as_of && !replaces_era_of_peer;
+}
+
+bool collection_replica::apply(const collection_snapshot& snapshot, origin from) {
+  if (snapshot.m_as_of.m_revision == 0 || is_older(snapshot, from)) {
     return false;
   }
+  const bool same_era = snapshot.m_as_of.m_era == m_as_of.m_era;
+  m_era_from_store = from == origin::store || (same_era && m_era_from_store);
   document_map new_documents;
   for (const auto& each : snapshot.m_documents) {
     new_documents.emplace(each.m_name, each);
   }
   const bool same = std::equal(new_documents.begin(), new_documents.end(), m_documents.begin(),
                                m_documents.end(), [](const auto& a, const auto& b) {
-                                 return a.first == b.first && a.second.m_revision == b.second.m_revision;
+                                 return a.first == b.first && a.second.m_version == b.second.m_version;
                                });
-  const bool changed = !same || m_as_of == 0;
+  const bool changed = !same || !same_era || !loaded();
   if (changed) {
     m_changed_at = snapshot.m_as_of;
   }
@@ -55,7 +63,7 @@
 }
 
 bool collection_replica::apply(const collection_changes& changes) {
-  if (changes.m_as_of < m_as_of) {
+  if (changes.m_as_of < m_as_of || changes.m_as_of.m_era != m_as_of.m_era) {
     return false;
   }
   m_as_of = changes.m_as_of;
@@ -63,7 +71,7 @@
   for (const auto& [changed_document, removed] : changes.m_changes) {
     const auto known = m_documents.find(changed_document.m_name);
     // A removal carries the revision either of the removal or of the removed content; both are accepted.
-    if (known != m_documents.end() && changed_document.m_revision < known->second.m_revision) {
+    if (known != m_documents.end() && changed_document.m_version < known->second.m_version) {
       continue;
     }
     changed = true;
@@ -80,7 +88,10 @@
   return changed;
 }
 
-void collection_replica::confirm(std::uint64_t as_of, time_point when) {
+void collection_replica::confirm(store_version as_of, time_point when) {
+  if (as_of.m_era != m_as_of.m_era) {
+    return;
+  }
   m_as_of = std::max(m_as_of, as_of);
   m_confirmed_at = std::max(m_confirmed_at, when);
 }
--- a/packages/gateway/src/collection_watcher.cpp
+++ b/packages/gateway/src/collection_watcher.cpp
@@ -166,24 +166,29 @@
 // does not answer.
 void collection_watcher::report_discarded_list(const collection_snapshot& snapshot) {
   const auto known = m_fleet_view.collection(m_kind).as_of();
-  if (snapshot.m_as_of >= known) {
+  if (!m_fleet_view.collection(m_kind).is_older(snapshot, collection_replica::origin::store)) {
     return;
   }
   ++m_counters.m_discarded_lists;
   if (const auto suppressed = m_discarded_lists.admit({snapshot.m_as_of, known}, monotonic_now())) {
     log_event(log_level::warning, "list_discarded",
               {{"collection", to_string(m_kind)},
-               {"as_of", known},
-               {"list_as_of", snapshot.m_as_of},
+               {"era", known.m_era},
+               {"as_of", known.m_revision},
+               {"list_era", snapshot.m_as_of.m_era},
+               {"list_as_of", snapshot.m_as_of.m_revision},
                {"suppressed", *suppressed}});
   }
 }
 
 void collection_watcher::report_history_gone() {
   const auto known = m_fleet_view.collection(m_kind).as_of();
-  if (const auto suppressed = m_history_gone.admit({known, 0}, monotonic_now())) {
+  if (const auto suppressed = m_history_gone.admit({known, {}}, monotonic_now())) {
     log_event(log_level::info, "watch_history_gone",
-              {{"collection", to_string(m_kind)}, {"as_of", known}, {"suppressed", *suppressed}});
+              {{"collection", to_string(m_kind)},
+               {"era", known.m_era},
+               {"as_of", known.m_revision},
+               {"suppressed", *suppressed}});
   }
 }
 
@@ -221,6 +226,9 @@
   }
   handle_success();
   m_consecutive_history_gone = 0;
+  if (changes->m_as_of.m_era != m_fleet_view.collection(m_kind).as_of().m_era) {
+    m_list_next = true; // these are not the changes since the state that is known
+  }
   if (m_list_next) {
     return; // after an outage only a full list shows which entries expired meanwhile
   }
@@ -246,7 +254,8 @@
               {{"collection", to_string(m_kind)},
                {"reason", to_string(error.m_kind)},
                {"message", error.m_message},
-               {"as_of", m_fleet_view.collection(m_kind).as_of()}});
+               {"era", m_fleet_view.collection(m_kind).as_of().m_era},
+               {"as_of", m_fleet_view.collection(m_kind).as_of().m_revision}});
   }
   back_off(m_consecutive_failures++);
 }
@@ -275,7 +284,9 @@
   if (!m_connected) {
     m_connected = true;
     log_event(log_level::info, "store_reached",
-              {{"collection", to_string(m_kind)}, {"as_of", m_fleet_view.collection(m_kind).as_of()}});
+              {{"collection", to_string(m_kind)},
+               {"era", m_fleet_view.collection(m_kind).as_of().m_era},
+               {"as_of", m_fleet_view.collection(m_kind).as_of().m_revision}});
   }
 }
 
--- a/packages/gateway/src/exchange.capnp.h
+++ b/packages/gateway/src/exchange.capnp.h
@@ -321,7 +321,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b7861866a3899f1f, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(b7861866a3899f1f, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -357,6 +357,8 @@
 
   inline  ::uint32_t getReadForMs() const;
 
+  inline  ::uint32_t getEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -400,6 +402,9 @@
   inline  ::uint32_t getReadForMs();
   inline void setReadForMs( ::uint32_t value);
 
+  inline  ::uint32_t getEra();
+  inline void setEra( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2282,6 +2287,8 @@
   inline bool hasDocuments() const;
   inline  ::capnp::List< ::cardamompond::gateway::wire::Document,  ::capnp::Kind::STRUCT>::Reader getDocuments() const;
 
+  inline  ::uint32_t getEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2320,6 +2327,9 @@
   inline void adoptDocuments(::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::Document,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::Document,  ::capnp::Kind::STRUCT>> disownDocuments();
 
+  inline  ::uint32_t getEra();
+  inline void setEra( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2418,6 +2428,20 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t CollectionState::Reader::getEra() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CollectionState::Builder::getEra() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void CollectionState::Builder::setEra( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t ServerLoad::Reader::getServer() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4429,6 +4453,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t CollectionSnapshot::Reader::getEra() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CollectionSnapshot::Builder::getEra() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void CollectionSnapshot::Builder::setEra( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/packages/gateway/src/fleet_view.cpp
+++ b/packages/gateway/src/fleet_view.cpp
@@ -7,9 +7,10 @@
 fleet_view::fleet_view(const document_reader& reader)
     : m_reader(reader) {}
 
-bool fleet_view::apply(collection_kind kind, const collection_snapshot& snapshot, std::string_view source) {
+bool fleet_view::apply(collection_kind kind, const collection_snapshot& snapshot, std::string_view source,
+                       collection_replica::origin from) {
   report_unreadable_entries(kind, snapshot.m_unreadable_entries, source);
-  if (!m_collections[static_cast<std::size_t>(kind)].apply(snapshot)) {
+  if (!m_collections[static_cast<std::size_t>(kind)].apply(snapshot, from)) {
     return false;
   }
   decode(kind, source);
@@ -41,7 +42,7 @@
   }
 }
 
-void fleet_view::confirm(collection_kind kind, std::uint64_t as_of, time_point when) {
+void fleet_view::confirm(collection_kind kind, store_version as_of, time_point when) {
   m_collections[static_cast<std::size_t>(kind)].confirm(as_of, when);
 }
 
@@ -51,7 +52,8 @@
   log_event(log_level::warning, "document_unreadable",
             {{"collection", to_string(kind)},
              {"name", each.m_name},
-             {"revision", each.m_revision},
+             {"era", each.m_version.m_era},
+             {"revision", each.m_version.m_revision},
              {"reason", error.m_reason}});
 }
 
@@ -77,9 +79,9 @@
   std::vector<T> all;
   all.reserve(documents.size() + kept.size());
   const auto add = [&](const std::string& name, const document& each) {
-    auto& [revision, object] = known[name];
-    if (revision != each.m_revision) {
-      revision = each.m_revision;
+    auto& [version, object] = known[name];
+    if (version != each.m_version) {
+      version = each.m_version;
       if (auto decoded = read(each)) {
         object = std::move(*decoded);
       } else {
@@ -114,7 +116,8 @@
         std::make_shared<const fleet::declarations>(std::move(*decoded)));
     log_event(log_level::info, "declarations_in_force",
               {{"version", m_routes->source().m_version},
-               {"revision", each.m_revision},
+               {"era", each.m_version.m_era},
+               {"revision", each.m_version.m_revision},
                {"source", source},
                {"routes", m_routes->source().m_routes.size()}});
   }
@@ -147,7 +150,8 @@
   if (kind != collection_kind::declarations) {
     log_event(log_level::info, "collection_changed",
               {{"collection", to_string(kind)},
-               {"as_of", collection(kind).as_of()},
+               {"era", collection(kind).as_of().m_era},
+               {"as_of", collection(kind).as_of().m_revision},
                {"source", source},
                {"documents", collection(kind).documents().size()},
                {"kept", collection(kind).kept_documents().size()}});
--- a/packages/gateway/src/group_maintenance.cpp
+++ b/packages/gateway/src/group_maintenance.cpp
@@ -126,15 +126,17 @@
   if (now - since->second < write_delay_per_rank * static_cast<int>(m_group.rank_for(decision.m_service))) {
     return;
   }
-  const std::uint64_t revision = order->m_revision; // the list of orders may change during the call
-  const auto written = m_store.write_rollout_state(decision.m_service, revision, decision.m_target_version,
+  const store_version version(order->m_era,
+                              order->m_revision); // the list of orders may change during the call
+  const auto written = m_store.write_rollout_state(decision.m_service, version, decision.m_target_version,
                                                    state_name(decision.m_state), write_timeout);
   log_event(log_level::info, "rollout_state_written",
             {{"service", decision.m_service},
              {"target", decision.m_target_version},
              {"state", state_name(decision.m_state)},
              {"reason", decision.m_reason},
-             {"revision", revision},
+             {"era", version.m_era},
+             {"revision", version.m_revision},
              {"result", written ? "done" : to_string(written.error().m_kind)}});
   // The write is tried again after this time unless the watch shows the new state by then.
   since->second = monotonic_now() + write_delay_per_rank;
--- a/packages/gateway/src/peer_exchange.cpp
+++ b/packages/gateway/src/peer_exchange.cpp
@@ -299,7 +299,7 @@
       return snapshot.error().m_reason;
     }
     ++m_counters.m_collections_fetched;
-    m_fleet_view.apply(lagging.m_kind, *snapshot, lagging.m_peer_address);
+    m_fleet_view.apply(lagging.m_kind, *snapshot, lagging.m_peer_address, collection_replica::origin::peer);
     return {};
   }();
   if (!reason.empty()) {
--- a/packages/gateway/src/peer_group.cpp
+++ b/packages/gateway/src/peer_group.cpp
@@ -265,7 +265,7 @@
     const bool ahead = peer_state.m_changed_at > m_admission.known_fleet().collection(kind).as_of();
     if (!ahead) {
       remote.m_ahead_since[index] = {};
-      if (peer_state.m_as_of > 0 && m_admission.known_fleet().collection(kind).loaded()) {
+      if (peer_state.m_as_of.m_revision > 0 && m_admission.known_fleet().collection(kind).loaded()) {
         // This daemon has every change that the peer knows of.
         m_admission.known_fleet().confirm(kind, peer_state.m_as_of, now - peer_state.m_age);
       }
@@ -530,10 +530,10 @@
 }
 
 bool peer_group::has_peer_ahead_with_large_content(collection_kind kind) const {
-  const auto own_revision = m_admission.known_fleet().collection(kind).as_of();
+  const auto own_version = m_admission.known_fleet().collection(kind).as_of();
   return std::any_of(m_peers.begin(), m_peers.end(), [&](const auto& each) {
     const collection_state& peer_state = each.second.m_collections[static_cast<std::size_t>(kind)];
-    return peer_state.m_changed_at > own_revision && peer_state.m_bytes > large_content_bytes;
+    return peer_state.m_changed_at > own_version && peer_state.m_bytes > large_content_bytes;
   });
 }
 
@@ -559,12 +559,12 @@
   return now - m_admission.known_fleet().collection(kind).confirmed_at() < limit;
 }
 
-bool peer_group::is_read_by_peers_since(collection_kind kind, time_point since, std::uint64_t as_of) const {
+bool peer_group::is_read_by_peers_since(collection_kind kind, time_point since, store_version as_of) const {
   return std::any_of(m_peers.begin(), m_peers.end(), [&](const auto& each) {
     const peer& remote = each.second;
     const collection_state& state = remote.m_collections[static_cast<std::size_t>(kind)];
-    return state.m_read_for > milliseconds(0) && remote.m_last_report_at > since &&
-           remote.m_last_report_at - state.m_read_for <= since &&
+    return state.m_as_of.m_era == as_of.m_era && state.m_read_for > milliseconds(0) &&
+           remote.m_last_report_at > since && remote.m_last_report_at - state.m_read_for <= since &&
            (remote.m_last_report_at - state.m_age > since || state.m_changed_at > as_of);
   });
 }
@@ -572,22 +572,23 @@
 std::optional<peer_group::lagging_collection> peer_group::find_lagging_collection(time_point now) const {
   for (const auto kind : all_collection_kinds) {
     const auto index = static_cast<std::size_t>(kind);
-    const auto own_revision = m_admission.known_fleet().collection(kind).as_of();
+    const auto own_version = m_admission.known_fleet().collection(kind).as_of();
     const duration min_lag = has_peer_ahead_with_large_content(kind) ? duration(large_content_fetch_delay)
-                             : own_revision == 0 || updated_by_peers(kind, now) ? duration::zero()
-                                                                                : duration(tolerated_lag);
+                             : own_version == store_version() || updated_by_peers(kind, now)
+                                 ? duration::zero()
+                                 : duration(tolerated_lag);
     const peer* best_source = nullptr;
     for (const auto& [name, each] : m_peers) {
-      const bool ahead = each.m_collections[index].m_changed_at > own_revision &&
+      const bool ahead = each.m_collections[index].m_changed_at > own_version &&
                          each.m_ahead_since[index] != time_point{} &&
                          now - each.m_ahead_since[index] >= min_lag;
       // Prefers peers in the same zone, since traffic between zones is charged. The hash differs for each
       // daemon and after each failure: when all daemons start at once, a peer that all fetch from serves none
       // in time.
       const auto preference = [&](const peer& remote) {
-        return std::pair(
-            remote.m_availability_zone == m_self.m_availability_zone,
-            hash64(remote.m_address, hash64(m_self.m_name, own_revision + m_fetch_failures[index])));
+        return std::pair(remote.m_availability_zone == m_self.m_availability_zone,
+                         hash64(remote.m_address,
+                                hash64(m_self.m_name, own_version.m_revision + m_fetch_failures[index])));
       };
       if (ahead && (best_source == nullptr || preference(each) > preference(*best_source))) {
         best_source = &each;
--- a/packages/gateway/src/peer_report.cpp
+++ b/packages/gateway/src/peer_report.cpp
@@ -114,6 +114,11 @@
   return std::min(fleet::max_work_time_percent, static_cast<std::uint32_t>(std::lround(percent)));
 }
 
+std::uint32_t to_wire_era(store_version version) {
+  constexpr std::uint64_t max_era = std::numeric_limits<std::uint32_t>::max();
+  return static_cast<std::uint32_t>(std::min(version.m_era, max_era));
+}
+
 void encode_part_suspicions(const std::vector<fleet::part_suspicion>& from, wire::Report::Builder to) {
   auto list = to.initParts(static_cast<unsigned>(from.size()));
   for (unsigned i = 0; i < list.size(); ++i) {
@@ -230,8 +235,10 @@
   report.m_recent_use_only = from.getRecentUseOnly();
   const auto collections = from.getCollections();
   for (unsigned i = 0; i < std::min<unsigned>(collections.size(), report.m_collections.size()); ++i) {
-    report.m_collections[i] = {collections[i].getAsOf(), collections[i].getChangedAt(),
-                               milliseconds(collections[i].getAgeMs()), collections[i].getBytes(),
+    report.m_collections[i] = {{collections[i].getEra(), collections[i].getAsOf()},
+                               {collections[i].getEra(), collections[i].getChangedAt()},
+                               milliseconds(collections[i].getAgeMs()),
+                               collections[i].getBytes(),
                                milliseconds(collections[i].getReadForMs())};
   }
   for (const auto& each : from.getLoads()) {
@@ -300,8 +307,9 @@
   to.setRecentUseOnly(report.m_recent_use_only);
   auto collections = to.initCollections(static_cast<unsigned>(report.m_collections.size()));
   for (unsigned i = 0; i < collections.size(); ++i) {
-    collections[i].setAsOf(report.m_collections[i].m_as_of);
-    collections[i].setChangedAt(report.m_collections[i].m_changed_at);
+    collections[i].setAsOf(report.m_collections[i].m_as_of.m_revision);
+    collections[i].setEra(to_wire_era(report.m_collections[i].m_as_of));
+    collections[i].setChangedAt(report.m_collections[i].m_changed_at.m_revision);
     collections[i].setBytes(report.m_collections[i].m_bytes);
     collections[i].setAgeMs(to_wire_ms(report.m_collections[i].m_age));
     collections[i].setReadForMs(to_wire_ms(report.m_collections[i].m_read_for));
@@ -404,11 +412,12 @@
 std::string encode_snapshot(const collection_snapshot& snapshot) {
   capnp::MallocMessageBuilder message;
   auto to = message.initRoot<wire::CollectionSnapshot>();
-  to.setAsOf(snapshot.m_as_of);
+  to.setAsOf(snapshot.m_as_of.m_revision);
+  to.setEra(to_wire_era(snapshot.m_as_of));
   auto documents = to.initDocuments(static_cast<unsigned>(snapshot.m_documents.size()));
   for (unsigned i = 0; i < documents.size(); ++i) {
     documents[i].setName(snapshot.m_documents[i].m_name);
-    documents[i].setRevision(snapshot.m_documents[i].m_revision);
+    documents[i].setRevision(snapshot.m_documents[i].m_version.m_revision);
     const std::string& content = snapshot.m_documents[i].m_content;
     documents[i].setContent(kj::StringPtr(content.c_str(), content.size()));
   }
@@ -418,10 +427,10 @@
 result<collection_snapshot, malformed_message> decode_snapshot(std::span<const char> bytes) {
   return decode<collection_snapshot>(bytes, max_snapshot_words, [](capnp::MessageReader& message) {
     const auto from = message.getRoot<wire::CollectionSnapshot>();
-    collection_snapshot snapshot{from.getAsOf(), {}, 0};
+    collection_snapshot snapshot{{from.getEra(), from.getAsOf()}, {}, 0};
     for (const auto& each : from.getDocuments()) {
       snapshot.m_documents.push_back({std::string(each.getName().cStr(), each.getName().size()),
-                                      each.getRevision(),
+                                      {from.getEra(), each.getRevision()},
                                       std::string(each.getContent().cStr(), each.getContent().size())});
     }
     return snapshot;
--- a/packages/gateway/tests/collection_watcher_test.cpp
+++ b/packages/gateway/tests/collection_watcher_test.cpp
@@ -34,10 +34,11 @@
 // A store that can be made unavailable.
 class switchable_store final : public document_store {
 public:
+  std::uint64_t era() const override { return m_content.m_as_of.m_era; }
   document_result<collection_snapshot> list(collection_kind, milliseconds) override {
     return check() ? document_result<collection_snapshot>(m_content) : unavailable();
   }
-  document_result<collection_changes> watch(collection_kind, std::uint64_t after, milliseconds) override {
+  document_result<collection_changes> watch(collection_kind, store_version after, milliseconds) override {
     boost::this_fiber::sleep_for(milliseconds(20));
     if (m_history_gone && check()) {
       return document_error{document_error_kind::history_gone, "gone"};
@@ -51,7 +52,7 @@
   document_result<success> remove(collection_kind, std::string_view, milliseconds) override {
     return unavailable();
   }
-  document_result<success> write_rollout_state(std::string_view, std::uint64_t, std::string_view,
+  document_result<success> write_rollout_state(std::string_view, store_version, std::string_view,
                                                std::string_view, milliseconds) override {
     return unavailable();
   }
@@ -81,7 +82,7 @@
       : m_view(m_reader)
       , m_watcher(m_store, m_view, kind,
                   {[this](collection_kind) { return m_updated_by_peers; }, [] {},
-                   [this](collection_kind, time_point since, std::uint64_t as_of) {
+                   [this](collection_kind, time_point since, store_version as_of) {
                      m_asked_since = since;
                      m_asked_as_of = as_of;
                      return m_read_by_peers;
@@ -111,10 +112,10 @@
     m_store.m_content = {12, {{"i-1", 3, ""}}, 0};
     m_store.m_available = true;
     const time_point until = monotonic_now() + seconds(2);
-    while (m_view.collection(kind).as_of() != 12 && monotonic_now() < until) {
+    while (m_view.collection(kind).as_of() != store_version(12) && monotonic_now() < until) {
       boost::this_fiber::sleep_for(milliseconds(5));
     }
-    UNSIGNED_LONGS_EQUAL(12, m_view.collection(kind).as_of());
+    UNSIGNED_LONGS_EQUAL(12, m_view.collection(kind).as_of().m_revision);
   }
 
   name_reader m_reader;
@@ -122,7 +123,7 @@
   bool m_read_by_peers = false;
   bool m_updated_by_peers = false;
   time_point m_asked_since;
-  std::uint64_t m_asked_as_of = 0;
+  store_version m_asked_as_of;
   time_point m_outage_began;
   fleet_view m_view;
   collection_watcher m_watcher;
@@ -140,11 +141,11 @@
   daemon.pass_outage();
   UNSIGNED_LONGS_EQUAL(2, daemon.m_view.backend_servers().size());
   const auto told = daemon.m_view.collection(kind).snapshot();
-  UNSIGNED_LONGS_EQUAL(12, told.m_as_of);
+  UNSIGNED_LONGS_EQUAL(12, told.m_as_of.m_revision);
   UNSIGNED_LONGS_EQUAL(1, told.m_documents.size());
   STRCMP_EQUAL("i-1", told.m_documents.front().m_name.c_str());
   CHECK(daemon.m_asked_since >= daemon.m_outage_began);
-  UNSIGNED_LONGS_EQUAL(10, daemon.m_asked_as_of);
+  UNSIGNED_LONGS_EQUAL(10, daemon.m_asked_as_of.m_revision);
   boost::this_fiber::sleep_for(milliseconds(3'000));
   UNSIGNED_LONGS_EQUAL(1, daemon.m_view.backend_servers().size());
 }
--- a/packages/gateway/tests/peer_report_test.cpp
+++ b/packages/gateway/tests/peer_report_test.cpp
@@ -45,8 +45,8 @@
   STRCMP_EQUAL("d1", read->m_daemon.c_str());
   STRCMP_EQUAL("a", read->m_availability_zone.c_str());
   UNSIGNED_LONGS_EQUAL(7, read->m_incarnation);
-  UNSIGNED_LONGS_EQUAL(10, read->m_collections[1].m_as_of);
-  UNSIGNED_LONGS_EQUAL(8, read->m_collections[1].m_changed_at);
+  UNSIGNED_LONGS_EQUAL(10, read->m_collections[1].m_as_of.m_revision);
+  UNSIGNED_LONGS_EQUAL(8, read->m_collections[1].m_changed_at.m_revision);
   LONGS_EQUAL(30, read->m_collections[1].m_age.count());
   UNSIGNED_LONGS_EQUAL(3, read->m_loads.front().m_running);
   CHECK(read->m_loads.front().m_failing);
@@ -153,10 +153,10 @@
 // Guards against document content being truncated at a zero byte.
 TEST(peer_report, snapshot_round_trip) {
   const std::string content("{\"a\":\0}", 7);
-  const auto read = decode_snapshot(encode_snapshot({12, {{"main", 11, content}}}));
+  const auto read = decode_snapshot(encode_snapshot({{3, 12}, {{"main", {3, 11}, content}}}));
   CHECK(read.has_value());
-  UNSIGNED_LONGS_EQUAL(12, read->m_as_of);
-  UNSIGNED_LONGS_EQUAL(11, read->m_documents.front().m_revision);
+  CHECK(read->m_as_of == store_version(3, 12));
+  CHECK(read->m_documents.front().m_version == store_version(3, 11));
   CHECK(read->m_documents.front().m_content == content);
 }
 
