Read the store when a peer states a later era

In a large group most daemons make no calls to the store and learn of changes from peers. A state of a later era is not taken from a peer's word: a report may be wrong, and one with an invented era would replace what the store says.

A later era that a peer or an answer for another collection states leads to a list of the daemon's own. If the list does not show it, what peers state is no reason for another one for 5 s. Only while the own calls fail is a peer's copy of a later era fetched, and the store's own era replaces it afterwards. Each daemon lists each collection once after a change, as when the group starts.

--- a/packages/daemon/src/entry_daemon.cpp
+++ b/packages/daemon/src/entry_daemon.cpp
@@ -214,7 +214,8 @@
             [this] { m_peer_exchange.announce_state(); },
             [this](gateway::collection_kind of, time_point since, store_version as_of) {
               return m_group.is_read_by_peers_since(of, since, as_of);
-            }},
+            },
+            [this](gateway::collection_kind of) { return m_group.latest_peer_era(of); }},
         m_random()));
   }
 }
--- a/packages/gateway/include/cardamompond/gateway/collection_replica.hpp
+++ b/packages/gateway/include/cardamompond/gateway/collection_replica.hpp
@@ -46,6 +46,10 @@
   void set_read_since(time_point since) { m_read_since = since; }
   time_point read_since() const { return m_read_since; }
 
+  // Records whether the last call to the store for the collection failed.
+  void set_store_out_of_reach(bool out_of_reach) { m_store_out_of_reach = out_of_reach; }
+  bool store_out_of_reach() const { return m_store_out_of_reach; }
+
   // Records that the content was complete up to the version `as_of` at the time `when`, according to the
   // store or to a peer with the same content. Says nothing about the content if it is of another era.
   void confirm(store_version as_of, time_point when);
@@ -82,6 +86,7 @@
   bool m_era_from_store = false; // whether the store itself stated the era of the content
   time_point m_confirmed_at;
   time_point m_read_since;
+  bool m_store_out_of_reach = false;
 };
 
 } // namespace cardamompond::gateway
--- a/packages/gateway/include/cardamompond/gateway/collection_watcher.hpp
+++ b/packages/gateway/include/cardamompond/gateway/collection_watcher.hpp
@@ -48,6 +48,8 @@
     // Whether a peer has read the collection from the store without a failure since the time given, or
     // longer, and has heard of the store after that time or knows a change after the version given.
     std::function<bool(collection_kind, time_point, store_version)> m_read_by_peers_since;
+    // The latest era of the store that a peer states for its copy of the collection.
+    std::function<std::uint64_t(collection_kind)> m_latest_peer_era;
   };
 
   collection_watcher(document_store& store, fleet_view& view, collection_kind kind, peer_callbacks peers,
@@ -63,6 +65,7 @@
 
 private:
   bool is_current_through_peers() const;
+  bool may_be_of_earlier_era() const;
   void step(); // lists or watches the collection once, or waits while peers keep it up to date
   bool list();
   void wait_for_peer_readers();
@@ -85,6 +88,7 @@
   repeated_event_filter m_history_gone;
   bool m_connected = false;
   bool m_list_next = true;
+  time_point m_next_era_check; // until then, the era that peers state is no reason for a list
   std::uint32_t m_consecutive_failures = 0;
   std::uint32_t m_consecutive_history_gone = 0; // watches that failed since the last that succeeded
   time_point m_outage_began;                    // when the first of the consecutive failures occurred
--- a/packages/gateway/include/cardamompond/gateway/fleet_view.hpp
+++ b/packages/gateway/include/cardamompond/gateway/fleet_view.hpp
@@ -46,6 +46,11 @@
     m_collections[static_cast<std::size_t>(kind)].set_read_since(since);
   }
 
+  // Records whether the last call to the store for the collection failed.
+  void set_store_out_of_reach(collection_kind kind, bool out_of_reach) {
+    m_collections[static_cast<std::size_t>(kind)].set_store_out_of_reach(out_of_reach);
+  }
+
   // Records that the replica was complete up to the version `as_of` at the time `when`.
   void confirm(collection_kind kind, store_version as_of, time_point when);
 
--- a/packages/gateway/include/cardamompond/gateway/peer_group.hpp
+++ b/packages/gateway/include/cardamompond/gateway/peer_group.hpp
@@ -84,6 +84,10 @@
   // change last as long. A peer in another era does not count: the entries may have been lost with this one.
   bool is_read_by_peers_since(collection_kind kind, time_point since, store_version as_of) const;
 
+  // Returns the latest era of the store that a live peer states for its copy of the collection; 0 if none
+  // does. It is a reason to read the store, not yet a fact: a report may be wrong.
+  std::uint64_t latest_peer_era(collection_kind kind) const;
+
   // Replaces the addresses of daemons to contact before the members are known.
   void set_seeds(std::vector<std::string> seeds) { m_seeds = std::move(seeds); }
 
@@ -110,7 +114,8 @@
     std::uint32_t m_bytes = 0; // size of the content
   };
 
-  // Returns a collection that peers have had in a newer state for longer than this daemon tolerates.
+  // Returns a collection that peers have had in a newer state for longer than this daemon tolerates. The
+  // state of a later era is left to an own read of the store, unless the store is out of reach.
   std::optional<lagging_collection> find_lagging_collection(time_point now) const;
 
   // Makes the next fetch of the collection try another peer.
--- a/packages/gateway/src/collection_watcher.cpp
+++ b/packages/gateway/src/collection_watcher.cpp
@@ -59,6 +59,10 @@
 constexpr duration min_outage_for_expiry = milliseconds(1'500);
 constexpr duration entries_restore_time = milliseconds(2'200);
 
+// A list that does not show the era that a peer states is not repeated for that reason within this time. A
+// report with an invented era must not make the daemons use up the store's rate.
+constexpr duration era_check_interval = seconds(5);
+
 // An event that repeats without a change is logged once in this time.
 constexpr duration repeated_event_interval = seconds(5);
 
@@ -102,11 +106,23 @@
   return !may_have_expired || m_peer_callbacks.m_read_by_peers_since(m_kind, m_outage_began, m_outage_as_of);
 }
 
+// Whether an answer of the store for any collection, or a peer, stated a later era than that of the content.
+bool collection_watcher::may_be_of_earlier_era() const {
+  const auto& known = m_fleet_view.collection(m_kind);
+  const std::uint64_t era = known.as_of().m_era;
+  return known.loaded() && (m_store.era() > era || (monotonic_now() >= m_next_era_check &&
+                                                    m_peer_callbacks.m_latest_peer_era(m_kind) > era));
+}
+
 void collection_watcher::step() {
-  if (is_current_through_peers()) {
+  if (may_be_of_earlier_era()) {
+    m_list_next = true;
+  } else if (is_current_through_peers()) {
     m_list_next = false;
     m_consecutive_failures = 0;
     m_fleet_view.set_read_since(m_kind, {});
+    m_fleet_view.set_store_out_of_reach(m_kind,
+                                        false); // not known, and asked for before anything is believed
     boost::this_fiber::sleep_for(peer_readers_poll_interval);
     return;
   }
@@ -137,6 +153,10 @@
   handle_success();
   apply_snapshot(*listed);
   m_fleet_view.confirm(m_kind, listed->m_as_of, monotonic_now());
+  if (may_be_of_earlier_era()) {
+    m_next_era_check = monotonic_now() + era_check_interval;
+    back_off(3);
+  }
   return true;
 }
 
@@ -244,6 +264,7 @@
   ++m_counters.m_failures;
   const time_point now = monotonic_now();
   m_fleet_view.set_read_since(m_kind, {});
+  m_fleet_view.set_store_out_of_reach(m_kind, true);
   if (m_consecutive_failures == 0) {
     m_outage_began = now;
     m_outage_as_of = m_fleet_view.collection(m_kind).as_of();
@@ -281,6 +302,7 @@
     m_fleet_view.set_read_since(m_kind, now);
   }
   m_consecutive_failures = 0;
+  m_fleet_view.set_store_out_of_reach(m_kind, false);
   if (!m_connected) {
     m_connected = true;
     log_event(log_level::info, "store_reached",
--- a/packages/gateway/src/peer_group.cpp
+++ b/packages/gateway/src/peer_group.cpp
@@ -569,19 +569,30 @@
   });
 }
 
+std::uint64_t peer_group::latest_peer_era(collection_kind kind) const {
+  std::uint64_t latest = 0;
+  for (const auto& [name, each] : m_peers) {
+    latest = std::max(latest, each.m_collections[static_cast<std::size_t>(kind)].m_as_of.m_era);
+  }
+  return latest;
+}
+
 std::optional<peer_group::lagging_collection> peer_group::find_lagging_collection(time_point now) const {
   for (const auto kind : all_collection_kinds) {
     const auto index = static_cast<std::size_t>(kind);
-    const auto own_version = m_admission.known_fleet().collection(kind).as_of();
+    const auto& known = m_admission.known_fleet().collection(kind);
+    const auto own_version = known.as_of();
+    const bool accepts_later_era = !known.loaded() || known.store_out_of_reach();
     const duration min_lag = has_peer_ahead_with_large_content(kind) ? duration(large_content_fetch_delay)
                              : own_version == store_version() || updated_by_peers(kind, now)
                                  ? duration::zero()
                                  : duration(tolerated_lag);
     const peer* best_source = nullptr;
     for (const auto& [name, each] : m_peers) {
-      const bool ahead = each.m_collections[index].m_changed_at > own_version &&
-                         each.m_ahead_since[index] != time_point{} &&
-                         now - each.m_ahead_since[index] >= min_lag;
+      const bool ahead =
+          each.m_collections[index].m_changed_at > own_version &&
+          (accepts_later_era || each.m_collections[index].m_as_of.m_era == own_version.m_era) &&
+          each.m_ahead_since[index] != time_point{} && now - each.m_ahead_since[index] >= min_lag;
       // Prefers peers in the same zone, since traffic between zones is charged. The hash differs for each
       // daemon and after each failure: when all daemons start at once, a peer that all fetch from serves none
       // in time.
--- a/packages/gateway/tests/collection_watcher_test.cpp
+++ b/packages/gateway/tests/collection_watcher_test.cpp
@@ -86,7 +86,8 @@
                      m_asked_since = since;
                      m_asked_as_of = as_of;
                      return m_read_by_peers;
-                   }},
+                   },
+                   [this](collection_kind) { return m_peer_era; }},
                   7) {
     m_store.m_content = {10, {{"i-1", 3, ""}, {"i-2", 4, ""}}, 0};
     m_fiber = boost::fibers::fiber([this] {
@@ -123,6 +124,7 @@
   bool m_read_by_peers = false;
   bool m_updated_by_peers = false;
   time_point m_asked_since;
+  std::uint64_t m_peer_era = 0;
   store_version m_asked_as_of;
   time_point m_outage_began;
   fleet_view m_view;
@@ -220,3 +222,21 @@
   CHECK(filter.admit({8, 9}, begin + seconds(2)) == std::optional<std::uint64_t>(2));
   CHECK(filter.admit({8, 9}, begin + seconds(8)) == std::optional<std::uint64_t>(0));
 }
+
+// Guards against a daemon whose peers read the store for it and that keeps the state of an earlier era, and
+// against a report with an invented era that makes it list the store without end or ignore it.
+TEST(collection_watcher, the_era_that_a_peer_states_leads_to_one_list) {
+  watcher_fixture daemon;
+  boost::this_fiber::sleep_for(milliseconds(1'200)); // the first list and the wait for readers
+  daemon.m_updated_by_peers = true;
+  boost::this_fiber::sleep_for(milliseconds(200));
+  daemon.m_store.m_content = {{1, 7}, {{"i-1", {1, 3}, ""}}, 0};
+  daemon.m_store.m_calls = 0;
+  daemon.m_peer_era = 900;
+  boost::this_fiber::sleep_for(milliseconds(800));
+  CHECK(daemon.m_view.collection(kind).as_of() == store_version(1, 7));
+  CHECK(daemon.m_store.m_calls <= 2);
+  daemon.m_store.m_content = {{2, 6}, {{"i-1", {2, 3}, ""}}, 0}; // any answer to a call of another collection
+  boost::this_fiber::sleep_for(milliseconds(800));
+  CHECK(daemon.m_view.collection(kind).as_of() == store_version(2, 6));
+}
--- a/packages/gateway/tests/peer_group_test.cpp
+++ b/packages/gateway/tests/peer_group_test.cpp
@@ -546,3 +546,27 @@
   fixture.m_group.handle_report(fixture.make_report(1, 1), fixture.m_now);
   CHECK(fixture.m_group.is_live("d1"));
 }
+
+// Guards against the copy of a later era that a daemon believes although it reads the store itself, against
+// one that it refuses while the store is out of reach, and against a peer of an earlier era that confirms the
+// content.
+TEST(peer_group, the_copy_of_another_era_is_fetched_only_without_the_store) {
+  group_fixture daemon(3);
+  auto report = daemon.make_report(1, 1);
+  for (auto& each : report.m_collections) {
+    each = {{1, 3}, {1, 3}, milliseconds(0)};
+  }
+  constexpr auto kind = collection_kind::declarations;
+  daemon.m_group.handle_report(*decode_report(encode_report(report)), daemon.m_now);
+  UNSIGNED_LONGS_EQUAL(1, daemon.m_group.latest_peer_era(kind));
+  CHECK_FALSE(daemon.m_group.find_lagging_collection(daemon.m_now + seconds(1)).has_value());
+  daemon.m_fleet_view.set_store_out_of_reach(kind, true);
+  const auto lagging = daemon.m_group.find_lagging_collection(daemon.m_now + seconds(1));
+  CHECK(lagging.has_value());
+  CHECK(lagging->m_kind == kind);
+  daemon.m_fleet_view.apply(kind, collection_snapshot{{2, 3}, {}}, "test");
+  CHECK_FALSE(daemon.m_group.find_lagging_collection(daemon.m_now + seconds(1)).has_value());
+  ++report.m_sequence;
+  daemon.m_group.handle_report(report, daemon.m_now);
+  CHECK(daemon.m_fleet_view.collection(kind).confirmed_at() == time_point{});
+}
