--- a/packages/gateway/tests/collection_watcher_test.cpp
+++ b/packages/gateway/tests/collection_watcher_test.cpp
@@ -34,11 +34,15 @@
 // A store that can be made unavailable.
 class switchable_store final : public document_store {
 public:
+  std::uint64_t era() const override { return m_content.m_as_of.m_era; }
   document_result<collection_snapshot> list(collection_kind, milliseconds) override {
     return check() ? document_result<collection_snapshot>(m_content) : unavailable();
   }
-  document_result<collection_changes> watch(collection_kind, std::uint64_t after, milliseconds) override {
+  document_result<collection_changes> watch(collection_kind, store_version after, milliseconds) override {
     boost::this_fiber::sleep_for(milliseconds(20));
+    if (m_history_gone && check()) {
+      return document_error{document_error_kind::history_gone, "gone"};
+    }
     return check() ? document_result<collection_changes>(collection_changes{after, {}, 0}) : unavailable();
   }
   document_result<success> create(collection_kind, std::string_view, std::string_view,
@@ -48,13 +52,14 @@
   document_result<success> remove(collection_kind, std::string_view, milliseconds) override {
     return unavailable();
   }
-  document_result<success> write_rollout_state(std::string_view, std::uint64_t, std::string_view,
+  document_result<success> write_rollout_state(std::string_view, store_version, std::string_view,
                                                std::string_view, milliseconds) override {
     return unavailable();
   }
 
   collection_snapshot m_content;
   bool m_available = true;
+  bool m_history_gone = false; // watches fail
   bool m_ended = false;
   int m_calls = 0;
 
@@ -77,11 +82,12 @@
       : m_view(m_reader)
       , m_watcher(m_store, m_view, kind,
                   {[this](collection_kind) { return m_updated_by_peers; }, [] {},
-                   [this](collection_kind, time_point since, std::uint64_t as_of) {
+                   [this](collection_kind, time_point since, store_version as_of) {
                      m_asked_since = since;
                      m_asked_as_of = as_of;
                      return m_read_by_peers;
-                   }},
+                   },
+                   [this](collection_kind) { return m_peer_era; }},
                   7) {
     m_store.m_content = {10, {{"i-1", 3, ""}, {"i-2", 4, ""}}, 0};
     m_fiber = boost::fibers::fiber([this] {
@@ -107,10 +113,10 @@
     m_store.m_content = {12, {{"i-1", 3, ""}}, 0};
     m_store.m_available = true;
     const time_point until = monotonic_now() + seconds(2);
-    while (m_view.collection(kind).as_of() != 12 && monotonic_now() < until) {
+    while (m_view.collection(kind).as_of() != store_version(12) && monotonic_now() < until) {
       boost::this_fiber::sleep_for(milliseconds(5));
     }
-    UNSIGNED_LONGS_EQUAL(12, m_view.collection(kind).as_of());
+    UNSIGNED_LONGS_EQUAL(12, m_view.collection(kind).as_of().m_revision);
   }
 
   name_reader m_reader;
@@ -118,7 +124,8 @@
   bool m_read_by_peers = false;
   bool m_updated_by_peers = false;
   time_point m_asked_since;
-  std::uint64_t m_asked_as_of = 0;
+  std::uint64_t m_peer_era = 0;
+  store_version m_asked_as_of;
   time_point m_outage_began;
   fleet_view m_view;
   collection_watcher m_watcher;
@@ -136,11 +143,11 @@
   daemon.pass_outage();
   UNSIGNED_LONGS_EQUAL(2, daemon.m_view.backend_servers().size());
   const auto told = daemon.m_view.collection(kind).snapshot();
-  UNSIGNED_LONGS_EQUAL(12, told.m_as_of);
+  UNSIGNED_LONGS_EQUAL(12, told.m_as_of.m_revision);
   UNSIGNED_LONGS_EQUAL(1, told.m_documents.size());
   STRCMP_EQUAL("i-1", told.m_documents.front().m_name.c_str());
   CHECK(daemon.m_asked_since >= daemon.m_outage_began);
-  UNSIGNED_LONGS_EQUAL(10, daemon.m_asked_as_of);
+  UNSIGNED_LONGS_EQUAL(10, daemon.m_asked_as_of.m_revision);
   boost::this_fiber::sleep_for(milliseconds(3'000));
   UNSIGNED_LONGS_EQUAL(1, daemon.m_view.backend_servers().size());
 }
@@ -192,3 +199,44 @@
   boost::this_fiber::sleep_for(milliseconds(700));
   CHECK(daemon.m_store.m_calls > calls);
 }
+
+// Guards against a loop of lists and watches without a pause, which uses up the rate of the whole group: a
+// store whose revisions went back, or that drops its history at once, answers 410 to each watch.
+TEST(collection_watcher, lists_that_do_not_help_a_watch_are_bounded) {
+  watcher_fixture daemon;
+  boost::this_fiber::sleep_for(milliseconds(1'200)); // the first list and the wait for readers
+  daemon.m_store.m_content = {5, {{"i-1", 3, ""}}, 0};
+  daemon.m_store.m_history_gone = true;
+  const int calls = daemon.m_store.m_calls;
+  boost::this_fiber::sleep_for(milliseconds(1'000));
+  CHECK(daemon.m_store.m_calls - calls <= 20);
+}
+
+// Guards against a log that a repeated event fills, and against changes that it hides.
+TEST(collection_watcher, a_repeated_event_is_logged_again_when_it_changes_and_after_the_interval) {
+  repeated_event_filter filter;
+  const time_point begin{seconds(100)};
+  CHECK(filter.admit({7, 9}, begin) == std::optional<std::uint64_t>(0));
+  CHECK_FALSE(filter.admit({7, 9}, begin + seconds(1)).has_value());
+  CHECK_FALSE(filter.admit({7, 9}, begin + seconds(2)).has_value());
+  CHECK(filter.admit({8, 9}, begin + seconds(2)) == std::optional<std::uint64_t>(2));
+  CHECK(filter.admit({8, 9}, begin + seconds(8)) == std::optional<std::uint64_t>(0));
+}
+
+// Guards against a daemon whose peers read the store for it and that keeps the state of an earlier era, and
+// against a report with an invented era that makes it list the store without end or ignore it.
+TEST(collection_watcher, the_era_that_a_peer_states_leads_to_one_list) {
+  watcher_fixture daemon;
+  boost::this_fiber::sleep_for(milliseconds(1'200)); // the first list and the wait for readers
+  daemon.m_updated_by_peers = true;
+  boost::this_fiber::sleep_for(milliseconds(200));
+  daemon.m_store.m_content = {{1, 7}, {{"i-1", {1, 3}, ""}}, 0};
+  daemon.m_store.m_calls = 0;
+  daemon.m_peer_era = 900;
+  boost::this_fiber::sleep_for(milliseconds(800));
+  CHECK(daemon.m_view.collection(kind).as_of() == store_version(1, 7));
+  CHECK(daemon.m_store.m_calls <= 2);
+  daemon.m_store.m_content = {{2, 6}, {{"i-1", {2, 3}, ""}}, 0}; // any answer to a call of another collection
+  boost::this_fiber::sleep_for(milliseconds(800));
+  CHECK(daemon.m_view.collection(kind).as_of() == store_version(2, 6));
+}
