Let the store of the soak come back from copies

The soak had no store that loses what it acknowledged. In the random runs the store is copied, goes away and comes back from the copy beside kills, cuts and freezes, also again before all is written again; its random numbers are others than those of the other faults, so that seeds keep their order of those.

--- a/tests/soak/soak_group.cpp
+++ b/tests/soak/soak_group.cpp
@@ -46,6 +46,7 @@
     : m_store(test_runtime())
     , m_duty_api(test_runtime(), true, seed)
     , m_client(test_runtime()) {
+  m_store.set_era(1);
   for (int i = 0; i < engine_count; ++i) {
     soak_engine engine;
     engine.m_engine = std::make_unique<platform::standins::backend_engine>(
@@ -169,6 +170,12 @@
                {"tenants", json::array{{{"name", "workshop"}, {"api_keys", json::array{"k"}}}}}});
 }
 
+void soak_group::raise_revisions(std::uint64_t count) {
+  for (std::uint64_t i = 0; i < count; ++i) {
+    m_store.put("other", "x", {{"number", i}});
+  }
+}
+
 void soak_group::set_engine_bounds(int min, int max) {
   m_engine_bounds = {{"min", min}, {"max", max}, {"boot_s", 2.0}};
   publish();
@@ -183,6 +190,7 @@
                {"slots", 16},
                {"state", leaving ? "draining" : "ready"},
                {"born", engine.m_engine->started()},
+               {"sequence", 1}, // raised by the store with each write
                {"cold_remaining_ms", 0}});
 }
 
@@ -210,6 +218,9 @@
 
 void soak_group::clear_faults() {
   m_store.set_fault(platform::standins::store_fault::none);
+  if (m_store.is_away()) {
+    m_store.come_back({});
+  }
   for (auto& engine : m_engines) {
     engine.m_engine->set_faults({});
     engine.m_engine->set_limit(std::nullopt);
--- a/tests/soak/soak_group.hpp
+++ b/tests/soak/soak_group.hpp
@@ -55,10 +55,14 @@
   // Sends SIGTERM to the daemon's process.
   void terminate(soak_daemon& daemon);
 
-  // Writes the next version of the configuration to the store. Each version moves the route /moved/ from one
-  // host name to the other.
+  // Writes the next version of the configuration to the store. Each version moves the route /moved/ to
+  // another host name.
   void publish();
 
+  // Changes an object of another system in the store that many times, so that the revisions of later changes
+  // are higher than those that the store has soon after it came back from its copy.
+  void raise_revisions(std::uint64_t count);
+
   // Publishes bounds of the number of engines in each zone.
   void set_engine_bounds(int min, int max);
 
@@ -103,7 +107,7 @@
   net::http_client& client() { return m_client; }
 
   // Returns the host name of the route /moved/ in the newest version of the configuration.
-  std::string moved_host() const { return m_version % 2 == 0 ? "even" : "odd"; }
+  std::string moved_host() const { return "moved-" + std::to_string(m_version); }
 
 private:
   temporary_folder m_folder;
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -34,11 +34,13 @@
 // later step ends them, so that they overlap.
 class fault_injector {
 public:
-  fault_injector(soak_group& group, std::uint64_t seed)
+  fault_injector(soak_group& group, std::uint64_t seed, bool with_drills)
       : m_group(group)
+      , m_with_drills(with_drills)
       , m_random(seed)
       , m_random_copies(seed)
-      , m_random_limits(seed) {}
+      , m_random_limits(seed)
+      , m_random_drills(seed) {}
 
   void inject_fault() {
     auto& daemon = m_group.daemons()[m_random() % m_group.daemons().size()];
@@ -100,8 +102,14 @@
     resume_daemons();
     change_late_copies();
     change_limit();
+    if (m_with_drills) {
+      change_drill();
+    }
   }
 
+  // Returns the number of times that the store came back from a copy.
+  int drill_count() const { return m_drill_count; }
+
 private:
   bool random_bool() { return m_random() % 2 == 0; }
   double random_probability() { return m_random() % 3 == 0 ? 0.15 : 0; }
@@ -128,6 +136,23 @@
     }
   }
 
+  // Copies the store, lets it go away, or lets it come back from the copy. It may go away again before all
+  // that it lost is written again.
+  void change_drill() {
+    auto& store = m_group.store();
+    if (store.is_away()) {
+      if (m_random_drills() % 2 == 0) {
+        store.come_back({.m_seed = m_random_drills()});
+        ++m_drill_count;
+      }
+    } else if (!store.has_copy() || m_random_drills() % 6 == 0) {
+      store.take_copy();
+      m_group.raise_revisions(m_random_drills() % 300);
+    } else if (m_random_drills() % 8 == 0) {
+      store.go_away();
+    }
+  }
+
   // Makes the engine state that it leaves, while the store still shows it as ready. If it does so already,
   // another process takes its place. At most two engines leave at a time.
   void leave_or_restart(soak_engine& engine) {
@@ -155,9 +180,12 @@
   }
 
   soak_group& m_group;
+  bool m_with_drills;
   std::mt19937_64 m_random;
   std::mt19937_64 m_random_copies;
   std::mt19937_64 m_random_limits;
+  std::mt19937_64 m_random_drills;
+  int m_drill_count = 0;
 };
 
 // Does planned work, lets engines pause, and disturbs the links to the store. None of this excuses a request
@@ -246,15 +274,17 @@
   soak_group group(daemon_count, engine_count, seed);
   group.wait_until_ready();
   soak_callers callers(group, caller_count, seed * 1'000'000);
-  fault_injector injector(group, seed);
+  fault_injector injector(group, seed, read_environment("SOAK_DRILLS", "1") != "0");
   std::mt19937_64 random(seed + 1);
   for (const time_point end = monotonic_now() + duration; monotonic_now() < end;) {
     injector.inject_fault();
     boost::this_fiber::sleep_for(milliseconds(50 + random() % 300));
   }
   group.clear_faults();
+  group.publish();
   check_recovery(group, callers);
   callers.stop();
+  std::printf("the store came back from a copy %d times\n", injector.drill_count());
   const auto& history = callers.report_history("faults");
   CHECK_TEXT(history.m_successful_ids.size() * 4 > history.m_request_count,
              "at most a quarter of the requests had status 200");
@@ -275,9 +305,10 @@
 // Guards against requests that run twice although they must run at most once, requests that run although they
 // were refused as not run, incomplete responses or those to another request (also beside late copies of
 // responses and refusals, while the refused request is sent again), requests to engines that leave
-// or have asked for a pause, more requests than engines have stated to take, and daemons that do not recover,
-// while several faults are present at the same time. The variables SOAK_SEEDS (a list) and SOAK_SECONDS (for
-// each seed) select other runs.
+// or have asked for a pause, more requests than engines have stated to take, and daemons that do not recover
+// or do not return to the newest configuration, while several faults are present at the same time; the store
+// also comes back from copies. The variables SOAK_SEEDS (a list) and SOAK_SECONDS (for each seed) select
+// other runs.
 TEST(soak, guarantees_hold_under_faults) {
   run_seeds(run_soak, default_fault_seeds);
 }
