--- a/packages/daemon/src/entry_daemon.cpp
+++ b/packages/daemon/src/entry_daemon.cpp
@@ -212,9 +212,10 @@
         gateway::collection_watcher::peer_callbacks{
             [this](gateway::collection_kind of) { return m_group.updated_by_peers(of, monotonic_now()); },
             [this] { m_peer_exchange.announce_state(); },
-            [this](gateway::collection_kind of, time_point since, std::uint64_t as_of) {
+            [this](gateway::collection_kind of, time_point since, store_version as_of) {
               return m_group.is_read_by_peers_since(of, since, as_of);
-            }},
+            },
+            [this](gateway::collection_kind of) { return m_group.latest_peer_era(of); }},
         m_random()));
   }
 }
@@ -258,6 +259,8 @@
                           static_cast<double>(counters.m_watches));
     m_metrics.set_counter("cardamompond_store_failures_total", "collection", name,
                           static_cast<double>(counters.m_failures));
+    m_metrics.set_counter("cardamompond_store_lists_discarded_total", "collection", name,
+                          static_cast<double>(counters.m_discarded_lists));
   }
   const auto exchange_counters = m_peer_exchange.counters();
   m_metrics.set_counter("cardamompond_reports_sent_total",
