Tell duties of a new era that any answer of the store stated

What could happen: a holder of a duty that writes seldom learns of a new era of the store only with its next read or write, up to a whole window later, and acts meanwhile on a claim that the store has lost.

Cause: duty_runner knew the era of its own answers alone.

Eras that only peers state are not used here.

--- a/packages/daemon/src/entry_daemon.cpp
+++ b/packages/daemon/src/entry_daemon.cpp
@@ -192,7 +192,8 @@
     return m_request_handler.make_parse_failure_response(failure);
   });
   if (!m_settings.m_duties.empty()) {
-    m_duties = std::make_unique<entry_duties>(m_settings, m_runtime, m_group, m_peer_exchange, m_admission);
+    m_duties =
+        std::make_unique<entry_duties>(m_settings, m_runtime, m_group, m_peer_exchange, m_admission, m_store);
   }
   for (auto* server : {&m_server, &m_admin_server, &m_metrics_server}) {
     server->set_drop_observer([this](net::request_drop cause, std::string_view detail) {
--- a/packages/daemon/src/entry_duties.hpp
+++ b/packages/daemon/src/entry_duties.hpp
@@ -21,7 +21,7 @@
 public:
   entry_duties(const gateway::gateway_settings& settings, net::fiber_runtime& runtime,
                gateway::peer_group& group, gateway::peer_exchange& exchange,
-               gateway::admission_controller& admission);
+               gateway::admission_controller& admission, const gateway::document_store& documents);
   ~entry_duties();
   entry_duties(const entry_duties&) = delete;
   entry_duties& operator=(const entry_duties&) = delete;
@@ -53,6 +53,7 @@
   gateway::peer_group& m_group;
   gateway::peer_exchange& m_exchange;
   gateway::admission_controller& m_admission;
+  const gateway::document_store& m_documents;
   platform::duty_store_client m_store;
   gateway::duty_peers m_peers;
   std::uint64_t m_incarnation;
