Count members as before the store came back from a copy

What could happen: the copy lacks daemons that registered lately, and lists some that have left. A daemon that does not hear the first takes their shares of the quotas for its own, and shrinks its share for the others, until all entries are written again.

Cause: peer_group::tick() counts those that the list names and the peers that it hears.

Change: member_retention counts the daemons that were listed before the change of era for 30 s, less those that are listed again and leave. Peers that are heard count as before. The log lines members_retained and member_registered name the eras.

--- a/packages/gateway/include/cardamompond/gateway/group_maintenance.hpp
+++ b/packages/gateway/include/cardamompond/gateway/group_maintenance.hpp
@@ -5,6 +5,7 @@
 #include "cardamompond/gateway/peer_group.hpp"
 #include "cardamompond/gateway/registration_schedule.hpp"
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
@@ -47,6 +48,7 @@
   member m_self;
   bool m_deregistering = false;
   registration_schedule m_registration;
+  std::uint64_t m_registered_in_era = 0; // the last era in which the store listed this daemon
   std::map<std::string, time_point, std::less<>> m_silent_since;    // by name of the member
   std::map<std::string, time_point, std::less<>> m_unwritten_since; // by service with an unwritten decision
   std::map<std::string, std::pair<std::string, fleet::rollout_order::state>, std::less<>>
--- a/packages/gateway/include/cardamompond/gateway/peer_group.hpp
+++ b/packages/gateway/include/cardamompond/gateway/peer_group.hpp
@@ -4,6 +4,7 @@
 #include "cardamompond/gateway/admission_controller.hpp"
 #include "cardamompond/gateway/duty_peers.hpp"
 #include "cardamompond/gateway/fleet_view.hpp"
+#include "cardamompond/gateway/member_retention.hpp"
 #include "cardamompond/gateway/peer_report.hpp"
 
 #include <cstdint>
@@ -166,6 +167,7 @@
   void handle_report(const peer_report& report, time_point received, time_point now);
   void apply_quota_use(peer& remote, const peer_report& report, bool restarted, time_point received,
                        time_point now);
+  const member_retention::zone_by_name& count_members(time_point now);
   void compare_collections(peer& remote, const peer_report& report, time_point now);
 
   admission_controller& m_admission;
@@ -174,7 +176,8 @@
   std::vector<std::string> m_seeds;
   std::uint64_t m_incarnation;
   std::uint64_t m_sequence = 0;
-  std::map<std::string, peer, std::less<>> m_peers;     // by name
+  std::map<std::string, peer, std::less<>> m_peers; // by name
+  member_retention m_member_retention;
   std::map<std::uint32_t, account_use> m_own_quota_use; // by hash of the account name
   std::uint64_t m_refused_reports = 0;
   std::uint64_t m_round_number = 0;
--- a/packages/gateway/src/group_maintenance.cpp
+++ b/packages/gateway/src/group_maintenance.cpp
@@ -81,6 +81,8 @@
     log_event(created ? log_level::info : log_level::warning, "member_registered",
               {{"name", m_self.m_name},
                {"again", m_registration.is_lost()},
+               {"era_before", m_registered_in_era},
+               {"era", m_store.era()},
                {"result", created ? "done" : to_string(created.error().m_kind)}});
   }
 }
@@ -112,6 +114,7 @@
       if (m_registration.is_due(registered, m_group.rank_for(registration_key), monotonic_now())) {
         register_self();
       } else if (registered) {
+        m_registered_in_era = m_admission.known_fleet().collection(collection_kind::members).as_of().m_era;
         remove_silent_members(monotonic_now());
       }
     }
--- a/packages/gateway/src/peer_group.cpp
+++ b/packages/gateway/src/peer_group.cpp
@@ -345,6 +345,22 @@
                             report_interval * static_cast<int>(rounds) * max_missed_rounds);
 }
 
+// Returns the registered daemons that share the quotas.
+const member_retention::zone_by_name& peer_group::count_members(time_point now) {
+  member_retention::zone_by_name listed;
+  for (const auto& each : m_admission.known_fleet().members()) {
+    listed.emplace(each.m_name, each.m_availability_zone);
+  }
+  const std::uint64_t era = m_admission.known_fleet().collection(collection_kind::members).as_of().m_era;
+  const bool retained = m_member_retention.retains(now);
+  const auto& counted = m_member_retention.update(era, listed, now);
+  if (!retained && m_member_retention.retains(now)) {
+    log_event(log_level::info, "members_retained",
+              {{"era", era}, {"listed", listed.size()}, {"counted", counted.size()}});
+  }
+  return counted;
+}
+
 void peer_group::tick(time_point now) {
   m_admission.update_part_verdicts(now);
   m_admission.log_learned_limits();
@@ -365,8 +381,10 @@
     each = m_peers.erase(each);
   }
   std::map<std::string, std::string> zones = {{m_self.m_name, m_self.m_availability_zone}}; // by daemon name
-  for (const auto& each : m_admission.known_fleet().members()) {
-    zones.emplace(each.m_name, each.m_availability_zone);
+  const bool known = m_admission.known_fleet().collection(collection_kind::members).loaded();
+  if (known) {
+    const auto& counted = count_members(now);
+    zones.insert(counted.begin(), counted.end());
   }
   for (const auto& [name, each] : m_peers) {
     zones.emplace(name, each.m_availability_zone);
@@ -376,7 +394,6 @@
   for (const auto& [name, zone] : zones) {
     registered.push_back({name, zone});
   }
-  const bool known = m_admission.known_fleet().collection(collection_kind::members).loaded();
   for (std::size_t i = registered.size(); !known && i < assumed_daemon_count; ++i) {
     registered.push_back({"unknown-" + std::to_string(i), {}});
   }
