Compare rollout orders by era in the gateway

What could happen: the rollout controller distinguishes eras, but nobody told it the era of a list. A peer that has not noticed that the store came back from a copy reports outcomes and a rollback of an order by a creation revision that was given out again, and a new order of the service was rolled back for it.

Change: admission_controller passes the era of the list. Reports of a peer whose list of orders is of another era say nothing about orders until it has caught up; relayed reports name no era and count as before. rollout_state_written names the era in which the order was known before (era_before) beside the present one.

--- a/packages/fleet/include/cardamompond/fleet/rollout_controller.hpp
+++ b/packages/fleet/include/cardamompond/fleet/rollout_controller.hpp
@@ -98,6 +98,7 @@
     std::string m_target_version;
     rollout_order::state m_state = rollout_order::state::running;
     std::string m_reason;
+    std::uint64_t m_earlier_era = 0; // the era in which the order was known before the present one; 0: none
   };
   std::vector<order_decision> decisions() const;
 
@@ -114,6 +115,7 @@
     rollout_order::state m_decided_state = rollout_order::state::running;
     std::string m_reason;
     std::uint64_t m_listed_in_era = 0;      // the last era in which the store listed the order
+    std::uint64_t m_earlier_era = 0;        // the one listed before, if the order was known in it
     std::optional<time_point> m_kept_until; // set while the store of a new era does not list it
     bool m_completed_in_store = false;      // the store has shown the order as completed
     std::uint64_t m_granted = 0;            // requests that this daemon granted, to all versions
--- a/packages/fleet/src/rollout_controller.cpp
+++ b/packages/fleet/src/rollout_controller.cpp
@@ -182,6 +182,9 @@
       progress.m_decided_state = order.m_state;
     }
     progress.m_order = order;
+    if (progress.m_listed_in_era != store_era) {
+      progress.m_earlier_era = progress.m_listed_in_era;
+    }
     progress.m_listed_in_era = store_era;
     progress.m_kept_until.reset();
     progress.m_completed_in_store = progress.m_completed_in_store || order.m_state == state::completed;
@@ -505,7 +508,8 @@
 std::vector<rollout_controller::order_decision> rollout_controller::decisions() const {
   std::vector<order_decision> all;
   for (const auto& [service, progress] : m_rollouts) {
-    all.push_back({service, progress.m_order.m_target_version, progress.m_decided_state, progress.m_reason});
+    all.push_back({service, progress.m_order.m_target_version, progress.m_decided_state, progress.m_reason,
+                   progress.m_earlier_era});
   }
   return all;
 }
--- a/packages/gateway/include/cardamompond/gateway/peer_group.hpp
+++ b/packages/gateway/include/cardamompond/gateway/peer_group.hpp
@@ -168,6 +168,7 @@
   void apply_quota_use(peer& remote, const peer_report& report, bool restarted, time_point received,
                        time_point now);
   const member_retention::zone_by_name& count_members(time_point now);
+  void apply_rollout_results(const peer_report& report);
   void compare_collections(peer& remote, const peer_report& report, time_point now);
 
   admission_controller& m_admission;
--- a/packages/gateway/src/admission_controller.cpp
+++ b/packages/gateway/src/admission_controller.cpp
@@ -68,7 +68,8 @@
     m_dispatcher.set_backend_servers(m_fleet_view.backend_servers(), now);
     break;
   case collection_kind::rollouts:
-    m_rollout_controller.set_orders(m_fleet_view.rollouts(), now);
+    m_rollout_controller.set_orders(m_fleet_view.rollouts(), now,
+                                    m_fleet_view.collection(kind).as_of().m_era);
     break;
   case collection_kind::evacuations:
     m_dispatcher.set_evacuated_zones(m_fleet_view.evacuated_zones());
--- a/packages/gateway/src/group_maintenance.cpp
+++ b/packages/gateway/src/group_maintenance.cpp
@@ -156,6 +156,7 @@
              {"target", decision.m_target_version},
              {"state", state_name(decision.m_state)},
              {"reason", decision.m_reason},
+             {"era_before", decision.m_earlier_era},
              {"era", version.m_era},
              {"revision", version.m_revision},
              {"result", written ? "done" : to_string(written.error().m_kind)}});
--- a/packages/gateway/src/peer_group.cpp
+++ b/packages/gateway/src/peer_group.cpp
@@ -182,11 +182,7 @@
     m_admission.dispatcher().set_peer_blocked(report.m_daemon, report.m_blocked, received);
     m_admission.dispatcher().set_peer_load_summaries(report.m_daemon, report.m_load_summaries, received);
   }
-  m_admission.rollout_controller().set_peer_observations(report.m_daemon, report.m_incarnation,
-                                                         report.m_outcomes);
-  for (const auto& [service, created] : report.m_rolled_back_orders) {
-    m_admission.rollout_controller().record_rollback(service, created, "found by " + report.m_daemon);
-  }
+  apply_rollout_results(report);
   for (const auto& suspicion : report.m_crashes) {
     m_admission.crashes().merge(suspicion, received);
   }
@@ -195,6 +191,21 @@
   }
 }
 
+// Orders are identified by the revision at which they were created, which stands for another order in another
+// era. Relayed reports state none; those of a peer in another era are left out until it has caught up.
+void peer_group::apply_rollout_results(const peer_report& report) {
+  const auto& stated = report.m_collections[static_cast<std::size_t>(collection_kind::rollouts)].m_as_of;
+  const auto own = m_admission.known_fleet().collection(collection_kind::rollouts).as_of();
+  if (stated.m_revision > 0 && own.m_revision > 0 && stated.m_era != own.m_era) {
+    return;
+  }
+  m_admission.rollout_controller().set_peer_observations(report.m_daemon, report.m_incarnation,
+                                                         report.m_outcomes);
+  for (const auto& [service, created] : report.m_rolled_back_orders) {
+    m_admission.rollout_controller().record_rollback(service, created, "found by " + report.m_daemon);
+  }
+}
+
 std::size_t peer_group::handle_digest(const report_digest& digest, time_point now) {
   if (!is_from_other_zone(digest)) {
     return 0;
--- a/packages/gateway/tests/peer_group_test.cpp
+++ b/packages/gateway/tests/peer_group_test.cpp
@@ -16,8 +16,8 @@
 
 namespace {
 
-// Reads documents whose content is the availability zone of a member. The address of a member is NAME:1, and
-// the declarations always contain the account "workshop".
+// Reads documents whose content is the availability zone of a member. The address of a member is NAME:1, a
+// rollout was created at its revision, and the declarations always contain the account "workshop".
 class zone_document_reader final : public document_reader {
 public:
   read_result<fleet::declarations> read_declarations(const document&) const override {
@@ -32,8 +32,13 @@
   read_result<fleet::backend_server> read_backend_server(const document&) const override {
     return unreadable_document{"none"};
   }
-  read_result<fleet::rollout_order> read_rollout(const document&) const override {
-    return unreadable_document{"none"};
+  read_result<fleet::rollout_order> read_rollout(const document& source) const override {
+    fleet::rollout_order order;
+    order.m_service = source.m_name;
+    order.m_target_version = "v2";
+    order.m_period = seconds(12);
+    order.m_created_revision = source.m_version.m_revision;
+    return order;
   }
   read_result<member> read_member(const document& source) const override {
     return member{source.m_name, source.m_content, source.m_name + ":1"};
@@ -570,3 +575,20 @@
   daemon.m_group.handle_report(report, daemon.m_now);
   CHECK(daemon.m_fleet_view.collection(kind).confirmed_at() == time_point{});
 }
+
+// Guards against a rollback that applies to another order: a peer that has not noticed that the store came
+// back from a copy names an order by a revision that was given out again.
+TEST(peer_group, a_rollback_of_another_era_applies_to_no_order) {
+  group_fixture group(3);
+  group.m_fleet_view.apply(collection_kind::rollouts, collection_snapshot{{2, 9}, {{"chat", {2, 9}, ""}}},
+                           "test");
+  const auto state_after = [&](std::uint64_t sequence, store_version peer_as_of) {
+    peer_report report = group.make_report(1, sequence);
+    report.m_collections[static_cast<std::size_t>(collection_kind::rollouts)].m_as_of = peer_as_of;
+    report.m_rolled_back_orders = {{"chat", 9}};
+    group.m_group.handle_report(report, monotonic_now());
+    return group.m_admission.rollout_controller().decisions().front().m_state;
+  };
+  CHECK(state_after(1, {1, 12}) == fleet::rollout_order::state::running);
+  CHECK(state_after(2, {2, 12}) == fleet::rollout_order::state::rolled_back);
+}
