--- a/packages/gateway/src/group_maintenance.cpp
+++ b/packages/gateway/src/group_maintenance.cpp
@@ -81,6 +81,8 @@
     log_event(created ? log_level::info : log_level::warning, "member_registered",
               {{"name", m_self.m_name},
                {"again", m_registration.is_lost()},
+               {"era_before", m_registered_in_era},
+               {"era", m_store.era()},
                {"result", created ? "done" : to_string(created.error().m_kind)}});
   }
 }
@@ -112,6 +114,7 @@
       if (m_registration.is_due(registered, m_group.rank_for(registration_key), monotonic_now())) {
         register_self();
       } else if (registered) {
+        m_registered_in_era = m_admission.known_fleet().collection(collection_kind::members).as_of().m_era;
         remove_silent_members(monotonic_now());
       }
     }
@@ -153,6 +156,7 @@
              {"target", decision.m_target_version},
              {"state", state_name(decision.m_state)},
              {"reason", decision.m_reason},
+             {"era_before", decision.m_earlier_era},
              {"era", version.m_era},
              {"revision", version.m_revision},
              {"result", written ? "done" : to_string(written.error().m_kind)}});
--- a/packages/gateway/src/peer_group.cpp
+++ b/packages/gateway/src/peer_group.cpp
@@ -182,11 +182,7 @@
     m_admission.dispatcher().set_peer_blocked(report.m_daemon, report.m_blocked, received);
     m_admission.dispatcher().set_peer_load_summaries(report.m_daemon, report.m_load_summaries, received);
   }
-  m_admission.rollout_controller().set_peer_observations(report.m_daemon, report.m_incarnation,
-                                                         report.m_outcomes);
-  for (const auto& [service, created] : report.m_rolled_back_orders) {
-    m_admission.rollout_controller().record_rollback(service, created, "found by " + report.m_daemon);
-  }
+  apply_rollout_results(report);
   for (const auto& suspicion : report.m_crashes) {
     m_admission.crashes().merge(suspicion, received);
   }
@@ -195,6 +191,21 @@
   }
 }
 
+// Orders are identified by the revision at which they were created, which stands for another order in another
+// era. Relayed reports state none; those of a peer in another era are left out until it has caught up.
+void peer_group::apply_rollout_results(const peer_report& report) {
+  const auto& stated = report.m_collections[static_cast<std::size_t>(collection_kind::rollouts)].m_as_of;
+  const auto own = m_admission.known_fleet().collection(collection_kind::rollouts).as_of();
+  if (stated.m_revision > 0 && own.m_revision > 0 && stated.m_era != own.m_era) {
+    return;
+  }
+  m_admission.rollout_controller().set_peer_observations(report.m_daemon, report.m_incarnation,
+                                                         report.m_outcomes);
+  for (const auto& [service, created] : report.m_rolled_back_orders) {
+    m_admission.rollout_controller().record_rollback(service, created, "found by " + report.m_daemon);
+  }
+}
+
 std::size_t peer_group::handle_digest(const report_digest& digest, time_point now) {
   if (!is_from_other_zone(digest)) {
     return 0;
@@ -345,6 +356,22 @@
                             report_interval * static_cast<int>(rounds) * max_missed_rounds);
 }
 
+// Returns the registered daemons that share the quotas.
+const member_retention::zone_by_name& peer_group::count_members(time_point now) {
+  member_retention::zone_by_name listed;
+  for (const auto& each : m_admission.known_fleet().members()) {
+    listed.emplace(each.m_name, each.m_availability_zone);
+  }
+  const std::uint64_t era = m_admission.known_fleet().collection(collection_kind::members).as_of().m_era;
+  const bool retained = m_member_retention.retains(now);
+  const auto& counted = m_member_retention.update(era, listed, now);
+  if (!retained && m_member_retention.retains(now)) {
+    log_event(log_level::info, "members_retained",
+              {{"era", era}, {"listed", listed.size()}, {"counted", counted.size()}});
+  }
+  return counted;
+}
+
 void peer_group::tick(time_point now) {
   m_admission.update_part_verdicts(now);
   m_admission.log_learned_limits();
@@ -365,8 +392,10 @@
     each = m_peers.erase(each);
   }
   std::map<std::string, std::string> zones = {{m_self.m_name, m_self.m_availability_zone}}; // by daemon name
-  for (const auto& each : m_admission.known_fleet().members()) {
-    zones.emplace(each.m_name, each.m_availability_zone);
+  const bool known = m_admission.known_fleet().collection(collection_kind::members).loaded();
+  if (known) {
+    const auto& counted = count_members(now);
+    zones.insert(counted.begin(), counted.end());
   }
   for (const auto& [name, each] : m_peers) {
     zones.emplace(name, each.m_availability_zone);
@@ -376,7 +405,6 @@
   for (const auto& [name, zone] : zones) {
     registered.push_back({name, zone});
   }
-  const bool known = m_admission.known_fleet().collection(collection_kind::members).loaded();
   for (std::size_t i = registered.size(); !known && i < assumed_daemon_count; ++i) {
     registered.push_back({"unknown-" + std::to_string(i), {}});
   }
