--- a/packages/fleet/include/cardamompond/fleet/dispatcher.hpp
+++ b/packages/fleet/include/cardamompond/fleet/dispatcher.hpp
@@ -293,6 +293,9 @@
   // requests for a moment; call it repeatedly while the silence lasts.
   void record_silence(ticket request, time_point now);
 
+  // Forgets the failures of all servers, because they were those of this daemon's network path.
+  void forget_failures();
+
   // Withdraws a grant whose request was not sent.
   void release(ticket request);
 
--- a/packages/fleet/src/dispatcher.cpp
+++ b/packages/fleet/src/dispatcher.cpp
@@ -383,6 +383,18 @@
   }
 }
 
+void dispatcher::forget_failures() {
+  for (auto& [service, servers] : m_impl->m_tables.m_servers) {
+    for (auto& [id, server] : servers) {
+      server.m_consecutive_failures = 0;
+      server.m_failure_rate = 0;
+      server.m_on_probation = false;
+      server.m_failing_until = {};
+      server.m_excluded_until = {};
+    }
+  }
+}
+
 void dispatcher::release(ticket request) {
   if (const auto found = m_impl->m_tables.m_running.find(request);
       found != m_impl->m_tables.m_running.end()) {
