Connections to servers may lead through a proxy, and a server can pass them on

http_exchange::tunnel() connects to an address and copies bytes both ways; an end is passed on as an end, a reset or another error as a reset, so that an answer without a length that is cut off does not look complete. http_client asks a connection_router for the route of each connection and tells it what came of the direct ones. Idle connections are reused only through the same proxy. Without a router nothing changes.

--- a/packages/net/include/cardamompond/net/http_client.hpp
+++ b/packages/net/include/cardamompond/net/http_client.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cardamompond/core/time.hpp"
+#include "cardamompond/net/connection_router.hpp"
 #include "cardamompond/net/fiber_runtime.hpp"
 #include "cardamompond/net/http_message.hpp"
 #include "cardamompond/net/http_server.hpp"
@@ -138,6 +139,9 @@
   call_result<std::unique_ptr<http_call>> open(std::string_view address);
   call_result<std::unique_ptr<http_call>> open(std::string_view address, connection_options options);
 
+  // Sets what chooses the routes of later connections. It must outlive the client; null: all are direct.
+  void set_router(connection_router* router);
+
   // Returns the number of connections opened since the client was created.
   std::uint64_t connections_opened() const;
 
--- a/packages/net/include/cardamompond/net/http_server.hpp
+++ b/packages/net/include/cardamompond/net/http_server.hpp
@@ -22,6 +22,12 @@
 
 template <typename T> using io_result = result<T, io_error>;
 
+// What a tunnel is doing at present.
+struct tunnel_activity {
+  bool m_awaits_server = false; // the last bytes came from the client, so that a response may be due
+  time_point m_last_transfer;
+};
+
 // A request received by the server and its response. A handler either calls respond() once, or begin(), then
 // write() any number of times, then finish(). If the handler returns after begin() but before finish(), the
 // connection is closed without the final chunk, so that the client sees that the response is incomplete.
@@ -59,6 +65,14 @@
   // data, because a disconnect cannot be detected then.
   virtual void notify_on_disconnect(std::function<void()> on_disconnect) = 0;
 
+  // Connects to `address`; if that succeeds within `connect_timeout`, responds with 200 and copies bytes
+  // between the client and the server until both connections have ended. After an error nothing has been sent
+  // to the client, and the handler still responds. `activity` is kept up to date meanwhile.
+  virtual io_result<success> tunnel(std::string_view /*address*/, milliseconds /*connect_timeout*/,
+                                    tunnel_activity& /*activity*/) {
+    return io_error{"tunnels are not supported"};
+  }
+
   // Closes the connection when the handler returns, even if the client asked for keep-alive.
   virtual void close_after_response() = 0;
 };
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -39,8 +39,14 @@
 // number. The header of a chunk with a single byte takes six bytes or more.
 constexpr std::uint64_t max_framing_bytes_per_body_byte = 16;
 
+// A proxy opens its own connection to the server before it responds.
+constexpr milliseconds proxy_response_timeout{500};
+constexpr std::size_t max_proxy_head_bytes = 2U << 10U;
+constexpr int status_ok = 200;
+
 struct idle_connection {
   std::unique_ptr<fiber_stream> m_stream;
+  std::string m_proxy; // through which the connection leads; empty: direct
   time_point m_opened_at;
   time_point m_idle_since;
   duration m_max_idle_time{};
@@ -147,18 +153,28 @@
 
   // Removes and returns an idle connection that can be reused, if there is one. Drops those that the server
   // has closed, that have been idle for too long or that were opened too early.
-  std::optional<idle_connection> take_idle(const std::string& address, const connection_options& options);
+  std::optional<idle_connection> take_idle(const std::string& address, const connection_options& options,
+                                           const connection_route& route);
 
   // Keeps a connection for reuse, or drops it if the address has enough idle connections.
-  void put_idle(const std::string& address, std::unique_ptr<fiber_stream> stream, time_point opened_at,
-                duration max_idle_time, connection_history history);
+  void put_idle(const std::string& address, std::string proxy, std::unique_ptr<fiber_stream> stream,
+                time_point opened_at, duration max_idle_time, connection_history history);
 
   std::size_t count_idle() const;
 
+  // Opens a connection to the address.
+  call_result<std::unique_ptr<fiber_stream>> connect(std::string_view address, milliseconds timeout);
+
+  // Opens a connection to the address through the first of the proxies that opens it; `proxy` receives which.
+  call_result<std::unique_ptr<fiber_stream>> connect_through(std::string_view address,
+                                                             const connection_route& route,
+                                                             milliseconds timeout, std::string& proxy);
+
   // Closes the idle connections that have been idle for too long, to whatever address. Servers come and go,
   // so that the address of an idle connection may never be asked for again.
   void close_expired(time_point now);
 
+  connection_router* m_router = nullptr;
   std::uint64_t m_connections_opened = 0;
   fiber_runtime& m_runtime;
   http_client_options m_options;
@@ -167,14 +183,20 @@
 };
 
 std::optional<idle_connection> http_client::impl::take_idle(const std::string& address,
-                                                            const connection_options& options) {
+                                                            const connection_options& options,
+                                                            const connection_route& route) {
+  const auto is_usable = [&](const std::string& proxy) {
+    return proxy.empty()
+               ? route.m_reuses_direct
+               : std::find(route.m_proxies.begin(), route.m_proxies.end(), proxy) != route.m_proxies.end();
+  };
   auto& idle = m_idle[address];
   const time_point now = monotonic_now();
   while (!idle.empty()) {
     idle_connection connection = std::move(idle.back());
     idle.pop_back();
     const duration age = now - connection.m_idle_since;
-    if (age < connection.m_max_idle_time && age < options.m_max_idle_time &&
+    if (is_usable(connection.m_proxy) && age < connection.m_max_idle_time && age < options.m_max_idle_time &&
         connection.m_opened_at >= options.m_opened_after && !connection.m_stream->input_ended() &&
         !connection.m_stream->readable()) { // no data without a request
       return connection;
@@ -201,8 +223,9 @@
                          [](std::size_t sum, const auto& address) { return sum + address.second.size(); });
 }
 
-void http_client::impl::put_idle(const std::string& address, std::unique_ptr<fiber_stream> stream,
-                                 time_point opened_at, duration max_idle_time, connection_history history) {
+void http_client::impl::put_idle(const std::string& address, std::string proxy,
+                                 std::unique_ptr<fiber_stream> stream, time_point opened_at,
+                                 duration max_idle_time, connection_history history) {
   close_expired(monotonic_now());
   auto& idle = m_idle[address];
   if (idle.size() < m_options.m_max_idle_per_address &&
@@ -211,11 +234,91 @@
     stream->on_silence({}, {}, nullptr);
     stream->set_connection_loss_timeout(m_options.m_connection_loss_timeout);
     stream->set_keep_alive_probes(m_options.m_connection_loss_timeout);
-    idle.push_back({std::move(stream), opened_at, monotonic_now(),
+    idle.push_back({std::move(stream), std::move(proxy), opened_at, monotonic_now(),
                     std::min<duration>(max_idle_time, m_options.m_max_idle_time), std::move(history)});
   }
 }
 
+call_result<std::unique_ptr<fiber_stream>> http_client::impl::connect(std::string_view address,
+                                                                      milliseconds timeout) {
+  const auto endpoint = parse_address(address);
+  if (!endpoint) {
+    return call_error{"invalid address " + std::string(address)};
+  }
+  auto stream = std::make_unique<fiber_stream>(m_runtime.context());
+  stream->expires_after(timeout);
+  if (const auto error = stream->connect(*endpoint); error) {
+    return to_call_error(error, false);
+  }
+  ++m_connections_opened;
+  boost::system::error_code ignored;
+  stream->socket().set_option(tcp::no_delay(true), ignored);
+  if (m_options.m_connection_loss_timeout > milliseconds(0)) {
+    stream->set_connection_loss_timeout(m_options.m_connection_loss_timeout);
+    stream->set_keep_alive_probes(m_options.m_connection_loss_timeout);
+  }
+  return stream;
+}
+
+namespace {
+
+// Asks a proxy to connect to the address. Returns its status, or 0 and an error if it gave none. Nothing must
+// follow its response before the client has sent something.
+int request_tunnel(fiber_stream& stream, std::string_view address, std::string& reason) {
+  const std::string host(address);
+  const std::string request = "CONNECT " + host + " HTTP/1.1\r\nHost: " + host + "\r\n\r\n";
+  stream.expires_after(proxy_response_timeout);
+  const std::array<asio::const_buffer, 1> buffers = {asio::buffer(request)};
+  std::size_t written = 0;
+  if (const auto error = stream.write(buffers, written); error) {
+    reason = error.message();
+    return 0;
+  }
+  beast::flat_buffer buffer;
+  buffer.max_size(max_proxy_head_bytes);
+  http::response_parser<http::empty_body> parser;
+  parser.skip(true);
+  boost::system::error_code error;
+  http::read_header(stream, buffer, parser, error);
+  if (error) {
+    reason = error.message();
+    return 0;
+  }
+  const int status = static_cast<int>(parser.get().result_int());
+  if (status != status_ok) {
+    reason = "the proxy answered " + std::to_string(status);
+  } else if (buffer.size() > 0) {
+    reason = "the proxy sent unexpected data";
+    return 0;
+  }
+  return status;
+}
+
+} // namespace
+
+call_result<std::unique_ptr<fiber_stream>> http_client::impl::connect_through(std::string_view address,
+                                                                              const connection_route& route,
+                                                                              milliseconds timeout,
+                                                                              std::string& proxy) {
+  std::string last_reason;
+  for (const auto& each : route.m_proxies) {
+    auto stream = connect(each, timeout);
+    int status = 0;
+    if (!stream) {
+      last_reason = stream.error().m_message;
+    } else {
+      status = request_tunnel(**stream, address, last_reason);
+    }
+    if (status == status_ok) {
+      proxy = each;
+      m_router->record_proxied(each, address);
+      return stream;
+    }
+    m_router->record_proxy_failure(each, address, status, last_reason);
+  }
+  return call_error{"no peer opened a connection to the server: " + last_reason};
+}
+
 namespace {
 
 class client_call final : public http_call {
@@ -223,13 +326,15 @@
   using release_callback = std::function<void(std::unique_ptr<fiber_stream>, duration, connection_history)>;
 
   client_call(std::unique_ptr<fiber_stream> stream, std::optional<connection_history> reused_history,
-              std::string address, const http_client_options& options, release_callback release_connection)
+              std::string address, const http_client_options& options, connection_router* router,
+              release_callback release_connection)
       : m_stream(std::move(stream))
       , m_reused(reused_history.has_value())
       , m_history(std::move(reused_history).value_or(connection_history{}))
       , m_address(std::move(address))
       , m_max_header_bytes(options.m_max_header_bytes)
       , m_connection_loss_timeout(options.m_connection_loss_timeout)
+      , m_router(router)
       , m_release_connection(std::move(release_connection)) {
     m_buffer.max_size(m_max_header_bytes + (16U << 10U));
     prepare_parser();
@@ -271,8 +376,12 @@
     const std::array<asio::const_buffer, 2> buffers = {asio::buffer(head), asio::buffer(request.m_body)};
     std::size_t written = 0;
     if (const auto error = m_stream->write(buffers, written, true); error) {
+      record_failure();
       return to_call_error(error, written > 0);
     }
+    if (m_router != nullptr) {
+      m_router->record_sent();
+    }
     m_unsent_bytes.clear();
     if (written < head.size()) {
       m_unsent_bytes.append(head, written).append(request.m_body);
@@ -308,8 +417,10 @@
       return call_error{"the head of the response is too large", true};
     }
     if (error) {
+      record_failure();
       return to_call_error(error, true);
     }
+    record_input();
     const unsigned status = m_parser->get().result_int();
     if (!is_final_status(status)) {
       return call_error{"the response has the status " + std::to_string(status) + ", which does not exist",
@@ -345,6 +456,9 @@
         return to_call_error(error, true);
       }
       const std::size_t received = buffer.size() - m_parser->get().body().size;
+      if (received > 0) {
+        record_input();
+      }
       m_body_bytes += received;
       m_framing_bytes += consumed - received;
       if (m_framing_bytes > m_max_header_bytes + max_framing_bytes_per_body_byte * m_body_bytes) {
@@ -372,6 +486,7 @@
 
   void abort() override {
     m_reusable = false;
+    m_aborted = true;
     boost::system::error_code ignored;
     m_stream->socket().close(ignored);
   }
@@ -420,6 +535,23 @@
     m_unsent_bytes.erase(0, written);
   }
 
+  void record_input() {
+    if (m_router == nullptr) {
+      return;
+    }
+    if (!m_reused && !std::exchange(m_has_input, true)) {
+      m_router->record_reached(m_address);
+    }
+    m_router->record_received();
+  }
+
+  // Records that the connection failed or was silent for too long, unless it had been of use before.
+  void record_failure() {
+    if (m_router != nullptr && !m_reused && !m_interrupted && !m_aborted && !m_has_input) {
+      m_router->record_unreached(m_address);
+    }
+  }
+
   void prepare_parser() {
     m_reusable = false;
     m_body_bytes = 0;
@@ -441,6 +573,7 @@
   std::string m_address;
   std::uint32_t m_max_header_bytes;
   milliseconds m_connection_loss_timeout;
+  connection_router* m_router; // null: the connection leads through a proxy, or there is no router
   release_callback m_release_connection;
   duration m_max_idle_time = duration::max();
   time_point m_deadline = time_point::max();
@@ -455,6 +588,8 @@
   bool m_reusable = false;
   bool m_is_head_request = false;
   bool m_interrupted = false;
+  bool m_aborted = false;
+  bool m_has_input = false; // data has arrived during this call
 };
 
 } // namespace
@@ -471,38 +606,40 @@
 call_result<std::unique_ptr<http_call>> http_client::open(std::string_view address,
                                                           connection_options options) {
   std::string key(address);
-  auto idle = m_impl->take_idle(key, options);
+  connection_router* const router = m_impl->m_router;
+  const connection_route route = router != nullptr ? router->choose_route(address) : connection_route{};
+  auto idle = m_impl->take_idle(key, options, route);
   const bool reused = idle.has_value();
   const time_point opened_at = reused ? idle->m_opened_at : monotonic_now();
+  std::string proxy = reused ? std::move(idle->m_proxy) : std::string();
   auto stream = reused ? std::move(idle->m_stream) : nullptr;
   if (!stream) {
-    const auto endpoint = parse_address(address);
-    if (!endpoint) {
-      return call_error{"invalid address " + key};
-    }
-    stream = std::make_unique<fiber_stream>(m_impl->m_runtime.context());
-    stream->expires_after(options.m_connect_timeout);
-    if (const auto error = stream->connect(*endpoint); error) {
-      return to_call_error(error, false);
-    }
-    ++m_impl->m_connections_opened;
-    boost::system::error_code ignored;
-    stream->socket().set_option(tcp::no_delay(true), ignored);
-    if (m_impl->m_options.m_connection_loss_timeout > milliseconds(0)) {
-      stream->set_connection_loss_timeout(m_impl->m_options.m_connection_loss_timeout);
-      stream->set_keep_alive_probes(m_impl->m_options.m_connection_loss_timeout);
+    auto opened = route.m_proxies.empty()
+                      ? m_impl->connect(address, options.m_connect_timeout)
+                      : m_impl->connect_through(address, route, options.m_connect_timeout, proxy);
+    if (!opened) {
+      if (router != nullptr && route.m_proxies.empty()) {
+        router->record_unreached(address);
+      }
+      return opened.error();
     }
+    stream = std::move(*opened);
   }
-  auto release_connection = [pool = std::weak_ptr<impl>(m_impl), key,
+  auto release_connection = [pool = std::weak_ptr<impl>(m_impl), key, proxy,
                              opened_at](std::unique_ptr<fiber_stream> released, duration max_idle_time,
                                         connection_history history) {
     if (const auto alive = pool.lock()) {
-      alive->put_idle(key, std::move(released), opened_at, max_idle_time, std::move(history));
+      alive->put_idle(key, proxy, std::move(released), opened_at, max_idle_time, std::move(history));
     }
   };
   auto history = reused ? std::optional(std::move(idle->m_history)) : std::nullopt;
-  return std::unique_ptr<http_call>(std::make_unique<client_call>(
-      std::move(stream), std::move(history), key, m_impl->m_options, std::move(release_connection)));
+  return std::unique_ptr<http_call>(
+      std::make_unique<client_call>(std::move(stream), std::move(history), key, m_impl->m_options,
+                                    proxy.empty() ? router : nullptr, std::move(release_connection)));
+}
+
+void http_client::set_router(connection_router* router) {
+  m_impl->m_router = router;
 }
 
 std::uint64_t http_client::connections_opened() const {
--- a/packages/net/src/http_response_writer.cpp
+++ b/packages/net/src/http_response_writer.cpp
@@ -1,4 +1,5 @@
 #include "http_server_impl.hpp"
+#include "stream_tunnel.hpp"
 
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/http/status.hpp>
@@ -15,6 +16,11 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
+constexpr std::string_view tunnel_response = "HTTP/1.1 200 OK\r\n\r\n";
+
+// Time without a TCP acknowledgement after which an idle tunnel counts as lost.
+constexpr milliseconds tunnel_loss_timeout{20'000};
+
 io_error to_io_error(const boost::system::error_code& error) {
   return {error.message(), error == beast::error::timeout};
 }
@@ -162,6 +168,36 @@
   return write_buffers(buffers);
 }
 
+io_result<success> http_server::impl::connection::tunnel(std::string_view address,
+                                                         milliseconds connect_timeout,
+                                                         tunnel_activity& activity) {
+  const auto endpoint = parse_address(address);
+  if (!endpoint) {
+    return io_error{"invalid address"};
+  }
+  fiber_stream server(m_server->m_runtime.context());
+  server.expires_after(connect_timeout);
+  if (const auto error = server.connect(*endpoint); error) {
+    return to_io_error(error);
+  }
+  boost::system::error_code ignored;
+  server.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+  // A tunnel whose client or server has vanished must not stay for ever. No timeout ends one in use, since a
+  // server may be silent for as long as the request allows.
+  server.set_keep_alive_probes(tunnel_loss_timeout);
+  m_stream.set_keep_alive_probes(tunnel_loss_timeout);
+  m_close = true;
+  m_response_state = response_state::finished;
+  if (auto written = write_buffers(asio::buffer(tunnel_response)); !written) {
+    return success{}; // the client has gone
+  }
+  std::string unread(static_cast<const char*>(m_buffer.data().data()), m_buffer.size());
+  m_buffer.clear();
+  activity = {false, monotonic_now()};
+  std::make_shared<stream_tunnel>(m_stream.socket(), server.socket(), std::move(unread), activity)->run();
+  return success{};
+}
+
 io_result<success> http_server::impl::connection::finish() {
   if (m_response_state == response_state::fixed_length_body) {
     if (m_body_bytes_left != 0) {
--- a/packages/net/src/http_server_impl.hpp
+++ b/packages/net/src/http_server_impl.hpp
@@ -112,6 +112,8 @@
   io_result<success> finish() override;
   bool client_closed() override;
   void notify_on_disconnect(std::function<void()> on_disconnect) override;
+  io_result<success> tunnel(std::string_view address, milliseconds connect_timeout,
+                            tunnel_activity& activity) override;
   void close_after_response() override { m_close = true; }
 
 private:
