A daemon without a path to the servers connects to them through peers

While a daemon's path is lost, its connections to servers lead through peers that report to reach them (CONNECT on their exchange address); all decisions about the request stay with the daemon that took it. Peers connect only to backend servers in their own view, never through a third, up to a quarter of the connections of callers, and not while they stop. A daemon of an earlier version does not report the field and is not asked.

--- a/packages/daemon/include/cardamompond/daemon/process_limits.hpp
+++ b/packages/daemon/include/cardamompond/daemon/process_limits.hpp
@@ -14,6 +14,7 @@
   std::uint32_t m_caller_connections = 0;  // open at a time
   std::uint32_t m_service_connections = 0; // of each of the addresses that callers do not use
   std::size_t m_idle_backend_connections = 0;
+  std::uint32_t m_tunnels = 256; // connections of peers to servers that are passed on; never 0
 };
 
 // `memory_bytes` and `max_descriptors` are 0 if they are not stated.
--- a/packages/daemon/src/entry_daemon.cpp
+++ b/packages/daemon/src/entry_daemon.cpp
@@ -8,6 +8,7 @@
 #include "cardamompond/gateway/peer_exchange.hpp"
 #include "cardamompond/gateway/placement_explainer.hpp"
 #include "cardamompond/gateway/request_handler.hpp"
+#include "cardamompond/gateway/server_path.hpp"
 #include "cardamompond/platform/object_reader.hpp"
 #include "cardamompond/platform/object_store_client.hpp"
 #include "cardamompond/platform/request_codec.hpp"
@@ -114,6 +115,7 @@
   void serve_metrics(net::http_exchange& exchange);
   void update_metrics();
   bool ready() const;
+  bool passes_connections() const; // whether this daemon connects peers to servers that they do not reach
   int drain();
 
   gateway::gateway_settings m_settings;
@@ -123,6 +125,7 @@
   std::mt19937_64 m_random{std::random_device{}()};
   net::http_client m_store_connections;
   net::http_client m_backend_connections;
+  net::http_client m_peer_connections;
   platform::object_store_client m_store;
   platform::object_reader m_reader;
   platform::request_codec m_protocol;
@@ -131,6 +134,7 @@
   gateway::member m_self;
   gateway::peer_group m_group;
   gateway::peer_exchange m_peer_exchange;
+  gateway::server_path m_server_path;
   gateway::group_maintenance m_group_maintenance;
   std::unique_ptr<entry_duties> m_duties; // null where the settings name none
   request_metrics m_metrics;
@@ -153,14 +157,16 @@
     , m_store_connections(m_runtime, {.m_connection_loss_timeout = connection_loss_timeout})
     , m_backend_connections(m_runtime, {.m_max_idle = m_limits.m_idle_backend_connections,
                                         .m_connection_loss_timeout = connection_loss_timeout})
+    , m_peer_connections(m_runtime, {.m_connection_loss_timeout = connection_loss_timeout})
     , m_store(m_store_connections, m_settings.m_store_address)
     , m_fleet_view(m_reader)
     , m_admission(m_fleet_view, {m_settings.m_name, m_settings.m_availability_zone},
                   m_settings.m_retry_limits, m_random())
     , m_self{m_settings.m_name, m_settings.m_availability_zone, m_settings.m_exchange_address}
     , m_group(m_admission, m_self, m_settings.m_seeds, make_incarnation())
-    , m_peer_exchange(m_runtime, m_backend_connections, m_group, m_fleet_view, m_settings.m_exchange_address,
-                      connection_limit(m_limits, max_exchange_connections))
+    , m_peer_exchange(m_runtime, m_peer_connections, m_group, m_fleet_view, m_settings.m_exchange_address,
+                      connection_limit(m_limits, max_exchange_connections) + m_limits.m_tunnels)
+    , m_server_path(m_runtime, m_fleet_view, m_group, m_protocol, m_random())
     , m_group_maintenance(m_store, m_admission, m_group, m_reader, m_self)
     , m_request_handler(m_backend_connections, m_admission, m_protocol, m_metrics,
                         {.m_accepts_requests =
@@ -194,6 +200,14 @@
   if (!m_settings.m_duties.empty()) {
     m_duties = std::make_unique<entry_duties>(m_settings, m_runtime, m_group, m_peer_exchange, m_admission);
   }
+  m_backend_connections.set_router(&m_server_path);
+  m_peer_exchange.set_tunnels(m_limits.m_tunnels, [this] { return passes_connections(); });
+  // What failed through the lost path says nothing about the servers, nor does what failed through peers.
+  m_server_path.on_change([this] {
+    m_admission.dispatcher().forget_failures();
+    m_group.set_passes_connections(passes_connections());
+    m_peer_exchange.announce_state();
+  });
   for (auto* server : {&m_server, &m_admin_server, &m_metrics_server}) {
     server->set_drop_observer([this](net::request_drop cause, std::string_view detail) {
       m_drop_log.record(cause, detail, monotonic_now());
@@ -227,6 +241,11 @@
   }
 }
 
+bool entry_daemon::impl::passes_connections() const {
+  return !m_stop_requested && m_server_path.state() == fleet::path_state::connected &&
+         !m_fleet_view.backend_servers().empty();
+}
+
 bool entry_daemon::impl::ready() const {
   return !m_stop_requested && m_fleet_view.routes() != nullptr && !m_fleet_view.backend_servers().empty();
 }
@@ -303,6 +322,22 @@
   m_admission.export_learned_limits(m_metrics, now);
   m_metrics.set_counter("cardamompond_backend_connections_total",
                         static_cast<double>(m_backend_connections.connections_opened()));
+  const auto& path = m_server_path.counters();
+  m_metrics.set_gauge("cardamompond_servers_unreachable",
+                      m_server_path.state() == fleet::path_state::lost ? 1 : 0);
+  m_metrics.set_counter("cardamompond_server_probes_total", static_cast<double>(path.m_probes));
+  const auto set_tunnel_counter = [&](std::string_view result, std::uint64_t count) {
+    m_metrics.set_counter("cardamompond_tunnels_total", "result", result, static_cast<double>(count));
+  };
+  set_tunnel_counter("opened", path.m_tunnels_opened);
+  set_tunnel_counter("refused", path.m_tunnels_refused);
+  const auto set_passed_counter = [&](std::string_view result, std::uint64_t count) {
+    m_metrics.set_counter("cardamompond_passed_tunnels_total", "result", result, static_cast<double>(count));
+  };
+  set_passed_counter("opened", exchange_counters.m_tunnels_opened);
+  set_passed_counter("refused", exchange_counters.m_tunnels_refused);
+  set_passed_counter("failed", exchange_counters.m_tunnels_failed);
+  m_metrics.set_gauge("cardamompond_passed_tunnels", static_cast<double>(m_peer_exchange.open_tunnels()));
   const auto& input = m_runtime.input_budget();
   m_metrics.set_gauge("cardamompond_input_bytes", static_cast<double>(input.held()));
   m_metrics.set_gauge("cardamompond_input_limit_bytes", static_cast<double>(input.limit()));
@@ -377,6 +412,7 @@
   for (auto& watcher : m_watchers) {
     net::fiber_runtime::spawn([each = watcher.get()] { each->run(); });
   }
+  m_server_path.start();
   m_peer_exchange.start();
   net::fiber_runtime::spawn([this] { m_group_maintenance.run_membership(); });
   net::fiber_runtime::spawn([this] { m_group_maintenance.run_rollouts(); });
@@ -390,6 +426,7 @@
 void entry_daemon::impl::run_admission() {
   while (true) {
     m_admission.deliver_decisions();
+    m_group.set_passes_connections(passes_connections());
     const time_point resume_at = monotonic_now() + admission_interval;
     boost::this_fiber::sleep_until(resume_at);
     if (const duration pause = monotonic_now() - resume_at; pause >= logged_event_loop_pause) {
@@ -435,6 +472,7 @@
         net::fiber_runtime::spawn([this] { m_group_maintenance.deregister(); });
       }
       if (m_server.active_requests() == 0 && !m_server.has_unread_input() &&
+          m_peer_exchange.busy_tunnels() == 0 &&
           (!m_duties || m_duties->handed_over() || now >= start_time + hand_over_period)) {
         break;
       }
@@ -446,9 +484,11 @@
   }
   m_peer_exchange.announce_leaving();
   const auto cut_requests = m_server.active_requests();
+  const auto cut_tunnels = m_peer_exchange.busy_tunnels();
   close_all_sockets();
   log_event(log_level::info, "drain_ended",
             {{"cut_requests", cut_requests},
+             {"cut_tunnels", cut_tunnels},
              {"ms", std::chrono::duration_cast<milliseconds>(monotonic_now() - start_time).count()}});
   return 0;
 }
--- a/packages/daemon/src/process_limits.cpp
+++ b/packages/daemon/src/process_limits.cpp
@@ -49,6 +49,8 @@
     // Each request in progress needs a connection of its caller and one to a server.
     limits.m_caller_connections = (sockets - service_sockets) / 2;
     limits.m_idle_backend_connections = limits.m_caller_connections / 2;
+    // Each tunnel takes two. They share the connections to servers with the requests of this daemon.
+    limits.m_tunnels = limits.m_caller_connections / 4;
   }
   return limits;
 }
--- a/packages/gateway/include/cardamompond/gateway/peer_exchange.hpp
+++ b/packages/gateway/include/cardamompond/gateway/peer_exchange.hpp
@@ -6,6 +6,8 @@
 #include "cardamompond/net/http_client.hpp"
 #include "cardamompond/net/http_server.hpp"
 
+#include <cstddef>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -19,6 +21,9 @@
   std::uint64_t m_malformed_reports = 0;
   std::uint64_t m_collections_fetched = 0;
   std::uint64_t m_fetch_failures = 0;
+  std::uint64_t m_tunnels_opened = 0;  // for peers that do not reach the server
+  std::uint64_t m_tunnels_refused = 0; // because this daemon stops, is full, has no path, or by the address
+  std::uint64_t m_tunnels_failed = 0;  // because the server was not reached
 };
 
 // Sends and receives the reports of a peer group as UDP datagrams, serves this daemon's collections to peers
@@ -37,6 +42,14 @@
   // statements are neither sent nor accepted.
   void set_usage_ledger(usage_ledger* ledger);
 
+  // Sets how many connections of peers to backend servers this daemon passes on at a time, and when it does.
+  // Without it, it passes none on.
+  void set_tunnels(std::size_t max_tunnels, std::function<bool()> passes_connections);
+
+  // Returns the number of tunnels at present, and of those of them that may have a request under way.
+  std::size_t open_tunnels() const;
+  std::size_t busy_tunnels() const;
+
   // Starts the fibers that send, receive and fetch.
   void start();
 
--- a/packages/gateway/include/cardamompond/gateway/peer_group.hpp
+++ b/packages/gateway/include/cardamompond/gateway/peer_group.hpp
@@ -90,6 +90,12 @@
   // Sets what keeps the peers' clocks and duties. Without it, reports contain neither.
   void set_duty_peers(duty_peers* duties) { m_duty_peers = duties; }
 
+  // Sets whether reports state that this daemon reaches servers and connects peers that do not.
+  void set_passes_connections(bool passes) { m_passes_connections = passes; }
+
+  // Returns the live peers that reach servers and pass connections on.
+  std::vector<member> connection_helpers() const;
+
   // Returns the live daemons of a zone in the rendezvous-hash order of `key`, this one included. If there are
   // none, returns those that are registered.
   std::vector<member> daemons_of_zone(std::string_view zone, std::string_view key) const;
@@ -136,6 +142,7 @@
     std::array<collection_state, all_collection_kinds.size()> m_collections{};
     std::array<time_point, all_collection_kinds.size()> m_ahead_since{}; // time_point{}: not ahead
     std::map<std::uint32_t, double> m_quota_use;                         // last reported totals
+    bool m_passes_connections = false;
     bool m_has_full_quota_use = false; // accounts missing from m_quota_use have a total of 0
   };
 
@@ -166,6 +173,7 @@
   admission_controller& m_admission;
   member m_self;
   duty_peers* m_duty_peers = nullptr;
+  bool m_passes_connections = false;
   std::vector<std::string> m_seeds;
   std::uint64_t m_incarnation;
   std::uint64_t m_sequence = 0;
--- a/packages/gateway/include/cardamompond/gateway/peer_report.hpp
+++ b/packages/gateway/include/cardamompond/gateway/peer_report.hpp
@@ -38,9 +38,10 @@
   std::string m_daemon;
   std::string m_availability_zone;
   std::string m_exchange_address;
-  std::uint64_t m_incarnation = 0; // increases with each start
-  std::uint64_t m_sequence = 0;    // increases with each report
-  bool m_leaving = false;          // the sender is stopping
+  std::uint64_t m_incarnation = 0;   // increases with each start
+  std::uint64_t m_sequence = 0;      // increases with each report
+  bool m_leaving = false;            // the sender is stopping
+  bool m_passes_connections = false; // the sender reaches servers, and connects peers that do not
   std::array<collection_state, all_collection_kinds.size()> m_collections{};
   std::vector<fleet::server_load> m_loads;
   std::vector<std::pair<std::uint32_t, double>> m_quota_use; // units admitted, by hash of the account name
--- a/packages/gateway/include/cardamompond/gateway/request_protocol.hpp
+++ b/packages/gateway/include/cardamompond/gateway/request_protocol.hpp
@@ -86,6 +86,10 @@
   // it.
   virtual net::http_request make_reservation_request(std::uint32_t tokens, milliseconds lifetime) const = 0;
 
+  // Returns a request that any server answers at once, without work and whatever it runs. The answer shows
+  // that the server can be reached.
+  virtual net::http_request make_probe_request() const = 0;
+
   // Returns the id of the reservation that the server made; nothing if the server has no room.
   virtual std::optional<std::string> read_reservation(const net::http_response& response) const = 0;
 
--- a/packages/gateway/schema/exchange.capnp
+++ b/packages/gateway/schema/exchange.capnp
@@ -165,6 +165,7 @@
   usage @22 :UsageStatement; # if present, the message holds nothing else
   limits @23 :List(LimitStatement); # left out of reports that a daemon passes on
   demands @24 :List(ServiceDemand); # of services that have servers with limits
+  passesConnections @25 :Bool; # the sender reaches servers, and connects peers that do not (CONNECT)
 }
 
 struct Document {
--- a/packages/gateway/src/exchange.capnp.h
+++ b/packages/gateway/src/exchange.capnp.h
@@ -1965,6 +1965,8 @@
   inline bool hasDemands() const;
   inline  ::capnp::List< ::cardamompond::gateway::wire::ServiceDemand,  ::capnp::Kind::STRUCT>::Reader getDemands() const;
 
+  inline bool getPassesConnections() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2137,6 +2139,9 @@
   inline void adoptDemands(::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::ServiceDemand,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::ServiceDemand,  ::capnp::Kind::STRUCT>> disownDemands();
 
+  inline bool getPassesConnections();
+  inline void setPassesConnections(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4299,6 +4304,20 @@
       ::capnp::bounded<16>() * ::capnp::POINTERS));
 }
 
+inline bool Report::Reader::getPassesConnections() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<131>() * ::capnp::ELEMENTS);
+}
+
+inline bool Report::Builder::getPassesConnections() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<131>() * ::capnp::ELEMENTS);
+}
+inline void Report::Builder::setPassesConnections(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<131>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Document::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/gateway/src/peer_exchange.cpp
+++ b/packages/gateway/src/peer_exchange.cpp
@@ -9,11 +9,13 @@
 #include <boost/asio/ip/udp.hpp>
 #include <boost/fiber/operations.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <deque>
 #include <map>
 #include <random>
+#include <set>
 #include <span>
 #include <stdexcept>
 #include <tuple>
@@ -53,6 +55,17 @@
 // Requests of peers have no body, or a short one.
 constexpr std::uint64_t max_request_body_bytes = 256U << 10U;
 
+// Time for a connection to a backend server on behalf of a peer.
+constexpr milliseconds tunnel_connect_timeout{250};
+
+// A tunnel whose last bytes came from the server longer ago than this has no request under way. Engines write
+// events far more often.
+constexpr duration tunnel_idle_time = seconds(1);
+
+constexpr int status_forbidden = 403;
+constexpr int status_bad_gateway = 502;
+constexpr int status_unavailable = 503;
+
 // Addresses whose parsed form is kept; more than a group has daemons.
 constexpr std::size_t max_endpoints = 8'192;
 
@@ -97,6 +110,10 @@
 
   void send_usage(bool all);
 
+  std::size_t m_max_tunnels = 0;
+  std::function<bool()> m_passes_connections;
+  std::set<const net::tunnel_activity*> m_tunnels; // at present
+
   exchange_counters m_counters;
   usage_ledger* m_usage_ledger = nullptr;
 
@@ -106,6 +123,7 @@
   void receive_digest(report_digest& digest, const udp::endpoint& sender);
   void count_malformed(const udp::endpoint& sender, std::string_view reason);
   void serve(net::http_exchange& exchange);
+  void serve_tunnel(net::http_exchange& exchange);
   bool serve_usage(net::http_exchange& exchange, std::string_view window);
   bool fetch(const peer_group::lagging_collection& lagging);
 
@@ -244,7 +262,41 @@
   }
 }
 
+// Connects a peer to a backend server that it does not reach. Only to servers that this daemon would send
+// requests to itself, and never through a third daemon.
+void peer_exchange::impl::serve_tunnel(net::http_exchange& exchange) {
+  const auto refuse = [&](int status, std::string text, std::uint64_t& counter) {
+    ++counter;
+    exchange.close_after_response();
+    std::ignore = exchange.respond({status, {{"Content-Type", "text/plain"}}, std::move(text)});
+  };
+  const std::string address = exchange.request().m_target;
+  const auto& servers = m_fleet_view.backend_servers();
+  if (std::none_of(servers.begin(), servers.end(),
+                   [&](const fleet::backend_server& each) { return each.m_address == address; })) {
+    refuse(status_forbidden, "not the address of a backend server\n", m_counters.m_tunnels_refused);
+    return;
+  }
+  if (m_tunnels.size() >= m_max_tunnels || !m_passes_connections()) {
+    refuse(status_unavailable, "no connections are passed on\n", m_counters.m_tunnels_refused);
+    return;
+  }
+  net::tunnel_activity activity;
+  m_tunnels.insert(&activity);
+  const auto ended = exchange.tunnel(address, tunnel_connect_timeout, activity);
+  m_tunnels.erase(&activity);
+  if (ended) {
+    ++m_counters.m_tunnels_opened;
+  } else {
+    refuse(status_bad_gateway, "the backend server was not reached\n", m_counters.m_tunnels_failed);
+  }
+}
+
 void peer_exchange::impl::serve(net::http_exchange& exchange) {
+  if (exchange.request().m_method == "CONNECT") {
+    serve_tunnel(exchange);
+    return;
+  }
   const std::string_view path = exchange.request().path();
   if (path.starts_with(collections_path)) {
     for (const auto kind : all_collection_kinds) {
@@ -330,6 +382,23 @@
 
 peer_exchange::~peer_exchange() = default;
 
+void peer_exchange::set_tunnels(std::size_t max_tunnels, std::function<bool()> passes_connections) {
+  m_impl->m_max_tunnels = max_tunnels;
+  m_impl->m_passes_connections = std::move(passes_connections);
+}
+
+std::size_t peer_exchange::open_tunnels() const {
+  return m_impl->m_tunnels.size();
+}
+
+std::size_t peer_exchange::busy_tunnels() const {
+  const time_point now = monotonic_now();
+  const auto& tunnels = m_impl->m_tunnels;
+  return static_cast<std::size_t>(std::count_if(tunnels.begin(), tunnels.end(), [&](const auto* each) {
+    return each->m_awaits_server || now - each->m_last_transfer < tunnel_idle_time;
+  }));
+}
+
 void peer_exchange::set_usage_ledger(usage_ledger* ledger) {
   m_impl->m_usage_ledger = ledger;
 }
--- a/packages/gateway/src/peer_group.cpp
+++ b/packages/gateway/src/peer_group.cpp
@@ -168,6 +168,7 @@
   remote.m_incarnation = report.m_incarnation;
   remote.m_sequence = report.m_sequence;
   remote.m_last_report_at = received;
+  remote.m_passes_connections = report.m_passes_connections;
   if (report.m_availability_zone == m_self.m_availability_zone) {
     remote.m_last_report = report;
   }
@@ -393,6 +394,7 @@
   report.m_incarnation = m_incarnation;
   report.m_sequence = ++m_sequence;
   report.m_leaving = leaving;
+  report.m_passes_connections = m_passes_connections && !leaving;
   for (const auto kind : all_collection_kinds) {
     const auto& from = m_admission.known_fleet().collection(kind);
     report.m_collections[static_cast<std::size_t>(kind)] = {
@@ -600,6 +602,16 @@
   return std::nullopt;
 }
 
+std::vector<member> peer_group::connection_helpers() const {
+  std::vector<member> helpers;
+  for (const auto& [name, each] : m_peers) {
+    if (each.m_passes_connections) {
+      helpers.push_back({name, each.m_availability_zone, each.m_address});
+    }
+  }
+  return helpers;
+}
+
 std::vector<member> peer_group::daemons_of_zone(std::string_view zone, std::string_view key) const {
   std::vector<member> daemons;
   for (const auto& [name, each] : m_peers) {
--- a/packages/gateway/src/peer_report.cpp
+++ b/packages/gateway/src/peer_report.cpp
@@ -227,6 +227,7 @@
   report.m_incarnation = from.getIncarnation();
   report.m_sequence = from.getSequence();
   report.m_leaving = from.getLeaving();
+  report.m_passes_connections = from.getPassesConnections();
   report.m_recent_use_only = from.getRecentUseOnly();
   const auto collections = from.getCollections();
   for (unsigned i = 0; i < std::min<unsigned>(collections.size(), report.m_collections.size()); ++i) {
@@ -297,6 +298,7 @@
   to.setIncarnation(report.m_incarnation);
   to.setSequence(report.m_sequence);
   to.setLeaving(report.m_leaving);
+  to.setPassesConnections(report.m_passes_connections);
   to.setRecentUseOnly(report.m_recent_use_only);
   auto collections = to.initCollections(static_cast<unsigned>(report.m_collections.size()));
   for (unsigned i = 0; i < collections.size(); ++i) {
