Test a daemon that reaches no engine, with processes

Guards against a daemon that answers failures while it reaches no engine and its peers do: its connections hang, are reset, or go on while new ones are reset. The relay of the harness can partition the connections of one process, which it knows by their ports. Plain requests and streams, safe ones and such that must run at most once; no reservations.

--- a/tests/support/include/cardamompond/testing/tcp_relay.hpp
+++ b/tests/support/include/cardamompond/testing/tcp_relay.hpp
@@ -6,8 +6,18 @@
 #include <memory>
 #include <string>
 
+#include <sys/types.h>
+
 namespace cardamompond::testing {
 
+// What a partition of one process does to its connections.
+enum class partition_kind {
+  none,
+  hang,      // nothing passes; new connections are accepted
+  reset,     // all are reset, also new ones
+  reset_new, // new ones are reset, those that are open go on
+};
+
 // Forwards TCP connections to a target address, and simulates faults of the network on the way.
 class tcp_relay {
 public:
@@ -27,6 +37,9 @@
   // Does the same for that long from now, like a server whose process stands still and then goes on.
   void pause(milliseconds length);
 
+  // Partitions the clients of one process from the target. Replaces an earlier partition.
+  void partition_process(pid_t process, partition_kind kind);
+
   // While true, new connections are closed at once. True also closes all present connections.
   void set_refusing(bool refusing);
 
--- a/tests/support/src/tcp_relay.cpp
+++ b/tests/support/src/tcp_relay.cpp
@@ -13,11 +13,17 @@
 
 #include <algorithm>
 #include <array>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
 #include <mutex>
 #include <random>
 #include <set>
+#include <sstream>
+#include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace cardamompond::testing {
 
@@ -39,6 +45,42 @@
                    head_end + 4 + std::stoul(std::string(bytes.substr(length + length_name.size(), 20)));
 }
 
+// Returns the local ports of the TCP connections of a process. Linux names the sockets of a process by their
+// inodes, and lists the ports of each inode.
+std::set<std::uint16_t> ports_of_process(pid_t process) {
+  std::set<std::string> inodes;
+  std::error_code error;
+  for (const auto& each :
+       std::filesystem::directory_iterator("/proc/" + std::to_string(process) + "/fd", error)) {
+    const std::string target = std::filesystem::read_symlink(each.path(), error).string();
+    constexpr std::string_view prefix = "socket:[";
+    if (!error && target.starts_with(prefix)) {
+      inodes.insert(target.substr(prefix.size(), target.size() - prefix.size() - 1));
+    }
+  }
+  std::set<std::uint16_t> ports;
+  std::ifstream table("/proc/net/tcp");
+  std::string line;
+  std::getline(table, line); // names of the columns
+  while (std::getline(table, line)) {
+    std::istringstream fields(line);
+    std::vector<std::string> columns{std::istream_iterator<std::string>(fields), {}};
+    constexpr std::size_t local_column = 1;
+    constexpr std::size_t inode_column = 9;
+    if (columns.size() > inode_column && inodes.contains(columns[inode_column])) {
+      const std::string& local = columns[local_column];
+      ports.insert(static_cast<std::uint16_t>(std::stoul(local.substr(local.find(':') + 1), nullptr, 16)));
+    }
+  }
+  return ports;
+}
+
+void reset_connection(tcp::socket& socket) {
+  boost::system::error_code ignored;
+  socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+  socket.close(ignored);
+}
+
 } // namespace
 
 class tcp_relay::impl : public std::enable_shared_from_this<tcp_relay::impl> {
@@ -56,7 +98,15 @@
       if (wait.wait() || m_refusing) {
         continue;
       }
-      net::fiber_runtime::spawn([self = shared_from_this(), client] { self->serve(client); });
+      const std::uint16_t port = client->remote_endpoint().port();
+      if (m_partition != partition_kind::none && ports_of_process(m_partitioned_process).contains(port)) {
+        m_partitioned_ports.insert(port);
+        if (m_partition != partition_kind::hang) {
+          reset_connection(*client);
+          continue;
+        }
+      }
+      net::fiber_runtime::spawn([self = shared_from_this(), client, port] { self->serve(client, port); });
     }
   }
 
@@ -67,11 +117,30 @@
     }
   }
 
+  void partition_process(pid_t process, partition_kind kind) {
+    m_partition = kind;
+    m_partitioned_process = process;
+    m_partitioned_ports =
+        kind == partition_kind::none ? std::set<std::uint16_t>() : ports_of_process(process);
+    if (kind == partition_kind::reset) {
+      for (const auto& socket : m_sockets) {
+        boost::system::error_code error;
+        const auto remote = socket->remote_endpoint(error);
+        if (!error && m_partitioned_ports.contains(remote.port())) {
+          reset_connection(*socket);
+        }
+      }
+    }
+  }
+
   tcp::endpoint m_target;
   tcp::acceptor m_acceptor;
   std::string m_address;
   bool m_partitioned = false;
   bool m_refusing = false;
+  partition_kind m_partition = partition_kind::none;
+  pid_t m_partitioned_process = 0;
+  std::set<std::uint16_t> m_partitioned_ports; // of clients
   milliseconds m_delay{0};
   time_point m_paused_until;
   bool m_reads_answers = false; // from the first call of set_late_copies() on
@@ -89,9 +158,9 @@
     std::string m_copy;           // sent with the next answer
   };
 
-  void serve(const socket_ptr& client) {
+  void serve(const socket_ptr& client, std::uint16_t port) {
     m_sockets.insert(client);
-    wait_while_partitioned();
+    wait_while_partitioned(port);
     auto server = std::make_shared<tcp::socket>(test_runtime().context());
     net::io_wait wait;
     server->async_connect(m_target, wait.handler());
@@ -100,14 +169,14 @@
       return;
     }
     m_sockets.insert(server);
-    net::fiber_runtime::spawn([self = shared_from_this(), client, server] {
-      self->forward(server, client, std::make_shared<answer_stream>());
+    net::fiber_runtime::spawn([self = shared_from_this(), client, server, port] {
+      self->forward(server, client, port, std::make_shared<answer_stream>());
     });
-    forward(client, server, nullptr);
+    forward(client, server, port, nullptr);
   }
 
   // Sends the copy of an answer late, or keeps it for the next answer.
-  void plan_copy(const socket_ptr& to, const std::shared_ptr<answer_stream>& answers) {
+  void plan_copy(const socket_ptr& to, std::uint16_t port, const std::shared_ptr<answer_stream>& answers) {
     if (std::generate_canonical<double, 16>(m_random) >= m_copied_share) {
       return;
     }
@@ -116,9 +185,9 @@
       return;
     }
     const milliseconds late(20 + m_random() % 381);
-    net::fiber_runtime::spawn([self = shared_from_this(), to, answers, late, copy = answers->m_answer] {
+    net::fiber_runtime::spawn([self = shared_from_this(), to, port, answers, late, copy = answers->m_answer] {
       boost::this_fiber::sleep_for(late);
-      self->wait_while_partitioned();
+      self->wait_while_partitioned(port);
       const std::lock_guard lock(answers->m_mutex);
       net::io_wait wait;
       boost::asio::async_write(*to, boost::asio::buffer(copy), wait.handler());
@@ -127,7 +196,8 @@
   }
 
   // `answers` is null in the direction of requests.
-  void forward(const socket_ptr& from, const socket_ptr& to, const std::shared_ptr<answer_stream>& answers) {
+  void forward(const socket_ptr& from, const socket_ptr& to, std::uint16_t port,
+               const std::shared_ptr<answer_stream>& answers) {
     std::array<char, 16384> buffer{};
     std::unique_lock<boost::fibers::mutex> lock;
     while (true) {
@@ -136,7 +206,7 @@
       if (read_wait.wait()) {
         break;
       }
-      wait_while_partitioned();
+      wait_while_partitioned(port);
       if (m_delay.count() > 0) {
         boost::this_fiber::sleep_for(m_delay);
       }
@@ -157,20 +227,23 @@
         break;
       }
       if (lock && is_whole_answer(answers->m_answer)) {
-        plan_copy(to, answers);
+        plan_copy(to, port, answers);
         answers->m_answer.clear();
         lock.unlock();
       }
     }
-    wait_while_partitioned(); // a partition also hides that one side has closed its connection
+    wait_while_partitioned(port); // a partition also hides that one side has closed its connection
     boost::system::error_code ignored;
     from->close(ignored);
     to->close(ignored);
     m_sockets.erase(from);
   }
 
-  void wait_while_partitioned() const {
-    while (m_partitioned || monotonic_now() < m_paused_until) {
+  void wait_while_partitioned(std::uint16_t port) const {
+    const auto is_cut = [&] {
+      return m_partition == partition_kind::hang && m_partitioned_ports.contains(port);
+    };
+    while (m_partitioned || is_cut() || monotonic_now() < m_paused_until) {
       boost::this_fiber::sleep_for(milliseconds(10));
     }
   }
@@ -186,6 +259,7 @@
 tcp_relay::~tcp_relay() {
   boost::system::error_code ignored;
   m_impl->m_partitioned = false;
+  m_impl->m_partition = partition_kind::none;
   m_impl->m_paused_until = {};
   m_impl->m_acceptor.close(ignored);
   m_impl->close_all();
@@ -199,6 +273,10 @@
   m_impl->m_partitioned = partitioned;
 }
 
+void tcp_relay::partition_process(pid_t process, partition_kind kind) {
+  m_impl->partition_process(process, kind);
+}
+
 void tcp_relay::pause(milliseconds length) {
   m_impl->m_paused_until = std::max(m_impl->m_paused_until, monotonic_now() + length);
 }
