Send brittle servers only what finds room

What callers will see without it: a service states how many rejections in a second its servers withstand (rule LIMIT, brittle servers), and a burst topples nearly all of them, because each daemon sends requests in the hope of room that the others fill at the same moment.

Decision of its own, brittle_servers.hpp, without clock and sockets: the slots of a server are divided among the daemons of its zone (and of zones without servers) by rendezvous hashing, so that the parts add up to the slots whatever the reports say. About half as many daemons as rejections are allowed may use slots of others that stayed unused for four report delays, one request at a time. Known rejections, own or reported, close a server for a second. A process without an answer yet counts like the others of its service. Nothing records a statement yet, so nothing changes; without a statement no decision differs.

--- a/packages/fleet/include/cardamompond/fleet/dispatcher.hpp
+++ b/packages/fleet/include/cardamompond/fleet/dispatcher.hpp
@@ -3,6 +3,7 @@
 #include "cardamompond/core/time.hpp"
 #include "cardamompond/fleet/backend_server.hpp"
 #include "cardamompond/fleet/blocked_requests.hpp"
+#include "cardamompond/fleet/brittle_statement.hpp"
 #include "cardamompond/fleet/declarations.hpp"
 #include "cardamompond/fleet/load_summary.hpp"
 #include "cardamompond/fleet/placement_explanation.hpp"
@@ -277,6 +278,29 @@
   };
   limit_totals count_limits() const;
 
+  // Records what a server stated in its answer to a request of this daemon that was sent after `sent_after`:
+  // the number of rejections in a second that it withstands, or none. While the servers of a service state a
+  // number, no more requests are sent to them than surely or almost surely find room.
+  limit_change record_brittle(const backend_server& server, std::optional<std::uint32_t> max_rejections,
+                              time_point sent_after, time_point now);
+
+  // Takes over what a peer reports: such statements of servers, and the rejections that the peer saw. Returns
+  // the statements that changed something.
+  std::vector<brittle_statement> set_peer_brittle(std::string_view daemon,
+                                                  std::span<const brittle_statement> statements,
+                                                  time_point received);
+
+  // Returns what servers stated about rejections, and the rejections of this daemon, for reports to the
+  // peers. The scope concerns the statements; servers with rejections are always included.
+  std::vector<brittle_statement> brittle_statements(limit_scope scope, time_point now) const;
+
+  // Returns the number of listed servers that count as brittle, and of rejections by them since the start.
+  struct brittle_totals {
+    std::size_t m_servers = 0;
+    std::uint64_t m_rejections = 0;
+  };
+  brittle_totals count_brittle() const;
+
   // Records that the server stays cold for the given time, as it stated.
   void extend_cold_period(std::string_view server_id, milliseconds remaining, time_point now);
 
--- a/packages/fleet/src/dispatch_tables.hpp
+++ b/packages/fleet/src/dispatch_tables.hpp
@@ -63,6 +63,12 @@
   time_point m_full_until; // gets no requests until then because it refused one for lack of capacity
   std::uint32_t m_consecutive_refusals = 0; // unexplained ones, see server_health.cpp
 
+  // Rejections in a second that it withstands, by its own statement or, before its first answer, by those of
+  // the other servers of the service; nothing: no number stated. The rest counts only beside a number.
+  std::optional<std::uint32_t> m_max_rejections;
+  brittle_share m_brittle_share;
+  brittle_server m_brittle;
+
   work_time m_work_time;             // by the statements to all daemons
   std::uint32_t m_own_work_time = 0; // percent, last stated to this daemon
   time_point m_own_work_time_stated; // when it was
@@ -119,9 +125,11 @@
 struct peer_row {
   std::optional<blocked_totals> m_blocked; // last reported totals
   std::vector<server_load> m_loads;
-  std::unordered_map<std::uint32_t, speed_estimate> m_speeds; // reported less often than the loads
-  std::unordered_map<std::uint32_t, std::uint32_t> m_limits;  // learned limits, reported with the speeds
-  std::vector<service_demand> m_demands;                      // of the services with limits
+  std::unordered_map<std::uint32_t, speed_estimate> m_speeds;    // reported less often than the loads
+  std::unordered_map<std::uint32_t, std::uint32_t> m_limits;     // learned limits, reported with the speeds
+  std::vector<service_demand> m_demands;                         // of the services with limits
+  std::unordered_map<std::uint32_t, std::uint32_t> m_rejections; // of the last second, by brittle server
+  time_point m_rejections_received;
   time_point m_received;
 };
 
@@ -166,6 +174,8 @@
   std::vector<daemon_location> m_members;
   std::vector<std::uint64_t> m_other_members; // hashes of the names of the members, without this one
   daemon_location m_self;
+  std::uint64_t m_brittle_rejections = 0; // requests of this daemon that brittle servers rejected
+  bool m_brittle_shares_valid = false;    // no member and no server has changed since they were computed
   bool m_frequent_reports = true; // each daemon receives the reports of all others several times a second
   rollout_controller* m_rollout_controller = nullptr;
   std::mt19937_64 m_random;
@@ -246,6 +256,16 @@
   return server.m_notice != nullptr && server.m_notice->is_limited() && !server.m_notice->allows_request(now);
 }
 
+// Computes anew which servers are brittle, and the parts of this daemon in their slots if necessary, and
+// takes note of their load. To be called several times a second.
+void update_brittle(dispatch_tables& tables, time_point now);
+
+// Whether the server is brittle and this daemon may not send it a request now.
+bool is_held_as_brittle(const dispatch_tables& tables, const server_row& server, time_point now);
+
+// Returns the load of a brittle server as this daemon knows it.
+brittle_load find_brittle_load(const dispatch_tables& tables, const server_row& server, time_point now);
+
 // Computes anew how this daemon shares the limits, from the present demands and members. To be called once a
 // second.
 void update_limits(dispatch_tables& tables, time_point now);
--- a/packages/fleet/src/dispatcher.cpp
+++ b/packages/fleet/src/dispatcher.cpp
@@ -365,6 +365,10 @@
     m_impl->withdraw_grant(request, now);
   }
   if (server_row* server = m_impl->erase_running(request); server != nullptr) {
+    if (outcome == server_outcome::refused && server->m_max_rejections) {
+      server->m_brittle.record_rejection(now);
+      ++m_impl->m_tables.m_brittle_rejections;
+    }
     update_health(*server, outcome, now);
     if (outcome == server_outcome::refused &&
         find_controlled(m_impl->m_tables, server->m_entry.m_service) != nullptr) {
@@ -400,6 +404,7 @@
   if (now - m_impl->m_peer_loads_expired >= expiry_interval) {
     m_impl->m_peer_loads_expired = now;
     expire_peer_loads(m_impl->m_tables, now);
+    update_brittle(m_impl->m_tables, now);
   }
   // Combining the speeds is expensive because each peer reports every server. Peers send speeds every 0.8 s.
   constexpr duration speed_update_interval = milliseconds(400);
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -108,6 +108,9 @@
       uses_learned_limits(tables, server.m_entry.m_service)) {
     return server.m_learned_limit;
   }
+  if (server.m_max_rejections) {
+    return server.m_entry.m_slots; // it may reject what would have to wait
+  }
   if (!server.m_uses_batching) {
     return server.m_entry.m_slots + plain_queue_depth;
   }
@@ -158,6 +161,7 @@
 } // namespace
 
 void assign_slots(dispatch_tables& tables) {
+  tables.m_brittle_shares_valid = false;
   const std::uint64_t own_hash = hash64(tables.m_self.m_name);
   std::vector<std::uint64_t> zone_members; // hashes of the other daemons in the zone of this one
   bool self_is_member = false;
@@ -221,9 +225,9 @@
 }
 
 std::string_view to_string(exclusion reason) {
-  constexpr std::string_view names[] = {"none",      "tried",   "not_in_service", "failing", "paused",
-                                        "returning", "limited", "recently_full",  "full",    "reserved",
-                                        "cold"};
+  constexpr std::string_view names[] = {"none",   "tried",     "not_in_service", "failing",
+                                        "paused", "returning", "limited",        "recently_full",
+                                        "full",   "reserved",  "cold",           "brittle"};
   return names[static_cast<std::size_t>(reason)];
 }
 
@@ -253,6 +257,9 @@
   if (server.m_own_running + server.m_peer_running >= running_limit(tables, server)) {
     return exclusion::full;
   }
+  if (is_held_as_brittle(tables, server, now)) {
+    return exclusion::brittle;
+  }
   if (!spare.allows(server, required_free)) {
     return exclusion::reserved;
   }
--- a/packages/fleet/src/placement_rules.hpp
+++ b/packages/fleet/src/placement_rules.hpp
@@ -22,7 +22,8 @@
   recently_full,  // it refused a request or stated a queue a moment ago
   full,           // it runs as many requests as it may
   reserved,       // its free slots are left to more urgent requests
-  cold            // its rate of requests after a start is used up
+  cold,           // its rate of requests after a start is used up
+  brittle         // it falls over if it has to reject requests, and its free slots are not this daemon's
 };
 
 // Returns the exclusion as it appears in the explanation of a decision, e.g. "recently_full".
--- a/packages/fleet/src/queueing.cpp
+++ b/packages/fleet/src/queueing.cpp
@@ -59,6 +59,9 @@
 dispatch_grant grant(dispatch_tables& tables, const waiting_request& waiting, server_row& server,
                      time_point now) {
   const submission& request = waiting.m_request;
+  if (server.m_max_rejections) {
+    server.m_brittle.record_sending(server.m_brittle_share, find_brittle_load(tables, server, now), now);
+  }
   ++server.m_own_running;
   server.m_own_reading += request.m_prompt_tokens;
   if (now < server.m_cold_until) {
--- a/packages/fleet/src/server_notices.cpp
+++ b/packages/fleet/src/server_notices.cpp
@@ -103,6 +103,45 @@
   return limit_change::stated;
 }
 
+limit_change server_notices::record_brittle(const backend_server& server,
+                                            std::optional<std::uint32_t> max_rejections, time_point stated,
+                                            std::optional<time_point> sent_after) {
+  if (!max_rejections && find(server) == nullptr) {
+    return limit_change::none;
+  }
+  brittle_notice& brittle = find_or_add(server).m_brittle;
+  if (brittle.m_stated ? stated < *brittle.m_stated : !max_rejections) {
+    return limit_change::none;
+  }
+  if (!max_rejections && brittle.m_max_rejections &&
+      (sent_after ? *sent_after <= *brittle.m_stated : stated - *brittle.m_stated < overtaking_time)) {
+    return limit_change::none;
+  }
+  const bool changed = brittle.m_max_rejections != max_rejections;
+  brittle.m_max_rejections = max_rejections;
+  brittle.m_stated = stated;
+  if (sent_after) {
+    brittle.m_own_stated = stated;
+  }
+  if (!changed) {
+    return limit_change::none;
+  }
+  brittle.m_changed = stated;
+  m_has_brittle = true;
+  return max_rejections ? limit_change::stated : limit_change::ended;
+}
+
+void server_notices::expire_brittle(time_point now) {
+  for (auto& [id, by_start] : m_records) {
+    for (auto& [started, notice] : by_start) {
+      if (brittle_notice& brittle = notice.m_brittle;
+          brittle.m_stated && now - *brittle.m_stated > limit_lifetime) {
+        brittle = {};
+      }
+    }
+  }
+}
+
 void server_notices::set_interval(const backend_server& server, std::optional<duration> interval,
                                   double phase, time_point now) {
   server_notice& notice = find_or_add(server);
@@ -191,6 +230,10 @@
     return std::any_of(each.second.begin(), each.second.end(),
                        [](const auto& notice) { return notice.second.m_limit.m_stated.has_value(); });
   });
+  m_has_brittle = std::any_of(m_records.begin(), m_records.end(), [](const auto& each) {
+    return std::any_of(each.second.begin(), each.second.end(),
+                       [](const auto& notice) { return notice.second.m_brittle.m_stated.has_value(); });
+  });
 }
 
 } // namespace cardamompond::fleet
--- a/packages/fleet/src/server_notices.hpp
+++ b/packages/fleet/src/server_notices.hpp
@@ -4,6 +4,8 @@
 #include "cardamompond/fleet/backend_server.hpp"
 #include "cardamompond/fleet/stated_limit.hpp"
 
+#include "brittle_servers.hpp"
+
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -33,6 +35,7 @@
   time_point m_next_request;
   time_point m_return_end;
   server_limit m_limit;
+  brittle_notice m_brittle;
   std::optional<time_point> m_missing_since; // first list without the server; none: the last list has it
 
   // Whether the server wants no requests at present.
@@ -75,6 +78,18 @@
   // Forgets limits that no daemon was told for some time, so that one whose end was missed does not stay.
   void expire_limits(time_point now);
 
+  // Records how many rejections in a second the server withstands, as it stated at the time `stated`;
+  // nothing: it stated no number. `sent_after` is as for record_limit(), and so is what ends an earlier
+  // statement.
+  limit_change record_brittle(const backend_server& server, std::optional<std::uint32_t> max_rejections,
+                              time_point stated, std::optional<time_point> sent_after);
+
+  // Forgets the statements that no daemon was told again for some time.
+  void expire_brittle(time_point now);
+
+  // Whether any server has stated how many rejections it withstands, whether or not it still does.
+  bool has_brittle() const { return m_has_brittle; }
+
   // Sets the time between two requests of this daemon to a limited server; nothing: it sends none. The first
   // one may follow after `phase` (0 to 1) of the interval.
   void set_interval(const backend_server& server, std::optional<duration> interval, double phase,
@@ -105,6 +120,7 @@
   std::map<std::string, std::map<std::int64_t, server_notice>, std::less<>> m_records; // by id and start time
   time_point m_last_pause_end;                                                         // of all servers
   bool m_has_limits = false;
+  bool m_has_brittle = false;
 };
 
 } // namespace cardamompond::fleet
