Read, report and log what brittle servers state

The header Server-Brittle was passed on to callers and had no effect, so that a burst toppled the servers that state it. It is now read in platform/ (the lowest of repeated numbers; what is not readable counts as 0, with a warning), kept for one process of the server, ended by a later request's answer without it, reported to the peers with the rejections of the last second (BrittleStatement, field 25 of Report, absent: none), and logged. Without the header nothing is recorded and nothing reported.

--- a/packages/daemon/src/entry_daemon.cpp
+++ b/packages/daemon/src/entry_daemon.cpp
@@ -279,6 +279,9 @@
   const auto [limited_servers, limited_requests_per_s] = m_admission.dispatcher().count_limits();
   m_metrics.set_gauge("cardamompond_limited_servers", static_cast<double>(limited_servers));
   m_metrics.set_gauge("cardamompond_limited_requests_per_second", limited_requests_per_s);
+  const auto [brittle_servers, brittle_rejections] = m_admission.dispatcher().count_brittle();
+  m_metrics.set_gauge("cardamompond_brittle_servers", static_cast<double>(brittle_servers));
+  m_metrics.set_counter("cardamompond_brittle_rejections_total", static_cast<double>(brittle_rejections));
   const auto overload = m_admission.dispatcher().count_overload_decisions();
   const auto set_overload_counter = [&](std::string_view name, std::string_view label, std::string_view value,
                                         std::uint64_t count) {
--- a/packages/gateway/include/cardamompond/gateway/admission_controller.hpp
+++ b/packages/gateway/include/cardamompond/gateway/admission_controller.hpp
@@ -82,6 +82,15 @@
   void record_peer_limits(std::string_view daemon, std::span<const fleet::limit_statement> statements,
                           std::span<const fleet::service_demand> demands, time_point received);
 
+  // Records whether the server that answered a request, which was sent after `sent_after`, is brittle, as for
+  // limits.
+  void record_brittle(const fleet::backend_server& called, const response_metadata& metadata,
+                      time_point sent_after);
+
+  // Records what servers stated to a peer about rejections, and those that the peer saw.
+  void record_peer_brittle(std::string_view daemon, std::span<const fleet::brittle_statement> statements,
+                           time_point received);
+
   // Logs for which services learned limits have come into use since the last call.
   void log_learned_limits();
 
--- a/packages/gateway/include/cardamompond/gateway/peer_report.hpp
+++ b/packages/gateway/include/cardamompond/gateway/peer_report.hpp
@@ -55,8 +55,9 @@
   std::int64_t m_wall_clock_ms = 0; // when the report was made; 0 where no duties are configured
   std::vector<std::pair<fleet::duty, std::uint64_t>> m_held_duties; // with their tokens
   std::vector<fleet::load_summary> m_load_summaries;                // of the services with overload control
-  std::vector<fleet::limit_statement> m_limits; // what servers stated about the rate that they take
-  std::vector<fleet::service_demand> m_demands; // for services that have servers with limits
+  std::vector<fleet::limit_statement> m_limits;    // what servers stated about the rate that they take
+  std::vector<fleet::service_demand> m_demands;    // for services that have servers with limits
+  std::vector<fleet::brittle_statement> m_brittle; // what servers stated about rejections
 };
 
 // A report that a daemon passes on.
--- a/packages/gateway/include/cardamompond/gateway/request_protocol.hpp
+++ b/packages/gateway/include/cardamompond/gateway/request_protocol.hpp
@@ -54,6 +54,15 @@
   std::string m_text;                     // as the server stated it, shortened; for the log
 };
 
+// A higher number of rejections counts as this one.
+inline constexpr std::uint32_t max_stated_rejections = 10'000;
+
+// The number of rejections for lack of room in a second beyond which a server falls over.
+struct stated_rejections {
+  std::optional<std::uint32_t> m_max_rejections; // nothing if it is not readable
+  std::string m_text;                            // as the server stated it, shortened; for the log
+};
+
 // What the headers of a response state about the request and the server.
 struct response_metadata {
   bool m_has_server_stamp = false; // the response carries the stamp that backend servers add
@@ -63,6 +72,7 @@
   bool m_leaving = false;          // the server leaves and wants no new requests
   std::optional<requested_pause> m_pause;
   std::optional<stated_limit> m_stated_limit;
+  std::optional<stated_rejections> m_stated_rejections;
   std::optional<std::string> m_server_id;  // id of the server that answers
   std::optional<std::string> m_request_id; // id of the request that is answered
   std::optional<fleet::reported_load> m_load;
--- a/packages/gateway/schema/exchange.capnp
+++ b/packages/gateway/schema/exchange.capnp
@@ -137,6 +137,15 @@
   demand @1 :UInt32;      # thousandths of a request per second
 }
 
+# What a server stated about the rejections that it withstands, see fleet::brittle_statement.
+struct BrittleStatement {
+  server @0 :UInt32;      # fleet::server_id_hash of the server's id
+  instance @1 :UInt32;    # fleet::instance_hash of the process
+  maxRejections @2 :UInt16; # 1 + rejections in a second; 0: the server no longer states a number
+  rejections @3 :UInt16;  # of requests of the sender, in the last second
+  ageMs @4 :UInt32;       # time since the server stated it
+}
+
 # A report of one daemon, or, if `relayed` is not empty, reports that its sender passes on to another zone.
 struct Report {
   daemon @0 :Text;
@@ -165,6 +174,7 @@
   usage @22 :UsageStatement; # if present, the message holds nothing else
   limits @23 :List(LimitStatement); # left out of reports that a daemon passes on
   demands @24 :List(ServiceDemand); # of services that have servers with limits
+  brittle @25 :List(BrittleStatement); # left out of reports that a daemon passes on, as limits
 }
 
 struct Document {
--- a/packages/gateway/src/admission_controller.cpp
+++ b/packages/gateway/src/admission_controller.cpp
@@ -33,6 +33,17 @@
   }
 }
 
+// The same for the number of rejections that a server withstands.
+void log_brittle_change(std::string_view server_id, std::optional<std::uint32_t> max_rejections,
+                        std::string_view source) {
+  if (max_rejections) {
+    log_event(log_level::info, "server_brittle_stated",
+              {{"backend_server", server_id}, {"max_rejections_per_s", *max_rejections}, {"source", source}});
+  } else {
+    log_event(log_level::info, "server_brittle_ended", {{"backend_server", server_id}, {"source", source}});
+  }
+}
+
 // Returns the id of a prompt part as callers send it.
 std::string to_part_id(std::uint64_t part) {
   std::array<char, 24> buffer{};
@@ -244,6 +255,46 @@
   }
 }
 
+void admission_controller::record_brittle(const fleet::backend_server& called,
+                                          const response_metadata& metadata, time_point sent_after) {
+  if (!metadata.m_request_id || metadata.m_misdirected) {
+    return;
+  }
+  const auto& stated = metadata.m_stated_rejections;
+  if (!stated && !metadata.m_has_server_stamp && !metadata.m_not_run) {
+    return; // it may not come from the server itself
+  }
+  // A server that states something else is taken for the most brittle one.
+  const auto max_rejections =
+      stated ? std::optional(stated->m_max_rejections.value_or(0)) : std::optional<std::uint32_t>();
+  if (m_dispatcher.record_brittle(called, max_rejections, sent_after, monotonic_now()) !=
+      fleet::limit_change::none) {
+    log_brittle_change(called.m_id, max_rejections, "answer");
+    if (stated && !stated->m_max_rejections) {
+      log_event(log_level::warning, "server_brittle_unreadable",
+                {{"backend_server", called.m_id}, {"stated", stated->m_text}});
+    }
+  }
+}
+
+void admission_controller::record_peer_brittle(std::string_view daemon,
+                                               std::span<const fleet::brittle_statement> statements,
+                                               time_point received) {
+  std::map<std::uint32_t, const fleet::brittle_statement*> by_server;
+  const auto changes = m_dispatcher.set_peer_brittle(daemon, statements, received);
+  if (changes.empty()) {
+    return;
+  }
+  for (const auto& each : changes) {
+    by_server[each.m_server] = &each;
+  }
+  for (const auto& server : m_fleet_view.backend_servers()) {
+    if (const auto found = by_server.find(fleet::server_id_hash(server.m_id)); found != by_server.end()) {
+      log_brittle_change(server.m_id, found->second->m_max_rejections, daemon);
+    }
+  }
+}
+
 void admission_controller::log_unreadable_limit(const fleet::backend_server& server, std::string_view text) {
   if (m_unreadable_limits.size() >= max_logged_unreadable_limits) {
     m_unreadable_limits.clear();
--- a/packages/gateway/src/exchange.capnp.h
+++ b/packages/gateway/src/exchange.capnp.h
@@ -32,6 +32,7 @@
 CAPNP_DECLARE_SCHEMA(864935a7efe87db8);
 CAPNP_DECLARE_SCHEMA(c76d08d2cecd4848);
 CAPNP_DECLARE_SCHEMA(d23a1e5d3e987d92);
+CAPNP_DECLARE_SCHEMA(a01edaf03f0fae84);
 CAPNP_DECLARE_SCHEMA(9f9f84d4d7a8dc24);
 CAPNP_DECLARE_SCHEMA(fab845e96b66bc98);
 CAPNP_DECLARE_SCHEMA(b7861866a3899f1f);
@@ -283,6 +284,21 @@
   };
 };
 
+struct BrittleStatement {
+  BrittleStatement() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a01edaf03f0fae84, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Report {
   Report() = delete;
 
@@ -291,7 +307,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9f9f84d4d7a8dc24, 4, 17)
+    CAPNP_DECLARE_STRUCT_HEADER(9f9f84d4d7a8dc24, 4, 18)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1881,6 +1897,102 @@
 };
 #endif  // !CAPNP_LITE
 
+class BrittleStatement::Reader {
+public:
+  typedef BrittleStatement Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getServer() const;
+
+  inline  ::uint32_t getInstance() const;
+
+  inline  ::uint16_t getMaxRejections() const;
+
+  inline  ::uint16_t getRejections() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class BrittleStatement::Builder {
+public:
+  typedef BrittleStatement Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getServer();
+  inline void setServer( ::uint32_t value);
+
+  inline  ::uint32_t getInstance();
+  inline void setInstance( ::uint32_t value);
+
+  inline  ::uint16_t getMaxRejections();
+  inline void setMaxRejections( ::uint16_t value);
+
+  inline  ::uint16_t getRejections();
+  inline void setRejections( ::uint16_t value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class BrittleStatement::Pipeline {
+public:
+  typedef BrittleStatement Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Report::Reader {
 public:
   typedef Report Reads;
@@ -1965,6 +2077,9 @@
   inline bool hasDemands() const;
   inline  ::capnp::List< ::cardamompond::gateway::wire::ServiceDemand,  ::capnp::Kind::STRUCT>::Reader getDemands() const;
 
+  inline bool hasBrittle() const;
+  inline  ::capnp::List< ::cardamompond::gateway::wire::BrittleStatement,  ::capnp::Kind::STRUCT>::Reader getBrittle() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2137,6 +2252,13 @@
   inline void adoptDemands(::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::ServiceDemand,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::ServiceDemand,  ::capnp::Kind::STRUCT>> disownDemands();
 
+  inline bool hasBrittle();
+  inline  ::capnp::List< ::cardamompond::gateway::wire::BrittleStatement,  ::capnp::Kind::STRUCT>::Builder getBrittle();
+  inline void setBrittle( ::capnp::List< ::cardamompond::gateway::wire::BrittleStatement,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cardamompond::gateway::wire::BrittleStatement,  ::capnp::Kind::STRUCT>::Builder initBrittle(unsigned int size);
+  inline void adoptBrittle(::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::BrittleStatement,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::BrittleStatement,  ::capnp::Kind::STRUCT>> disownBrittle();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3600,6 +3722,76 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t BrittleStatement::Reader::getServer() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t BrittleStatement::Builder::getServer() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void BrittleStatement::Builder::setServer( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t BrittleStatement::Reader::getInstance() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t BrittleStatement::Builder::getInstance() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void BrittleStatement::Builder::setInstance( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t BrittleStatement::Reader::getMaxRejections() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t BrittleStatement::Builder::getMaxRejections() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void BrittleStatement::Builder::setMaxRejections( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t BrittleStatement::Reader::getRejections() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t BrittleStatement::Builder::getRejections() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void BrittleStatement::Builder::setRejections( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t BrittleStatement::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t BrittleStatement::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void BrittleStatement::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Report::Reader::hasDaemon() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4299,6 +4491,40 @@
       ::capnp::bounded<16>() * ::capnp::POINTERS));
 }
 
+inline bool Report::Reader::hasBrittle() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<17>() * ::capnp::POINTERS).isNull();
+}
+inline bool Report::Builder::hasBrittle() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<17>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cardamompond::gateway::wire::BrittleStatement,  ::capnp::Kind::STRUCT>::Reader Report::Reader::getBrittle() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::BrittleStatement,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<17>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cardamompond::gateway::wire::BrittleStatement,  ::capnp::Kind::STRUCT>::Builder Report::Builder::getBrittle() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::BrittleStatement,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<17>() * ::capnp::POINTERS));
+}
+inline void Report::Builder::setBrittle( ::capnp::List< ::cardamompond::gateway::wire::BrittleStatement,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::BrittleStatement,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<17>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cardamompond::gateway::wire::BrittleStatement,  ::capnp::Kind::STRUCT>::Builder Report::Builder::initBrittle(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::BrittleStatement,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<17>() * ::capnp::POINTERS), size);
+}
+inline void Report::Builder::adoptBrittle(
+    ::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::BrittleStatement,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::BrittleStatement,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<17>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::BrittleStatement,  ::capnp::Kind::STRUCT>> Report::Builder::disownBrittle() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cardamompond::gateway::wire::BrittleStatement,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<17>() * ::capnp::POINTERS));
+}
+
 inline bool Document::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/gateway/src/limit_message.cpp
+++ b/packages/gateway/src/limit_message.cpp
@@ -39,6 +39,11 @@
   return valid;
 }
 
+std::uint32_t to_wire_age(duration age) {
+  return static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+      std::chrono::duration_cast<milliseconds>(age).count(), 0, max_statement_age.count()));
+}
+
 } // namespace
 
 void encode_limits(std::span<const fleet::limit_statement> from, wire::Report::Builder to) {
@@ -54,8 +59,7 @@
     list[i].setServer(server);
     list[i].setInstance(instance);
     list[i].setLimit(requests_per_s ? 1 + to_wire_rate(*requests_per_s) : 0);
-    list[i].setAgeMs(static_cast<std::uint32_t>(std::clamp<std::int64_t>(
-        std::chrono::duration_cast<milliseconds>(age).count(), 0, max_statement_age.count())));
+    list[i].setAgeMs(to_wire_age(age));
   }
 }
 
@@ -72,6 +76,22 @@
   }
 }
 
+void encode_brittle(std::span<const fleet::brittle_statement> from, wire::Report::Builder to) {
+  if (from.empty()) {
+    return;
+  }
+  auto list = to.initBrittle(static_cast<unsigned>(std::min(from.size(), max_reported_limits)));
+  for (unsigned i = 0; i < list.size(); ++i) {
+    const auto& [server, instance, max_rejections, age, rejections] = from[i];
+    list[i].setServer(server);
+    list[i].setInstance(instance);
+    list[i].setMaxRejections(static_cast<std::uint16_t>(
+        max_rejections ? 1 + std::min(*max_rejections, max_stated_rejections) : 0));
+    list[i].setAgeMs(to_wire_age(age));
+    list[i].setRejections(static_cast<std::uint16_t>(std::min(rejections, max_stated_rejections)));
+  }
+}
+
 std::vector<fleet::limit_statement> read_limits(wire::Report::Reader from) {
   std::vector<fleet::limit_statement> limits;
   for (const auto& each : from.getLimits()) {
@@ -97,4 +117,19 @@
   return demands;
 }
 
+std::vector<fleet::brittle_statement> read_brittle(wire::Report::Reader from) {
+  std::vector<fleet::brittle_statement> brittle;
+  for (const auto& each : from.getBrittle()) {
+    if (brittle.size() == max_reported_limits) {
+      break;
+    }
+    const auto max_rejections = each.getMaxRejections() == 0
+                                    ? std::nullopt
+                                    : std::optional<std::uint32_t>(each.getMaxRejections() - 1U);
+    brittle.push_back({each.getServer(), each.getInstance(), max_rejections,
+                       std::min(milliseconds(each.getAgeMs()), max_statement_age), each.getRejections()});
+  }
+  return brittle;
+}
+
 } // namespace cardamompond::gateway
--- a/packages/gateway/src/peer_group.cpp
+++ b/packages/gateway/src/peer_group.cpp
@@ -178,6 +178,7 @@
   apply_quota_use(remote, report, restarted, received, now);
   m_admission.dispatcher().set_peer_loads(report.m_daemon, report.m_loads, received);
   m_admission.record_peer_limits(report.m_daemon, report.m_limits, report.m_demands, received);
+  m_admission.record_peer_brittle(report.m_daemon, report.m_brittle, received);
   if (is_small_group() || report.m_availability_zone == m_self.m_availability_zone) {
     m_admission.dispatcher().set_peer_blocked(report.m_daemon, report.m_blocked, received);
     m_admission.dispatcher().set_peer_load_summaries(report.m_daemon, report.m_load_summaries, received);
@@ -230,6 +231,8 @@
   peer_report own = make_report(false, false);
   own.m_limits =
       select_in_turns(m_admission.dispatcher().limit_statements(limit_scope::zone, now), own.m_sequence);
+  own.m_brittle =
+      select_in_turns(m_admission.dispatcher().brittle_statements(limit_scope::zone, now), own.m_sequence);
   own.m_load_summaries.clear();
   add(std::move(own), duration::zero());
   for (const auto& [name, each] : m_peers) {
@@ -241,6 +244,7 @@
     shortened.m_collections = {};       // those of this daemon are about the same
     shortened.m_load_summaries.clear(); // used in the own zone only
     shortened.m_limits.clear();         // the own report contains those of the zone
+    shortened.m_brittle.clear();
     if (with_all_totals && each.m_has_full_quota_use) {
       shortened.m_quota_use.assign(each.m_quota_use.begin(), each.m_quota_use.end());
       shortened.m_recent_use_only = false;
@@ -418,6 +422,9 @@
   report.m_limits = select_in_turns(
       m_admission.dispatcher().limit_statements(with_speeds ? limit_scope::own : limit_scope::recent, now),
       report.m_sequence);
+  report.m_brittle = select_in_turns(
+      m_admission.dispatcher().brittle_statements(with_speeds ? limit_scope::own : limit_scope::recent, now),
+      report.m_sequence);
   report.m_demands = select_in_turns(m_admission.dispatcher().own_demands(now), report.m_sequence);
   report.m_outcomes = m_admission.rollout_controller().own_observations();
   report.m_rolled_back_orders = m_admission.rollout_controller().rolled_back_orders();
--- a/packages/gateway/src/peer_report.cpp
+++ b/packages/gateway/src/peer_report.cpp
@@ -276,6 +276,7 @@
   report.m_load_summaries = read_load_summaries(from);
   report.m_limits = read_limits(from);
   report.m_demands = read_demands(from);
+  report.m_brittle = read_brittle(from);
   const auto blocked = from.getBlocked();
   for (unsigned i = 0; i < std::min<unsigned>(blocked.size(), report.m_blocked.size()); ++i) {
     report.m_blocked[i] = blocked[i];
@@ -342,6 +343,7 @@
   encode_load_summaries(report.m_load_summaries, to);
   encode_limits(report.m_limits, to);
   encode_demands(report.m_demands, to);
+  encode_brittle(report.m_brittle, to);
   auto blocked = to.initBlocked(static_cast<unsigned>(report.m_blocked.size()));
   for (unsigned i = 0; i < blocked.size(); ++i) {
     blocked.set(i, report.m_blocked[i]);
--- a/packages/gateway/src/request_processor.cpp
+++ b/packages/gateway/src/request_processor.cpp
@@ -264,6 +264,7 @@
       dispatcher.extend_cold_period(grant.m_server.m_id, *metadata.m_cold_remaining, now);
     }
     m_handler.m_admission.record_limit(grant.m_server, metadata, created_at);
+    m_handler.m_admission.record_brittle(grant.m_server, metadata, created_at);
   };
   options.m_on_server_notices = [this, &grant](const response_metadata& metadata) {
     m_handler.m_admission.record_notices(grant.m_server, metadata);
--- a/packages/gateway/tests/peer_report_test.cpp
+++ b/packages/gateway/tests/peer_report_test.cpp
@@ -247,3 +247,22 @@
   CHECK(bytes.size() <= bytes_before + 16 * max_reported_limits);
   UNSIGNED_LONGS_EQUAL(max_reported_limits, decode_report(bytes)->m_limits.size());
 }
+
+// Guards against statements about rejections that are lost or changed on the way, and against an absent one
+// that is read as one.
+TEST(peer_report, statements_about_rejections_round_trip) {
+  peer_report report;
+  report.m_daemon = "entry-1";
+  report.m_brittle = {
+      {0x9e3779b9, 0x85ebca6b, 2, milliseconds(1'200), 3}, {1, 2, std::nullopt, {}, 0}, {3, 4, 0, {}, 0}};
+  const auto read = decode_report(encode_report(report));
+  UNSIGNED_LONGS_EQUAL(3, read->m_brittle.size());
+  const auto& [server, instance, max_rejections, age, rejections] = read->m_brittle[0];
+  CHECK(server == 0x9e3779b9 && instance == 0x85ebca6b && max_rejections == 2U && rejections == 3);
+  CHECK(age == milliseconds(1'200));
+  CHECK(!read->m_brittle[1].m_max_rejections && read->m_brittle[2].m_max_rejections == 0U);
+  report.m_brittle.assign(5'000, {1, 2, 3, {}, 0});
+  UNSIGNED_LONGS_EQUAL(max_reported_limits, decode_report(encode_report(report))->m_brittle.size());
+  report.m_brittle.clear();
+  CHECK(decode_report(encode_report(report))->m_brittle.empty());
+}
