Check with real daemons that a burst topples few brittle engines

New scenario of the soak, a_burst_topples_few_brittle_engines: 6 daemons, 4 engines of 16 slots, 150 callers, N = 2, waiting places taken away after 3 s.

--- a/tests/soak/soak_scenarios_test.cpp
+++ b/tests/soak/soak_scenarios_test.cpp
@@ -68,6 +68,37 @@
              "the engine got few requests after its limit had ended");
 }
 
+// Guards against daemons that topple brittle engines because each sends requests in the hope of room that the
+// others fill at the same moment. The callers ask for about twice what the engines have slots for.
+TEST(soak_scenarios, a_burst_topples_few_brittle_engines) {
+  constexpr std::uint64_t seed = 1;
+  constexpr std::size_t slots = 16;
+  soak_group group(6, 4, seed);
+  group.wait_until_ready();
+  const auto set_brittle = [&](std::size_t room) {
+    for (const auto& each : group.engines()) {
+      each.m_engine->set_brittle(2, room);
+    }
+  };
+  set_brittle(10 * slots); // they still let requests wait
+  soak_callers callers(group, 150, seed * 1'000'000);
+  boost::this_fiber::sleep_for(seconds(3));
+  set_brittle(slots);
+  boost::this_fiber::sleep_for(seconds(5));
+  callers.stop();
+  std::size_t falls = 0;
+  std::size_t rejections = 0;
+  for (const auto& each : group.engines()) {
+    falls += each.m_engine->log().m_falls.size();
+    rejections += each.m_engine->log().m_rejections.size();
+  }
+  const std::size_t answered = callers.report_history("brittle engines").m_successful_ids.size();
+  const std::string seen = "falls " + std::to_string(falls) + ", rejections " + std::to_string(rejections) +
+                           ", answered " + std::to_string(answered);
+  CHECK_TEXT(falls <= 2, seen.c_str());
+  CHECK_TEXT(answered > 1'000, seen.c_str());
+}
+
 // Guards against late copies of refusals that pass for the answer to the same request when it is sent again
 // on that connection. One engine, one caller for each daemon and a short deadline make that the usual case.
 TEST(soak_scenarios, late_copies_of_refusals_answer_nothing) {
