Treat a watch that a later era answers as one without history

The store of a new era may have the revision of the earlier one by chance and answer the watch. If the list of the new era came first, as by a peer's copy, the answer was of the era of the content and hid the changes below the revision.

The client of the store answers history_gone for a watch whose answer is of another era than its start, so that a list follows.

--- a/packages/core/include/cardamompond/core/store_version.hpp
+++ b/packages/core/include/cardamompond/core/store_version.hpp
@@ -24,6 +24,7 @@
   std::uint64_t m_era = 0;
   std::uint64_t m_revision = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy takes the comparison with 0 for a pointer
   friend constexpr auto operator<=>(const store_version&, const store_version&) = default;
 };
 
--- a/packages/gateway/include/cardamompond/gateway/document_store.hpp
+++ b/packages/gateway/include/cardamompond/gateway/document_store.hpp
@@ -79,8 +79,8 @@
   // The latest era that an answer of the store stated; 0 if none did.
   virtual std::uint64_t era() const = 0;
 
-  // Waits up to `wait` for changes after the version `after`. The answer may be of a later era, and is then
-  // not a continuation of `after` even if the store accepted its revision.
+  // Waits up to `wait` for changes after the version `after`. Fails with `history_gone` if the store is in
+  // another era, even if it has the revision.
   virtual document_result<collection_changes> watch(collection_kind kind, store_version after,
                                                     milliseconds wait) = 0;
 
