Keep newer knowledge until a copy of the store is written again

Between the return of the store from a copy and the writing again, a server that was draining stood there as ready, one that had left was back, one that had registered was gone, an evacuation that was ordered had ended.

For a bounded time after the first list of the new era, each kind is decided by what its writer states: servers by start time and state (2.2 s, as after an outage), rollouts and evacuations by name (5 s); declarations keep the highest version as before. An entry that changes in the new era holds at once. The watcher leaves the check of the era of changes to the client.

--- a/packages/daemon/src/entry_daemon.cpp
+++ b/packages/daemon/src/entry_daemon.cpp
@@ -262,6 +262,7 @@
     m_metrics.set_counter("cardamompond_store_lists_discarded_total", "collection", name,
                           static_cast<double>(counters.m_discarded_lists));
   }
+  m_metrics.set_gauge("cardamompond_store_era", static_cast<double>(m_store.era()));
   const auto exchange_counters = m_peer_exchange.counters();
   m_metrics.set_counter("cardamompond_reports_sent_total",
                         static_cast<double>(exchange_counters.m_reports_sent));
--- a/packages/gateway/include/cardamompond/gateway/fleet_view.hpp
+++ b/packages/gateway/include/cardamompond/gateway/fleet_view.hpp
@@ -3,6 +3,7 @@
 #include "cardamompond/fleet/route_table.hpp"
 #include "cardamompond/gateway/collection_replica.hpp"
 #include "cardamompond/gateway/document_reader.hpp"
+#include "cardamompond/gateway/earlier_era.hpp"
 
 #include <array>
 #include <functional>
@@ -37,6 +38,14 @@
   // may have expired although they are still valid. Peers are not told of them.
   bool apply_keeping(collection_kind kind, const collection_snapshot& snapshot, std::string_view source);
 
+  // Applies the first list that the store answers in a new era, like apply_keeping(). Until
+  // end_earlier_era(), entries that the copy of the store brought back do not replace what is known to be
+  // newer.
+  void apply_new_era(collection_kind kind, const collection_snapshot& snapshot, time_point now);
+
+  // From now on, the content of the store holds as it is.
+  void end_earlier_era(collection_kind kind);
+
   // Forgets the documents that were kept.
   void drop_kept(collection_kind kind, std::string_view source);
 
@@ -70,6 +79,9 @@
 private:
   void decode(collection_kind kind, std::string_view source);
   void decode_declarations(std::string_view source);
+  void decode_servers();
+  void decode_evacuations();
+  earlier_era& earlier(collection_kind kind) { return m_earlier_eras[static_cast<std::size_t>(kind)]; }
   // The objects read from the documents of a collection, by name, with the version that they were read from.
   template <typename T> struct decoded_document {
     std::optional<store_version> m_version;
@@ -86,6 +98,7 @@
 
   const document_reader& m_reader;
   std::array<collection_replica, all_collection_kinds.size()> m_collections;
+  std::array<earlier_era, all_collection_kinds.size()> m_earlier_eras;
   std::vector<observer> m_observers;
   std::shared_ptr<const fleet::route_table> m_routes;
   std::vector<fleet::backend_server> m_backend_servers;
--- a/packages/gateway/src/collection_watcher.cpp
+++ b/packages/gateway/src/collection_watcher.cpp
@@ -63,6 +63,19 @@
 // report with an invented era must not make the daemons use up the store's rate.
 constexpr duration era_check_interval = seconds(5);
 
+// For how long what was known before the store came back from a copy holds against the copy. Servers write
+// their entries again within about two seconds. The operator has to notice the loss first.
+duration earlier_era_time(collection_kind kind) {
+  return kind == collection_kind::backend_servers ? entries_restore_time : duration(seconds(5));
+}
+
+// Declarations state their version themselves, so that an older one never replaces a newer one, and daemons
+// write their own entries.
+bool holds_earlier_era(collection_kind kind) {
+  return kind == collection_kind::backend_servers || kind == collection_kind::rollouts ||
+         kind == collection_kind::evacuations;
+}
+
 // An event that repeats without a change is logged once in this time.
 constexpr duration repeated_event_interval = seconds(5);
 
@@ -115,6 +128,10 @@
 }
 
 void collection_watcher::step() {
+  if (m_earlier_era_until != time_point{} && monotonic_now() >= m_earlier_era_until) {
+    m_earlier_era_until = {};
+    m_fleet_view.end_earlier_era(m_kind);
+  }
   if (may_be_of_earlier_era()) {
     m_list_next = true;
   } else if (is_current_through_peers()) {
@@ -172,6 +189,13 @@
 // outage was one of this daemon alone, and what the list lacks has left.
 void collection_watcher::apply_snapshot(const collection_snapshot& snapshot) {
   report_discarded_list(snapshot);
+  if (follow_era(snapshot)) {
+    return;
+  }
+  if (m_earlier_era_until != time_point{}) {
+    m_fleet_view.apply_keeping(m_kind, snapshot, "store_in_new_era");
+    return;
+  }
   if (m_kind != collection_kind::backend_servers || monotonic_now() >= m_entries_restored_at ||
       m_peer_callbacks.m_read_by_peers_since(m_kind, m_keeping_since, m_keeping_as_of)) {
     m_entries_restored_at = {};
@@ -212,6 +236,43 @@
   }
 }
 
+// Returns whether the snapshot is the first of a new era and was applied as such. The entries that expired in
+// an outage before are kept for the same time, without further lists.
+bool collection_watcher::follow_era(const collection_snapshot& snapshot) {
+  const auto& known = m_fleet_view.collection(m_kind);
+  const store_version before = known.as_of();
+  if (!known.loaded() || snapshot.m_as_of.m_era == before.m_era ||
+      known.is_older(snapshot, collection_replica::origin::store)) {
+    return false;
+  }
+  if (holds_earlier_era(m_kind)) {
+    const time_point now = monotonic_now();
+    m_earlier_era_until = now + earlier_era_time(m_kind);
+    m_entries_restored_at = {};
+    m_fleet_view.apply_new_era(m_kind, snapshot, now);
+  } else {
+    m_fleet_view.apply(m_kind, snapshot, "store_in_new_era");
+  }
+  log_event(log_level::info, "store_era_changed",
+            {{"collection", to_string(m_kind)},
+             {"era", before.m_era},
+             {"as_of", before.m_revision},
+             {"new_era", snapshot.m_as_of.m_era},
+             {"new_as_of", snapshot.m_as_of.m_revision},
+             {"kept", known.kept_documents().size()}});
+  return true;
+}
+
+// Entries that are kept in a new era are dropped in time also if nothing changes.
+milliseconds collection_watcher::watch_wait() const {
+  const milliseconds wait = watch_timeout(m_kind);
+  if (m_earlier_era_until == time_point{}) {
+    return wait;
+  }
+  const auto left = std::chrono::ceil<milliseconds>(m_earlier_era_until - monotonic_now());
+  return std::clamp(left, milliseconds(1), wait);
+}
+
 // Waits before the next list after an outage. Forgets what was kept as soon as a peer shows that it read the
 // store during the outage; a daemon that was cut off hears of its peers only after it has read the store.
 void collection_watcher::wait_for_restored_entries() {
@@ -230,7 +291,7 @@
 
 void collection_watcher::watch() {
   ++m_counters.m_watches;
-  const auto changes = m_store.watch(m_kind, m_fleet_view.collection(m_kind).as_of(), watch_timeout(m_kind));
+  const auto changes = m_store.watch(m_kind, m_fleet_view.collection(m_kind).as_of(), watch_wait());
   if (!changes) {
     if (changes.error().m_kind == document_error_kind::history_gone) {
       report_history_gone();
@@ -246,9 +307,6 @@
   }
   handle_success();
   m_consecutive_history_gone = 0;
-  if (changes->m_as_of.m_era != m_fleet_view.collection(m_kind).as_of().m_era) {
-    m_list_next = true; // these are not the changes since the state that is known
-  }
   if (m_list_next) {
     return; // after an outage only a full list shows which entries expired meanwhile
   }
--- a/packages/gateway/src/fleet_view.cpp
+++ b/packages/gateway/src/fleet_view.cpp
@@ -2,6 +2,9 @@
 
 #include "cardamompond/telemetry/log.hpp"
 
+#include <span>
+#include <utility>
+
 namespace cardamompond::gateway {
 
 fleet_view::fleet_view(const document_reader& reader)
@@ -36,6 +39,22 @@
   return true;
 }
 
+void fleet_view::apply_new_era(collection_kind kind, const collection_snapshot& snapshot, time_point now) {
+  earlier(kind).begin(snapshot.m_as_of,
+                      kind == collection_kind::backend_servers
+                          ? std::span<const fleet::backend_server>(m_backend_servers)
+                          : std::span<const fleet::backend_server>(),
+                      now);
+  apply_keeping(kind, snapshot, "store_in_new_era");
+}
+
+void fleet_view::end_earlier_era(collection_kind kind) {
+  const bool had_kept = m_collections[static_cast<std::size_t>(kind)].drop_kept();
+  if (earlier(kind).end() || had_kept) {
+    decode(kind, "end_of_earlier_era");
+  }
+}
+
 void fleet_view::drop_kept(collection_kind kind, std::string_view source) {
   if (m_collections[static_cast<std::size_t>(kind)].drop_kept()) {
     decode(kind, source);
@@ -123,24 +142,60 @@
   }
 }
 
+// Servers that were removed shortly before the store came back from a copy are not used again because of it.
+void fleet_view::decode_servers() {
+  constexpr auto kind = collection_kind::backend_servers;
+  const auto& replica = collection(kind);
+  for (const auto& each : m_backend_servers) {
+    if (!replica.documents().contains(each.m_id) && !replica.kept_documents().contains(each.m_id)) {
+      earlier(kind).record_removal(each.m_id, each.m_started_unix_ms, monotonic_now());
+    }
+  }
+  m_backend_servers = decode_changed<fleet::backend_server>(
+      kind, m_decoded_servers, [&](const document& each) { return m_reader.read_backend_server(each); });
+  std::erase_if(m_backend_servers, [&](const fleet::backend_server& each) {
+    const auto listed = replica.documents().find(each.m_id);
+    return listed != replica.documents().end() &&
+           earlier(kind).is_removed(each.m_id, each.m_started_unix_ms, listed->second.m_version);
+  });
+  for (auto& each : m_backend_servers) {
+    each = earlier(kind).resolve(each);
+  }
+}
+
+void fleet_view::decode_evacuations() {
+  constexpr auto kind = collection_kind::evacuations;
+  const auto& replica = collection(kind);
+  const auto before = std::exchange(m_evacuated_zones, {});
+  for (const auto& zone : before) {
+    if (!replica.documents().contains(zone) && !replica.kept_documents().contains(zone)) {
+      earlier(kind).record_removal(zone, 0, monotonic_now());
+    }
+  }
+  for (const auto& [name, each] : replica.documents()) {
+    if (!earlier(kind).is_removed(name, 0, each.m_version)) {
+      m_evacuated_zones.insert(name);
+    }
+  }
+  for (const auto& [name, each] : replica.kept_documents()) {
+    m_evacuated_zones.insert(name);
+  }
+}
+
 void fleet_view::decode(collection_kind kind, std::string_view source) {
   switch (kind) {
   case collection_kind::declarations:
     decode_declarations(source);
     break;
   case collection_kind::backend_servers:
-    m_backend_servers = decode_changed<fleet::backend_server>(
-        kind, m_decoded_servers, [&](const document& each) { return m_reader.read_backend_server(each); });
+    decode_servers();
     break;
   case collection_kind::rollouts:
     m_rollouts = decode_changed<fleet::rollout_order>(
         kind, m_decoded_rollouts, [&](const document& each) { return m_reader.read_rollout(each); });
     break;
   case collection_kind::evacuations:
-    m_evacuated_zones.clear();
-    for (const auto& [name, each] : collection(kind).documents()) {
-      m_evacuated_zones.insert(name);
-    }
+    decode_evacuations();
     break;
   case collection_kind::members:
     m_members = decode_changed<member>(kind, m_decoded_members,
--- a/packages/gateway/tests/collection_watcher_test.cpp
+++ b/packages/gateway/tests/collection_watcher_test.cpp
@@ -36,6 +36,7 @@
 public:
   std::uint64_t era() const override { return m_content.m_as_of.m_era; }
   document_result<collection_snapshot> list(collection_kind, milliseconds) override {
+    m_lists_of_era += m_content.m_as_of.m_era > 0 ? 1 : 0;
     return check() ? document_result<collection_snapshot>(m_content) : unavailable();
   }
   document_result<collection_changes> watch(collection_kind, store_version after, milliseconds) override {
@@ -62,6 +63,7 @@
   bool m_history_gone = false; // watches fail
   bool m_ended = false;
   int m_calls = 0;
+  unsigned m_lists_of_era = 0; // lists that stated an era
 
 private:
   bool check() {
@@ -240,3 +242,19 @@
   boost::this_fiber::sleep_for(milliseconds(800));
   CHECK(daemon.m_view.collection(kind).as_of() == store_version(2, 6));
 }
+
+// Guards against servers and their state that are lost with the copy of the store, before they have been
+// written again, and against lists that are repeated for them.
+TEST(collection_watcher, what_was_known_holds_for_some_time_in_a_new_era) {
+  watcher_fixture daemon;
+  boost::this_fiber::sleep_for(milliseconds(1'200)); // the first list and the wait for readers
+  daemon.m_store.m_content = {{1, 8}, {{"i-1", {1, 3}, ""}, {"i-3", {1, 8}, ""}}, 0};
+  daemon.m_store.m_calls = 0;
+  boost::this_fiber::sleep_for(milliseconds(400));
+  CHECK(daemon.m_view.collection(kind).as_of() == store_version(1, 8));
+  UNSIGNED_LONGS_EQUAL(3, daemon.m_view.backend_servers().size());
+  UNSIGNED_LONGS_EQUAL(2, daemon.m_view.collection(kind).snapshot().m_documents.size());
+  boost::this_fiber::sleep_for(milliseconds(2'200));
+  UNSIGNED_LONGS_EQUAL(2, daemon.m_view.backend_servers().size());
+  UNSIGNED_LONGS_EQUAL(1, daemon.m_store.m_lists_of_era);
+}
