What a server states in a passed answer binds the daemon that passed it on

What callers would see: a daemon that passes connections on goes on sending to a server that stated, to a peer's request, that it leaves or wants a pause (DRAIN, BUDGET of the users' rules count by the machine that reaches the server). Cause: it copies bytes and reads no answers. Change: the daemon that took the request tells it at once (PUT /statements); it believes this only about servers to which it opened a tunnel in the last minute, and opens no new tunnel to one that leaves or is paused.

--- a/packages/daemon/src/entry_daemon.cpp
+++ b/packages/daemon/src/entry_daemon.cpp
@@ -166,7 +166,7 @@
     , m_group(m_admission, m_self, m_settings.m_seeds, make_incarnation())
     , m_peer_exchange(m_runtime, m_peer_connections, m_group, m_fleet_view, m_settings.m_exchange_address,
                       connection_limit(m_limits, max_exchange_connections) + m_limits.m_tunnels)
-    , m_server_path(m_runtime, m_fleet_view, m_group, m_protocol, m_random())
+    , m_server_path(m_runtime, m_peer_connections, m_fleet_view, m_group, m_protocol, m_random())
     , m_group_maintenance(m_store, m_admission, m_group, m_reader, m_self)
     , m_request_handler(m_backend_connections, m_admission, m_protocol, m_metrics,
                         {.m_accepts_requests =
@@ -179,6 +179,11 @@
                                if (m_duties) {
                                  m_duties->record_request(account);
                                }
+                             },
+                         .m_on_passed_statement =
+                             [this](std::string_view peer, const fleet::backend_server& server,
+                                    const gateway::response_metadata& metadata) {
+                               m_server_path.tell_peer(peer, server, metadata);
                              }})
     , m_server(m_runtime,
                {.m_address = m_settings.m_callers_address,
@@ -201,7 +206,15 @@
     m_duties = std::make_unique<entry_duties>(m_settings, m_runtime, m_group, m_peer_exchange, m_admission);
   }
   m_backend_connections.set_router(&m_server_path);
-  m_peer_exchange.set_tunnels(m_limits.m_tunnels, [this] { return passes_connections(); });
+  m_peer_exchange.set_tunnels(
+      m_limits.m_tunnels,
+      {[this] { return passes_connections(); },
+       [this](const fleet::backend_server& server) {
+         return m_admission.dispatcher().may_send(server, monotonic_now());
+       },
+       [this](const fleet::backend_server& server, const gateway::response_metadata& metadata) {
+         m_admission.record_notices(server, metadata);
+       }});
   // What failed through the lost path says nothing about the servers, nor does what failed through peers.
   m_server_path.on_change([this] {
     m_admission.dispatcher().forget_failures();
--- a/packages/gateway/include/cardamompond/gateway/backend_call.hpp
+++ b/packages/gateway/include/cardamompond/gateway/backend_call.hpp
@@ -63,8 +63,8 @@
   std::function<void(std::uint64_t events, duration took)> m_on_progress; // called every few events
   std::function<void(const response_metadata&)> m_on_response_metadata;
   // Called with each response to the request or to a reservation, and with the lasting statements of those
-  // that are skipped.
-  std::function<void(const response_metadata&)> m_on_server_notices;
+  // that are skipped. `proxy` is the peer that passed the response on; empty: none.
+  std::function<void(const response_metadata&, std::string_view proxy)> m_on_server_notices;
   // Whether the server still takes requests; asked before each request that is sent to it.
   std::function<bool()> m_may_send;
 };
--- a/packages/gateway/include/cardamompond/gateway/peer_exchange.hpp
+++ b/packages/gateway/include/cardamompond/gateway/peer_exchange.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cardamompond/gateway/peer_group.hpp"
+#include "cardamompond/gateway/request_protocol.hpp"
 #include "cardamompond/gateway/usage_ledger.hpp"
 #include "cardamompond/net/fiber_runtime.hpp"
 #include "cardamompond/net/http_client.hpp"
@@ -26,6 +27,15 @@
   std::uint64_t m_tunnels_failed = 0;  // because the server was not reached
 };
 
+// What passing connections on depends on.
+struct tunnel_callbacks {
+  std::function<bool()> m_passes_connections;
+  // Whether a connection to the server may be opened for requests.
+  std::function<bool(const fleet::backend_server&)> m_may_send;
+  // Called with what a server stated in a response that this daemon passed on to a peer.
+  std::function<void(const fleet::backend_server&, const response_metadata&)> m_on_statement;
+};
+
 // Sends and receives the reports of a peer group as UDP datagrams, serves this daemon's collections to peers
 // over HTTP on the same address, and fetches collections of which a peer has a newer copy.
 class peer_exchange {
@@ -44,7 +54,7 @@
 
   // Sets how many connections of peers to backend servers this daemon passes on at a time, and when it does.
   // Without it, it passes none on.
-  void set_tunnels(std::size_t max_tunnels, std::function<bool()> passes_connections);
+  void set_tunnels(std::size_t max_tunnels, tunnel_callbacks callbacks);
 
   // Returns the number of tunnels at present, and of those of them that may have a request under way.
   std::size_t open_tunnels() const;
--- a/packages/gateway/include/cardamompond/gateway/request_handler.hpp
+++ b/packages/gateway/include/cardamompond/gateway/request_handler.hpp
@@ -19,6 +19,11 @@
   std::function<bool(bool streamed)> m_accepts_requests = [](bool /*streamed*/) { return true; };
   // Called once for each request when it is known to have begun to run at a server.
   std::function<void(std::string_view account)> m_on_run = [](std::string_view /*account*/) {};
+  // Called when a server stated in a response that a peer passed on that it leaves or wants a pause.
+  std::function<void(std::string_view peer, const fleet::backend_server& server,
+                     const response_metadata& metadata)>
+      m_on_passed_statement = [](std::string_view /*peer*/, const fleet::backend_server& /*server*/,
+                                 const response_metadata& /*metadata*/) {};
 };
 
 // Serves the requests of callers: finds the route and the client account, enforces the quota, waits for a
--- a/packages/gateway/include/cardamompond/gateway/server_path.hpp
+++ b/packages/gateway/include/cardamompond/gateway/server_path.hpp
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -30,8 +31,8 @@
 // own to any of them. Everything else about the requests stays with this daemon.
 class server_path final : public net::connection_router {
 public:
-  server_path(net::fiber_runtime& runtime, const fleet_view& view, peer_group& group,
-              const request_protocol& protocol, std::uint64_t seed);
+  server_path(net::fiber_runtime& runtime, net::http_client& peer_client, const fleet_view& view,
+              peer_group& group, const request_protocol& protocol, std::uint64_t seed);
 
   // Sets what is called when the path is lost or restored.
   void on_change(std::function<void()> callback) { m_on_change = std::move(callback); }
@@ -39,6 +40,11 @@
   // Starts the fiber that watches the path.
   void start();
 
+  // Tells the peer what the server stated in a response that the peer passed on, since that binds the peer,
+  // too, and it does not read the responses.
+  void tell_peer(std::string_view peer, const fleet::backend_server& server,
+                 const response_metadata& metadata);
+
   fleet::path_state state() const { return m_reachability.state(); }
   const server_path_counters& counters() const { return m_counters; }
 
@@ -57,6 +63,7 @@
   std::vector<std::string> choose_probed_servers(std::size_t count);
   void log_state(fleet::path_state previous);
 
+  net::http_client& m_peer_client;
   net::http_client m_probe_client;
   const fleet_view& m_fleet_view;
   peer_group& m_group;
@@ -64,6 +71,8 @@
   fleet::server_reachability m_reachability;
   std::map<std::string, time_point, std::less<>> m_avoided_until; // peers that refused, by address
   std::map<std::string, std::uint64_t, std::less<>> m_logged;     // tunnels of the present loss, by peer
+  // Statements to leave that were passed to peers while the path is lost, and their recipients.
+  std::set<std::string, std::less<>> m_told;
   std::mt19937_64 m_random;
   std::function<void()> m_on_change;
   server_path_counters m_counters;
--- a/packages/gateway/src/backend_call.cpp
+++ b/packages/gateway/src/backend_call.cpp
@@ -155,7 +155,7 @@
     if (metadata.m_request_id) { // a late response to an earlier request
       note_skipped(metadata, "reservation", head->m_status);
     } else {
-      m_options.m_on_server_notices(metadata);
+      m_options.m_on_server_notices(metadata, m_call->proxy());
     }
     std::array<char, 1024> buffer{};
     while (true) {
@@ -213,7 +213,7 @@
 void backend_call::note_skipped(const response_metadata& metadata, std::string_view awaiting, int status) {
   log_skipped_response(m_options.m_request_id, m_options.m_parameters.m_server->m_id, awaiting, metadata,
                        status);
-  m_options.m_on_server_notices(lasting_statements(metadata));
+  m_options.m_on_server_notices(lasting_statements(metadata), m_call->proxy());
 }
 
 // Reads a response that belongs to another request to its end.
@@ -246,7 +246,7 @@
       }
       continue;
     }
-    m_options.m_on_server_notices(metadata);
+    m_options.m_on_server_notices(metadata, m_call->proxy());
     note_response(m_call->history(), metadata);
     m_response_identified = metadata.m_request_id.has_value();
     m_call->history().m_states_request_ids |= m_response_identified;
--- a/packages/gateway/src/peer_exchange.cpp
+++ b/packages/gateway/src/peer_exchange.cpp
@@ -29,6 +29,7 @@
 using udp = asio::ip::udp;
 
 constexpr std::string_view collections_path = "/collections/";
+constexpr std::string_view statements_path = "/statements";
 constexpr std::string_view usage_path = "/usage/"; // followed by the number of a window
 constexpr milliseconds fetch_interval{50};
 
@@ -62,6 +63,9 @@
 // events far more often.
 constexpr duration tunnel_idle_time = seconds(1);
 
+// A statement of a server is taken for this time after the last tunnel to it was opened.
+constexpr duration max_tunnel_age = seconds(60);
+
 constexpr int status_forbidden = 403;
 constexpr int status_bad_gateway = 502;
 constexpr int status_unavailable = 503;
@@ -111,8 +115,9 @@
   void send_usage(bool all);
 
   std::size_t m_max_tunnels = 0;
-  std::function<bool()> m_passes_connections;
-  std::set<const net::tunnel_activity*> m_tunnels; // at present
+  tunnel_callbacks m_tunnel_callbacks;
+  std::map<std::string, time_point, std::less<>> m_tunnel_used; // by server address: when one was opened last
+  std::set<const net::tunnel_activity*> m_tunnels;              // at present
 
   exchange_counters m_counters;
   usage_ledger* m_usage_ledger = nullptr;
@@ -124,6 +129,7 @@
   void count_malformed(const udp::endpoint& sender, std::string_view reason);
   void serve(net::http_exchange& exchange);
   void serve_tunnel(net::http_exchange& exchange);
+  void receive_statement(net::http_exchange& exchange);
   bool serve_usage(net::http_exchange& exchange, std::string_view window);
   bool fetch(const peer_group::lagging_collection& lagging);
 
@@ -272,15 +278,25 @@
   };
   const std::string address = exchange.request().m_target;
   const auto& servers = m_fleet_view.backend_servers();
-  if (std::none_of(servers.begin(), servers.end(),
-                   [&](const fleet::backend_server& each) { return each.m_address == address; })) {
+  const auto server = std::find_if(servers.begin(), servers.end(), [&](const fleet::backend_server& each) {
+    return each.m_address == address;
+  });
+  if (server == servers.end()) {
     refuse(status_forbidden, "not the address of a backend server\n", m_counters.m_tunnels_refused);
     return;
   }
-  if (m_tunnels.size() >= m_max_tunnels || !m_passes_connections()) {
+  if (m_tunnels.size() >= m_max_tunnels || !m_tunnel_callbacks.m_passes_connections()) {
     refuse(status_unavailable, "no connections are passed on\n", m_counters.m_tunnels_refused);
     return;
   }
+  if (!m_tunnel_callbacks.m_may_send(*server)) {
+    refuse(status_bad_gateway, "the backend server wants no requests\n", m_counters.m_tunnels_refused);
+    return;
+  }
+  if (m_tunnel_used.size() >= max_endpoints) {
+    m_tunnel_used.clear();
+  }
+  m_tunnel_used[address] = monotonic_now();
   net::tunnel_activity activity;
   m_tunnels.insert(&activity);
   const auto ended = exchange.tunnel(address, tunnel_connect_timeout, activity);
@@ -292,12 +308,43 @@
   }
 }
 
+// Takes what a server stated in a response that was passed on. Only about servers to which this daemon has
+// passed connections on lately, so that a peer cannot shut out others.
+void peer_exchange::impl::receive_statement(net::http_exchange& exchange) {
+  const auto& request = exchange.request();
+  const std::string& id = request.m_body;
+  const auto started = request.query("started").value_or("");
+  const auto& servers = m_fleet_view.backend_servers();
+  const auto server = std::find_if(servers.begin(), servers.end(), [&](const fleet::backend_server& each) {
+    return each.m_id == id && std::to_string(each.m_started_unix_ms) == started;
+  });
+  const auto used = server == servers.end() ? m_tunnel_used.end() : m_tunnel_used.find(server->m_address);
+  if (used == m_tunnel_used.end() || monotonic_now() - used->second > max_tunnel_age) {
+    std::ignore = exchange.respond({status_forbidden, {{"Content-Type", "text/plain"}}, "no tunnel\n"});
+    return;
+  }
+  response_metadata metadata;
+  metadata.m_leaving = request.query("leaving").has_value();
+  if (const auto pause = request.query("pause_ms")) {
+    std::int64_t ms = 0;
+    const auto [end, error] = std::from_chars(pause->data(), pause->data() + pause->size(), ms);
+    const bool readable = error == std::errc() && end == pause->data() + pause->size();
+    metadata.m_pause = {readable ? std::optional(milliseconds(ms)) : std::nullopt, "passed on"};
+  }
+  m_tunnel_callbacks.m_on_statement(*server, metadata);
+  std::ignore = exchange.respond({200, {{"Content-Type", "text/plain"}}, "ok\n"});
+}
+
 void peer_exchange::impl::serve(net::http_exchange& exchange) {
   if (exchange.request().m_method == "CONNECT") {
     serve_tunnel(exchange);
     return;
   }
   const std::string_view path = exchange.request().path();
+  if (path == statements_path && exchange.request().m_method == "PUT") {
+    receive_statement(exchange);
+    return;
+  }
   if (path.starts_with(collections_path)) {
     for (const auto kind : all_collection_kinds) {
       if (path.substr(collections_path.size()) == to_string(kind)) {
@@ -382,9 +429,9 @@
 
 peer_exchange::~peer_exchange() = default;
 
-void peer_exchange::set_tunnels(std::size_t max_tunnels, std::function<bool()> passes_connections) {
+void peer_exchange::set_tunnels(std::size_t max_tunnels, tunnel_callbacks callbacks) {
   m_impl->m_max_tunnels = max_tunnels;
-  m_impl->m_passes_connections = std::move(passes_connections);
+  m_impl->m_tunnel_callbacks = std::move(callbacks);
 }
 
 std::size_t peer_exchange::open_tunnels() const {
--- a/packages/gateway/src/request_processor.cpp
+++ b/packages/gateway/src/request_processor.cpp
@@ -265,8 +265,11 @@
     }
     m_handler.m_admission.record_limit(grant.m_server, metadata, created_at);
   };
-  options.m_on_server_notices = [this, &grant](const response_metadata& metadata) {
+  options.m_on_server_notices = [this, &grant](const response_metadata& metadata, std::string_view proxy) {
     m_handler.m_admission.record_notices(grant.m_server, metadata);
+    if (!proxy.empty() && !metadata.m_misdirected && (metadata.m_leaving || metadata.m_pause)) {
+      m_handler.m_options.m_on_passed_statement(proxy, grant.m_server, metadata);
+    }
     if (metadata.m_load && metadata.m_load->m_work_time_percent) {
       m_handler.m_admission.dispatcher().record_work_time(
           grant.m_server.m_id, *metadata.m_load->m_work_time_percent, monotonic_now());
--- a/packages/gateway/src/server_path.cpp
+++ b/packages/gateway/src/server_path.cpp
@@ -25,6 +25,9 @@
 constexpr duration refusal_pause = seconds(1);
 constexpr duration unreached_pause = milliseconds(200);
 
+// A statement binds the peer soon after it has passed it on.
+constexpr milliseconds tell_timeout{400};
+
 constexpr int status_bad_gateway = 502;
 
 // Refused tunnels that are logged for each peer while the path is lost.
@@ -32,9 +35,10 @@
 
 } // namespace
 
-server_path::server_path(net::fiber_runtime& runtime, const fleet_view& view, peer_group& group,
-                         const request_protocol& protocol, std::uint64_t seed)
-    : m_probe_client(runtime, {.m_connect_timeout = probe_timeout})
+server_path::server_path(net::fiber_runtime& runtime, net::http_client& peer_client, const fleet_view& view,
+                         peer_group& group, const request_protocol& protocol, std::uint64_t seed)
+    : m_peer_client(peer_client)
+    , m_probe_client(runtime, {.m_connect_timeout = probe_timeout})
     , m_fleet_view(view)
     , m_group(group)
     , m_protocol(protocol)
@@ -67,6 +71,7 @@
     m_lost_at = monotonic_now();
     ++m_counters.m_losses;
     m_logged.clear();
+    m_told.clear();
     log_event(log_level::warning, "servers_unreachable",
               {{"after", fleet::to_string(previous)},
                {"unreached_servers", m_reachability.unreached_servers()},
@@ -118,20 +123,46 @@
   }
 }
 
+void server_path::tell_peer(std::string_view peer, const fleet::backend_server& server,
+                            const response_metadata& metadata) {
+  const std::string started = std::to_string(server.m_started_unix_ms);
+  const auto tell = [&](const std::string& statement) {
+    net::fiber_runtime::spawn([this, to = std::string(peer), id = server.m_id,
+                               target = "/statements?" + statement + "&started=" + started] {
+      const auto response = m_peer_client.fetch(to, {"PUT", target, {}, id}, tell_timeout);
+      constexpr int status_ok = 200;
+      if (!response || response->m_status != status_ok) {
+        log_event(log_level::warning, "statement_not_passed",
+                  {{"peer", to},
+                   {"backend_server", id},
+                   {"reason",
+                    response ? "status " + std::to_string(response->m_status) : response.error().m_message}});
+      }
+    });
+  };
+  if (metadata.m_leaving && m_told.insert(std::string(peer) + " " + server.m_id + " " + started).second) {
+    tell("leaving=1");
+  }
+  if (metadata.m_pause) {
+    const auto& length = metadata.m_pause->m_duration;
+    tell("pause_ms=" + (length ? std::to_string(length->count()) : std::string()));
+  }
+}
+
 net::connection_route server_path::choose_route(std::string_view address) {
   if (m_reachability.state() != fleet::path_state::lost) {
     return {};
   }
   const time_point now = monotonic_now();
   std::vector<std::pair<std::pair<bool, std::uint64_t>, std::string>> helpers;
-  for (auto& each : m_group.connection_helpers()) {
+  for (const auto& each : m_group.connection_helpers()) {
     const auto avoided = m_avoided_until.find(each.m_exchange_address);
     if (avoided != m_avoided_until.end() && now < avoided->second) {
       continue;
     }
     const bool other_zone = each.m_availability_zone != m_group.self().m_availability_zone;
     const auto weight = hash64(each.m_name, hash64(address, hash64(m_group.self().m_name)));
-    helpers.push_back({{other_zone, weight}, std::move(each.m_exchange_address)});
+    helpers.push_back({{other_zone, weight}, each.m_exchange_address});
   }
   std::sort(helpers.begin(), helpers.end());
   helpers.resize(std::min(helpers.size(), max_proxies));
--- a/packages/net/include/cardamompond/net/http_client.hpp
+++ b/packages/net/include/cardamompond/net/http_client.hpp
@@ -44,6 +44,9 @@
   // Returns whether the connection had already carried a request when this call was opened.
   virtual bool reused() const = 0;
 
+  // Returns the proxy through which the connection leads; empty: it is direct.
+  virtual std::string_view proxy() const = 0;
+
   // Returns the notes about the exchanges of the connection; they outlast this call if the connection is
   // reused.
   virtual connection_history& history() = 0;
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -326,12 +326,13 @@
   using release_callback = std::function<void(std::unique_ptr<fiber_stream>, duration, connection_history)>;
 
   client_call(std::unique_ptr<fiber_stream> stream, std::optional<connection_history> reused_history,
-              std::string address, const http_client_options& options, connection_router* router,
-              release_callback release_connection)
+              std::string address, std::string proxy, const http_client_options& options,
+              connection_router* router, release_callback release_connection)
       : m_stream(std::move(stream))
       , m_reused(reused_history.has_value())
       , m_history(std::move(reused_history).value_or(connection_history{}))
       , m_address(std::move(address))
+      , m_proxy(std::move(proxy))
       , m_max_header_bytes(options.m_max_header_bytes)
       , m_connection_loss_timeout(options.m_connection_loss_timeout)
       , m_router(router)
@@ -360,6 +361,7 @@
   }
 
   bool reused() const override { return m_reused; }
+  std::string_view proxy() const override { return m_proxy; }
   connection_history& history() override { return m_history; }
   bool ends_with_connection() const override { return m_parser->need_eof(); }
   bool reusable() const override { return m_reusable && m_buffer.size() == 0; }
@@ -571,6 +573,7 @@
   bool m_reused;
   connection_history m_history;
   std::string m_address;
+  std::string m_proxy;
   std::uint32_t m_max_header_bytes;
   milliseconds m_connection_loss_timeout;
   connection_router* m_router; // null: the connection leads through a proxy, or there is no router
@@ -634,7 +637,7 @@
   };
   auto history = reused ? std::optional(std::move(idle->m_history)) : std::nullopt;
   return std::unique_ptr<http_call>(
-      std::make_unique<client_call>(std::move(stream), std::move(history), key, m_impl->m_options,
+      std::make_unique<client_call>(std::move(stream), std::move(history), key, proxy, m_impl->m_options,
                                     proxy.empty() ? router : nullptr, std::move(release_connection)));
 }
 
--- a/tests/soak/soak_scenarios_test.cpp
+++ b/tests/soak/soak_scenarios_test.cpp
@@ -5,9 +5,7 @@
 
 #include <algorithm>
 #include <csignal>
-#include <cstdio>
 #include <string>
-#include <string_view>
 
 using namespace cardamompond;
 using namespace cardamompond::testing;
@@ -146,57 +144,3 @@
   wait_until("all requests have ended", milliseconds(4'000), [&] { return ended == request_count; });
   CHECK_EQUAL(0, unanswered);
 }
-
-namespace {
-
-// Sends requests of all kinds to one daemon, one after the other, and returns the share that is answered.
-double serve_share(soak_callers& callers, const std::string& address, milliseconds length) {
-  int sent = 0;
-  int served = 0;
-  int running = 0;
-  for (const std::string_view route : {"order", "read", "guide", "note"}) {
-    ++running;
-    net::fiber_runtime::spawn([&, route] {
-      for (const time_point end = monotonic_now() + length; monotonic_now() < end;) {
-        ++sent;
-        served += callers.send(address, route) == 200 ? 1 : 0;
-        boost::this_fiber::sleep_for(milliseconds(20));
-      }
-      --running;
-    });
-  }
-  wait_until("the requests have ended", length + seconds(5), [&] { return running == 0; });
-  return sent == 0 ? 0 : static_cast<double>(served) / sent;
-}
-
-} // namespace
-
-// Guards against a daemon that answers callers with failures for as long as it reaches no engine, although
-// its peers do: its connections hang, are reset, or go on while new ones are reset. Callers and the store
-// still reach it.
-TEST(soak_scenarios, daemon_without_a_path_to_engines_serves_through_peers) {
-  for (const auto kind : {partition_kind::hang, partition_kind::reset, partition_kind::reset_new}) {
-    soak_group group(3, 4, 1);
-    group.wait_until_ready();
-    soak_callers callers(group, 6, 1'000'000);
-    boost::this_fiber::sleep_for(milliseconds(1'500));
-    auto& daemon = group.daemons().front();
-    group.begin_disturbance(daemon.m_name);
-    for (auto& engine : group.engines()) {
-      engine.m_relay->partition_process(daemon.m_process->pid(), kind);
-    }
-    boost::this_fiber::sleep_for(seconds(3));
-    const double share = serve_share(callers, group.callers_address(daemon), seconds(4));
-    for (auto& engine : group.engines()) {
-      engine.m_relay->partition_process(0, partition_kind::none);
-    }
-    const double share_after = serve_share(callers, group.callers_address(daemon), seconds(4));
-    group.end_disturbance(daemon.m_name);
-    callers.stop();
-    std::printf("partition %d: %.3f served, %.3f afterwards\n", static_cast<int>(kind), share, share_after);
-    // The rule asks for two thirds of what other daemons serve.
-    CHECK(share > 0.9);
-    CHECK(share_after > 0.9);
-    callers.report_history("without a path");
-  }
-}
