--- a/packages/gateway/tests/peer_group_test.cpp
+++ b/packages/gateway/tests/peer_group_test.cpp
@@ -91,6 +91,21 @@
 
 TEST_GROUP(peer_group){};
 
+// Guards against a daemon without a path that asks peers which have none either, or whose version is older.
+TEST(peer_group, only_peers_that_pass_connections_on_are_helpers) {
+  group_fixture daemon(2);
+  auto report = daemon.make_report(1, 1);
+  daemon.m_group.handle_report(report, daemon.m_now);
+  CHECK(daemon.m_group.connection_helpers().empty());
+  report = daemon.make_report(1, 2);
+  report.m_passes_connections = true;
+  daemon.m_group.handle_report(report, daemon.m_now);
+  UNSIGNED_LONGS_EQUAL(1, daemon.m_group.connection_helpers().size());
+  report = daemon.make_report(1, 3);
+  daemon.m_group.handle_report(report, daemon.m_now);
+  CHECK(daemon.m_group.connection_helpers().empty());
+}
+
 // Guards against an old or repeated datagram being treated as the current state of its sender.
 TEST(peer_group, older_reports_are_dropped) {
   group_fixture daemon(3);
--- a/packages/gateway/tests/peer_report_test.cpp
+++ b/packages/gateway/tests/peer_report_test.cpp
@@ -24,6 +24,7 @@
       {77, 3, {0.05, 1e-5, 0.03, 4}, true, true, 0xfedcba98, {250, milliseconds(120)}, 6'610, 7}};
   report.m_quota_use = {{11, 1234.5}};
   report.m_recent_use_only = true;
+  report.m_passes_connections = true;
   report.m_outcomes = {{"chat", "v2", "r1", {3, 1, {{513, 7, 255, 2}}}, 6}};
   report.m_rolled_back_orders = {{"chat", 5}};
   report.m_crashes = {{{1, 2}, {3, 4}, milliseconds(90)}, {{5, 6}, {7}, std::nullopt}};
@@ -58,6 +59,7 @@
   UNSIGNED_LONGS_EQUAL(7, read->m_loads.front().m_learned_limit);
   DOUBLES_EQUAL(0.03, read->m_loads.front().m_speed.m_event_interval_s, 1e-6);
   CHECK(read->m_recent_use_only);
+  CHECK(read->m_passes_connections);
   UNSIGNED_LONGS_EQUAL(11, read->m_quota_use.front().first);
   DOUBLES_EQUAL(1234.5, read->m_quota_use.front().second, 1e-3);
   UNSIGNED_LONGS_EQUAL(1, read->m_outcomes.front().m_outcomes.m_bad);
