Let daemons that have requests use the idle slots of brittle servers

Cause: the daemons that may use slots of others were chosen among all members, most of which had nothing to send. They are now chosen among those whose reports showed running requests in the last 5 s.

--- a/packages/fleet/src/brittle_dispatch.cpp
+++ b/packages/fleet/src/brittle_dispatch.cpp
@@ -13,6 +13,13 @@
 constexpr duration report_delay = milliseconds(250);
 constexpr duration report_delay_remote_zone = seconds(3);
 
+// A peer counts as active for this time after a report with running requests. Those of plain services last
+// some milliseconds, so that most reports contain none.
+constexpr duration active_time = seconds(5);
+
+// Active daemons change without an event, so that the shares are computed anew after this time.
+constexpr duration share_lifetime = seconds(1);
+
 // Rejections that a peer reported count for this time.
 constexpr duration peer_rejection_time = seconds(1);
 
@@ -47,7 +54,8 @@
 }
 
 // The daemons of a zone without servers have slots in all zones.
-void compute_shares(const dispatch_tables& tables, const server_lists& servers) {
+void compute_shares(const dispatch_tables& tables, const server_lists& servers,
+                    std::span<const std::uint64_t> active) {
   std::set<std::string_view> server_zones;
   for (const server_row* each : servers.m_all) {
     if (each->m_listed) {
@@ -71,9 +79,20 @@
       const std::string& zone = each->m_entry.m_availability_zone;
       each->m_brittle_share = find_brittle_share(
           each->m_entry.m_slots, *each->m_max_rejections, each->m_id_hash, hash64(tables.m_self.m_name),
-          shares(tables.m_self.m_availability_zone, zone), sharers[zone], tables.m_other_members);
+          shares(tables.m_self.m_availability_zone, zone), sharers[zone], active);
+    }
+  }
+}
+
+// Returns the peers that had requests lately. Slots of the others are free for those that have.
+std::vector<std::uint64_t> find_active_peers(const dispatch_tables& tables, time_point now) {
+  std::vector<std::uint64_t> active;
+  for (const auto& [name, peer] : tables.m_peers) {
+    if (peer.m_last_active && now - *peer.m_last_active <= active_time) {
+      active.push_back(hash64(name));
     }
   }
+  return active;
 }
 
 bool is_within(std::optional<time_point> when, duration time, time_point now) {
@@ -102,13 +121,19 @@
     return;
   }
   tables.m_notices.expire_brittle(now);
-  bool shares_valid = tables.m_brittle_shares_valid;
+  bool shares_valid =
+      tables.m_brittle_shares_valid && now - tables.m_brittle_shares_computed < share_lifetime;
   for (const auto& [service, servers] : tables.m_lists) {
     set_max_rejections(servers, shares_valid);
   }
+  std::vector<std::uint64_t> active;
+  if (!shares_valid) {
+    active = find_active_peers(tables, now);
+    tables.m_brittle_shares_computed = now;
+  }
   for (const auto& [service, servers] : tables.m_lists) {
     if (!shares_valid) {
-      compute_shares(tables, servers);
+      compute_shares(tables, servers, active);
     }
     for (server_row* each : servers.m_all) {
       if (each->m_max_rejections) {
--- a/packages/fleet/src/brittle_servers.cpp
+++ b/packages/fleet/src/brittle_servers.cpp
@@ -29,7 +29,7 @@
 
 brittle_share find_brittle_share(std::uint32_t slots, std::uint32_t max_rejections, std::uint64_t server,
                                  std::uint64_t self, bool shares, std::span<const std::uint64_t> sharers,
-                                 std::span<const std::uint64_t> all) {
+                                 std::span<const std::uint64_t> active) {
   brittle_share share;
   if (shares) {
     const auto count = static_cast<std::uint32_t>(sharers.size() + 1);
@@ -37,7 +37,7 @@
     share.m_slots = slots / count + (count_higher_ranked(sharers, self, server, rest) < rest ? 1 : 0);
   }
   const std::uint32_t borrowers = (max_rejections + 1) / 2; // the owners' requests may be rejected, too
-  share.m_may_borrow = count_higher_ranked(all, self, server ^ borrower_salt, borrowers) < borrowers;
+  share.m_may_borrow = count_higher_ranked(active, self, server ^ borrower_salt, borrowers) < borrowers;
   return share;
 }
 
--- a/packages/fleet/src/brittle_servers.hpp
+++ b/packages/fleet/src/brittle_servers.hpp
@@ -24,12 +24,13 @@
 };
 
 // Divides the slots of a server among the daemons that use it. `sharers` are the other daemons that have
-// slots of their own there, `all` are all other daemons. The parts of all daemons that know the same members
+// slots of their own there, `active` are the other daemons that
+// have requests. The parts of all daemons that know the same members
 // add up to the slots. No more daemons than about half of `max_rejections` may use slots of others. Daemons
 // are identified by the hashes of their names.
 brittle_share find_brittle_share(std::uint32_t slots, std::uint32_t max_rejections, std::uint64_t server,
                                  std::uint64_t self, bool shares, std::span<const std::uint64_t> sharers,
-                                 std::span<const std::uint64_t> all);
+                                 std::span<const std::uint64_t> active);
 
 // The load of a server at the moment, as this daemon knows it.
 struct brittle_load {
--- a/packages/fleet/src/dispatch_tables.hpp
+++ b/packages/fleet/src/dispatch_tables.hpp
@@ -130,6 +130,7 @@
   std::vector<service_demand> m_demands;                         // of the services with limits
   std::unordered_map<std::uint32_t, std::uint32_t> m_rejections; // of the last second, by brittle server
   time_point m_rejections_received;
+  std::optional<time_point> m_last_active; // last report with running requests
   time_point m_received;
 };
 
@@ -175,7 +176,8 @@
   std::vector<std::uint64_t> m_other_members; // hashes of the names of the members, without this one
   daemon_location m_self;
   std::uint64_t m_brittle_rejections = 0; // requests of this daemon that brittle servers rejected
-  bool m_brittle_shares_valid = false;    // no member and no server has changed since they were computed
+  time_point m_brittle_shares_computed;
+  bool m_brittle_shares_valid = false; // no member and no server has changed since they were computed
   bool m_frequent_reports = true; // each daemon receives the reports of all others several times a second
   rollout_controller* m_rollout_controller = nullptr;
   std::mt19937_64 m_random;
--- a/packages/fleet/src/dispatcher_reports.cpp
+++ b/packages/fleet/src/dispatcher_reports.cpp
@@ -66,6 +66,9 @@
   auto& peer = m_impl->m_tables.m_peers[std::string(daemon)];
   replace_peer_loads(m_impl->m_tables, peer, loads);
   peer.m_received = now;
+  if (std::any_of(loads.begin(), loads.end(), [](const server_load& each) { return each.m_running > 0; })) {
+    peer.m_last_active = now;
+  }
   // A peer may know servers that this daemon does not know yet, but not any number of them.
   const std::size_t max_speeds =
       2 * m_impl->m_tables.m_servers_by_hash.size() + max_speeds_of_unknown_servers;
--- a/packages/fleet/tests/brittle_servers_test.cpp
+++ b/packages/fleet/tests/brittle_servers_test.cpp
@@ -27,7 +27,8 @@
 // Daemons that report to one another, and brittle servers, in virtual time. From 3 s after they first stated
 // that they are brittle, servers let no request wait. A burst of twice their capacity follows.
 struct brittle_simulation {
-  brittle_simulation(std::size_t daemons, std::size_t servers, bool states, bool batching, std::uint64_t seed)
+  brittle_simulation(std::size_t daemons, std::size_t servers, bool states, bool batching, std::uint64_t seed,
+                     std::size_t with_requests)
       : m_states(states)
       , m_batching(batching)
       , m_random(seed) {
@@ -39,7 +40,9 @@
     }
     for (std::size_t i = 0; i < daemons; ++i) {
       m_members.push_back({"d" + std::to_string(i), zone(i)});
-      m_weights.push_back(std::uniform_real_distribution(0.6, 1.4)(m_random));
+      const double weight = std::uniform_real_distribution(0.6, 1.4)(m_random);
+      m_weights.push_back(
+          i < with_requests ? weight * static_cast<double>(daemons) / static_cast<double>(with_requests) : 0);
     }
     for (std::size_t i = 0; i < daemons; ++i) {
       m_daemons.push_back(std::make_unique<daemon_fixture>(m_random()));
@@ -215,10 +218,12 @@
   time_point m_now = m_start;
 };
 
-void check_falls(std::size_t daemons, std::size_t servers, bool batching, std::uint64_t seed) {
-  brittle_simulation unaware(daemons, servers, false, batching, seed);
+// Only the first `with_requests` daemons get requests.
+void check_falls(std::size_t daemons, std::size_t servers, bool batching, std::uint64_t seed,
+                 std::size_t with_requests) {
+  brittle_simulation unaware(daemons, servers, false, batching, seed, with_requests);
   unaware.run();
-  brittle_simulation aware(daemons, servers, true, batching, seed);
+  brittle_simulation aware(daemons, servers, true, batching, seed, with_requests);
   aware.run();
   const std::string seen = "seed " + std::to_string(seed) + ": falls " + std::to_string(aware.falls()) +
                            " (unaware " + std::to_string(unaware.falls()) + "), rejected " +
@@ -243,20 +248,31 @@
 // that the others fill at the same moment.
 TEST(brittle_servers, a_burst_topples_few_batching_servers_of_a_small_group) {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-    check_falls(8, 18, true, seed);
+    check_falls(8, 18, true, seed, 8);
   }
 }
 
 // Guards against the same where responses take less time than the reports.
 TEST(brittle_servers, a_burst_topples_few_plain_servers_of_a_small_group) {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-    check_falls(8, 6, false, seed);
+    check_falls(8, 6, false, seed, 8);
   }
 }
 
 // Guards against the same where most daemons have no slots of their own and reports take seconds.
 TEST(brittle_servers, a_burst_topples_few_servers_of_a_large_group) {
-  check_falls(48, 26, true, 1);
+  check_falls(48, 26, true, 1, 48);
+}
+
+// Guards against slots that stay idle because they belong to daemons without requests. Two daemons of eight
+// have a quarter of the slots.
+TEST(brittle_servers, slots_of_daemons_without_requests_are_used) {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    brittle_simulation simulation(8, 18, true, true, seed, 2);
+    simulation.run();
+    CHECK_TRUE(simulation.falls() <= 3);
+    CHECK_TRUE(simulation.m_answered > 1.2 * simulation.elapsed() * simulation.m_capacity / 4);
+  }
 }
 
 // Guards against changed decisions where no server states anything, and after its statement has ended.
