Add up the rejections of peers when reports come, not for each request

While servers are brittle, each placement walked through all peers for each server to add up the rejections that they reported: by reading, 10,000 servers and 2,400 peers for one request at the planned size. The cost was not measured.

--- a/packages/fleet/src/brittle_dispatch.cpp
+++ b/packages/fleet/src/brittle_dispatch.cpp
@@ -95,6 +95,23 @@
   return active;
 }
 
+// Adds up what the peers reported. Done here, because requests are placed far more often than reports come.
+void sum_peer_rejections(const dispatch_tables& tables, time_point now) {
+  for (const auto& [hash, server] : tables.m_servers_by_hash) {
+    server->m_peer_rejections = 0;
+  }
+  for (const auto& [name, peer] : tables.m_peers) {
+    if (now - peer.m_rejections_received >= peer_rejection_time) {
+      continue;
+    }
+    for (const auto& [hash, rejections] : peer.m_rejections) {
+      if (const auto found = tables.m_servers_by_hash.find(hash); found != tables.m_servers_by_hash.end()) {
+        found->second->m_peer_rejections += rejections;
+      }
+    }
+  }
+}
+
 bool is_within(std::optional<time_point> when, duration time, time_point now) {
   return when && now - *when <= time;
 }
@@ -126,6 +143,7 @@
   for (const auto& [service, servers] : tables.m_lists) {
     set_max_rejections(servers, shares_valid);
   }
+  sum_peer_rejections(tables, now);
   std::vector<std::uint64_t> active;
   if (!shares_valid) {
     active = find_active_peers(tables, now);
@@ -137,22 +155,15 @@
     }
     for (server_row* each : servers.m_all) {
       if (each->m_max_rejections) {
-        each->m_brittle.observe(find_brittle_load(tables, *each, now), now);
+        each->m_brittle.observe(find_brittle_load(*each), now);
       }
     }
   }
   tables.m_brittle_shares_valid = true;
 }
 
-brittle_load find_brittle_load(const dispatch_tables& tables, const server_row& server, time_point now) {
-  brittle_load load{server.m_entry.m_slots, server.m_own_running, server.m_peer_running, 0};
-  for (const auto& [name, peer] : tables.m_peers) {
-    if (!peer.m_rejections.empty() && now - peer.m_rejections_received < peer_rejection_time) {
-      const auto found = peer.m_rejections.find(server.m_id_hash);
-      load.m_peer_rejections += found == peer.m_rejections.end() ? 0 : found->second;
-    }
-  }
-  return load;
+brittle_load find_brittle_load(const server_row& server) {
+  return {server.m_entry.m_slots, server.m_own_running, server.m_peer_running, server.m_peer_rejections};
 }
 
 bool is_held_as_brittle(const dispatch_tables& tables, const server_row& server, time_point now) {
@@ -161,8 +172,7 @@
   }
   const bool near =
       tables.m_frequent_reports || server.m_entry.m_availability_zone == tables.m_self.m_availability_zone;
-  return !server.m_brittle.allows(*server.m_max_rejections, server.m_brittle_share,
-                                  find_brittle_load(tables, server, now),
+  return !server.m_brittle.allows(*server.m_max_rejections, server.m_brittle_share, find_brittle_load(server),
                                   near ? report_delay : report_delay_remote_zone, now);
 }
 
@@ -186,6 +196,7 @@
                                                             time_point received) {
   auto& tables = m_impl->m_tables;
   std::vector<brittle_statement> changes;
+  bool has_rejections = false;
   if (const auto peer = tables.m_peers.find(daemon); peer != tables.m_peers.end()) {
     peer->second.m_rejections.clear();
   }
@@ -195,6 +206,7 @@
       continue;
     }
     if (each.m_rejections > 0) {
+      has_rejections = true;
       peer_row& peer = tables.m_peers[std::string(daemon)];
       peer.m_received = std::max(peer.m_received, received);
       peer.m_rejections[each.m_server] = std::min(each.m_rejections, max_stated_rejections);
@@ -213,6 +225,8 @@
   if (!changes.empty()) {
     update_notices(tables);
     update_brittle(tables, received);
+  } else if (has_rejections) {
+    sum_peer_rejections(tables, received);
   }
   return changes;
 }
--- a/packages/fleet/src/dispatch_tables.hpp
+++ b/packages/fleet/src/dispatch_tables.hpp
@@ -68,6 +68,7 @@
   std::optional<std::uint32_t> m_max_rejections;
   brittle_share m_brittle_share;
   brittle_server m_brittle;
+  std::uint32_t m_peer_rejections = 0; // of the last second, by the reports
 
   work_time m_work_time;             // by the statements to all daemons
   std::uint32_t m_own_work_time = 0; // percent, last stated to this daemon
@@ -266,7 +267,7 @@
 bool is_held_as_brittle(const dispatch_tables& tables, const server_row& server, time_point now);
 
 // Returns the load of a brittle server as this daemon knows it.
-brittle_load find_brittle_load(const dispatch_tables& tables, const server_row& server, time_point now);
+brittle_load find_brittle_load(const server_row& server);
 
 // Computes anew how this daemon shares the limits, from the present demands and members. To be called once a
 // second.
--- a/packages/fleet/src/queueing.cpp
+++ b/packages/fleet/src/queueing.cpp
@@ -60,7 +60,7 @@
                      time_point now) {
   const submission& request = waiting.m_request;
   if (server.m_max_rejections) {
-    server.m_brittle.record_sending(server.m_brittle_share, find_brittle_load(tables, server, now), now);
+    server.m_brittle.record_sending(server.m_brittle_share, find_brittle_load(server), now);
   }
   ++server.m_own_running;
   server.m_own_reading += request.m_prompt_tokens;
