--- a/packages/fleet/src/brittle_dispatch.cpp
+++ b/packages/fleet/src/brittle_dispatch.cpp
@@ -13,6 +13,13 @@
 constexpr duration report_delay = milliseconds(250);
 constexpr duration report_delay_remote_zone = seconds(3);
 
+// A peer counts as active for this time after a report with running requests. Those of plain services last
+// some milliseconds, so that most reports contain none.
+constexpr duration active_time = seconds(5);
+
+// Active daemons change without an event, so that the shares are computed anew after this time.
+constexpr duration share_lifetime = seconds(1);
+
 // Rejections that a peer reported count for this time.
 constexpr duration peer_rejection_time = seconds(1);
 
@@ -47,7 +54,8 @@
 }
 
 // The daemons of a zone without servers have slots in all zones.
-void compute_shares(const dispatch_tables& tables, const server_lists& servers) {
+void compute_shares(const dispatch_tables& tables, const server_lists& servers,
+                    std::span<const std::uint64_t> active) {
   std::set<std::string_view> server_zones;
   for (const server_row* each : servers.m_all) {
     if (each->m_listed) {
@@ -71,7 +79,35 @@
       const std::string& zone = each->m_entry.m_availability_zone;
       each->m_brittle_share = find_brittle_share(
           each->m_entry.m_slots, *each->m_max_rejections, each->m_id_hash, hash64(tables.m_self.m_name),
-          shares(tables.m_self.m_availability_zone, zone), sharers[zone], tables.m_other_members);
+          shares(tables.m_self.m_availability_zone, zone), sharers[zone], active);
+    }
+  }
+}
+
+// Returns the peers that had requests lately. Slots of the others are free for those that have.
+std::vector<std::uint64_t> find_active_peers(const dispatch_tables& tables, time_point now) {
+  std::vector<std::uint64_t> active;
+  for (const auto& [name, peer] : tables.m_peers) {
+    if (peer.m_last_active && now - *peer.m_last_active <= active_time) {
+      active.push_back(hash64(name));
+    }
+  }
+  return active;
+}
+
+// Adds up what the peers reported. Done here, because requests are placed far more often than reports come.
+void sum_peer_rejections(const dispatch_tables& tables, time_point now) {
+  for (const auto& [hash, server] : tables.m_servers_by_hash) {
+    server->m_peer_rejections = 0;
+  }
+  for (const auto& [name, peer] : tables.m_peers) {
+    if (now - peer.m_rejections_received >= peer_rejection_time) {
+      continue;
+    }
+    for (const auto& [hash, rejections] : peer.m_rejections) {
+      if (const auto found = tables.m_servers_by_hash.find(hash); found != tables.m_servers_by_hash.end()) {
+        found->second->m_peer_rejections += rejections;
+      }
     }
   }
 }
@@ -102,32 +138,32 @@
     return;
   }
   tables.m_notices.expire_brittle(now);
-  bool shares_valid = tables.m_brittle_shares_valid;
+  bool shares_valid =
+      tables.m_brittle_shares_valid && now - tables.m_brittle_shares_computed < share_lifetime;
   for (const auto& [service, servers] : tables.m_lists) {
     set_max_rejections(servers, shares_valid);
   }
+  sum_peer_rejections(tables, now);
+  std::vector<std::uint64_t> active;
+  if (!shares_valid) {
+    active = find_active_peers(tables, now);
+    tables.m_brittle_shares_computed = now;
+  }
   for (const auto& [service, servers] : tables.m_lists) {
     if (!shares_valid) {
-      compute_shares(tables, servers);
+      compute_shares(tables, servers, active);
     }
     for (server_row* each : servers.m_all) {
       if (each->m_max_rejections) {
-        each->m_brittle.observe(find_brittle_load(tables, *each, now), now);
+        each->m_brittle.observe(find_brittle_load(*each), now);
       }
     }
   }
   tables.m_brittle_shares_valid = true;
 }
 
-brittle_load find_brittle_load(const dispatch_tables& tables, const server_row& server, time_point now) {
-  brittle_load load{server.m_entry.m_slots, server.m_own_running, server.m_peer_running, 0};
-  for (const auto& [name, peer] : tables.m_peers) {
-    if (!peer.m_rejections.empty() && now - peer.m_rejections_received < peer_rejection_time) {
-      const auto found = peer.m_rejections.find(server.m_id_hash);
-      load.m_peer_rejections += found == peer.m_rejections.end() ? 0 : found->second;
-    }
-  }
-  return load;
+brittle_load find_brittle_load(const server_row& server) {
+  return {server.m_entry.m_slots, server.m_own_running, server.m_peer_running, server.m_peer_rejections};
 }
 
 bool is_held_as_brittle(const dispatch_tables& tables, const server_row& server, time_point now) {
@@ -136,8 +172,7 @@
   }
   const bool near =
       tables.m_frequent_reports || server.m_entry.m_availability_zone == tables.m_self.m_availability_zone;
-  return !server.m_brittle.allows(*server.m_max_rejections, server.m_brittle_share,
-                                  find_brittle_load(tables, server, now),
+  return !server.m_brittle.allows(*server.m_max_rejections, server.m_brittle_share, find_brittle_load(server),
                                   near ? report_delay : report_delay_remote_zone, now);
 }
 
@@ -161,6 +196,7 @@
                                                             time_point received) {
   auto& tables = m_impl->m_tables;
   std::vector<brittle_statement> changes;
+  bool has_rejections = false;
   if (const auto peer = tables.m_peers.find(daemon); peer != tables.m_peers.end()) {
     peer->second.m_rejections.clear();
   }
@@ -170,6 +206,7 @@
       continue;
     }
     if (each.m_rejections > 0) {
+      has_rejections = true;
       peer_row& peer = tables.m_peers[std::string(daemon)];
       peer.m_received = std::max(peer.m_received, received);
       peer.m_rejections[each.m_server] = std::min(each.m_rejections, max_stated_rejections);
@@ -188,6 +225,8 @@
   if (!changes.empty()) {
     update_notices(tables);
     update_brittle(tables, received);
+  } else if (has_rejections) {
+    sum_peer_rejections(tables, received);
   }
   return changes;
 }
--- a/packages/fleet/src/dispatch_tables.hpp
+++ b/packages/fleet/src/dispatch_tables.hpp
@@ -68,6 +68,7 @@
   std::optional<std::uint32_t> m_max_rejections;
   brittle_share m_brittle_share;
   brittle_server m_brittle;
+  std::uint32_t m_peer_rejections = 0; // of the last second, by the reports
 
   work_time m_work_time;             // by the statements to all daemons
   std::uint32_t m_own_work_time = 0; // percent, last stated to this daemon
@@ -130,6 +131,7 @@
   std::vector<service_demand> m_demands;                         // of the services with limits
   std::unordered_map<std::uint32_t, std::uint32_t> m_rejections; // of the last second, by brittle server
   time_point m_rejections_received;
+  std::optional<time_point> m_last_active; // last report with running requests
   time_point m_received;
 };
 
@@ -175,7 +177,8 @@
   std::vector<std::uint64_t> m_other_members; // hashes of the names of the members, without this one
   daemon_location m_self;
   std::uint64_t m_brittle_rejections = 0; // requests of this daemon that brittle servers rejected
-  bool m_brittle_shares_valid = false;    // no member and no server has changed since they were computed
+  time_point m_brittle_shares_computed;
+  bool m_brittle_shares_valid = false; // no member and no server has changed since they were computed
   bool m_frequent_reports = true; // each daemon receives the reports of all others several times a second
   rollout_controller* m_rollout_controller = nullptr;
   std::mt19937_64 m_random;
@@ -264,7 +267,7 @@
 bool is_held_as_brittle(const dispatch_tables& tables, const server_row& server, time_point now);
 
 // Returns the load of a brittle server as this daemon knows it.
-brittle_load find_brittle_load(const dispatch_tables& tables, const server_row& server, time_point now);
+brittle_load find_brittle_load(const server_row& server);
 
 // Computes anew how this daemon shares the limits, from the present demands and members. To be called once a
 // second.
