--- a/packages/gateway/include/cardamompond/gateway/collection_replica.hpp
+++ b/packages/gateway/include/cardamompond/gateway/collection_replica.hpp
@@ -30,8 +30,8 @@
   // Whether the snapshot would be discarded as older than the content.
   bool is_older(const collection_snapshot& snapshot, origin from) const;
 
-  // Applies the changes unless they are older than the content or of another era. Returns whether the content
-  // changed.
+  // Applies the changes unless they are older than the content, of another era, or follow a later version.
+  // Returns whether the content changed.
   bool apply(const collection_changes& changes);
 
   // Applies a snapshot like apply(), and keeps the documents that were known and are not in it. Returns
--- a/packages/gateway/include/cardamompond/gateway/document_store.hpp
+++ b/packages/gateway/include/cardamompond/gateway/document_store.hpp
@@ -46,6 +46,7 @@
   store_version m_as_of;
   std::vector<document_change> m_changes;
   std::size_t m_unreadable_entries = 0; // events without the name or the revision of an object; left out
+  store_version m_after{};              // the version that they follow
 };
 
 enum class document_error_kind {
--- a/packages/gateway/src/collection_replica.cpp
+++ b/packages/gateway/src/collection_replica.cpp
@@ -63,7 +63,7 @@
 }
 
 bool collection_replica::apply(const collection_changes& changes) {
-  if (changes.m_as_of < m_as_of || changes.m_as_of.m_era != m_as_of.m_era) {
+  if (changes.m_as_of < m_as_of || changes.m_as_of.m_era != m_as_of.m_era || changes.m_after > m_as_of) {
     return false;
   }
   m_as_of = changes.m_as_of;
