Hold earlier knowledge also where a peer states the new era, and until the store removes entries

Cause, two faults of one mechanism: a daemon that took the first state of the new era from a peer, since its own calls failed, kept nothing of what it knew; and what it knew held for 2.2 s, while the store removes the entry of a server that left only after three heartbeats, 3.6 s.

Change: the view of the fleet holds the earlier era's knowledge itself, whoever states the new era. Entries that the copy lacks are kept for 2.2 s as before; removals and draining servers hold for 5 s.

--- a/packages/gateway/include/cardamompond/gateway/collection_replica.hpp
+++ b/packages/gateway/include/cardamompond/gateway/collection_replica.hpp
@@ -36,7 +36,7 @@
 
   // Applies a snapshot like apply(), and keeps the documents that were known and are not in it. Returns
   // whether the content or what is kept changed.
-  bool apply_keeping(const collection_snapshot& snapshot);
+  bool apply_keeping(const collection_snapshot& snapshot, origin from = origin::store);
 
   // Forgets the kept documents. Returns whether there were any.
   bool drop_kept();
--- a/packages/gateway/include/cardamompond/gateway/collection_watcher.hpp
+++ b/packages/gateway/include/cardamompond/gateway/collection_watcher.hpp
@@ -77,7 +77,6 @@
   void report_history_gone();
   void back_off(std::uint32_t earlier_attempts);
   void wait_for_restored_entries();
-  bool follow_era(const collection_snapshot& snapshot);
   milliseconds watch_wait() const;
 
   document_store& m_store;
@@ -97,7 +96,6 @@
   store_version m_outage_as_of;                 // version of the replica at that time
   store_version m_keeping_as_of;                // the same for the last outage after which entries were kept
   time_point m_keeping_since;                   // beginning of the last outage after which entries were kept
-  time_point m_earlier_era_until;               // until then, what was known before a new era holds
   time_point m_entries_restored_at; // until then the store may lack entries that expired during its outage
 };
 
--- a/packages/gateway/include/cardamompond/gateway/fleet_view.hpp
+++ b/packages/gateway/include/cardamompond/gateway/fleet_view.hpp
@@ -29,7 +29,9 @@
   }
 
   // Applies a newer state to a collection and calls the observers if its content changed; returns whether it
-  // did. `source` names the origin of the state in the log.
+  // did. `source` names the origin of the state in the log. For some time after a change of the store's era,
+  // entries that its copy lacks are kept, and entries that it brought back do not replace what is known to be
+  // newer.
   bool apply(collection_kind kind, const collection_snapshot& snapshot, std::string_view source,
              collection_replica::origin from = collection_replica::origin::store);
   bool apply(collection_kind kind, const collection_changes& changes, std::string_view source);
@@ -38,13 +40,18 @@
   // may have expired although they are still valid. Peers are not told of them.
   bool apply_keeping(collection_kind kind, const collection_snapshot& snapshot, std::string_view source);
 
-  // Applies the first list that the store answers in a new era, like apply_keeping(). Until
-  // end_earlier_era(), entries that the copy of the store brought back do not replace what is known to be
-  // newer.
-  void apply_new_era(collection_kind kind, const collection_snapshot& snapshot, time_point now);
+  // Whether the snapshot is the first of another era of the store than that of the known content.
+  bool begins_era(collection_kind kind, const collection_snapshot& snapshot,
+                  collection_replica::origin from) const;
+
+  // Whether entries of the earlier era that the store lacks are kept.
+  bool keeps_earlier_era(collection_kind kind, time_point now) const;
+
+  // Ends what holds from the earlier era only until `now`.
+  void expire_earlier_era(collection_kind kind, time_point now);
 
-  // From now on, the content of the store holds as it is.
-  void end_earlier_era(collection_kind kind);
+  // The next time at which expire_earlier_era() has an effect; nothing if there is none.
+  std::optional<time_point> next_earlier_era_expiry(collection_kind kind) const;
 
   // Forgets the documents that were kept.
   void drop_kept(collection_kind kind, std::string_view source);
@@ -81,6 +88,7 @@
   void decode_declarations(std::string_view source);
   void decode_servers();
   void decode_evacuations();
+  void begin_era(collection_kind kind, const collection_snapshot& snapshot, std::string_view source);
   earlier_era& earlier(collection_kind kind) { return m_earlier_eras[static_cast<std::size_t>(kind)]; }
   // The objects read from the documents of a collection, by name, with the version that they were read from.
   template <typename T> struct decoded_document {
--- a/packages/gateway/src/collection_replica.cpp
+++ b/packages/gateway/src/collection_replica.cpp
@@ -46,11 +46,11 @@
   return changed;
 }
 
-bool collection_replica::apply_keeping(const collection_snapshot& snapshot) {
+bool collection_replica::apply_keeping(const collection_snapshot& snapshot, origin from) {
   document_map known = m_documents;
   known.insert(m_kept.begin(), m_kept.end());
   const std::size_t kept_before = m_kept.size();
-  const bool changed = apply(snapshot);
+  const bool changed = apply(snapshot, from);
   std::erase_if(known, [&](const auto& each) { return m_documents.contains(each.first); });
   m_kept = std::move(known);
   return changed || m_kept.size() != kept_before;
--- a/packages/gateway/src/collection_watcher.cpp
+++ b/packages/gateway/src/collection_watcher.cpp
@@ -63,19 +63,6 @@
 // report with an invented era must not make the daemons use up the store's rate.
 constexpr duration era_check_interval = seconds(5);
 
-// For how long what was known before the store came back from a copy holds against the copy. Servers write
-// their entries again within about two seconds. The operator has to notice the loss first.
-duration earlier_era_time(collection_kind kind) {
-  return kind == collection_kind::backend_servers ? entries_restore_time : duration(seconds(5));
-}
-
-// Declarations state their version themselves, so that an older one never replaces a newer one, and daemons
-// write their own entries.
-bool holds_earlier_era(collection_kind kind) {
-  return kind == collection_kind::backend_servers || kind == collection_kind::rollouts ||
-         kind == collection_kind::evacuations;
-}
-
 // An event that repeats without a change is logged once in this time.
 constexpr duration repeated_event_interval = seconds(5);
 
@@ -128,10 +115,7 @@
 }
 
 void collection_watcher::step() {
-  if (m_earlier_era_until != time_point{} && monotonic_now() >= m_earlier_era_until) {
-    m_earlier_era_until = {};
-    m_fleet_view.end_earlier_era(m_kind);
-  }
+  m_fleet_view.expire_earlier_era(m_kind, monotonic_now());
   if (may_be_of_earlier_era()) {
     m_list_next = true;
   } else if (is_current_through_peers()) {
@@ -189,11 +173,11 @@
 // outage was one of this daemon alone, and what the list lacks has left.
 void collection_watcher::apply_snapshot(const collection_snapshot& snapshot) {
   report_discarded_list(snapshot);
-  if (follow_era(snapshot)) {
-    return;
-  }
-  if (m_earlier_era_until != time_point{}) {
-    m_fleet_view.apply_keeping(m_kind, snapshot, "store_in_new_era");
+  if (m_fleet_view.begins_era(m_kind, snapshot, collection_replica::origin::store) ||
+      m_fleet_view.keeps_earlier_era(m_kind, monotonic_now())) {
+    // Entries that expired in an outage before are kept for the same time, without further lists.
+    m_entries_restored_at = {};
+    m_fleet_view.apply(m_kind, snapshot, "store");
     return;
   }
   if (m_kind != collection_kind::backend_servers || monotonic_now() >= m_entries_restored_at ||
@@ -236,41 +220,14 @@
   }
 }
 
-// Returns whether the snapshot is the first of a new era and was applied as such. The entries that expired in
-// an outage before are kept for the same time, without further lists.
-bool collection_watcher::follow_era(const collection_snapshot& snapshot) {
-  const auto& known = m_fleet_view.collection(m_kind);
-  const store_version before = known.as_of();
-  if (!known.loaded() || snapshot.m_as_of.m_era == before.m_era ||
-      known.is_older(snapshot, collection_replica::origin::store)) {
-    return false;
-  }
-  if (holds_earlier_era(m_kind)) {
-    const time_point now = monotonic_now();
-    m_earlier_era_until = now + earlier_era_time(m_kind);
-    m_entries_restored_at = {};
-    m_fleet_view.apply_new_era(m_kind, snapshot, now);
-  } else {
-    m_fleet_view.apply(m_kind, snapshot, "store_in_new_era");
-  }
-  log_event(log_level::info, "store_era_changed",
-            {{"collection", to_string(m_kind)},
-             {"era", before.m_era},
-             {"as_of", before.m_revision},
-             {"new_era", snapshot.m_as_of.m_era},
-             {"new_as_of", snapshot.m_as_of.m_revision},
-             {"kept", known.kept_documents().size()}});
-  return true;
-}
-
 // Entries that are kept in a new era are dropped in time also if nothing changes.
 milliseconds collection_watcher::watch_wait() const {
   const milliseconds wait = watch_timeout(m_kind);
-  if (m_earlier_era_until == time_point{}) {
+  const auto expiry = m_fleet_view.next_earlier_era_expiry(m_kind);
+  if (!expiry) {
     return wait;
   }
-  const auto left = std::chrono::ceil<milliseconds>(m_earlier_era_until - monotonic_now());
-  return std::clamp(left, milliseconds(1), wait);
+  return std::clamp(std::chrono::ceil<milliseconds>(*expiry - monotonic_now()), milliseconds(1), wait);
 }
 
 // Waits before the next list after an outage. Forgets what was kept as soon as a peer shows that it read the
--- a/packages/gateway/src/earlier_era.cpp
+++ b/packages/gateway/src/earlier_era.cpp
@@ -1,6 +1,6 @@
 #include "cardamompond/gateway/earlier_era.hpp"
 
-#include <utility>
+#include <algorithm>
 
 namespace cardamompond::gateway {
 namespace {
@@ -16,9 +16,12 @@
 }
 
 void earlier_era::begin(store_version listed_at, std::span<const fleet::backend_server> servers,
-                        time_point now) {
-  std::erase_if(m_removals, [&](const auto& each) { return now - each.second.m_when > removal_memory; });
+                        time_point kept_until, time_point until) {
+  std::erase_if(m_removals, [&](const auto& each) { return until - each.second.m_when > removal_memory; });
   m_listed_at = listed_at;
+  m_kept_until = kept_until;
+  m_until = until;
+  m_kept_expired = false;
   m_servers.clear();
   for (const auto& each : servers) {
     m_servers.emplace(each.m_id, each);
@@ -26,9 +29,25 @@
   m_active = true;
 }
 
-bool earlier_era::end() {
-  m_servers.clear();
-  return std::exchange(m_active, false);
+std::optional<time_point> earlier_era::next_expiry() const {
+  if (!m_active) {
+    return std::nullopt;
+  }
+  return m_kept_expired ? m_until : std::min(m_kept_until, m_until);
+}
+
+earlier_era::expiry earlier_era::expire(time_point now) {
+  expiry ended;
+  if (m_active && !m_kept_expired && now >= m_kept_until) {
+    m_kept_expired = true;
+    ended.m_kept = true;
+  }
+  if (m_active && now >= m_until) {
+    m_active = false;
+    m_servers.clear();
+    ended.m_all = true;
+  }
+  return ended;
 }
 
 bool earlier_era::is_removed(std::string_view name, std::int64_t started, store_version changed_at) const {
--- a/packages/gateway/src/fleet_view.cpp
+++ b/packages/gateway/src/fleet_view.cpp
@@ -6,6 +6,24 @@
 #include <utility>
 
 namespace cardamompond::gateway {
+namespace {
+
+// Servers write their entries again within about two seconds after the store has come back from a copy. One
+// that is missing after that is gone.
+constexpr duration entries_restore_time = milliseconds(2'200);
+
+// For how long what was known before the store came back holds against the entries of its copy. The store
+// removes the entry of a server that has left after 3.6 s of silence; the operator has to notice the loss.
+constexpr duration earlier_era_time = seconds(5);
+
+// Declarations state their version themselves, so that an older one never replaces a newer one, and daemons
+// write their own entries.
+bool holds_earlier_era(collection_kind kind) {
+  return kind == collection_kind::backend_servers || kind == collection_kind::rollouts ||
+         kind == collection_kind::evacuations;
+}
+
+} // namespace
 
 fleet_view::fleet_view(const document_reader& reader)
     : m_reader(reader) {}
@@ -13,7 +31,13 @@
 bool fleet_view::apply(collection_kind kind, const collection_snapshot& snapshot, std::string_view source,
                        collection_replica::origin from) {
   report_unreadable_entries(kind, snapshot.m_unreadable_entries, source);
-  if (!m_collections[static_cast<std::size_t>(kind)].apply(snapshot, from)) {
+  if (begins_era(kind, snapshot, from)) {
+    begin_era(kind, snapshot, source);
+  }
+  auto& replica = m_collections[static_cast<std::size_t>(kind)];
+  const bool changed = keeps_earlier_era(kind, monotonic_now()) ? replica.apply_keeping(snapshot, from)
+                                                                : replica.apply(snapshot, from);
+  if (!changed) {
     return false;
   }
   decode(kind, source);
@@ -39,22 +63,51 @@
   return true;
 }
 
-void fleet_view::apply_new_era(collection_kind kind, const collection_snapshot& snapshot, time_point now) {
-  earlier(kind).begin(snapshot.m_as_of,
-                      kind == collection_kind::backend_servers
-                          ? std::span<const fleet::backend_server>(m_backend_servers)
-                          : std::span<const fleet::backend_server>(),
-                      now);
-  apply_keeping(kind, snapshot, "store_in_new_era");
+bool fleet_view::begins_era(collection_kind kind, const collection_snapshot& snapshot,
+                            collection_replica::origin from) const {
+  const auto& known = collection(kind);
+  return known.loaded() && snapshot.m_as_of.m_revision > 0 && snapshot.m_as_of.m_era != known.as_of().m_era &&
+         !known.is_older(snapshot, from);
+}
+
+// A daemon that cannot reach the store learns of the new era from a peer; the copy is as old then.
+void fleet_view::begin_era(collection_kind kind, const collection_snapshot& snapshot,
+                           std::string_view source) {
+  const store_version before = collection(kind).as_of();
+  const time_point now = monotonic_now();
+  if (holds_earlier_era(kind)) {
+    const bool servers = kind == collection_kind::backend_servers;
+    const duration kept_time = servers ? entries_restore_time : earlier_era_time;
+    earlier(kind).begin(snapshot.m_as_of,
+                        servers ? std::span<const fleet::backend_server>(m_backend_servers)
+                                : std::span<const fleet::backend_server>(),
+                        now + kept_time, now + earlier_era_time);
+  }
+  log_event(log_level::info, "store_era_changed",
+            {{"collection", to_string(kind)},
+             {"era", before.m_era},
+             {"as_of", before.m_revision},
+             {"new_era", snapshot.m_as_of.m_era},
+             {"new_as_of", snapshot.m_as_of.m_revision},
+             {"source", source}});
 }
 
-void fleet_view::end_earlier_era(collection_kind kind) {
-  const bool had_kept = m_collections[static_cast<std::size_t>(kind)].drop_kept();
-  if (earlier(kind).end() || had_kept) {
+bool fleet_view::keeps_earlier_era(collection_kind kind, time_point now) const {
+  return m_earlier_eras[static_cast<std::size_t>(kind)].keeps_missing(now);
+}
+
+void fleet_view::expire_earlier_era(collection_kind kind, time_point now) {
+  const auto ended = earlier(kind).expire(now);
+  const bool dropped = ended.m_kept && m_collections[static_cast<std::size_t>(kind)].drop_kept();
+  if (dropped || ended.m_all) {
     decode(kind, "end_of_earlier_era");
   }
 }
 
+std::optional<time_point> fleet_view::next_earlier_era_expiry(collection_kind kind) const {
+  return m_earlier_eras[static_cast<std::size_t>(kind)].next_expiry();
+}
+
 void fleet_view::drop_kept(collection_kind kind, std::string_view source) {
   if (m_collections[static_cast<std::size_t>(kind)].drop_kept()) {
     decode(kind, source);
--- a/packages/gateway/tests/earlier_era_test.cpp
+++ b/packages/gateway/tests/earlier_era_test.cpp
@@ -30,13 +30,19 @@
   earlier_era earlier;
   const std::vector<fleet::backend_server> known = {make_server(7, true)};
   CHECK_FALSE(earlier.resolve(make_server(7, false)).m_draining);
-  earlier.begin({2, 20}, known, began);
+  earlier.begin({2, 20}, known, began + seconds(2), began + seconds(5));
   CHECK(earlier.resolve(make_server(7, false)).m_draining);
   CHECK(earlier.resolve(make_server(6, false)).m_started_unix_ms == 7);
   CHECK_FALSE(earlier.resolve(make_server(8, false)).m_draining);
-  CHECK(earlier.end());
+  CHECK(earlier.keeps_missing(began + milliseconds(1'999)));
+  CHECK(earlier.next_expiry() == began + seconds(2));
+  CHECK(earlier.expire(began + seconds(2)).m_kept);
+  CHECK_FALSE(earlier.keeps_missing(began + seconds(2)));
+  CHECK(earlier.resolve(make_server(7, false)).m_draining);
+  CHECK(earlier.next_expiry() == began + seconds(5));
+  CHECK(earlier.expire(began + seconds(5)).m_all);
   CHECK_FALSE(earlier.resolve(make_server(7, false)).m_draining);
-  CHECK_FALSE(earlier.end());
+  CHECK_FALSE(earlier.expire(began + seconds(9)).m_all);
 }
 
 // Guards against an entry that was removed and that the copy brings back, against one that is hidden although
@@ -46,10 +52,14 @@
   earlier.record_removal("old", 0, began - seconds(90));
   earlier.record_removal("i-1", 7, began - seconds(3));
   CHECK_FALSE(earlier.is_removed("i-1", 7, {2, 9}));
-  earlier.begin({2, 20}, {}, began);
+  earlier.begin({2, 20}, {}, began + seconds(2), began + seconds(5));
   CHECK(earlier.is_removed("i-1", 7, {2, 9}));
   CHECK_FALSE(earlier.is_removed("i-1", 8, {2, 9}));
   CHECK_FALSE(earlier.is_removed("i-1", 7, {2, 21}));
   CHECK_FALSE(earlier.is_removed("i-2", 7, {2, 9}));
   CHECK_FALSE(earlier.is_removed("old", 0, {2, 9}));
+  earlier.expire(began + milliseconds(4'999));
+  CHECK(earlier.is_removed("i-1", 7, {2, 9}));
+  earlier.expire(began + seconds(5));
+  CHECK_FALSE(earlier.is_removed("i-1", 7, {2, 9}));
 }
--- a/packages/gateway/tests/fleet_view_test.cpp
+++ b/packages/gateway/tests/fleet_view_test.cpp
@@ -78,17 +78,23 @@
   UNSIGNED_LONGS_EQUAL(6, view.routes()->source().m_version);
 }
 
-// Guards against an evacuation that a copy of the store ends or brings back.
+// Guards against an evacuation that a copy of the store ends or brings back, also at a daemon that learns of
+// the new era from a peer because the store is out of its reach.
 TEST(fleet_view, evacuations_of_the_earlier_era_hold_until_it_ends) {
-  counting_reader reader;
-  fleet_view view(reader);
-  constexpr auto kind = collection_kind::evacuations;
-  view.apply(kind, collection_snapshot{{1, 8}, {{"a", {1, 7}, ""}, {"b", {1, 8}, ""}}}, "test");
-  view.apply(kind, collection_changes{{1, 9}, {{{"a", {1, 9}, ""}, true}}}, "test");
-  view.apply_new_era(kind, collection_snapshot{{2, 7}, {{"a", {2, 7}, ""}}}, monotonic_now());
-  CHECK(view.evacuated_zones() == (std::set<std::string, std::less<>>{"b"}));
-  view.apply(kind, collection_changes{{2, 8}, {{{"a", {2, 8}, ""}, false}}}, "test"); // ordered again
-  CHECK(view.evacuated_zones() == (std::set<std::string, std::less<>>{"a", "b"}));
-  view.end_earlier_era(kind);
-  CHECK(view.evacuated_zones() == (std::set<std::string, std::less<>>{"a"}));
+  using origin = collection_replica::origin;
+  for (const auto from : {origin::store, origin::peer}) {
+    counting_reader reader;
+    fleet_view view(reader);
+    constexpr auto kind = collection_kind::evacuations;
+    view.apply(kind, collection_snapshot{{1, 8}, {{"a", {1, 7}, ""}, {"b", {1, 8}, ""}}}, "test");
+    view.apply(kind, collection_changes{{1, 9}, {{{"a", {1, 9}, ""}, true}}}, "test");
+    view.apply(kind, collection_snapshot{{2, 7}, {{"a", {2, 7}, ""}}}, "test", from);
+    CHECK(view.evacuated_zones() == (std::set<std::string, std::less<>>{"b"}));
+    view.apply(kind, collection_changes{{2, 8}, {{{"a", {2, 8}, ""}, false}}}, "test"); // ordered again
+    CHECK(view.evacuated_zones() == (std::set<std::string, std::less<>>{"a", "b"}));
+    view.expire_earlier_era(kind, monotonic_now() + seconds(4));
+    CHECK(view.evacuated_zones() == (std::set<std::string, std::less<>>{"a", "b"}));
+    view.expire_earlier_era(kind, monotonic_now() + seconds(5));
+    CHECK(view.evacuated_zones() == (std::set<std::string, std::less<>>{"a"}));
+  }
 }
