Add failing tests of a store in a new era and of brittle servers of evacuated zones

The review of the joined code found: an order that is kept in a new era counts as listed and is judged anew when it is written again; the copy of a peer brings back removed servers; removals before a new registration or order hold in the next era; a removed server is used again before its entry in the copy expires; eras above 32 bits are cut off in reports; daemons of an evacuated zone have no slots.

--- a/packages/fleet/tests/brittle_servers_test.cpp
+++ b/packages/fleet/tests/brittle_servers_test.cpp
@@ -312,3 +312,15 @@
   daemon.m_now += milliseconds(1'000);
   LONGS_EQUAL(1, count_results(daemon.tick(), "s1"));
 }
+
+// Guards against a zone that is evacuated, whose daemons still get requests and have slots only in servers
+// that get none.
+TEST(brittle_servers, daemons_of_an_evacuated_zone_have_slots_in_other_zones) {
+  const std::vector<daemon_location> members = {{"d0", "a"}, {"d1", "a"}, {"d2", "b"}, {"d3", "b"}};
+  daemon.m_dispatcher.set_members(members, members.front(), true);
+  daemon.set_servers({make_server("s1", "a", 8), make_server("s2", "b", 8)});
+  daemon.m_dispatcher.set_evacuated_zones({"a"});
+  state(make_server("s1", "a", 8), 2);
+  state(make_server("s2", "b", 8), 2);
+  CHECK(count_results(daemon.submit(4), "s2") >= 1);
+}
--- a/packages/gateway/tests/collection_watcher_test.cpp
+++ b/packages/gateway/tests/collection_watcher_test.cpp
@@ -258,3 +258,17 @@
   UNSIGNED_LONGS_EQUAL(2, daemon.m_view.backend_servers().size());
   UNSIGNED_LONGS_EQUAL(1, daemon.m_store.m_lists_of_era);
 }
+
+// Guards against requests to a server that was removed and that the copy of the store shows as ready. Nobody
+// writes its entry again, so that the store removes it only after three heartbeat intervals of silence.
+TEST(collection_watcher, a_removed_server_stays_away_until_its_entry_in_the_copy_expires) {
+  watcher_fixture daemon;
+  daemon.m_store.m_content = {{1, 10}, {{"i-1", {1, 3}, ""}, {"i-2", {1, 4}, ""}}, 0};
+  boost::this_fiber::sleep_for(milliseconds(1'200)); // the first list and the wait for readers
+  daemon.m_view.apply(kind, collection_changes{{1, 11}, {{{"i-2", {1, 11}, ""}, true}}, 0}, "test");
+  UNSIGNED_LONGS_EQUAL(1, daemon.m_view.backend_servers().size());
+  daemon.m_store.m_content = {{2, 10}, {{"i-1", {2, 3}, ""}, {"i-2", {2, 4}, ""}}, 0};
+  boost::this_fiber::sleep_for(milliseconds(3'500));
+  UNSIGNED_LONGS_EQUAL(2, daemon.m_view.collection(kind).as_of().m_era);
+  UNSIGNED_LONGS_EQUAL(1, daemon.m_view.backend_servers().size());
+}
--- a/packages/gateway/tests/fleet_view_test.cpp
+++ b/packages/gateway/tests/fleet_view_test.cpp
@@ -1,5 +1,7 @@
 #include "cardamompond/gateway/fleet_view.hpp"
 
+#include "cardamompond/fleet/rollout_controller.hpp"
+
 #include <CppUTest/TestHarness.h>
 
 using namespace cardamompond;
@@ -9,7 +11,7 @@
 
 // Reads each document as a server whose version is the content, and counts the documents that it reads.
 // Declarations have the length of the content as their version.
-class counting_reader final : public document_reader {
+class counting_reader : public document_reader {
 public:
   read_result<fleet::declarations> read_declarations(const document& source) const override {
     fleet::declarations declarations;
@@ -35,6 +37,23 @@
   mutable int m_reads = 0;
 };
 
+// Reads each document as an order whose state is the content and which was created with its last change.
+class order_reader final : public counting_reader {
+public:
+  read_result<fleet::rollout_order> read_rollout(const document& source) const override {
+    fleet::rollout_order order;
+    order.m_service = source.m_name;
+    order.m_target_version = "v2";
+    order.m_period = seconds(10);
+    order.m_created_revision = source.m_version.m_revision;
+    order.m_revision = source.m_version.m_revision;
+    order.m_era = source.m_version.m_era;
+    order.m_state = source.m_content == "rolled_back" ? fleet::rollout_order::state::rolled_back
+                                                      : fleet::rollout_order::state::ordered;
+    return order;
+  }
+};
+
 } // namespace
 
 TEST_GROUP(fleet_view){};
@@ -92,3 +111,89 @@
   view.end_earlier_era(kind);
   CHECK(view.evacuated_zones() == (std::set<std::string, std::less<>>{"a"}));
 }
+
+// Guards against an evacuation in force that ends because the store came back from a copy, after it had ended
+// and been ordered again before.
+TEST(fleet_view, an_evacuation_that_was_ordered_again_before_the_new_era_holds) {
+  counting_reader reader;
+  fleet_view view(reader);
+  constexpr auto kind = collection_kind::evacuations;
+  view.apply(kind, collection_snapshot{{1, 5}, {{"a", {1, 5}, ""}}}, "test");
+  view.apply(kind, collection_changes{{1, 6}, {{{"a", {1, 6}, ""}, true}}}, "test");
+  view.apply(kind, collection_changes{{1, 7}, {{{"a", {1, 7}, ""}, false}}}, "test");
+  UNSIGNED_LONGS_EQUAL(1, view.evacuated_zones().size());
+  view.apply_new_era(kind, collection_snapshot{{2, 7}, {{"a", {2, 7}, ""}}}, monotonic_now());
+  UNSIGNED_LONGS_EQUAL(1, view.evacuated_zones().size());
+}
+
+// Guards against a server that registered again and is not used because the store came back from a copy.
+TEST(fleet_view, a_server_that_registered_again_before_the_new_era_is_used) {
+  counting_reader reader;
+  fleet_view view(reader);
+  constexpr auto kind = collection_kind::backend_servers;
+  view.apply(kind, collection_snapshot{{1, 5}, {{"s1", {1, 5}, "v1"}}}, "test");
+  view.apply(kind, collection_changes{{1, 6}, {{{"s1", {1, 6}, ""}, true}}}, "test");
+  view.apply(kind, collection_changes{{1, 7}, {{{"s1", {1, 7}, "v1"}, false}}}, "test");
+  view.apply_new_era(kind, collection_snapshot{{2, 7}, {{"s1", {2, 7}, "v1"}}}, monotonic_now());
+  UNSIGNED_LONGS_EQUAL(1, view.backend_servers().size());
+}
+
+// Guards against a removed server and an ended evacuation that come back because a daemon learned of the new
+// era from the copy of a peer, while its own calls to the store failed.
+TEST(fleet_view, the_copy_of_a_peer_in_a_new_era_brings_nothing_back) {
+  counting_reader reader;
+  fleet_view view(reader);
+  constexpr auto servers = collection_kind::backend_servers;
+  constexpr auto evacuations = collection_kind::evacuations;
+  view.apply(servers, collection_snapshot{{1, 5}, {{"s1", {1, 5}, "v1"}}}, "test");
+  view.apply(servers, collection_changes{{1, 6}, {{{"s1", {1, 6}, ""}, true}}}, "test");
+  view.apply(evacuations, collection_snapshot{{1, 5}, {{"a", {1, 5}, ""}}}, "test");
+  view.apply(servers, collection_snapshot{{2, 5}, {{"s1", {2, 5}, "v1"}}}, "peer",
+             collection_replica::origin::peer);
+  view.apply(evacuations, collection_snapshot{{2, 4}, {}}, "peer", collection_replica::origin::peer);
+  UNSIGNED_LONGS_EQUAL(0, view.backend_servers().size());
+  UNSIGNED_LONGS_EQUAL(1, view.evacuated_zones().size());
+}
+
+// Guards against an order that was rolled back and is judged anew, because what is kept of it counts as
+// listed in the new era.
+TEST(fleet_view, an_order_that_is_written_again_in_a_new_era_stays_rolled_back) {
+  order_reader reader;
+  fleet_view view(reader);
+  fleet::rollout_controller controller;
+  constexpr auto kind = collection_kind::rollouts;
+  const time_point now = monotonic_now();
+  const auto update = [&] {
+    controller.set_orders(view.rollouts(), now, view.collection(kind).as_of().m_era);
+  };
+  const auto state = [&] { return controller.decisions().front().m_state; };
+  view.apply(kind, collection_snapshot{{1, 9}, {{"chat", {1, 9}, "rolled_back"}}}, "test");
+  update();
+  CHECK(state() == fleet::rollout_order::state::rolled_back);
+  view.apply_new_era(kind, collection_snapshot{{2, 5}, {}}, now);
+  update();
+  CHECK(state() == fleet::rollout_order::state::rolled_back);
+  view.apply(kind, collection_changes{{2, 6}, {{{"chat", {2, 6}, "ordered"}, false}}}, "test");
+  update();
+  CHECK(state() == fleet::rollout_order::state::rolled_back);
+}
+
+// Guards against an order that the store lost and that is dropped before the time in which it may be written
+// again.
+TEST(fleet_view, an_order_stays_in_force_after_what_is_kept_of_it_is_dropped) {
+  order_reader reader;
+  fleet_view view(reader);
+  fleet::rollout_controller controller;
+  constexpr auto kind = collection_kind::rollouts;
+  const time_point now = monotonic_now();
+  const auto update = [&](duration after) {
+    controller.set_orders(view.rollouts(), now + after, view.collection(kind).as_of().m_era);
+  };
+  view.apply(kind, collection_snapshot{{1, 9}, {{"chat", {1, 9}, "rolled_back"}}}, "test");
+  update({});
+  view.apply_new_era(kind, collection_snapshot{{2, 5}, {}}, now);
+  update({});
+  view.end_earlier_era(kind);
+  update(seconds(5));
+  UNSIGNED_LONGS_EQUAL(1, controller.decisions().size());
+}
--- a/packages/gateway/tests/peer_report_test.cpp
+++ b/packages/gateway/tests/peer_report_test.cpp
@@ -268,3 +268,14 @@
   report.m_brittle.clear();
   CHECK(decode_report(encode_report(report))->m_brittle.empty());
 }
+
+// Guards against an era that differs after it was reported, so that the copies of two daemons in the same era
+// never count as equal.
+TEST(peer_report, eras_above_32_bits_survive) {
+  peer_report report = make_report();
+  const store_version version{(std::uint64_t{1} << 32U) + 5, 10};
+  report.m_collections[1] = {version, version, milliseconds(30)};
+  const auto decoded = decode_report(encode_report(report));
+  CHECK(decoded.has_value());
+  CHECK(decoded->m_collections[1].m_as_of == version);
+}
