Give daemons of an evacuated zone slots of brittle servers elsewhere

What callers would see: while a zone is evacuated, its daemons still get requests, but had parts only in the brittle servers of their own zone, which get none.

Cause: a zone counted as one with servers if any was listed.

--- a/packages/fleet/src/brittle_dispatch.cpp
+++ b/packages/fleet/src/brittle_dispatch.cpp
@@ -53,12 +53,12 @@
   }
 }
 
-// The daemons of a zone without servers have slots in all zones.
+// The daemons of a zone without servers in service have slots in all zones.
 void compute_shares(const dispatch_tables& tables, const server_lists& servers,
                     std::span<const std::uint64_t> active) {
   std::set<std::string_view> server_zones;
   for (const server_row* each : servers.m_all) {
-    if (each->m_listed) {
+    if (is_in_service(tables, *each)) {
       server_zones.insert(each->m_entry.m_availability_zone);
     }
   }
@@ -75,7 +75,7 @@
     }
   }
   for (server_row* each : servers.m_all) {
-    if (each->m_listed && each->m_max_rejections) {
+    if (is_in_service(tables, *each) && each->m_max_rejections) {
       const std::string& zone = each->m_entry.m_availability_zone;
       each->m_brittle_share = find_brittle_share(
           each->m_entry.m_slots, *each->m_max_rejections, each->m_id_hash, hash64(tables.m_self.m_name),
--- a/packages/fleet/src/dispatcher.cpp
+++ b/packages/fleet/src/dispatcher.cpp
@@ -173,6 +173,7 @@
 
 void dispatcher::set_evacuated_zones(std::set<std::string, std::less<>> zones) {
   m_impl->m_tables.m_evacuated_zones = std::move(zones);
+  m_impl->m_tables.m_brittle_shares_valid = false;
 }
 
 void dispatcher::set_members(std::vector<daemon_location> members, daemon_location self,
