Report eras of the store in 64 bits

An era above 32 bits, such as one that starts from a time, arrived cut off at peers, so that no two copies ever counted as of one era. Found by the reviewer, shown by peer_report eras_above_32_bits_survive, which failed before.

--- a/packages/gateway/schema/exchange.capnp
+++ b/packages/gateway/schema/exchange.capnp
@@ -12,7 +12,7 @@
   changedAt @1 :UInt64;   # revision of the last change of the copy
   bytes @3 :UInt32;       # size of the content
   ageMs @2 :UInt32;       # time since the copy was last known to equal the content of the store
-  era @5 :UInt32;         # era of both revisions; 0: the store states none
+  era @5 :UInt64;         # era of both revisions; 0: the store states none
   readForMs @4 :UInt32;   # how long the sender has read the store without a failure; 0: it does not read it now
 }
 
@@ -188,5 +188,5 @@
 struct CollectionSnapshot {
   asOf @0 :UInt64;
   documents @1 :List(Document);
-  era @2 :UInt32;         # of all revisions; 0: the store states none
+  era @2 :UInt64;         # of all revisions; 0: the store states none
 }
--- a/packages/gateway/src/exchange.capnp.h
+++ b/packages/gateway/src/exchange.capnp.h
@@ -52,7 +52,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8a8c133f02360274, 4, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(8a8c133f02360274, 5, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -373,7 +373,7 @@
 
   inline  ::uint32_t getReadForMs() const;
 
-  inline  ::uint32_t getEra() const;
+  inline  ::uint64_t getEra() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -418,8 +418,8 @@
   inline  ::uint32_t getReadForMs();
   inline void setReadForMs( ::uint32_t value);
 
-  inline  ::uint32_t getEra();
-  inline void setEra( ::uint32_t value);
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2414,7 +2414,7 @@
   inline bool hasDocuments() const;
   inline  ::capnp::List< ::cardamompond::gateway::wire::Document,  ::capnp::Kind::STRUCT>::Reader getDocuments() const;
 
-  inline  ::uint32_t getEra() const;
+  inline  ::uint64_t getEra() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2454,8 +2454,8 @@
   inline void adoptDocuments(::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::Document,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::cardamompond::gateway::wire::Document,  ::capnp::Kind::STRUCT>> disownDocuments();
 
-  inline  ::uint32_t getEra();
-  inline void setEra( ::uint32_t value);
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2555,18 +2555,18 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t CollectionState::Reader::getEra() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+inline  ::uint64_t CollectionState::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t CollectionState::Builder::getEra() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+inline  ::uint64_t CollectionState::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void CollectionState::Builder::setEra( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+inline void CollectionState::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::uint32_t ServerLoad::Reader::getServer() const {
@@ -4698,18 +4698,18 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t CollectionSnapshot::Reader::getEra() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint64_t CollectionSnapshot::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t CollectionSnapshot::Builder::getEra() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint64_t CollectionSnapshot::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void CollectionSnapshot::Builder::setEra( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void CollectionSnapshot::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 }  // namespace
--- a/packages/gateway/src/peer_report.cpp
+++ b/packages/gateway/src/peer_report.cpp
@@ -114,11 +114,6 @@
   return std::min(fleet::max_work_time_percent, static_cast<std::uint32_t>(std::lround(percent)));
 }
 
-std::uint32_t to_wire_era(store_version version) {
-  constexpr std::uint64_t max_era = std::numeric_limits<std::uint32_t>::max();
-  return static_cast<std::uint32_t>(std::min(version.m_era, max_era));
-}
-
 void encode_part_suspicions(const std::vector<fleet::part_suspicion>& from, wire::Report::Builder to) {
   auto list = to.initParts(static_cast<unsigned>(from.size()));
   for (unsigned i = 0; i < list.size(); ++i) {
@@ -311,7 +306,7 @@
   auto collections = to.initCollections(static_cast<unsigned>(report.m_collections.size()));
   for (unsigned i = 0; i < collections.size(); ++i) {
     collections[i].setAsOf(report.m_collections[i].m_as_of.m_revision);
-    collections[i].setEra(to_wire_era(report.m_collections[i].m_as_of));
+    collections[i].setEra(report.m_collections[i].m_as_of.m_era);
     collections[i].setChangedAt(report.m_collections[i].m_changed_at.m_revision);
     collections[i].setBytes(report.m_collections[i].m_bytes);
     collections[i].setAgeMs(to_wire_ms(report.m_collections[i].m_age));
@@ -417,7 +412,7 @@
   capnp::MallocMessageBuilder message;
   auto to = message.initRoot<wire::CollectionSnapshot>();
   to.setAsOf(snapshot.m_as_of.m_revision);
-  to.setEra(to_wire_era(snapshot.m_as_of));
+  to.setEra(snapshot.m_as_of.m_era);
   auto documents = to.initDocuments(static_cast<unsigned>(snapshot.m_documents.size()));
   for (unsigned i = 0; i < documents.size(); ++i) {
     documents[i].setName(snapshot.m_documents[i].m_name);
