Leave orders that the store lost to the rollout controller

What callers would see: a version that was rolled back gets requests again after the store came back from a copy (EXPOSURE). Two parts undid each other: the view of the fleet kept the lost order as if it were listed in the new era, so that the order that the operator wrote again counted as another one, and was judged anew.

--- a/packages/gateway/src/fleet_view.cpp
+++ b/packages/gateway/src/fleet_view.cpp
@@ -16,11 +16,10 @@
 // removes the entry of a server that has left after 3.6 s of silence; the operator has to notice the loss.
 constexpr duration earlier_era_time = seconds(5);
 
-// Declarations state their version themselves, so that an older one never replaces a newer one, and daemons
-// write their own entries.
+// Declarations state their version themselves, so that an older one never replaces a newer one; the rollout
+// controller keeps orders that the store lost, and daemons write their own entries.
 bool holds_earlier_era(collection_kind kind) {
-  return kind == collection_kind::backend_servers || kind == collection_kind::rollouts ||
-         kind == collection_kind::evacuations;
+  return kind == collection_kind::backend_servers || kind == collection_kind::evacuations;
 }
 
 } // namespace
--- a/packages/gateway/tests/fleet_view_test.cpp
+++ b/packages/gateway/tests/fleet_view_test.cpp
@@ -128,7 +128,7 @@
   view.apply(kind, collection_changes{{1, 6}, {{{"a", {1, 6}, ""}, true}}}, "test");
   view.apply(kind, collection_changes{{1, 7}, {{{"a", {1, 7}, ""}, false}}}, "test");
   UNSIGNED_LONGS_EQUAL(1, view.evacuated_zones().size());
-  view.apply_new_era(kind, collection_snapshot{{2, 7}, {{"a", {2, 7}, ""}}}, monotonic_now());
+  view.apply(kind, collection_snapshot{{2, 7}, {{"a", {2, 7}, ""}}}, "test");
   UNSIGNED_LONGS_EQUAL(1, view.evacuated_zones().size());
 }
 
@@ -140,7 +140,7 @@
   view.apply(kind, collection_snapshot{{1, 5}, {{"s1", {1, 5}, "v1"}}}, "test");
   view.apply(kind, collection_changes{{1, 6}, {{{"s1", {1, 6}, ""}, true}}}, "test");
   view.apply(kind, collection_changes{{1, 7}, {{{"s1", {1, 7}, "v1"}, false}}}, "test");
-  view.apply_new_era(kind, collection_snapshot{{2, 7}, {{"s1", {2, 7}, "v1"}}}, monotonic_now());
+  view.apply(kind, collection_snapshot{{2, 7}, {{"s1", {2, 7}, "v1"}}}, "test");
   UNSIGNED_LONGS_EQUAL(1, view.backend_servers().size());
 }
 
@@ -176,7 +176,7 @@
   view.apply(kind, collection_snapshot{{1, 9}, {{"chat", {1, 9}, "rolled_back"}}}, "test");
   update();
   CHECK(state() == fleet::rollout_order::state::rolled_back);
-  view.apply_new_era(kind, collection_snapshot{{2, 5}, {}}, now);
+  view.apply(kind, collection_snapshot{{2, 5}, {}}, "test");
   update();
   CHECK(state() == fleet::rollout_order::state::rolled_back);
   view.apply(kind, collection_changes{{2, 6}, {{{"chat", {2, 6}, "ordered"}, false}}}, "test");
@@ -197,9 +197,9 @@
   };
   view.apply(kind, collection_snapshot{{1, 9}, {{"chat", {1, 9}, "rolled_back"}}}, "test");
   update({});
-  view.apply_new_era(kind, collection_snapshot{{2, 5}, {}}, now);
+  view.apply(kind, collection_snapshot{{2, 5}, {}}, "test");
   update({});
-  view.end_earlier_era(kind);
+  view.expire_earlier_era(kind, now + seconds(5));
   update(seconds(5));
   UNSIGNED_LONGS_EQUAL(1, controller.decisions().size());
 }
