Forget a removal once the entry is in force again

What callers would see: after the store came back from a copy, a valid evacuation was ignored for 5 s, or a sound server not used, if it had been removed and written again within the minute before. Found by the reviewer, shown by an_evacuation_that_was_ordered_again_before_the_new_era_holds and a_server_that_registered_again_before_the_new_era_is_used, which failed before. gateway_tests pass.

--- a/packages/gateway/include/cardamompond/gateway/earlier_era.hpp
+++ b/packages/gateway/include/cardamompond/gateway/earlier_era.hpp
@@ -19,6 +19,9 @@
   // Records that the store no longer lists an entry. `started` is the start time of a server, otherwise 0.
   void record_removal(std::string_view name, std::int64_t started, time_point now);
 
+  // Records that an entry is in force again.
+  void forget_removal(std::string_view name);
+
   // Begins the time in which the earlier knowledge holds. `listed_at` is the version of the first state of
   // the new era, `servers` are the servers known before, if the collection is that of the servers. Entries
   // that the store lacks are kept until `kept_until`; what it has holds unconditionally after `until`.
--- a/packages/gateway/src/earlier_era.cpp
+++ b/packages/gateway/src/earlier_era.cpp
@@ -15,6 +15,12 @@
   m_removals.insert_or_assign(std::string(name), removal{now, started});
 }
 
+void earlier_era::forget_removal(std::string_view name) {
+  if (const auto found = m_removals.find(name); found != m_removals.end()) {
+    m_removals.erase(found);
+  }
+}
+
 void earlier_era::begin(store_version listed_at, std::span<const fleet::backend_server> servers,
                         time_point kept_until, time_point until) {
   std::erase_if(m_removals, [&](const auto& each) { return until - each.second.m_when > removal_memory; });
--- a/packages/gateway/src/fleet_view.cpp
+++ b/packages/gateway/src/fleet_view.cpp
@@ -210,6 +210,9 @@
     return listed != replica.documents().end() &&
            earlier(kind).is_removed(each.m_id, each.m_started_unix_ms, listed->second.m_version);
   });
+  for (const auto& each : m_backend_servers) {
+    earlier(kind).forget_removal(each.m_id);
+  }
   for (auto& each : m_backend_servers) {
     each = earlier(kind).resolve(each);
   }
@@ -226,6 +229,7 @@
   }
   for (const auto& [name, each] : replica.documents()) {
     if (!earlier(kind).is_removed(name, 0, each.m_version)) {
+      earlier(kind).forget_removal(name);
       m_evacuated_zones.insert(name);
     }
   }
