--- a/packages/gateway/src/fleet_view.cpp
+++ b/packages/gateway/src/fleet_view.cpp
@@ -181,7 +181,15 @@
       continue;
     }
     if (m_routes && decoded->m_version < m_routes->source().m_version) {
-      continue; // an older version never replaces a newer one
+      // An older version never replaces a newer one. After the store came back from a copy, the newer one
+      // holds until the operator has written it, or a later one, again.
+      log_event(log_level::warning, "declarations_ignored",
+                {{"version", decoded->m_version},
+                 {"in_force", m_routes->source().m_version},
+                 {"era", each.m_version.m_era},
+                 {"revision", each.m_version.m_revision},
+                 {"source", source}});
+      continue;
     }
     m_routes = std::make_shared<const fleet::route_table>(
         std::make_shared<const fleet::declarations>(std::move(*decoded)));
