Log how the response of each run was framed and where it stopped

Callers saw streams that end as complete before their last event. The logs could not tell whether a run had ended with its connection, with a last chunk, or short of what it had announced, nor after which event.

dispatch_failed gets framing, body_bytes_due, events and last_event_id; request_ended gets framing and last_event_id. No new lines, so that the volume is that of before. http_call states the framing of a response and whether bytes that its length or its current chunk announced are due; that stays valid after an error.

--- a/packages/gateway/include/cardamompond/gateway/backend_call.hpp
+++ b/packages/gateway/include/cardamompond/gateway/backend_call.hpp
@@ -109,6 +109,12 @@
   // The response; its body is complete only if run() returned `answered`.
   const net::http_response& response() const { return m_response; }
 
+  // The framing of the response; `none` if no head was read.
+  net::body_framing framing() const { return m_call ? m_call->framing() : net::body_framing::none; }
+
+  // Whether the response stopped before the end of its body that its length or its current chunk states.
+  bool body_bytes_due() const { return m_call && m_call->body_bytes_due(); }
+
   // Whether the request, or a part of it, has been sent to the server.
   bool sent() const { return m_sent; }
 
--- a/packages/gateway/src/request_outcome.cpp
+++ b/packages/gateway/src/request_outcome.cpp
@@ -78,6 +78,7 @@
   const time_point now = monotonic_now();
   const int status = call.response().m_status;
   m_failure_reason = call.failure();
+  m_last_framing = call.framing();
   ++m_dispatches;
   // A server without room may have room soon, and a silent one may go on.
   if (outcome != call_outcome::no_room && outcome != call_outcome::silent) {
@@ -119,6 +120,10 @@
              {"reason", call.failure()},
              {"ms", to_ms(took)},
              {"connection_reused", call.connection_reused()},
+             {"framing", net::to_string(call.framing())},
+             {"body_bytes_due", call.body_bytes_due()},
+             {"events", call.events_relayed()},
+             {"last_event_id", logged_event_id()},
              {"may_have_run", may_have_run_after(outcome, call)}});
 }
 
@@ -279,11 +284,13 @@
              {"backend_server", m_server_id},
              {"dispatches", m_dispatches},
              {"last_end", m_dispatches == 0 ? std::string_view("none") : to_string(m_last_outcome)},
+             {"framing", net::to_string(m_last_framing)},
              {"reason", m_failure_reason},
              {"prompt_tokens", m_request.m_prompt_tokens},
              {"max_output_tokens", m_request.m_max_output_tokens},
              {"expected_output_tokens", m_request.m_expected_output_tokens},
              {"events", m_relay.m_events_relayed},
+             {"last_event_id", logged_event_id()},
              {"age_ms", to_ms(m_request_age)},
              {"retry_after_ms", m_retry_after ? m_retry_after->count() : -1},
              {"wait_ms", m_granted_at == time_point{} ? -1 : to_ms(m_granted_at - m_arrived_at)},
--- a/packages/gateway/src/request_processor.hpp
+++ b/packages/gateway/src/request_processor.hpp
@@ -101,6 +101,12 @@
                                                   : m_request.m_max_output_tokens;
   }
 
+  // The id of the last event that the caller got, as it is logged. A server may send one of any length.
+  std::string_view logged_event_id() const {
+    constexpr std::size_t max_logged_bytes = 64;
+    return std::string_view(m_relay.m_splitter.last_event_id()).substr(0, max_logged_bytes);
+  }
+
   bool retryable() const {
     return m_route->m_execution_semantics == fleet::execution_semantics::idempotent || m_route->m_resumable;
   }
@@ -133,6 +139,7 @@
   std::uint32_t m_dispatches = 0;    // all dispatches, including those to servers without room
   std::uint32_t m_possible_runs = 0; // dispatches after which the request may have run
   call_outcome m_last_outcome = call_outcome::refused;
+  net::body_framing m_last_framing = net::body_framing::none; // of the last dispatch
   bool m_may_have_run = false;
   bool m_run_recorded = false;
   std::optional<net::http_response> m_held_response; // sent to the caller unless a later response replaces it
--- a/packages/net/include/cardamompond/net/http_client.hpp
+++ b/packages/net/include/cardamompond/net/http_client.hpp
@@ -35,6 +35,17 @@
   std::vector<std::uint64_t> m_unsuccessful_requests;
 };
 
+// How a response states where its body ends.
+enum class body_framing {
+  none,      // no response head has been read
+  chunks,    // a last chunk, which is empty
+  length,    // a length in the head, or a status without a body
+  connection // neither: the body ends with its connection
+};
+
+// Returns the framing as it appears in logs, e.g. "chunks".
+std::string_view to_string(body_framing framing);
+
 // A request in progress. It has exclusive use of its connection until it is destroyed.
 class http_call {
 public:
@@ -95,9 +106,16 @@
   // next read tells whether the response is complete.
   virtual bool input_ended() = 0;
 
+  // Returns the framing of the response whose head was read last.
+  virtual body_framing framing() const = 0;
+
   // Returns whether the response has neither a length nor chunks, so that it ends with its connection. Valid
   // after read_head().
-  virtual bool ends_with_connection() const = 0;
+  bool ends_with_connection() const { return framing() == body_framing::connection; }
+
+  // Returns whether more bytes of the body are due, as the length of the body or of the current chunk states.
+  // Still valid after an error.
+  virtual bool body_bytes_due() const = 0;
 
   // Closes the connection, so that a pending read fails.
   virtual void abort() = 0;
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -145,6 +145,11 @@
 
 } // namespace
 
+std::string_view to_string(body_framing framing) {
+  constexpr std::string_view names[] = {"none", "chunks", "length", "connection"};
+  return names[static_cast<std::size_t>(framing)];
+}
+
 class http_client::impl : public std::enable_shared_from_this<http_client::impl> {
 public:
   impl(fiber_runtime& runtime, http_client_options options)
@@ -363,7 +368,16 @@
   bool reused() const override { return m_reused; }
   std::string_view proxy() const override { return m_proxy; }
   connection_history& history() override { return m_history; }
-  bool ends_with_connection() const override { return m_parser->need_eof(); }
+  body_framing framing() const override {
+    return !m_parser->is_header_done() ? body_framing::none
+           : m_parser->need_eof()      ? body_framing::connection
+           : m_parser->chunked()       ? body_framing::chunks
+                                       : body_framing::length;
+  }
+  bool body_bytes_due() const override {
+    return m_chunk_bytes_left > 0 ||
+           (framing() == body_framing::length && m_parser->content_length_remaining().value_or(0) > 0);
+  }
   bool reusable() const override { return m_reusable && m_buffer.size() == 0; }
 
   call_result<success> send(const http_request& request, milliseconds timeout) override {
@@ -458,6 +472,7 @@
         return to_call_error(error, true);
       }
       const std::size_t received = buffer.size() - m_parser->get().body().size;
+      m_chunk_bytes_left -= std::min<std::uint64_t>(received, m_chunk_bytes_left);
       if (received > 0) {
         record_input();
       }
@@ -561,6 +576,8 @@
     m_parser.emplace();
     m_parser->header_limit(m_max_header_bytes);
     m_parser->body_limit(boost::none);
+    m_chunk_bytes_left = 0;
+    m_parser->on_chunk_header(m_note_chunk);
   }
 
   void on_response_end() {
@@ -581,8 +598,13 @@
   duration m_max_idle_time = duration::max();
   time_point m_deadline = time_point::max();
   bool m_deadline_extended = false;
-  std::uint64_t m_body_bytes = 0;    // of the current response
-  std::uint64_t m_framing_bytes = 0; // chunk headers and trailers of the current response
+  std::uint64_t m_body_bytes = 0;       // of the current response
+  std::uint64_t m_framing_bytes = 0;    // chunk headers and trailers of the current response
+  std::uint64_t m_chunk_bytes_left = 0; // of the current chunk
+  std::function<void(std::uint64_t, beast::string_view, boost::system::error_code&)> m_note_chunk =
+      [this](std::uint64_t bytes, beast::string_view, boost::system::error_code&) {
+        m_chunk_bytes_left = bytes;
+      };
   // The rest of a request that the server responded to before all of it was written. With such a rest the
   // connection must not be reused: the server would read the next request as part of this one.
   std::string m_unsent_bytes;
