Take no stated end for that of a stream while an event is due

Cause: a run that continues a stream and states its end, with a length or a last chunk, was believed whatever had come before. The daemon knew better: the run before had been cut inside an event, inside a chunk or short of its length, so that at least one more event belonged to the stream.

Change: stream_completeness holds over the runs of a stream whether an event is due, and decides for each orderly end whether it may be that of the stream. An event of a later run settles it. A run that was cut between two events, with only the last chunk missing, proves nothing: its continuation may be empty as before, so that no sound stream is broken off or run once more.

--- a/packages/gateway/include/cardamompond/gateway/backend_call.hpp
+++ b/packages/gateway/include/cardamompond/gateway/backend_call.hpp
@@ -3,6 +3,7 @@
 #include "cardamompond/core/time.hpp"
 #include "cardamompond/gateway/event_splitter.hpp"
 #include "cardamompond/gateway/request_protocol.hpp"
+#include "cardamompond/gateway/stream_completeness.hpp"
 #include "cardamompond/net/http_client.hpp"
 #include "cardamompond/net/http_server.hpp"
 
@@ -37,6 +38,7 @@
 struct stream_relay {
   net::http_exchange* m_exchange = nullptr;
   event_splitter m_splitter;
+  stream_completeness m_completeness;
   bool m_head_sent = false; // whether the status and headers were sent to the caller
   time_point m_first_event;
   time_point m_last_event;
@@ -142,6 +144,7 @@
   void close_if_unidentified();
   call_outcome read_body();
   call_outcome relay_events();
+  run_end observe_run_end() const;
   std::optional<call_outcome> check_stream_end();
   std::optional<call_outcome> forward_events(std::string_view events);
 
--- a/packages/gateway/src/backend_call.cpp
+++ b/packages/gateway/src/backend_call.cpp
@@ -315,6 +315,9 @@
   }
   relay.m_last_event = now;
   const std::size_t event_count = relay.m_splitter.event_count();
+  if (event_count > 0) {
+    relay.m_completeness.record_event();
+  }
   relay.m_events_relayed += event_count;
   m_events_relayed += event_count;
   record_event_gap(event_count);
@@ -349,19 +352,23 @@
   }
 }
 
-// An engine that crashes may end its answer inside an event. If the answer ends with its connection, nothing
-// else tells a crash before the first event from the end of the stream. That holds for each call of a stream,
-// since a call that continues it may crash as well.
+run_end backend_call::observe_run_end() const {
+  return {.m_events = m_events_relayed,
+          .m_inside_event = is_inside_event(m_options.m_relay->m_splitter.remaining_bytes()),
+          .m_body_bytes_due = m_call->body_bytes_due(),
+          .m_ends_with_connection = m_call->ends_with_connection()};
+}
+
+// Checks whether the orderly end of the response can be that of the stream.
 std::optional<call_outcome> backend_call::check_stream_end() {
-  const stream_relay& relay = *m_options.m_relay;
-  if (is_inside_event(relay.m_splitter.remaining_bytes())) {
-    return abort_after_error(
-        {"the stream ended inside an event", true, false, m_call->ends_with_connection()});
-  }
-  if (m_events_relayed == 0 && m_call->ends_with_connection()) {
-    return abort_after_error({"the connection ended before the first event", true, false, true});
+  auto& completeness = m_options.m_relay->m_completeness;
+  const run_end end = observe_run_end();
+  const std::string_view contradiction = completeness.find_contradiction(end);
+  if (contradiction.empty()) {
+    return std::nullopt;
   }
-  return std::nullopt;
+  completeness.record_cut(end);
+  return abort_after_error({std::string(contradiction), true, false, end.m_ends_with_connection});
 }
 
 void backend_call::record_event_gap(std::size_t events) {
@@ -391,6 +398,7 @@
   while (true) {
     auto part = m_call->read_some(buffer, io_timeout());
     if (!part) {
+      relay.m_completeness.record_cut(observe_run_end());
       return abort_after_error(part.error());
     }
     if (m_cancelled) {
--- /dev/null
+++ b/packages/gateway/src/stream_completeness.cpp
@@ -0,0 +1,23 @@
+#include "cardamompond/gateway/stream_completeness.hpp"
+
+namespace cardamompond::gateway {
+
+void stream_completeness::record_cut(const run_end& end) {
+  m_event_due = m_event_due || end.m_inside_event || end.m_body_bytes_due;
+}
+
+std::string_view stream_completeness::find_contradiction(const run_end& end) const {
+  if (end.m_inside_event) {
+    return "the stream ended inside an event";
+  }
+  if (end.m_events > 0) {
+    return {};
+  }
+  // The connection of a server that crashed ends like that of one that has nothing to send.
+  if (end.m_ends_with_connection) {
+    return "the connection ended before the first event";
+  }
+  return m_event_due ? "the stream ended before an event of which a part had been received" : "";
+}
+
+} // namespace cardamompond::gateway
