--- a/packages/gateway/include/cardamompond/gateway/event_splitter.hpp
+++ b/packages/gateway/include/cardamompond/gateway/event_splitter.hpp
@@ -17,6 +17,10 @@
 // blank lines are no events.
 std::size_t count_events(std::string_view stream);
 
+// Returns whether the ids of the events in this part of a stream increase, as those of one run do, and are
+// larger than `last_id`. Compares only ids that are decimal numbers.
+bool ids_increase(std::string_view events, std::string_view last_id);
+
 // Splits a stream of server-sent events into complete events. If the stream of a backend server breaks within
 // an event, the caller has received complete events only, and another server can continue after the last of
 // them.
@@ -29,6 +33,10 @@
   // Number of events in the view that the last feed() returned.
   std::size_t event_count() const { return m_event_count; }
 
+  // Whether the ids in the view that the last feed() returned increase, from the last id before it on. If
+  // they do not, last_event_id() stays the one before.
+  bool ids_increase() const { return m_ids_increase; }
+
   // The id of the last complete event that had one; empty if none had.
   const std::string& last_event_id() const { return m_last_event_id; }
 
@@ -44,6 +52,7 @@
   std::string m_buffer;
   std::size_t m_complete_bytes = 0; // length of the part of m_buffer that feed() has returned
   std::size_t m_event_count = 0;
+  bool m_ids_increase = true;
   std::string m_last_event_id;
 };
 
--- a/packages/gateway/src/backend_call.cpp
+++ b/packages/gateway/src/backend_call.cpp
@@ -413,6 +413,9 @@
     }
     const std::string_view events = stream_ended ? relay.m_splitter.remaining_bytes()
                                                  : relay.m_splitter.feed({part->data(), part->size()});
+    if (!stream_ended && !relay.m_splitter.ids_increase()) {
+      return abort_after_error({"the id of an event does not follow the one before", true, false});
+    }
     if (const auto outcome = forward_events(events)) {
       m_call->abort();
       return *outcome;
--- a/packages/gateway/src/event_splitter.cpp
+++ b/packages/gateway/src/event_splitter.cpp
@@ -1,6 +1,9 @@
 #include "cardamompond/gateway/event_splitter.hpp"
 
 #include <algorithm>
+#include <charconv>
+#include <cstdint>
+#include <optional>
 #include <utility>
 
 namespace cardamompond::gateway {
@@ -25,6 +28,29 @@
   return line.empty() || line == "\r";
 }
 
+// Returns the value of a line "id: VALUE", or nullopt for other lines.
+std::optional<std::string_view> parse_id(std::string_view line) {
+  constexpr std::string_view id_field = "id:";
+  if (!line.starts_with(id_field)) {
+    return std::nullopt;
+  }
+  line.remove_prefix(id_field.size());
+  while (!line.empty() && line.front() == ' ') {
+    line.remove_prefix(1);
+  }
+  while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) {
+    line.remove_suffix(1);
+  }
+  return line;
+}
+
+// Returns the number that the text consists of, or nullopt.
+std::optional<std::uint64_t> parse_number(std::string_view text) {
+  std::uint64_t number = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+  return error == std::errc() && end == text.data() + text.size() ? std::optional(number) : std::nullopt;
+}
+
 bool is_field(std::string_view line) {
   return !is_blank(line) && !line.starts_with(':');
 }
@@ -63,6 +89,22 @@
   return count;
 }
 
+bool ids_increase(std::string_view events, std::string_view last_id) {
+  std::optional<std::uint64_t> last = parse_number(last_id);
+  while (!events.empty()) {
+    const auto line_end = std::min(events.find('\n'), events.size() - 1);
+    if (const auto id = parse_id(events.substr(0, line_end + 1))) {
+      const auto number = parse_number(*id);
+      if (number && last && *number <= *last) {
+        return false;
+      }
+      last = number ? number : last;
+    }
+    events.remove_prefix(line_end + 1);
+  }
+  return true;
+}
+
 std::string_view event_splitter::feed(std::string_view bytes) {
   m_buffer.erase(0, m_complete_bytes);
   // The bytes kept from earlier calls hold no whole separator, but a part of one may be at their end.
@@ -71,7 +113,10 @@
   const std::size_t end = find_last_event_end(std::string_view(m_buffer).substr(search_begin));
   m_complete_bytes = end == 0 ? 0 : search_begin + end;
   const std::string_view events = std::string_view(m_buffer).substr(0, m_complete_bytes);
-  update_last_event_id(events);
+  m_ids_increase = gateway::ids_increase(events, m_last_event_id);
+  if (m_ids_increase) {
+    update_last_event_id(events);
+  }
   m_event_count = count_events(events);
   return events;
 }
@@ -82,22 +127,13 @@
 }
 
 void event_splitter::update_last_event_id(std::string_view events) {
-  constexpr std::string_view id_field = "id:";
   std::size_t line_end = events.size();
   // Only the last id counts, so the search goes backwards line by line.
   while (line_end > 0) {
     const auto previous_newline = events.rfind('\n', line_end - 1);
     const std::size_t begin = previous_newline == std::string_view::npos ? 0 : previous_newline + 1;
-    std::string_view text = events.substr(begin, line_end - begin);
-    if (text.starts_with(id_field)) {
-      text.remove_prefix(id_field.size());
-      while (!text.empty() && text.front() == ' ') {
-        text.remove_prefix(1);
-      }
-      while (!text.empty() && (text.back() == '\r' || text.back() == '\n')) {
-        text.remove_suffix(1);
-      }
-      m_last_event_id = text;
+    if (const auto id = parse_id(events.substr(begin, line_end - begin))) {
+      m_last_event_id = *id;
       return;
     }
     if (begin == 0) {
--- a/packages/gateway/tests/event_splitter_test.cpp
+++ b/packages/gateway/tests/event_splitter_test.cpp
@@ -91,3 +91,19 @@
     CHECK(is_inside_event(broken));
   }
 }
+
+// Guards against repeated events that are taken for new ones, and against events whose ids are no numbers or
+// are left out and that are taken for repeated ones.
+TEST(event_splitter, notices_ids_that_do_not_increase) {
+  CHECK_TRUE(ids_increase("id: 3\ndata: id: 1\n\nid: 7\r\ndata: a\r\n\r\ndata: b\n\nid: 8\n\n", "2"));
+  CHECK_TRUE(ids_increase("id: b\n\nid: a\n\nid: 4\n\n", "3"));
+  CHECK_TRUE(ids_increase("id: 1\n\n", ""));
+  CHECK_FALSE(ids_increase("id: 2\n\n", "2"));
+  CHECK_FALSE(ids_increase("id: 3\n\nid:3\n\n", "2"));
+  CHECK_FALSE(ids_increase("id: 10\n\nid: 9\n\n", "2"));
+  event_splitter splitter;
+  splitter.feed("id: 1\n\nid: 2\n\n");
+  splitter.feed("id: 2\n\nid: 3\n\n");
+  CHECK_FALSE(splitter.ids_increase());
+  STRCMP_EQUAL("2", splitter.last_event_id().c_str());
+}
