Take no response with another status for the rest of a stream

The head that the caller got states the status of the stream. A response with another one, also 206, is no continuation of it, and ends the run as broken; a further server may continue the stream.

--- a/packages/gateway/include/cardamompond/gateway/backend_call.hpp
+++ b/packages/gateway/include/cardamompond/gateway/backend_call.hpp
@@ -40,6 +40,7 @@
   event_splitter m_splitter;
   stream_completeness m_completeness;
   bool m_head_sent = false; // whether the status and headers were sent to the caller
+  int m_status = 0; // of the head that was sent
   time_point m_first_event;
   time_point m_last_event;
   duration m_longest_pause{}; // between two events
--- a/packages/gateway/src/backend_call.cpp
+++ b/packages/gateway/src/backend_call.cpp
@@ -323,6 +323,7 @@
   record_event_gap(event_count);
   if (!relay.m_head_sent) {
     relay.m_head_sent = true;
+    relay.m_status = m_response.m_status;
     relay.m_first_event = relay.m_last_event;
     m_options.m_on_first_token();
     if (!relay.m_exchange->begin(m_response.m_status, m_protocol.make_caller_headers(m_response))) {
@@ -393,6 +394,9 @@
 
 call_outcome backend_call::relay_events() {
   stream_relay& relay = *m_options.m_relay;
+  if (relay.m_head_sent && m_response.m_status != relay.m_status) {
+    return abort_after_error({"the status is not that of the stream it continues", true, false});
+  }
   relay.m_splitter.drop_incomplete_event();
   std::array<char, 8192> buffer{};
   while (true) {
