Take no end at the deadline of a server for that of a stream

Callers could see a stream end as complete before its last event: a server stops work at the deadline that it was given, and one that then ends its response in an orderly way, with a last chunk or with its connection, was believed. The deadline is that of the route where the caller's is later.

An orderly end at or after the deadline ends the stream without its last chunk, as a response that is too late does. The comparison allows for the millisecond by which the deadline is rounded down for the server. An end 60 ms before the deadline is believed as before. A stream that is whole and ends within that millisecond or after its deadline is cut, too: its caller's time, or that of the route, is over.

--- a/packages/gateway/src/backend_call.cpp
+++ b/packages/gateway/src/backend_call.cpp
@@ -37,6 +37,9 @@
 // it to arrive.
 constexpr milliseconds response_margin{60};
 
+// The unit in which a server is given its deadline, rounded down.
+constexpr milliseconds deadline_unit{1};
+
 // Interval at which a silent call is offered to be given up again.
 constexpr milliseconds silence_check_interval{100};
 
@@ -357,7 +360,8 @@
   return {.m_events = m_events_relayed,
           .m_inside_event = is_inside_event(m_options.m_relay->m_splitter.remaining_bytes()),
           .m_body_bytes_due = m_call->body_bytes_due(),
-          .m_ends_with_connection = m_call->ends_with_connection()};
+          .m_ends_with_connection = m_call->ends_with_connection(),
+          .m_deadline_passed = monotonic_now() + deadline_unit >= m_options.m_deadline};
 }
 
 // Checks whether the orderly end of the response can be that of the stream.
--- a/packages/gateway/src/stream_completeness.cpp
+++ b/packages/gateway/src/stream_completeness.cpp
@@ -10,6 +10,10 @@
   if (end.m_inside_event) {
     return "the stream ended inside an event";
   }
+  // A server stops work at its deadline, and may end the response then as if it were whole.
+  if (end.m_deadline_passed) {
+    return "the stream ended at the deadline of its server";
+  }
   if (end.m_events > 0) {
     return {};
   }
