Believe the end of a stream that a paused daemon reads after the deadline

A server that stops at its deadline sends no event after it. An end is therefore taken for that of the server's time only if the last event was read before the deadline.

--- a/packages/gateway/src/backend_call.cpp
+++ b/packages/gateway/src/backend_call.cpp
@@ -357,11 +357,14 @@
 }
 
 run_end backend_call::observe_run_end() const {
+  // A daemon that was paused reads what came before the deadline after it, the last event and the end alike.
+  const bool ended_at_deadline = monotonic_now() + deadline_unit >= m_options.m_deadline &&
+                                 m_options.m_relay->m_last_event < m_options.m_deadline;
   return {.m_events = m_events_relayed,
           .m_inside_event = is_inside_event(m_options.m_relay->m_splitter.remaining_bytes()),
           .m_body_bytes_due = m_call->body_bytes_due(),
           .m_ends_with_connection = m_call->ends_with_connection(),
-          .m_deadline_passed = monotonic_now() + deadline_unit >= m_options.m_deadline};
+          .m_ended_at_deadline = ended_at_deadline};
 }
 
 // Checks whether the orderly end of the response can be that of the stream.
--- a/packages/gateway/src/stream_completeness.cpp
+++ b/packages/gateway/src/stream_completeness.cpp
@@ -11,7 +11,7 @@
     return "the stream ended inside an event";
   }
   // A server stops work at its deadline, and may end the response then as if it were whole.
-  if (end.m_deadline_passed) {
+  if (end.m_ended_at_deadline) {
     return "the stream ended at the deadline of its server";
   }
   if (end.m_events > 0) {
