Reset the connection of an HTTP/1.0 client if its response is cut

What callers saw: a caller that sends its request as HTTP/1.0 got a streamed response in chunks, so that the sizes of the chunks were part of its body. A stream that the daemon cut looked complete to it, because the connection ended in the orderly way, which for such a caller is the end of the body. With "Connection: keep-alive" the connection stayed open after a whole stream, so that the caller waited for the idle timeout.

Cause: the writer of responses did not look at the version of the request.

Change: for such a client, a body without a length ends with its connection. The socket is set to reset on close from the head on until finish(), so that also the end of the process is a reset; the handler's return without finish() closes it.

--- a/packages/net/include/cardamompond/net/http_server.hpp
+++ b/packages/net/include/cardamompond/net/http_server.hpp
@@ -30,7 +30,8 @@
 
 // A request received by the server and its response. A handler either calls respond() once, or begin(), then
 // write() any number of times, then finish(). If the handler returns after begin() but before finish(), the
-// connection is closed without the final chunk, so that the client sees that the response is incomplete.
+// connection is closed without the final chunk, or reset if the client knows no chunks, so that the client
+// sees that the response is incomplete.
 class http_exchange {
 public:
   virtual ~http_exchange() = default;
@@ -48,7 +49,7 @@
   virtual io_result<success> respond(const http_response& response) = 0;
 
   // Sends the status and headers of a response whose body follows. The body uses chunked encoding unless
-  // `headers` has a Content-Length.
+  // `headers` has a Content-Length. For a client of HTTP/1.0, it ends with the connection instead.
   virtual io_result<success> begin(int status, const http_headers& headers) = 0;
 
   // Sends a part of the body. Blocks the fiber while the client does not read, at most for the write timeout.
--- a/packages/net/src/fiber_stream.cpp
+++ b/packages/net/src/fiber_stream.cpp
@@ -227,6 +227,11 @@
   }
 }
 
+void fiber_stream::set_reset_on_close(bool resets) {
+  const linger option{resets ? 1 : 0, 0};
+  ::setsockopt(m_socket.native_handle(), SOL_SOCKET, SO_LINGER, &option, sizeof option);
+}
+
 // If `or_readable` is set, waits until the socket is writable or readable. The first of the two waits to
 // complete resumes the fiber, and the other is cancelled.
 error_code fiber_stream::wait_writable(bool or_readable, bool& readable) {
--- a/packages/net/src/fiber_stream.hpp
+++ b/packages/net/src/fiber_stream.hpp
@@ -95,6 +95,10 @@
   // zero ends the probes.
   void set_keep_alive_probes(duration timeout);
 
+  // Sets whether the end of the connection is a reset, also when the kernel closes it because the process has
+  // ended. What the peer has not received yet is lost then.
+  void set_reset_on_close(bool resets);
+
   // Makes a blocked call return operation_aborted.
   void cancel();
 
--- a/packages/net/src/http_request_reader.cpp
+++ b/packages/net/src/http_request_reader.cpp
@@ -214,6 +214,8 @@
   auto message = parser.release();
   m_unfinished_body = &message.body();
   m_request_keep_alive = message.keep_alive();
+  constexpr unsigned first_version_with_chunks = 11; // HTTP/1.1
+  m_client_reads_chunks = message.version() >= first_version_with_chunks;
   m_request.m_method = message.method_string();
   m_request.m_target = message.target();
   m_request.m_headers.clear();
--- a/packages/net/src/http_response_writer.cpp
+++ b/packages/net/src/http_response_writer.cpp
@@ -138,9 +138,13 @@
       std::from_chars(length->data(), length->data() + length->size(), m_body_bytes_left);
     }
     m_response_state = response_state::fixed_length_body;
-  } else {
+  } else if (m_client_reads_chunks) {
     framing = "Transfer-Encoding: chunked\r\n";
     m_response_state = response_state::chunked_body;
+  } else {
+    m_close = true;
+    m_stream.set_reset_on_close(true); // until the body is complete
+    m_response_state = response_state::body_to_end_of_connection;
   }
   const std::string head = serialise_head(status, headers, announce_connection_use(), framing);
   return write_buffers(asio::buffer(head));
@@ -157,6 +161,9 @@
     m_body_bytes_left -= data.size();
     return write_buffers(asio::buffer(data.data(), data.size()));
   }
+  if (m_response_state == response_state::body_to_end_of_connection) {
+    return write_buffers(asio::buffer(data.data(), data.size()));
+  }
   if (m_response_state != response_state::chunked_body) {
     return io_error{"no answer begun"};
   }
@@ -207,6 +214,14 @@
     m_response_state = response_state::finished;
     return success{};
   }
+  if (m_response_state == response_state::body_to_end_of_connection) {
+    if (!m_stream.socket().is_open()) {
+      return io_error{"the connection was closed before the end of the body"};
+    }
+    m_stream.set_reset_on_close(false);
+    m_response_state = response_state::finished;
+    return success{};
+  }
   if (m_response_state != response_state::chunked_body) {
     return io_error{"no answer begun"};
   }
--- a/packages/net/src/http_server_impl.hpp
+++ b/packages/net/src/http_server_impl.hpp
@@ -86,7 +86,11 @@
   void serve() {
     while (!m_close && serve_one()) {
     }
-    close_gracefully();
+    if (m_response_state == response_state::body_to_end_of_connection) {
+      close(); // resets the connection, since the body is not complete
+    } else {
+      close_gracefully();
+    }
   }
 
   void close() {
@@ -120,7 +124,7 @@
   class reader;
   friend class reader;
 
-  enum class response_state { none, fixed_length_body, chunked_body, finished };
+  enum class response_state { none, fixed_length_body, chunked_body, body_to_end_of_connection, finished };
 
   // Reads and handles one request. Returns whether the connection can serve another one.
   bool serve_one();
@@ -180,6 +184,7 @@
   bool m_stated_open = false;       // the last response told the client that it may use the connection again
   milliseconds m_stated_timeout{0}; // idle timeout that was in force when the last response began
   bool m_request_keep_alive = true;
+  bool m_client_reads_chunks = true; // false for HTTP/1.0
 };
 
 } // namespace cardamompond::net
