Report a stream that is cut after a failure response as broken

What was seen: the log and the metrics said "caller_gone" with the status of the failure for a stream that the daemon had cut. The caller saw a connection that ended without the last chunk, as it should.

Cause: a server fails a request with a 5xx of its own, which is held for the caller; the next server streams some events and breaks. finish_after_failure() then tried to send the held response, which the exchange refuses because a response has begun, and a response that cannot be sent counts as a caller that left.

Evidence: a_stream_that_is_cut_after_a_failure_response_is_reported_as_broken failed before with result="caller_gone".

Change: a held response is sent only if no head was sent.

--- a/packages/gateway/src/request_outcome.cpp
+++ b/packages/gateway/src/request_outcome.cpp
@@ -197,7 +197,7 @@
 // Ends a request that gets no further dispatch. Returns the error for the caller, or nothing if the held
 // response of a server was sent.
 std::optional<request_error> request_handler::request_processor::finish_after_failure() {
-  if (m_held_response) {
+  if (m_held_response && !m_relay.m_head_sent) {
     send_response();
     return std::nullopt;
   }
