Open a connection apart from the pool and the router

For a question whose answer must not be that of an earlier connection, and whose failure is no evidence about the path of this daemon. call_error states whether a connection was refused or reset.

--- a/packages/net/include/cardamompond/net/http_client.hpp
+++ b/packages/net/include/cardamompond/net/http_client.hpp
@@ -21,6 +21,8 @@
   bool m_sent = false; // if true, the server may have executed the request
   bool m_timeout = false;
   bool m_closed_by_server = false; // the server closed or reset the connection
+  bool m_refused = false;          // nothing listens at the address
+  bool m_reset = false;            // the connection was reset
 };
 
 template <typename T> using call_result = result<T, call_error>;
@@ -145,6 +147,8 @@
   milliseconds m_max_idle_time{30'000}; // for reusing an idle connection; 0 forces a new one
   milliseconds m_connect_timeout{1'000};
   time_point m_opened_after{}; // an idle connection that was opened earlier is closed instead of reused
+  // Opens a direct connection without regard to the pool and the router, and tells the router nothing.
+  bool m_isolated = false;
 };
 
 // An HTTP/1.1 client with a pool of keep-alive connections for each server address ("127.0.0.1:9001"). Before
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -74,7 +74,12 @@
   const bool closed_by_server = error == asio::error::eof || error == asio::error::connection_reset ||
                                 error == asio::error::broken_pipe || error == http::error::end_of_stream ||
                                 error == http::error::partial_message;
-  return {error.message(), sent, error == beast::error::timeout, closed_by_server};
+  return {error.message(),
+          sent,
+          error == beast::error::timeout,
+          closed_by_server,
+          error == asio::error::connection_refused,
+          error == asio::error::connection_reset};
 }
 
 bool is_interim_status(unsigned status) {
@@ -631,9 +636,9 @@
 call_result<std::unique_ptr<http_call>> http_client::open(std::string_view address,
                                                           connection_options options) {
   std::string key(address);
-  connection_router* const router = m_impl->m_router;
+  connection_router* const router = options.m_isolated ? nullptr : m_impl->m_router;
   const connection_route route = router != nullptr ? router->choose_route(address) : connection_route{};
-  auto idle = m_impl->take_idle(key, options, route);
+  auto idle = options.m_isolated ? std::nullopt : m_impl->take_idle(key, options, route);
   const bool reused = idle.has_value();
   const time_point opened_at = reused ? idle->m_opened_at : monotonic_now();
   std::string proxy = reused ? std::move(idle->m_proxy) : std::string();
