Ask whether the server still runs before the end of an unframed stream is believed

Callers saw a stream that ends as complete, with the final chunk of the daemon, after some of its events.

Cause: a response with neither a length nor chunks ends with its connection. When the process of the server crashes between two events, the kernel ends its connections in the same orderly way, and the end was believed after any event.

Change: at such an end, the server is asked for its report, over a connection of its own. If nothing listens at the address, or it closes the connection twice without a response, or a server with another id answers, the run is broken: a resumable stream goes on at another server, others end without the final chunk. If the server answers, or nothing shows either within 100 ms, the end is believed as before. A server that is known to leave, or that asked for a pause, is not asked, nor is one that is reached through a peer, where a failure could be the peer's. Streams of one server that end together share the answers: one question at a time, and none counts for a stream that ended after it.

--- a/packages/gateway/include/cardamompond/gateway/backend_call.hpp
+++ b/packages/gateway/include/cardamompond/gateway/backend_call.hpp
@@ -40,7 +40,7 @@
   event_splitter m_splitter;
   stream_completeness m_completeness;
   bool m_head_sent = false; // whether the status and headers were sent to the caller
-  int m_status = 0; // of the head that was sent
+  int m_status = 0;         // of the head that was sent
   time_point m_first_event;
   time_point m_last_event;
   duration m_longest_pause{}; // between two events
@@ -70,6 +70,9 @@
   std::function<void(const response_metadata&, std::string_view proxy)> m_on_server_notices;
   // Whether the server still takes requests; asked before each request that is sent to it.
   std::function<bool()> m_may_send;
+  // Called after the last event of a run that ended with its connection, unless a peer passed it on. Returns
+  // whether the process of the server has ended, too. Blocks the fiber.
+  std::function<bool(const run_end&)> m_server_is_gone;
 };
 
 // One dispatch of a request: opens a connection to the backend server, reserves room if that is required,
--- a/packages/gateway/include/cardamompond/gateway/request_handler.hpp
+++ b/packages/gateway/include/cardamompond/gateway/request_handler.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "cardamompond/gateway/admission_controller.hpp"
+#include "cardamompond/gateway/http_server_probe.hpp"
 #include "cardamompond/gateway/request_protocol.hpp"
+#include "cardamompond/gateway/server_survival.hpp"
 #include "cardamompond/net/http_client.hpp"
 #include "cardamompond/net/http_server.hpp"
 #include "cardamompond/telemetry/request_metrics.hpp"
@@ -51,6 +53,8 @@
   const request_protocol& m_protocol;
   request_metrics& m_metrics;
   request_handler_options m_options;
+  http_server_probe m_server_probe;
+  server_survival m_survival;
   std::set<request_processor*> m_running; // requests in progress
   bool m_ending = false;
 };
--- a/packages/gateway/src/backend_call.cpp
+++ b/packages/gateway/src/backend_call.cpp
@@ -371,7 +371,12 @@
 std::optional<call_outcome> backend_call::check_stream_end() {
   auto& completeness = m_options.m_relay->m_completeness;
   const run_end end = observe_run_end();
-  const std::string_view contradiction = completeness.find_contradiction(end);
+  std::string_view contradiction = completeness.find_contradiction(end);
+  // The connection of a server that crashes between two events ends like that of one that has sent all.
+  if (contradiction.empty() && end.m_ends_with_connection && m_call->proxy().empty() &&
+      m_options.m_server_is_gone(end)) {
+    contradiction = "the server was gone after the end of the connection";
+  }
   if (contradiction.empty()) {
     return std::nullopt;
   }
--- a/packages/gateway/src/request_handler.cpp
+++ b/packages/gateway/src/request_handler.cpp
@@ -20,7 +20,9 @@
     , m_admission(admission)
     , m_protocol(protocol)
     , m_metrics(metrics)
-    , m_options(std::move(options)) {}
+    , m_options(std::move(options))
+    , m_server_probe(client, protocol)
+    , m_survival(m_server_probe) {}
 
 void request_handler::handle(net::http_exchange& exchange) {
   request_processor(*this, exchange).run();
--- a/packages/gateway/src/request_processor.cpp
+++ b/packages/gateway/src/request_processor.cpp
@@ -28,6 +28,9 @@
 // A request with a body up to this size is sent without waiting for the server to read it.
 constexpr std::size_t max_offered_body_bytes = 64U << 10U;
 
+// The end of a stream waits at most this long for the answer to whether its server still runs.
+constexpr milliseconds survival_timeout{100};
+
 // Whether the status tells a caller that its request has not run. A response with such a status counts as
 // broken unless the server itself states that it did not run the request.
 bool status_implies_not_run(int status) {
@@ -279,9 +282,44 @@
   options.m_may_send = [this, &grant] {
     return m_handler.m_admission.dispatcher().may_send(grant.m_server, monotonic_now());
   };
+  options.m_server_is_gone = [this, &grant](const run_end& end) { return is_gone(grant.m_server, end); };
   return options;
 }
 
+// Whether the server is known to leave, or must not be sent anything.
+bool request_handler::request_processor::is_leaving(const fleet::backend_server& server) const {
+  auto& admission = m_handler.m_admission;
+  const auto& listed = admission.known_fleet().backend_servers();
+  const auto entry =
+      std::find_if(listed.begin(), listed.end(), [&](const auto& each) { return each.m_id == server.m_id; });
+  return entry == listed.end() || entry->m_draining ||
+         !admission.dispatcher().may_send(server, monotonic_now());
+}
+
+// Finds out whether the process of the server ended with the connection of its stream. A server that leaves
+// may end right after its last stream, so that its absence would say nothing.
+bool request_handler::request_processor::is_gone(const fleet::backend_server& server, const run_end& end) {
+  const time_point asked_at = monotonic_now();
+  const time_point until = std::min<time_point>(asked_at + survival_timeout, m_deadline);
+  if (until <= asked_at || is_leaving(server)) {
+    return false;
+  }
+  auto& survival = m_handler.m_survival;
+  const survival_verdict verdict = survival.find_out(server, until);
+  m_handler.m_metrics.set_counter("cardamompond_stream_end_verdicts_total", "verdict", to_string(verdict),
+                                  static_cast<double>(survival.count(verdict)));
+  if (verdict != survival_verdict::answered) {
+    log_event(log_level::info, "stream_end_doubted",
+              {{"request_id", m_request.m_id},
+               {"backend_server", server.m_id},
+               {"framing", net::to_string(net::body_framing::connection)},
+               {"events", end.m_events},
+               {"verdict", to_string(verdict)},
+               {"ms", std::chrono::duration_cast<milliseconds>(monotonic_now() - asked_at).count()}});
+  }
+  return verdict == survival_verdict::gone;
+}
+
 // A request counts once, however many servers run it.
 void request_handler::request_processor::record_run() {
   if (!std::exchange(m_run_recorded, true)) {
--- a/packages/gateway/src/request_processor.hpp
+++ b/packages/gateway/src/request_processor.hpp
@@ -76,6 +76,8 @@
   call_outcome dispatch(attempt& current);
   call_options make_call_options(const fleet::dispatch_grant& grant);
   bool handle_silence(const fleet::dispatch_grant& grant);
+  bool is_leaving(const fleet::backend_server& server) const;
+  bool is_gone(const fleet::backend_server& server, const run_end& end);
   bool prepare_replacement();
   bool offer_to_replacement(attempt& next);
   void release_replacement(call_outcome outcome);
