Resume a response that is to be recorded, as any other

A request that may run at most once was lost to its caller and to all retries (in_progress) when its response was cut off, although the backend server could be asked for the rest: only responses that are streamed to the caller were resumed. Seen in a test: a_response_that_is_recorded_is_resumed fails without this change.

body_reader now reads the body of both, over as many calls as it takes; the code is the forwarder's.

--- /dev/null
+++ b/packages/daemon/src/body_reader.cpp
@@ -0,0 +1,126 @@
+#include "body_reader.hpp"
+
+#include <boost/beast/core/string.hpp>
+#include <boost/fiber/operations.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace cardamompond::daemon {
+namespace {
+
+constexpr std::string_view event_stream_type = "text/event-stream";
+
+constexpr std::size_t buffer_bytes = 16U << 10U;
+
+// Maximum number of attempts to resume a body after one interruption.
+constexpr int max_resume_attempts = 3;
+constexpr milliseconds resume_interval{50};
+
+} // namespace
+
+bool is_event_stream(const net::http_response& head) {
+  const auto type = net::find_header(head.m_headers, "Content-Type");
+  return type && boost::beast::iequals(type->substr(0, event_stream_type.size()), event_stream_type);
+}
+
+milliseconds time_until(time_point deadline) {
+  return std::max(milliseconds(1), std::chrono::ceil<milliseconds>(deadline - monotonic_now()));
+}
+
+body_reader::body_reader(net::http_client& client, const forward_request& request,
+                         const caller_monitor::watch& caller_watch, const response_meter& meter,
+                         std::unique_ptr<net::http_call>& call)
+    : m_client(client)
+    , m_request(request)
+    , m_caller_watch(caller_watch)
+    , m_meter(meter)
+    , m_call(call)
+    , m_buffer_storage(std::make_unique_for_overwrite<char[]>(buffer_bytes))
+    , m_buffer(m_buffer_storage.get(), buffer_bytes) {}
+
+void body_reader::begin(const backend_answer& answer) {
+  m_answer_identified = answer.m_identified;
+  m_stream_id = std::string(net::find_header(answer.m_head.m_headers, "X-Stream-Id").value_or(""));
+  m_event_stream = is_event_stream(answer.m_head);
+}
+
+net::call_result<std::span<const char>> body_reader::read_some() {
+  while (true) {
+    auto part = read_part();
+    if (part) {
+      return part;
+    }
+    // A server that ends the stream at the same offset again has no more of it.
+    const bool has_no_more = std::exchange(m_ended_early, false) && m_resumed_at == m_meter.bytes();
+    // A response that is to be recorded is read to its end without its caller.
+    const bool unwanted = m_caller_watch.closed() && !m_request.m_record_response;
+    if (unwanted || monotonic_now() >= m_request.m_deadline || has_no_more || !resume()) {
+      return part;
+    }
+    m_resumed_at = m_meter.bytes();
+  }
+}
+
+// Reads a part of the body from the current call. A stream that ends inside an event was broken off by the
+// backend server, even if its connection was closed in an orderly way. The end of a connection that brought
+// nothing is that of a server that crashed, unless a length or chunks show that nothing was to come. A stream
+// that has its last event is whole, whatever becomes of the connection.
+net::call_result<std::span<const char>> body_reader::read_part() {
+  auto part = m_call->read_some(m_buffer, time_until(m_request.m_deadline));
+  if (!part && m_event_stream && m_meter.has_last_event()) {
+    m_call->abort();
+    return std::span<const char>();
+  }
+  if (part) {
+    m_bytes_of_call += part->size();
+  }
+  if (part && part->empty() && m_event_stream &&
+      (m_meter.is_inside_event() || (m_call->ends_with_connection() && !m_resumed_inside_event &&
+                                     !m_meter.has_event_in_last(m_bytes_of_call)))) {
+    m_call->abort();
+    m_ended_early = true;
+    return net::call_error{"the stream ended inside an event or before its first one", true};
+  }
+  return part;
+}
+
+// Resumes an interrupted body on the same backend server, from the offset reached.
+bool body_reader::resume() {
+  if (m_stream_id.empty()) {
+    return false;
+  }
+  for (int attempt = 0; attempt < max_resume_attempts && monotonic_now() < m_request.m_deadline; ++attempt) {
+    if (attempt > 0) {
+      boost::this_fiber::sleep_for(resume_interval);
+    }
+    // Over a new connection, the answer is known even if it states no id.
+    auto opened = m_client.open(m_request.m_permit->m_address, {.m_max_idle_time = milliseconds(0)});
+    if (!opened) {
+      continue;
+    }
+    m_call = std::move(*opened);
+    m_answer_identified = false;
+    m_bytes_of_call = 0;
+    m_resumed_inside_event = m_meter.is_inside_event();
+    m_call->set_deadline(m_request.m_deadline);
+    const net::http_request request{"GET",
+                                    "/streams/" + m_stream_id + "?offset=" + std::to_string(m_meter.bytes()),
+                                    {{std::string(request_id_header), m_request.m_request_id}},
+                                    {}};
+    if (!m_call->send(request, time_until(m_request.m_deadline))) {
+      continue;
+    }
+    const auto answer = read_answer(*m_call, m_request.m_request_id, m_request.m_permit->m_address,
+                                    time_until(m_request.m_deadline));
+    if (!answer) {
+      continue;
+    }
+    m_answer_identified = answer->m_identified;
+    // With another status, the backend server no longer has the body.
+    return answer->m_head.m_status == 200;
+  }
+  return false;
+}
+
+} // namespace cardamompond::daemon
--- a/packages/daemon/src/forwarder.cpp
+++ b/packages/daemon/src/forwarder.cpp
@@ -1,15 +1,13 @@
 #include "cardamompond/daemon/forwarder.hpp"
 
 #include "backend_answer.hpp"
+#include "body_reader.hpp"
 #include "cardamompond/cell/claim_store.hpp"
 #include "cardamompond/daemon/response_meter.hpp"
 
 #include <boost/beast/core/string.hpp>
-#include <boost/beast/http/rfc7230.hpp>
-#include <boost/fiber/operations.hpp>
 
 #include <algorithm>
-#include <array>
 #include <memory>
 #include <span>
 #include <tuple>
@@ -21,14 +19,6 @@
 using connection_choice = net::http_client::connection_choice;
 using scheduler::outcome;
 
-constexpr std::string_view event_stream_type = "text/event-stream";
-
-constexpr std::size_t buffer_bytes = 16U << 10U;
-
-// Maximum number of attempts to resume a stream after one interruption.
-constexpr int max_resume_attempts = 3;
-constexpr milliseconds resume_interval{50};
-
 // Timeout of the call that cancels a request at its backend server.
 constexpr milliseconds cancel_timeout{500};
 constexpr std::size_t max_cancel_response_bytes = 64U << 10U;
@@ -37,15 +27,6 @@
   return boost::beast::iequals(left, right);
 }
 
-bool is_event_stream(const net::http_response& head) {
-  const auto type = net::find_header(head.m_headers, "Content-Type");
-  return type && header_names_equal(type->substr(0, event_stream_type.size()), event_stream_type);
-}
-
-milliseconds time_until(time_point deadline) {
-  return std::max(milliseconds(1), std::chrono::ceil<milliseconds>(deadline - monotonic_now()));
-}
-
 } // namespace
 
 net::http_headers end_to_end_headers(const net::http_headers& headers) {
@@ -73,7 +54,8 @@
       , m_observer(observer)
       , m_call(std::move(call))
       , m_started(monotonic_now())
-      , m_last_chunk(m_started) {
+      , m_last_chunk(m_started)
+      , m_body(client, request, caller_watch, m_meter, m_call) {
     // A request that may run at most once continues without its caller, so that a retry gets the recorded
     // response.
     if (!m_request.m_record_response) {
@@ -87,15 +69,12 @@
   forward_result run();
 
 private:
-  net::call_result<net::http_response> read_head();
   forward_result forward_response();
-  net::call_result<std::span<const char>> read_body_part(bool event_stream);
   forward_result handle_call_error(const net::call_error& error, bool response_begun);
   forward_result make_backend_refusal();
   forward_result buffer_response(const net::http_response& head);
   forward_result stream_response(const net::http_response& head, std::string_view already_read);
   std::optional<forward_result> write_chunk(std::span<const char> chunk);
-  bool resume();
   void cancel_at_backend();
   forward_result make_result(forward_status status, outcome result, int backend_status);
   net::http_headers make_response_headers(const net::http_response& head) const;
@@ -110,14 +89,7 @@
   time_point m_last_chunk;
   std::optional<duration> m_first_token;
   response_meter m_meter;
-  std::string m_stream_id;
-  bool m_answer_identified = false;  // the response states the id of the request
-  bool m_ended_early = false;        // set by read_body_part()
-  std::uint64_t m_bytes_of_call = 0; // of the body, in m_call; a stream may take several calls
-  bool m_resumed_inside_event = false;
-  // The buffer is left uninitialized, so that a small response touches only one page of it.
-  std::unique_ptr<char[]> m_buffer_storage = std::make_unique_for_overwrite<char[]>(buffer_bytes);
-  std::span<char> m_buffer{m_buffer_storage.get(), buffer_bytes};
+  body_reader m_body;
 };
 
 forward_result dispatch::make_result(forward_status status, outcome result, int backend_status) {
@@ -139,10 +111,10 @@
 // Cancels the request at the backend server by its stream id. If it has no stream id, or if that call fails,
 // the request is cancelled by closing the connection.
 void dispatch::cancel_at_backend() {
-  if (!m_stream_id.empty()) {
+  if (!m_body.stream_id().empty()) {
     m_call->abort();
     const auto confirmed =
-        m_client.fetch(m_request.m_permit->m_address, {"DELETE", "/streams/" + m_stream_id, {}, {}},
+        m_client.fetch(m_request.m_permit->m_address, {"DELETE", "/streams/" + m_body.stream_id(), {}, {}},
                        cancel_timeout, max_cancel_response_bytes, connection_choice::fresh);
     if (confirmed) {
       return;
@@ -185,21 +157,9 @@
   return headers;
 }
 
-// Reads the head of the answer to the request.
-net::call_result<net::http_response> dispatch::read_head() {
-  m_answer_identified = false;
-  auto answer = read_answer(*m_call, m_request.m_request_id, m_request.m_permit->m_address,
-                            time_until(m_request.m_deadline));
-  if (!answer) {
-    return answer.error();
-  }
-  m_answer_identified = answer->m_identified;
-  return std::move(answer->m_head);
-}
-
 forward_result dispatch::run() {
   auto forwarded = forward_response();
-  if (!m_answer_identified) {
+  if (!m_body.answer_identified()) {
     // A late copy of the response could not be told from the response to the next request.
     m_call->abort();
   }
@@ -211,43 +171,21 @@
   if (const auto sent = m_call->send(m_request.m_backend_request, time_until(m_request.m_deadline)); !sent) {
     return handle_call_error(sent.error(), false);
   }
-  auto head = read_head();
-  if (!head) {
-    return handle_call_error(head.error(), false);
+  const auto answer = read_answer(*m_call, m_request.m_request_id, m_request.m_permit->m_address,
+                                  time_until(m_request.m_deadline));
+  if (!answer) {
+    return handle_call_error(answer.error(), false);
   }
-  if (is_refusal(*head)) {
+  if (is_refusal(answer->m_head)) {
     // A late copy of the refusal bears the id of the request, which may be sent to this server again.
     m_call->abort();
     return make_backend_refusal();
   }
-  m_stream_id = std::string(net::find_header(head->m_headers, "X-Stream-Id").value_or(""));
+  m_body.begin(*answer);
   if (m_request.m_record_response) {
-    return buffer_response(*head);
-  }
-  return stream_response(*head, {});
-}
-
-// Reads a part of the body. A stream that ends inside an event was broken off by the backend server, even if
-// its connection was closed in an orderly way. The end of a connection that brought nothing is that of a
-// server that crashed, unless a length or chunks show that nothing was to come. A stream that has its last
-// event is whole, whatever becomes of the connection.
-net::call_result<std::span<const char>> dispatch::read_body_part(bool event_stream) {
-  auto part = m_call->read_some(m_buffer, time_until(m_request.m_deadline));
-  if (!part && event_stream && m_meter.has_last_event()) {
-    m_call->abort();
-    return std::span<const char>();
+    return buffer_response(answer->m_head);
   }
-  if (part) {
-    m_bytes_of_call += part->size();
-  }
-  if (part && part->empty() && event_stream &&
-      (m_meter.is_inside_event() || (m_call->ends_with_connection() && !m_resumed_inside_event &&
-                                     !m_meter.has_event_in_last(m_bytes_of_call)))) {
-    m_call->abort();
-    m_ended_early = true;
-    return net::call_error{"the stream ended inside an event or before its first one", true};
-  }
-  return part;
+  return stream_response(answer->m_head, {});
 }
 
 // Reads the response to a request that may run at most once. It is recorded before the caller receives any of
@@ -257,9 +195,8 @@
   buffered.m_response.m_status = head.m_status;
   buffered.m_response.m_headers = make_response_headers(head);
   std::string& body = buffered.m_response.m_body;
-  const bool event_stream = is_event_stream(head);
   while (true) {
-    const auto chunk = read_body_part(event_stream);
+    const auto chunk = m_body.read_some();
     if (!chunk) {
       return handle_call_error(chunk.error(), false);
     }
@@ -294,11 +231,11 @@
 }
 
 forward_result dispatch::stream_response(const net::http_response& head, std::string_view already_read) {
-  const bool event_stream = is_event_stream(head);
   net::http_headers headers = make_response_headers(head);
   // An event stream gets no length, so that the caller can see whether it is complete although all its bytes
   // came.
-  if (const auto length = net::find_header(head.m_headers, "Content-Length"); length && !event_stream) {
+  if (const auto length = net::find_header(head.m_headers, "Content-Length");
+      length && !is_event_stream(head)) {
     headers.push_back({"Content-Length", std::string(*length)});
   }
   if (!m_exchange.begin(head.m_status, headers)) {
@@ -309,17 +246,10 @@
     cancel_at_backend();
     return make_result(forward_status::broken, outcome::cancelled, head.m_status);
   }
-  std::optional<std::uint64_t> resumed_at; // offset of the last resumption
   while (true) {
-    const auto chunk = read_body_part(event_stream);
+    const auto chunk = m_body.read_some();
     if (!chunk) {
-      // A server that ends the stream at the same offset again has no more of it.
-      const bool has_no_more = std::exchange(m_ended_early, false) && resumed_at == m_meter.bytes();
-      if (m_caller_watch.closed() || monotonic_now() >= m_request.m_deadline || has_no_more || !resume()) {
-        return handle_call_error(chunk.error(), true);
-      }
-      resumed_at = m_meter.bytes();
-      continue;
+      return handle_call_error(chunk.error(), true);
     }
     if (chunk->empty()) {
       break;
@@ -339,42 +269,6 @@
   return make_result(finished ? forward_status::answered : forward_status::broken, result, head.m_status);
 }
 
-// Resumes an interrupted response on the same backend server, from the offset reached.
-bool dispatch::resume() {
-  if (m_stream_id.empty()) {
-    return false;
-  }
-  for (int attempt = 0; attempt < max_resume_attempts && monotonic_now() < m_request.m_deadline; ++attempt) {
-    if (attempt > 0) {
-      boost::this_fiber::sleep_for(resume_interval);
-    }
-    // Over a new connection, the answer is known even if it states no id.
-    auto opened = m_client.open(m_request.m_permit->m_address, {.m_max_idle_time = milliseconds(0)});
-    if (!opened) {
-      continue;
-    }
-    m_call = std::move(*opened);
-    m_bytes_of_call = 0;
-    m_resumed_inside_event = m_meter.is_inside_event();
-    m_call->set_deadline(m_request.m_deadline);
-    const net::http_request request{"GET",
-                                    "/streams/" + m_stream_id + "?offset=" + std::to_string(m_meter.bytes()),
-                                    {{std::string(request_id_header), m_request.m_request_id}},
-                                    {}};
-    if (!m_call->send(request, time_until(m_request.m_deadline))) {
-      continue;
-    }
-    const auto head = read_head();
-    if (head && head->m_status == 200) {
-      return true;
-    }
-    if (head) {
-      return false; // the backend server no longer has the stream
-    }
-  }
-  return false;
-}
-
 } // namespace
 
 forwarder::forwarder(net::fiber_runtime& runtime, permit_client& permits)
--- a/packages/daemon/tests/forwarder_test.cpp
+++ b/packages/daemon/tests/forwarder_test.cpp
@@ -41,6 +41,19 @@
   UNSIGNED_LONGS_EQUAL(2, backend.requests().size());
 }
 
+// Guards against a request that may run at most once whose response is lost, to its caller and to all
+// retries, although its backend server still has the rest of it.
+TEST(forwarder_group, a_response_that_is_recorded_is_resumed) {
+  const raw_backend backend(
+      {head + "Content-Length: 18\r\n\r\ndata: a\n\n", head + "Content-Length: 9\r\n\r\ndata: b\n\n"});
+  const auto received = forward_recorded(backend);
+  CHECK(received.m_complete);
+  STRCMP_EQUAL("data: a\n\ndata: b\n\n", received.m_body.c_str());
+  UNSIGNED_LONGS_EQUAL(1, received.m_recorded.size());
+  CHECK(received.m_recorded.at(0).m_complete);
+  STRCMP_EQUAL(received.m_body.c_str(), received.m_recorded.at(0).m_response.m_body.c_str());
+}
+
 // Guards against endless resumption of a stream that ends at the same offset each time.
 TEST(forwarder_group, a_stream_without_progress_is_resumed_once) {
   const raw_backend backend({unframed_head + "data: a\n\ndata: b", unframed_head});
