Take no stated end for that of a body while bytes of it are due

Callers of a cell could see a stream, or another response in chunks, end as complete with bytes missing: the first response was cut off short of its length, behind the size of a chunk or inside a chunk, and its resumption stated its end at once (last chunk, or length 0), or after less or more than the length that the first one had stated.

Cause: each response was judged by itself; what the first one had announced was forgotten when it was resumed. The check for a stream that ends inside an event does not see a cut behind a whole event, and did not apply to other bodies at all.

Change: body_completeness holds over all responses of a body how long it is, or how long at least, and decides for each orderly end whether it can be that of the body. A cut with only the last chunk missing proves nothing, so that its rest may be empty as before. response_interrupted, at most four lines for a request, says how each response was framed, where it stopped and why its end was not believed.

--- /dev/null
+++ b/packages/daemon/include/cardamompond/daemon/body_completeness.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "cardamompond/daemon/response_meter.hpp"
+#include "cardamompond/net/http_client.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+namespace cardamompond::daemon {
+
+// One response that brings a body, or a part of it that begins at an offset.
+struct body_part {
+  std::uint64_t m_offset = 0;
+  bool m_begins_inside_event = false;
+  net::body_framing m_framing = net::body_framing::none;
+  std::optional<std::uint64_t> m_length; // that the response states
+};
+
+// Decides whether the end of a response is the end of a body, which several responses may make up: if one is
+// cut off, another one continues at the offset reached. An orderly end, even a stated one, is not believed if
+// anything that a response has shown contradicts it.
+class body_completeness {
+public:
+  // With `event_stream`, the body consists of server-sent events.
+  explicit body_completeness(bool event_stream)
+      : m_event_stream(event_stream) {}
+
+  // Records that a response was cut off after `body_bytes` bytes of the body. `bytes_due`: its length, or the
+  // size of a chunk, announced more.
+  void record_cut(const body_part& part, std::uint64_t body_bytes, bool bytes_due);
+
+  // Returns why the body is not whole although the response that brought `part` ended in an orderly way, or
+  // an empty text if it may be whole.
+  std::string_view find_contradiction(const body_part& part, const response_meter& body) const;
+
+private:
+  bool m_event_stream;
+  std::uint64_t m_min_bytes = 0;        // of the whole body
+  std::optional<std::uint64_t> m_bytes; // of the whole body, if a response stated it
+};
+
+} // namespace cardamompond::daemon
--- a/packages/daemon/src/body_reader.cpp
+++ b/packages/daemon/src/body_reader.cpp
@@ -1,9 +1,12 @@
 #include "body_reader.hpp"
 
+#include "cardamompond/telemetry/log.hpp"
+
 #include <boost/beast/core/string.hpp>
 #include <boost/fiber/operations.hpp>
 
 #include <algorithm>
+#include <charconv>
 #include <utility>
 
 namespace cardamompond::daemon {
@@ -17,6 +20,19 @@
 constexpr int max_resume_attempts = 3;
 constexpr milliseconds resume_interval{50};
 
+// A server that cuts off each response after a few bytes must not fill the log.
+constexpr int max_logged_interruptions = 4;
+constexpr std::size_t max_logged_id = 64; // the server's id is external input
+
+std::optional<std::uint64_t> read_length(const net::http_response& head) {
+  const auto text = net::find_header(head.m_headers, "Content-Length");
+  std::uint64_t length = 0;
+  if (!text || std::from_chars(text->data(), text->data() + text->size(), length).ec != std::errc()) {
+    return std::nullopt;
+  }
+  return length;
+}
+
 } // namespace
 
 bool is_event_stream(const net::http_response& head) {
@@ -43,6 +59,12 @@
   m_answer_identified = answer.m_identified;
   m_stream_id = std::string(net::find_header(answer.m_head.m_headers, "X-Stream-Id").value_or(""));
   m_event_stream = is_event_stream(answer.m_head);
+  m_completeness = body_completeness(m_event_stream);
+  begin_part(answer.m_head);
+}
+
+void body_reader::begin_part(const net::http_response& head) {
+  m_part = {m_meter.bytes(), m_meter.is_inside_event(), m_call->framing(), read_length(head)};
 }
 
 net::call_result<std::span<const char>> body_reader::read_some() {
@@ -51,40 +73,58 @@
     if (part) {
       return part;
     }
-    // A server that ends the stream at the same offset again has no more of it.
-    const bool has_no_more = std::exchange(m_ended_early, false) && m_resumed_at == m_meter.bytes();
     // A response that is to be recorded is read to its end without its caller.
     const bool unwanted = m_caller_watch.closed() && !m_request.m_record_response;
-    if (unwanted || monotonic_now() >= m_request.m_deadline || has_no_more || !resume()) {
+    if (unwanted || monotonic_now() >= m_request.m_deadline) {
+      return part;
+    }
+    record_interruption(part.error().m_message);
+    // A server that ends the stream at the same offset again has no more of it.
+    const bool has_no_more = std::exchange(m_ended_early, false) && m_resumed_at == m_meter.bytes();
+    if (has_no_more || !resume()) {
       return part;
     }
     m_resumed_at = m_meter.bytes();
   }
 }
 
-// Reads a part of the body from the current call. A stream that ends inside an event was broken off by the
-// backend server, even if its connection was closed in an orderly way. The end of a connection that brought
-// nothing is that of a server that crashed, unless a length or chunks show that nothing was to come. A stream
-// that has its last event is whole, whatever becomes of the connection.
+// Reads a part of the body from the current call. A response that ended in an orderly way was cut off all the
+// same if the body can't be whole; a stream that has its last event is whole, whatever becomes of the
+// connection.
 net::call_result<std::span<const char>> body_reader::read_part() {
   auto part = m_call->read_some(m_buffer, time_until(m_request.m_deadline));
   if (!part && m_event_stream && m_meter.has_last_event()) {
     m_call->abort();
     return std::span<const char>();
   }
-  if (part) {
-    m_bytes_of_call += part->size();
+  if (!part || !part->empty()) {
+    return part;
   }
-  if (part && part->empty() && m_event_stream &&
-      (m_meter.is_inside_event() || (m_call->ends_with_connection() && !m_resumed_inside_event &&
-                                     !m_meter.has_event_in_last(m_bytes_of_call)))) {
+  if (const auto contradiction = m_completeness.find_contradiction(m_part, m_meter); !contradiction.empty()) {
     m_call->abort();
     m_ended_early = true;
-    return net::call_error{"the stream ended inside an event or before its first one", true};
+    return net::call_error{std::string(contradiction), true};
   }
   return part;
 }
 
+void body_reader::record_interruption(std::string_view reason) {
+  m_completeness.record_cut(m_part, m_meter.bytes(), m_call->body_bytes_due());
+  if (++m_interruptions > max_logged_interruptions) {
+    return;
+  }
+  log_event(log_level::info, "response_interrupted",
+            {{"request_id", m_request.m_request_id},
+             {"backend_server", m_request.m_permit->m_backend_server},
+             {"reason", reason},
+             {"framing", net::to_string(m_part.m_framing)},
+             {"body_bytes_due", m_call->body_bytes_due()},
+             {"offset", m_part.m_offset},
+             {"bytes", m_meter.bytes()},
+             {"events", m_meter.events()},
+             {"stream_id", std::string_view(m_stream_id).substr(0, max_logged_id)}});
+}
+
 // Resumes an interrupted body on the same backend server, from the offset reached.
 bool body_reader::resume() {
   if (m_stream_id.empty()) {
@@ -101,8 +141,6 @@
     }
     m_call = std::move(*opened);
     m_answer_identified = false;
-    m_bytes_of_call = 0;
-    m_resumed_inside_event = m_meter.is_inside_event();
     m_call->set_deadline(m_request.m_deadline);
     const net::http_request request{"GET",
                                     "/streams/" + m_stream_id + "?offset=" + std::to_string(m_meter.bytes()),
@@ -118,7 +156,11 @@
     }
     m_answer_identified = answer->m_identified;
     // With another status, the backend server no longer has the body.
-    return answer->m_head.m_status == 200;
+    if (answer->m_head.m_status != 200) {
+      return false;
+    }
+    begin_part(answer->m_head);
+    return true;
   }
   return false;
 }
--- a/packages/daemon/src/body_reader.hpp
+++ b/packages/daemon/src/body_reader.hpp
@@ -2,6 +2,7 @@
 
 #include "backend_answer.hpp"
 
+#include "cardamompond/daemon/body_completeness.hpp"
 #include "cardamompond/daemon/forwarder.hpp"
 #include "cardamompond/daemon/response_meter.hpp"
 
@@ -10,6 +11,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 
 namespace cardamompond::daemon {
 
@@ -43,6 +45,8 @@
 
 private:
   net::call_result<std::span<const char>> read_part();
+  void begin_part(const net::http_response& head);
+  void record_interruption(std::string_view reason);
   bool resume();
 
   net::http_client& m_client;
@@ -53,10 +57,11 @@
   std::string m_stream_id;
   bool m_event_stream = false;
   bool m_answer_identified = false;
+  body_completeness m_completeness{false};
+  body_part m_part;                          // that m_call brings
   bool m_ended_early = false;                // set by read_part()
-  std::uint64_t m_bytes_of_call = 0;         // of the body, in m_call; a body may take several calls
   std::optional<std::uint64_t> m_resumed_at; // offset of the last resumption
-  bool m_resumed_inside_event = false;
+  int m_interruptions = 0;
   // The buffer is left uninitialized, so that a small response touches only one page of it.
   std::unique_ptr<char[]> m_buffer_storage;
   std::span<char> m_buffer;
--- /dev/null
+++ b/packages/daemon/tests/body_completeness_test.cpp
@@ -0,0 +1,51 @@
+#include "cardamompond/daemon/body_completeness.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <string_view>
+
+using namespace cardamompond;
+using namespace cardamompond::daemon;
+
+namespace {
+
+constexpr auto chunks = net::body_framing::chunks;
+constexpr auto length = net::body_framing::length;
+constexpr auto connection = net::body_framing::connection;
+
+response_meter measure(std::string_view body) {
+  response_meter meter;
+  meter.add(body);
+  return meter;
+}
+
+} // namespace
+
+TEST_GROUP(body_completeness_group){};
+
+// Guards against a length of which only the response that stated it knows.
+TEST(body_completeness_group, a_length_counts_from_the_offset_of_its_response) {
+  body_completeness body(false);
+  body.record_cut({4, false, length, 6}, 7, true);
+  const body_part rest{7, false, chunks, {}};
+  CHECK_FALSE(body.find_contradiction(rest, measure("123456789")).empty());
+  CHECK(body.find_contradiction(rest, measure("1234567890")).empty());
+  CHECK_FALSE(body.find_contradiction(rest, measure("12345678901")).empty());
+}
+
+// Guards against a byte that is due according to one response and forgotten after the next one.
+TEST(body_completeness_group, bytes_due_are_remembered_over_several_responses) {
+  body_completeness body(false);
+  body.record_cut({0, false, chunks, {}}, 4, true);
+  body.record_cut({4, false, chunks, {}}, 4, false);
+  CHECK_FALSE(body.find_contradiction({4, false, length, 0}, measure("1234")).empty());
+  CHECK(body.find_contradiction({4, false, length, 1}, measure("12345")).empty());
+}
+
+// Guards against a stream that is asked for more although its last event has come.
+TEST(body_completeness_group, a_stream_with_its_last_event_is_whole) {
+  body_completeness body(true);
+  body.record_cut({0, false, length, 99}, 9, true);
+  CHECK(body.find_contradiction({9, false, connection, {}}, measure("data: a\n\ndata: [DONE]\n\n")).empty());
+  CHECK_FALSE(body.find_contradiction({9, false, connection, {}}, measure("data: a\n\ndata: b\n\n")).empty());
+}
