Ask the server whether a stream without a stated end is whole

Callers of a cell could see a stream end as complete before its last event when its backend server crashed between two events: the kernel closes the connections of the process in the orderly way, which is also the end of a response with neither a length nor chunks. A request that may run at most once recorded it as complete, for all its retries. Another body whose resumption ended with its connection before its first byte looked complete too.

Cause: the end of a connection was taken for the end of the stream unless it came inside an event or before the first one.

Evidence: a_server_that_no_longer_answers_has_not_ended_its_stream, a_server_confirms_the_end_of_its_stream, a_stream_goes_on_after_the_end_of_its_connection, a_response_whose_end_is_in_doubt_is_not_recorded and another_response_is_not_complete_because_its_resumption_ends_at_once fail without this change.

Change: where the server gave a stream id, such an end without the last event (data: [DONE]) is a cut. The server is asked for the rest at the offset reached: an empty response that states its end confirms that the stream is whole, a longer one goes on with it. A server that can't be reached, no longer has the stream or ends the connection again leaves it broken. A stream with its last event, a length or chunks is asked nothing; a server that gives no stream id is believed as before. The last event may lack the space behind its colon, as the format of server-sent events allows.

A server that resumes a stream again and again with comments only was asked without end before the deadline if its offset grew; a resumption without an event is now the last one.

Changes to tests, none with a weaker check: three tests of unframed responses get the answer to the question that is new (an empty rest, or [DONE]), one of them counts its requests by its responses; the test of a sound unframed stream now has a server without a stream id, the case that is still believed; streams with an id are in the new tests.

--- a/packages/daemon/include/cardamompond/daemon/body_completeness.hpp
+++ b/packages/daemon/include/cardamompond/daemon/body_completeness.hpp
@@ -22,20 +22,28 @@
 // anything that a response has shown contradicts it.
 class body_completeness {
 public:
-  // With `event_stream`, the body consists of server-sent events.
-  explicit body_completeness(bool event_stream)
-      : m_event_stream(event_stream) {}
+  // With `event_stream`, the body consists of server-sent events. With `resumable`, its server can be asked
+  // for the rest.
+  body_completeness(bool event_stream, bool resumable)
+      : m_event_stream(event_stream)
+      , m_resumable(resumable) {}
 
   // Records that a response was cut off after `body_bytes` bytes of the body. `bytes_due`: its length, or the
   // size of a chunk, announced more.
   void record_cut(const body_part& part, std::uint64_t body_bytes, bool bytes_due);
 
+  // Returns whether the response has brought more than comments and blank lines of a stream, or any byte of
+  // another body.
+  bool has_content(const body_part& part, const response_meter& body) const;
+
   // Returns why the body is not whole although the response that brought `part` ended in an orderly way, or
   // an empty text if it may be whole.
   std::string_view find_contradiction(const body_part& part, const response_meter& body) const;
 
 private:
   bool m_event_stream;
+  bool m_resumable;
+  bool m_cut = false;                   // a response was cut off
   std::uint64_t m_min_bytes = 0;        // of the whole body
   std::optional<std::uint64_t> m_bytes; // of the whole body, if a response stated it
 };
--- a/packages/daemon/src/body_completeness.cpp
+++ b/packages/daemon/src/body_completeness.cpp
@@ -5,6 +5,7 @@
 namespace cardamompond::daemon {
 
 void body_completeness::record_cut(const body_part& part, std::uint64_t body_bytes, bool bytes_due) {
+  m_cut = true;
   if (!bytes_due) {
     return;
   }
@@ -14,8 +15,15 @@
   m_min_bytes = std::max(m_min_bytes, body_bytes + 1);
 }
 
-// The end of a connection that brought nothing is that of a server that crashed, unless a length or chunks
-// show that nothing was to come. A stream that has its last event is whole, whatever else was announced.
+bool body_completeness::has_content(const body_part& part, const response_meter& body) const {
+  const std::uint64_t part_bytes = body.bytes() - part.m_offset;
+  return m_event_stream && !part.m_begins_inside_event ? body.has_event_in_last(part_bytes) : part_bytes > 0;
+}
+
+// If the process of a server crashes, the kernel closes its connections in the orderly way. That is also the
+// end of a response without a length or chunks. Only the server can tell them apart; if it can't be asked,
+// such an end is believed unless the response brought nothing. A stream that has its last event is whole,
+// whatever else was announced.
 std::string_view body_completeness::find_contradiction(const body_part& part,
                                                        const response_meter& body) const {
   if (m_event_stream && body.has_last_event()) {
@@ -30,9 +38,14 @@
   if (m_event_stream && body.is_inside_event()) {
     return "the stream ended inside an event";
   }
-  const bool has_event = part.m_begins_inside_event || body.has_event_in_last(body.bytes() - part.m_offset);
-  if (m_event_stream && part.m_framing == net::body_framing::connection && !has_event) {
-    return "the connection ended before an event";
+  if (part.m_framing != net::body_framing::connection) {
+    return {};
+  }
+  if (m_event_stream && m_resumable) {
+    return "the connection ended before the last event";
+  }
+  if ((m_event_stream || m_cut) && !has_content(part, body)) {
+    return "the connection ended before any content";
   }
   return {};
 }
--- a/packages/daemon/src/body_reader.cpp
+++ b/packages/daemon/src/body_reader.cpp
@@ -59,7 +59,7 @@
   m_answer_identified = answer.m_identified;
   m_stream_id = std::string(net::find_header(answer.m_head.m_headers, "X-Stream-Id").value_or(""));
   m_event_stream = is_event_stream(answer.m_head);
-  m_completeness = body_completeness(m_event_stream);
+  m_completeness = body_completeness(m_event_stream, !m_stream_id.empty());
   begin_part(answer.m_head);
 }
 
@@ -79,12 +79,13 @@
       return part;
     }
     record_interruption(part.error().m_message);
-    // A server that ends the stream at the same offset again has no more of it.
-    const bool has_no_more = std::exchange(m_ended_early, false) && m_resumed_at == m_meter.bytes();
+    // A server that ends the body again without having added to it has no more of it.
+    const bool has_no_more =
+        std::exchange(m_ended_early, false) && m_resumed && !m_completeness.has_content(m_part, m_meter);
     if (has_no_more || !resume()) {
       return part;
     }
-    m_resumed_at = m_meter.bytes();
+    m_resumed = true;
   }
 }
 
--- a/packages/daemon/src/body_reader.hpp
+++ b/packages/daemon/src/body_reader.hpp
@@ -57,10 +57,10 @@
   std::string m_stream_id;
   bool m_event_stream = false;
   bool m_answer_identified = false;
-  body_completeness m_completeness{false};
-  body_part m_part;                          // that m_call brings
-  bool m_ended_early = false;                // set by read_part()
-  std::optional<std::uint64_t> m_resumed_at; // offset of the last resumption
+  body_completeness m_completeness{false, false};
+  body_part m_part;           // that m_call brings
+  bool m_ended_early = false; // set by read_part()
+  bool m_resumed = false;
   int m_interruptions = 0;
   // The buffer is left uninitialized, so that a small response touches only one page of it.
   std::unique_ptr<char[]> m_buffer_storage;
--- a/packages/daemon/src/response_meter.cpp
+++ b/packages/daemon/src/response_meter.cpp
@@ -53,12 +53,13 @@
   return gateway::has_field(std::string_view(m_tail).substr(m_tail.size() - bytes));
 }
 
+// The space behind the colon is optional.
 bool response_meter::has_last_event() const {
-  constexpr std::string_view last_event = "data: [DONE]";
   const auto end = m_tail.find_last_not_of("\r\n");
   const std::string_view text = std::string_view(m_tail).substr(0, end == std::string::npos ? 0 : end + 1);
-  return text.ends_with(last_event) && !is_inside_event() &&
-         (text.size() == last_event.size() || text[text.size() - last_event.size() - 1] == '\n');
+  const auto line_break = text.find_last_of('\n');
+  const std::string_view line = line_break == std::string_view::npos ? text : text.substr(line_break + 1);
+  return (line == "data: [DONE]" || line == "data:[DONE]") && !is_inside_event();
 }
 
 std::optional<token_usage> response_meter::usage() const {
--- a/packages/daemon/tests/body_completeness_test.cpp
+++ b/packages/daemon/tests/body_completeness_test.cpp
@@ -25,7 +25,7 @@
 
 // Guards against a length of which only the response that stated it knows.
 TEST(body_completeness_group, a_length_counts_from_the_offset_of_its_response) {
-  body_completeness body(false);
+  body_completeness body(false, true);
   body.record_cut({4, false, length, 6}, 7, true);
   const body_part rest{7, false, chunks, {}};
   CHECK_FALSE(body.find_contradiction(rest, measure("123456789")).empty());
@@ -35,7 +35,7 @@
 
 // Guards against a byte that is due according to one response and forgotten after the next one.
 TEST(body_completeness_group, bytes_due_are_remembered_over_several_responses) {
-  body_completeness body(false);
+  body_completeness body(false, true);
   body.record_cut({0, false, chunks, {}}, 4, true);
   body.record_cut({4, false, chunks, {}}, 4, false);
   CHECK_FALSE(body.find_contradiction({4, false, length, 0}, measure("1234")).empty());
@@ -44,8 +44,19 @@
 
 // Guards against a stream that is asked for more although its last event has come.
 TEST(body_completeness_group, a_stream_with_its_last_event_is_whole) {
-  body_completeness body(true);
+  body_completeness body(true, true);
   body.record_cut({0, false, length, 99}, 9, true);
   CHECK(body.find_contradiction({9, false, connection, {}}, measure("data: a\n\ndata: [DONE]\n\n")).empty());
   CHECK_FALSE(body.find_contradiction({9, false, connection, {}}, measure("data: a\n\ndata: b\n\n")).empty());
 }
+
+// Guards against the end of a connection that passes for that of a stream although its server can be asked,
+// and against a server that can't be asked whose streams are never whole.
+TEST(body_completeness_group, the_end_of_a_connection_is_believed_if_the_server_cannot_be_asked) {
+  const body_part first{0, false, connection, {}};
+  const auto event = measure("data: a\n\n");
+  CHECK_FALSE(body_completeness(true, true).find_contradiction(first, event).empty());
+  CHECK(body_completeness(true, false).find_contradiction(first, event).empty());
+  CHECK_FALSE(body_completeness(true, false).find_contradiction(first, measure(": alive\n\n")).empty());
+  CHECK(body_completeness(false, true).find_contradiction(first, measure("")).empty());
+}
--- a/packages/daemon/tests/forwarder_ends_test.cpp
+++ b/packages/daemon/tests/forwarder_ends_test.cpp
@@ -91,3 +91,94 @@
     STRCMP_EQUAL((whole_event + next_event).c_str(), received.m_body.c_str());
   }
 }
+
+// Guards against a stream that looks complete because its backend server crashed between two events: the end
+// of its connections, which the kernel closes in the orderly way, is also that of a response without a length
+// or chunks.
+TEST(forwarder_ends_group, a_server_that_no_longer_answers_has_not_ended_its_stream) {
+  const std::string no_answer;
+  const std::string unavailable = "HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+  for (const std::string& after :
+       {gone, no_answer, unavailable, unframed_head, unframed_head + ": alive\n\n"}) {
+    const raw_backend backend({unframed_head + whole_event, after});
+    const auto received = forward(backend);
+    CHECK_FALSE(received.m_complete);
+    CHECK(received.m_outcome == scheduler::outcome::connection_broken);
+    STRCMP_EQUAL(whole_event.c_str(), received.m_body.substr(0, whole_event.size()).c_str());
+    CHECK(backend.requests().at(1).starts_with("GET /streams/s1?offset=9 "));
+  }
+}
+
+// Guards against a whole stream without a last event that is broken off although its backend server confirms
+// its end.
+TEST(forwarder_ends_group, a_server_confirms_the_end_of_its_stream) {
+  for (const std::string& end : {empty_length, empty_chunks}) {
+    const raw_backend backend({unframed_head + whole_event, end});
+    const auto received = forward(backend);
+    CHECK(received.m_complete);
+    STRCMP_EQUAL(whole_event.c_str(), received.m_body.c_str());
+    CHECK(received.m_outcome == scheduler::outcome::succeeded);
+    UNSIGNED_LONGS_EQUAL(2, backend.requests().size());
+  }
+}
+
+// Guards against events that are lost although the backend server, which only lost its connections, still has
+// them, also where several connections end.
+TEST(forwarder_ends_group, a_stream_goes_on_after_the_end_of_its_connection) {
+  const std::string last_event = "data: [DONE]\n\n";
+  const std::string all = whole_event + next_event;
+  for (const auto& [responses, body] :
+       {std::pair{std::vector{unframed_head + whole_event, unframed_head + next_event, empty_length}, all},
+        {{unframed_head + whole_event, chunked_head + "9\r\n" + next_event + "\r\n0\r\n\r\n"}, all},
+        {{unframed_head + whole_event, unframed_head + next_event + last_event}, all + last_event}}) {
+    const raw_backend backend(responses);
+    const auto received = forward(backend);
+    CHECK(received.m_complete);
+    STRCMP_EQUAL(body.c_str(), received.m_body.c_str());
+    UNSIGNED_LONGS_EQUAL(responses.size(), backend.requests().size());
+  }
+}
+
+// Guards against a question about the end of each stream: one with its last event, a length or chunks needs
+// none.
+TEST(forwarder_ends_group, no_server_is_asked_about_a_stream_that_is_whole) {
+  for (const std::string& response :
+       {unframed_head + whole_event + "data: [DONE]\n\n", unframed_head + whole_event + "data:[DONE]\n\n",
+        head + "Content-Length: 9\r\n\r\n" + whole_event,
+        chunked_head + "9\r\n" + whole_event + "\r\n0\r\n\r\n"}) {
+    const raw_backend backend({response});
+    CHECK(forward(backend).m_complete);
+    UNSIGNED_LONGS_EQUAL(1, backend.requests().size());
+  }
+}
+
+// Guards against a response of another kind that looks complete because its resumption, which has neither a
+// length nor chunks, ends before its first byte.
+TEST(forwarder_ends_group, another_response_is_not_complete_because_its_resumption_ends_at_once) {
+  const std::string cut = json_head + "Transfer-Encoding: chunked\r\n\r\n5\r\n{\"a\":\r\n";
+  const raw_backend backend({cut, json_head + "\r\n"});
+  CHECK_FALSE(forward(backend).m_complete);
+  const raw_backend sound({cut, json_head + "\r\n1}"});
+  CHECK(forward(sound).m_complete);
+}
+
+// Guards against a response that is recorded as complete, and replayed to all retries, although its end is in
+// doubt.
+TEST(forwarder_ends_group, a_response_whose_end_is_in_doubt_is_not_recorded) {
+  std::vector<std::vector<std::string>> runs = {{unframed_head + whole_event, gone},
+                                                {unframed_head + whole_event, unframed_head},
+                                                {unframed_head + whole_event, ""}};
+  for (const std::string& cut : short_responses) {
+    runs.push_back({cut, empty_length});
+    runs.push_back({cut, empty_chunks});
+  }
+  for (const auto& responses : runs) {
+    const auto received = forward_recorded(raw_backend(responses));
+    CHECK(received.m_recorded.empty());
+    CHECK(received.m_verdict == verdict::may_have_run);
+    CHECK(received.m_outcome == scheduler::outcome::connection_broken);
+  }
+  const auto confirmed = forward_recorded(raw_backend({unframed_head + whole_event, empty_length}));
+  UNSIGNED_LONGS_EQUAL(1, confirmed.m_recorded.size());
+  STRCMP_EQUAL(whole_event.c_str(), confirmed.m_recorded.at(0).m_response.m_body.c_str());
+}
--- a/packages/daemon/tests/forwarder_test.cpp
+++ b/packages/daemon/tests/forwarder_test.cpp
@@ -24,7 +24,8 @@
 
 // Guards against a stream that is given up although its backend server still has the rest.
 TEST(forwarder_group, a_stream_that_ends_inside_an_event_is_resumed_at_its_offset) {
-  const raw_backend backend({unframed_head + "data: a\n\ndata: b", unframed_head + "b\n\n"});
+  const raw_backend backend(
+      {unframed_head + "data: a\n\ndata: b", unframed_head + "b\n\n", head + "Content-Length: 0\r\n\r\n"});
   const auto received = forward(backend);
   CHECK(received.m_complete);
   STRCMP_EQUAL("data: a\n\ndata: bb\n\n", received.m_body.c_str());
@@ -34,10 +35,10 @@
 
 // Guards against the rest of an event that is taken for a comment because it begins with a colon.
 TEST(forwarder_group, a_stream_is_resumed_inside_a_line) {
-  const raw_backend backend({unframed_head + "data: a\n\ndata", unframed_head + ": b\n\n"});
+  const raw_backend backend({unframed_head + "data: a\n\ndata", unframed_head + ": b\n\ndata: [DONE]\n\n"});
   const auto received = forward(backend);
   CHECK(received.m_complete);
-  STRCMP_EQUAL("data: a\n\ndata: b\n\n", received.m_body.c_str());
+  STRCMP_EQUAL("data: a\n\ndata: b\n\ndata: [DONE]\n\n", received.m_body.c_str());
   UNSIGNED_LONGS_EQUAL(2, backend.requests().size());
 }
 
@@ -83,12 +84,12 @@
   const std::string cut_chunks = head + "Transfer-Encoding: chunked\r\n\r\n9\r\ndata: a\n\n\r\n";
   const std::string empty = head + "Content-Length: 0\r\n\r\n";
   for (const std::vector<std::string>& responses :
-       {std::vector{cut_chunks, empty}, std::vector{unframed_head, unframed_head + "data: a\n\n"}}) {
+       {std::vector{cut_chunks, empty}, std::vector{unframed_head, unframed_head + "data: a\n\n", empty}}) {
     const raw_backend backend(responses);
     const auto received = forward(backend);
     CHECK(received.m_complete);
     STRCMP_EQUAL("data: a\n\n", received.m_body.c_str());
-    UNSIGNED_LONGS_EQUAL(2, backend.requests().size());
+    UNSIGNED_LONGS_EQUAL(responses.size(), backend.requests().size());
   }
 }
 
@@ -106,10 +107,11 @@
   }
 }
 
-// Guards against complete responses without a length or chunks that are taken for broken ones.
+// Guards against complete responses without a length or chunks that are taken for broken ones: their servers
+// gave no stream id, so that they can't be asked whether the body is whole.
 TEST(forwarder_group, an_unframed_response_is_complete_at_the_end_of_its_connection) {
   for (const std::string& response :
-       {unframed_head + "data: a\n\n",
+       {std::string("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: a\n\n"),
         std::string("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\ndata: a")}) {
     const raw_backend backend({response});
     const auto received = forward(backend);
