Take no other kind of response for the rest of a body

Callers of a cell could get a body with a part of another one: a resumption was accepted with any content type, encoding and stream id, and with status 200 also where the first response had another one.

Evidence: another_kind_of_response_does_not_continue_a_body fails without this change (its cases 204 and 206 passed before).

Change: a resumption needs the media type and the encoding of the first response, both with status 200, and, if it states a stream id, that of the body. Any other one leaves the body broken and is logged as resumption_rejected.

--- a/packages/daemon/src/body_reader.cpp
+++ b/packages/daemon/src/body_reader.cpp
@@ -14,6 +14,9 @@
 
 constexpr std::string_view event_stream_type = "text/event-stream";
 
+constexpr std::string_view stream_id_header = "X-Stream-Id";
+constexpr int status_ok = 200;
+
 constexpr std::size_t buffer_bytes = 16U << 10U;
 
 // Maximum number of attempts to resume a body after one interruption.
@@ -24,6 +27,16 @@
 constexpr int max_logged_interruptions = 4;
 constexpr std::size_t max_logged_id = 64; // the server's id is external input
 
+std::string_view header_value(const net::http_response& head, std::string_view name) {
+  return net::find_header(head.m_headers, name).value_or("");
+}
+
+// Returns the value of a Content-Type header without its parameters.
+std::string_view media_type(const net::http_response& head) {
+  const auto type = header_value(head, "Content-Type");
+  return type.substr(0, type.find_first_of("; \t"));
+}
+
 std::optional<std::uint64_t> read_length(const net::http_response& head) {
   const auto text = net::find_header(head.m_headers, "Content-Length");
   std::uint64_t length = 0;
@@ -36,8 +49,8 @@
 } // namespace
 
 bool is_event_stream(const net::http_response& head) {
-  const auto type = net::find_header(head.m_headers, "Content-Type");
-  return type && boost::beast::iequals(type->substr(0, event_stream_type.size()), event_stream_type);
+  const auto type = header_value(head, "Content-Type");
+  return boost::beast::iequals(type.substr(0, event_stream_type.size()), event_stream_type);
 }
 
 milliseconds time_until(time_point deadline) {
@@ -57,16 +70,32 @@
 
 void body_reader::begin(const backend_answer& answer) {
   m_answer_identified = answer.m_identified;
-  m_stream_id = std::string(net::find_header(answer.m_head.m_headers, "X-Stream-Id").value_or(""));
-  m_event_stream = is_event_stream(answer.m_head);
+  m_head = answer.m_head;
+  m_stream_id = std::string(header_value(m_head, stream_id_header));
+  m_event_stream = is_event_stream(m_head);
   m_completeness = body_completeness(m_event_stream, !m_stream_id.empty());
-  begin_part(answer.m_head);
+  begin_part(m_head);
 }
 
 void body_reader::begin_part(const net::http_response& head) {
   m_part = {m_meter.bytes(), m_meter.is_inside_event(), m_call->framing(), read_length(head)};
 }
 
+// Returns why a response is not the rest of the body, or an empty text if it may be.
+std::string_view body_reader::find_mismatch(const net::http_response& head) const {
+  if (head.m_status != status_ok || m_head.m_status != status_ok) {
+    return "status";
+  }
+  if (!boost::beast::iequals(media_type(head), media_type(m_head))) {
+    return "content_type";
+  }
+  if (header_value(head, "Content-Encoding") != header_value(m_head, "Content-Encoding")) {
+    return "content_encoding";
+  }
+  const auto id = net::find_header(head.m_headers, stream_id_header);
+  return id && *id != m_stream_id ? "stream_id" : "";
+}
+
 net::call_result<std::span<const char>> body_reader::read_some() {
   while (true) {
     auto part = read_part();
@@ -156,8 +185,12 @@
       continue;
     }
     m_answer_identified = answer->m_identified;
-    // With another status, the backend server no longer has the body.
-    if (answer->m_head.m_status != 200) {
+    if (const auto mismatch = find_mismatch(answer->m_head); !mismatch.empty()) {
+      log_event(log_level::info, "resumption_rejected",
+                {{"request_id", m_request.m_request_id},
+                 {"backend_server", m_request.m_permit->m_backend_server},
+                 {"reason", mismatch},
+                 {"status", answer->m_head.m_status}});
       return false;
     }
     begin_part(answer->m_head);
--- a/packages/daemon/src/body_reader.hpp
+++ b/packages/daemon/src/body_reader.hpp
@@ -46,6 +46,7 @@
 private:
   net::call_result<std::span<const char>> read_part();
   void begin_part(const net::http_response& head);
+  std::string_view find_mismatch(const net::http_response& head) const;
   void record_interruption(std::string_view reason);
   bool resume();
 
@@ -55,6 +56,7 @@
   const response_meter& m_meter;
   std::unique_ptr<net::http_call>& m_call;
   std::string m_stream_id;
+  net::http_response m_head; // of the first response
   bool m_event_stream = false;
   bool m_answer_identified = false;
   body_completeness m_completeness{false, false};
--- a/packages/daemon/tests/forwarder_ends_test.cpp
+++ b/packages/daemon/tests/forwarder_ends_test.cpp
@@ -162,6 +162,34 @@
   CHECK(forward(sound).m_complete);
 }
 
+// Guards against a response that is joined to a body which it does not belong to, e.g. that of another
+// process at the address of the backend server.
+TEST(forwarder_ends_group, another_kind_of_response_does_not_continue_a_body) {
+  const std::string cut = "Transfer-Encoding: chunked\r\n\r\n9\r\n" + whole_event + "\r\n";
+  const std::string rest = "Content-Length: 9\r\n\r\n" + next_event;
+  const std::string type = "Content-Type: text/event-stream\r\n";
+  struct other_response {
+    std::string m_first;
+    std::string m_second;
+  };
+  for (const auto& [first, second] :
+       {other_response{head, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n" + rest},
+        {head, "HTTP/1.1 200 OK\r\n" + rest},
+        {head, "HTTP/1.1 200 OK\r\n" + type + "Content-Encoding: gzip\r\n" + rest},
+        {head, "HTTP/1.1 200 OK\r\n" + type + "X-Stream-Id: s2\r\n" + rest},
+        {head, "HTTP/1.1 206 OK\r\n" + type + rest},
+        {head, "HTTP/1.1 204 OK\r\n" + type + "\r\n"},
+        {json_head, head + rest},
+        {"HTTP/1.1 500 No\r\n" + type + "X-Stream-Id: s1\r\n", head + rest}}) {
+    const raw_backend backend({first + cut, second});
+    const auto received = forward(backend);
+    CHECK_FALSE(received.m_complete);
+    STRCMP_EQUAL(whole_event.c_str(), received.m_body.c_str());
+    const auto recorded = forward_recorded(raw_backend({first + cut, second}));
+    CHECK(recorded.m_recorded.empty());
+  }
+}
+
 // Guards against a response that is recorded as complete, and replayed to all retries, although its end is in
 // doubt.
 TEST(forwarder_ends_group, a_response_whose_end_is_in_doubt_is_not_recorded) {
