Resume a body that does not go on ever more rarely

A backend server whose responses are cut off before they bring any of the rest was asked for it in a tight loop, over a new connection each time, until the deadline. Seen in a test: resumptions_without_content_become_rarer counts more than eight requests within 0.8 s without this change.

The delay before a resumption now doubles with each one before it that brought nothing, from 50 ms to 1 s. It is not given up before the deadline, as before: a server may need some time for the next event. resumption_failed says why a body could not be resumed; failed attempts left no line.

--- a/packages/daemon/src/body_reader.cpp
+++ b/packages/daemon/src/body_reader.cpp
@@ -23,6 +23,9 @@
 constexpr int max_resume_attempts = 3;
 constexpr milliseconds resume_interval{50};
 
+// The delay before a resumption doubles with each one before it that brought nothing.
+constexpr milliseconds max_resume_delay{1'000};
+
 // A server that cuts off each response after a few bytes must not fill the log.
 constexpr int max_logged_interruptions = 4;
 constexpr std::size_t max_logged_id = 64; // the server's id is external input
@@ -108,10 +111,7 @@
       return part;
     }
     record_interruption(part.error().m_message);
-    // A server that ends the body again without having added to it has no more of it.
-    const bool has_no_more =
-        std::exchange(m_ended_early, false) && m_resumed && !m_completeness.has_content(m_part, m_meter);
-    if (has_no_more || !resume()) {
+    if (has_no_more() || !resume()) {
       return part;
     }
     m_resumed = true;
@@ -155,18 +155,31 @@
              {"stream_id", std::string_view(m_stream_id).substr(0, max_logged_id)}});
 }
 
+// Returns whether the server has nothing more of the body, since it ended the body again without having added
+// to it.
+bool body_reader::has_no_more() {
+  const bool ended_early = std::exchange(m_ended_early, false);
+  if (!m_resumed || m_completeness.has_content(m_part, m_meter)) {
+    m_resume_delay = milliseconds(0);
+    return false;
+  }
+  m_resume_delay = std::clamp(2 * m_resume_delay, resume_interval, max_resume_delay);
+  return ended_early;
+}
+
 // Resumes an interrupted body on the same backend server, from the offset reached.
 bool body_reader::resume() {
   if (m_stream_id.empty()) {
     return false;
   }
+  std::string reason = "deadline";
   for (int attempt = 0; attempt < max_resume_attempts && monotonic_now() < m_request.m_deadline; ++attempt) {
-    if (attempt > 0) {
-      boost::this_fiber::sleep_for(resume_interval);
-    }
+    const milliseconds delay = attempt > 0 ? resume_interval : m_resume_delay;
+    boost::this_fiber::sleep_for(std::min(delay, time_until(m_request.m_deadline)));
     // Over a new connection, the answer is known even if it states no id.
     auto opened = m_client.open(m_request.m_permit->m_address, {.m_max_idle_time = milliseconds(0)});
     if (!opened) {
+      reason = opened.error().m_message;
       continue;
     }
     m_call = std::move(*opened);
@@ -176,27 +189,35 @@
                                     "/streams/" + m_stream_id + "?offset=" + std::to_string(m_meter.bytes()),
                                     {{std::string(request_id_header), m_request.m_request_id}},
                                     {}};
-    if (!m_call->send(request, time_until(m_request.m_deadline))) {
+    if (const auto sent = m_call->send(request, time_until(m_request.m_deadline)); !sent) {
+      reason = sent.error().m_message;
       continue;
     }
     const auto answer = read_answer(*m_call, m_request.m_request_id, m_request.m_permit->m_address,
                                     time_until(m_request.m_deadline));
     if (!answer) {
+      reason = answer.error().m_message;
       continue;
     }
     m_answer_identified = answer->m_identified;
     if (const auto mismatch = find_mismatch(answer->m_head); !mismatch.empty()) {
-      log_event(log_level::info, "resumption_rejected",
-                {{"request_id", m_request.m_request_id},
-                 {"backend_server", m_request.m_permit->m_backend_server},
-                 {"reason", mismatch},
-                 {"status", answer->m_head.m_status}});
+      log_failed_resumption(mismatch, answer->m_head.m_status);
       return false;
     }
     begin_part(answer->m_head);
     return true;
   }
+  log_failed_resumption(reason, 0);
   return false;
 }
 
+void body_reader::log_failed_resumption(std::string_view reason, int status) const {
+  log_event(log_level::info, "resumption_failed",
+            {{"request_id", m_request.m_request_id},
+             {"backend_server", m_request.m_permit->m_backend_server},
+             {"reason", reason},
+             {"status", status},
+             {"offset", m_meter.bytes()}});
+}
+
 } // namespace cardamompond::daemon
--- a/packages/daemon/src/body_reader.hpp
+++ b/packages/daemon/src/body_reader.hpp
@@ -48,7 +48,9 @@
   void begin_part(const net::http_response& head);
   std::string_view find_mismatch(const net::http_response& head) const;
   void record_interruption(std::string_view reason);
+  bool has_no_more();
   bool resume();
+  void log_failed_resumption(std::string_view reason, int status) const;
 
   net::http_client& m_client;
   const forward_request& m_request;
@@ -63,6 +65,7 @@
   body_part m_part;           // that m_call brings
   bool m_ended_early = false; // set by read_part()
   bool m_resumed = false;
+  milliseconds m_resume_delay{0};
   int m_interruptions = 0;
   // The buffer is left uninitialized, so that a small response touches only one page of it.
   std::unique_ptr<char[]> m_buffer_storage;
--- a/packages/daemon/tests/forwarder_ends_test.cpp
+++ b/packages/daemon/tests/forwarder_ends_test.cpp
@@ -210,3 +210,26 @@
   UNSIGNED_LONGS_EQUAL(1, confirmed.m_recorded.size());
   STRCMP_EQUAL(whole_event.c_str(), confirmed.m_recorded.at(0).m_response.m_body.c_str());
 }
+
+// Guards against a server that is asked for the rest of a body in a tight loop because each response is cut
+// off before it brings any of it.
+TEST(forwarder_ends_group, resumptions_without_content_become_rarer) {
+  for (const std::string& cut : {chunked_head, chunked_head + "9\r\n: alive\n\n"}) {
+    const raw_backend backend({chunked_head + "9\r\n" + whole_event + "\r\n", cut});
+    const auto received = forward(backend, milliseconds(800));
+    CHECK_FALSE(received.m_complete);
+    CHECK(received.m_outcome == scheduler::outcome::timed_out);
+    CHECK(backend.requests().size() >= 4);
+    CHECK(backend.requests().size() <= 8);
+  }
+}
+
+// Guards against a stream that is given up because its server needs some time for the next event.
+TEST(forwarder_ends_group, a_stream_goes_on_after_resumptions_without_content) {
+  const raw_backend backend({chunked_head + "9\r\n" + whole_event + "\r\n", chunked_head, chunked_head,
+                             chunked_head, chunked_head,
+                             chunked_head + "9\r\n" + next_event + "\r\n0\r\n\r\n"});
+  const auto received = forward(backend);
+  CHECK(received.m_complete);
+  STRCMP_EQUAL((whole_event + next_event).c_str(), received.m_body.c_str());
+}
