Resume no stream behind an event without an id

A stream was resumed after the last id that had come, so that the server sent the events behind it, which had none, again.

The daemon resumes a stream only where the last event that it passed on had an id; elsewhere the caller gets no last chunk. a_stream_is_not_resumed_behind_an_event_without_an_id fails without this change. Streams whose events all have ids, as the users' pages have them, are resumed as before.

--- a/packages/gateway/include/cardamompond/gateway/event_splitter.hpp
+++ b/packages/gateway/include/cardamompond/gateway/event_splitter.hpp
@@ -43,6 +43,10 @@
   // The id of the last complete event that had one; empty if none had.
   const std::string& last_event_id() const { return m_last_event_id; }
 
+  // Whether another server can continue the stream after last_event_id(): the last complete event had an id.
+  // An event without one would come again.
+  bool can_resume() const { return m_can_resume; }
+
   // The bytes after the last complete event. At the end of a complete stream, they are at most blank lines
   // and comments.
   std::string_view remaining_bytes() const { return std::string_view(m_buffer).substr(m_complete_bytes); }
@@ -56,6 +60,7 @@
   std::size_t m_complete_bytes = 0; // length of the part of m_buffer that feed() has returned
   std::size_t m_event_count = 0;
   bool m_ids_increase = true;
+  bool m_can_resume = false;
   std::string m_last_event_id;
   std::string m_id_before; // that of begin_after()
 };
--- a/packages/gateway/src/event_splitter.cpp
+++ b/packages/gateway/src/event_splitter.cpp
@@ -114,10 +114,10 @@
   m_complete_bytes = end == 0 ? 0 : search_begin + end;
   const std::string_view events = std::string_view(m_buffer).substr(0, m_complete_bytes);
   m_ids_increase = gateway::ids_increase(events, m_last_event_id.empty() ? m_id_before : m_last_event_id);
-  if (m_ids_increase) {
+  m_event_count = count_events(events);
+  if (m_ids_increase && m_event_count > 0) {
     update_last_event_id(events);
   }
-  m_event_count = count_events(events);
   return events;
 }
 
@@ -127,6 +127,7 @@
 }
 
 void event_splitter::update_last_event_id(std::string_view events) {
+  m_can_resume = false;
   std::size_t line_end = events.size();
   // Only the last id counts, so the search goes backwards line by line.
   while (line_end > 0) {
@@ -134,6 +135,7 @@
     const std::size_t begin = previous_newline == std::string_view::npos ? 0 : previous_newline + 1;
     if (const auto id = parse_id(events.substr(begin, line_end - begin))) {
       m_last_event_id = *id;
+      m_can_resume = !id->empty() && count_events(events.substr(begin)) == 1;
       return;
     }
     if (begin == 0) {
--- a/packages/gateway/src/request_outcome.cpp
+++ b/packages/gateway/src/request_outcome.cpp
@@ -171,7 +171,7 @@
     if (!retryable() || m_possible_runs >= m_route->m_max_attempts) {
       return false;
     }
-    if (m_relay.m_head_sent && (!m_route->m_resumable || m_relay.m_splitter.last_event_id().empty())) {
+    if (m_relay.m_head_sent && (!m_route->m_resumable || !m_relay.m_splitter.can_resume())) {
       return false;
     }
     if (!m_relay.m_head_sent && m_handler.m_admission.part_crashes().is_suspected(m_request.m_shared_parts)) {
--- a/packages/gateway/src/request_processor.cpp
+++ b/packages/gateway/src/request_processor.cpp
@@ -358,8 +358,7 @@
   auto& admission = m_handler.m_admission;
   if (m_caller_disconnected || m_deadline - monotonic_now() < refusal_time + min_time_for_retry ||
       m_possible_runs + 1 >= m_route->m_max_attempts ||
-      (m_relay.m_head_sent && m_relay.m_splitter.last_event_id().empty()) ||
-      !admission.has_retry(m_service)) {
+      (m_relay.m_head_sent && !m_relay.m_splitter.can_resume()) || !admission.has_retry(m_service)) {
     return false;
   }
   if (admission.part_crashes().is_suspected(m_request.m_shared_parts)) {
