Test connections that are opened apart from the pool and the router

Guards the question whether a server still runs: it must not close idle connections to the server, must not be recorded as evidence about the path of the daemon, and must tell an orderly end without a response from a reset.

--- a/packages/net/tests/tunnel_test.cpp
+++ b/packages/net/tests/tunnel_test.cpp
@@ -234,3 +234,51 @@
   LONGS_EQUAL(1, m_router.m_failures.size());
   LONGS_EQUAL(502, m_router.m_failures[0]);
 }
+
+// Guards against a question to a server that takes connections for requests out of the pool, or whose failure
+// is taken for one of the path or of a proxy.
+TEST(tunnel, isolated_connection_leaves_the_pool_the_router_and_the_proxies_alone) {
+  connection_options isolated;
+  isolated.m_isolated = true;
+  m_router.m_route = {};
+  CHECK(m_client.fetch(server_address(), {"GET", "/", {}, {}}, timeout).has_value());
+  const auto counts = std::tuple(m_router.m_received, m_router.m_reached, m_router.m_unreached);
+  m_router.m_route.m_proxies = {proxy_address()};
+  {
+    const auto opened = m_client.open(server_address(), isolated);
+    CHECK(opened.has_value());
+    CHECK_FALSE((*opened)->reused());
+    CHECK((*opened)->proxy().empty());
+    CHECK((*opened)->send({"GET", "/", {}, {}}, timeout).has_value());
+    CHECK((*opened)->read_head(timeout).has_value());
+    (*opened)->abort();
+  }
+  const auto refused = m_client.open("127.0.0.1:1", isolated);
+  CHECK_FALSE(refused.has_value());
+  CHECK(refused.error().m_refused);
+  CHECK_FALSE(refused.error().m_reset);
+  CHECK(counts == std::tuple(m_router.m_received, m_router.m_reached, m_router.m_unreached));
+  LONGS_EQUAL(0, m_router.m_proxied);
+  CHECK(m_router.m_failures.empty());
+  m_router.m_route = {};
+  CHECK(m_client.fetch(server_address(), {"GET", "/", {}, {}}, timeout).has_value());
+  UNSIGNED_LONGS_EQUAL(2, m_client.connections_opened()); // the first one was used again
+}
+
+// Guards against a reset that is taken for an orderly end without a response.
+TEST(tunnel, end_and_reset_without_a_response_are_told_apart) {
+  m_router.m_route = {};
+  for (const bool with_reset : {false, true}) {
+    scripted_server server;
+    auto opened = m_client.open(server.address());
+    CHECK(opened.has_value());
+    CHECK((*opened)->send({"GET", "/", {}, {}}, timeout).has_value());
+    server.accept();
+    with_reset ? server.reset() : server.m_socket.close();
+    const auto head = (*opened)->read_head(timeout);
+    CHECK_FALSE(head.has_value());
+    CHECK(head.error().m_closed_by_server);
+    CHECK_EQUAL(with_reset, head.error().m_reset);
+    CHECK_FALSE(head.error().m_refused);
+  }
+}
