Ask whether the server still runs before the end of an unframed whole response is believed

Callers could get a success with nothing or a part of the body of a response that was not a stream, had neither a length nor chunks, and whose server crashed: the kernel ends its connection in the orderly way, as for streams.

The same question as at the end of a stream decides. A request that may be repeated goes to another server, others get 502. A success of a server that runs waits for the answer, some milliseconds; responses with a length or chunks, and failures, ask nothing.

--- a/packages/gateway/include/cardamompond/gateway/backend_call.hpp
+++ b/packages/gateway/include/cardamompond/gateway/backend_call.hpp
@@ -70,8 +70,8 @@
   std::function<void(const response_metadata&, std::string_view proxy)> m_on_server_notices;
   // Whether the server still takes requests; asked before each request that is sent to it.
   std::function<bool()> m_may_send;
-  // Called after the last event of a run that ended with its connection, unless a peer passed it on. Returns
-  // whether the process of the server has ended, too. Blocks the fiber.
+  // Called after a success, or the last event of a run, that ended with its connection, unless a peer passed
+  // it on. Returns whether the process of the server has ended, too. Blocks the fiber.
   std::function<bool(const run_end&)> m_server_is_gone;
 };
 
@@ -149,6 +149,7 @@
   call_outcome read_body();
   call_outcome relay_events();
   run_end observe_run_end() const;
+  bool is_server_gone(const run_end& end) const;
   std::optional<call_outcome> check_stream_end();
   std::optional<call_outcome> forward_events(std::string_view events);
 
--- a/packages/gateway/src/backend_call.cpp
+++ b/packages/gateway/src/backend_call.cpp
@@ -43,6 +43,8 @@
 // Interval at which a silent call is offered to be given up again.
 constexpr milliseconds silence_check_interval{100};
 
+constexpr std::string_view server_gone = "the server was gone after the end of the connection";
+
 constexpr int status_misdirected = 421;
 constexpr int first_non_success_status = 300;
 
@@ -288,6 +290,10 @@
       return abort_after_error(part.error());
     }
     if (part->empty()) {
+      if (m_response.m_status < first_non_success_status &&
+          is_server_gone({.m_ends_with_connection = m_call->ends_with_connection()})) {
+        return abort_after_error({std::string(server_gone), true, false, true});
+      }
       close_if_unidentified();
       return call_outcome::answered;
     }
@@ -367,15 +373,19 @@
           .m_ended_at_deadline = ended_at_deadline};
 }
 
+// Whether the server has ended together with its connection, if that is the end of the response. The
+// connection of a server that crashes ends like that of one that has sent everything.
+bool backend_call::is_server_gone(const run_end& end) const {
+  return end.m_ends_with_connection && m_call->proxy().empty() && m_options.m_server_is_gone(end);
+}
+
 // Checks whether the orderly end of the response can be that of the stream.
 std::optional<call_outcome> backend_call::check_stream_end() {
   auto& completeness = m_options.m_relay->m_completeness;
   const run_end end = observe_run_end();
   std::string_view contradiction = completeness.find_contradiction(end);
-  // The connection of a server that crashes between two events ends like that of one that has sent all.
-  if (contradiction.empty() && end.m_ends_with_connection && m_call->proxy().empty() &&
-      m_options.m_server_is_gone(end)) {
-    contradiction = "the server was gone after the end of the connection";
+  if (contradiction.empty() && is_server_gone(end)) {
+    contradiction = server_gone;
   }
   if (contradiction.empty()) {
     return std::nullopt;
