Count no event twice at the end of a stream

request_ended and the reported speed of a server could count the events of the last read twice: bytes behind the last event, a comment or a blank line, are passed on at the end of the stream with the count of the read before. At the end no event is complete, so that none is counted.

Evidence: none but the reading; stream_ends and unframed_ends pass.

--- a/packages/gateway/include/cardamompond/gateway/backend_call.hpp
+++ b/packages/gateway/include/cardamompond/gateway/backend_call.hpp
@@ -151,7 +151,7 @@
   run_end observe_run_end() const;
   bool is_server_gone(const run_end& end) const;
   std::optional<call_outcome> check_stream_end();
-  std::optional<call_outcome> forward_events(std::string_view events);
+  std::optional<call_outcome> forward_events(std::string_view events, std::size_t event_count);
 
   void report_progress();
   void record_event_gap(std::size_t events);
--- a/packages/gateway/src/backend_call.cpp
+++ b/packages/gateway/src/backend_call.cpp
@@ -313,7 +313,7 @@
 
 // Forwards events to the caller. The head is sent with the first event only, so that a failure before the
 // first event can still be answered differently.
-std::optional<call_outcome> backend_call::forward_events(std::string_view events) {
+std::optional<call_outcome> backend_call::forward_events(std::string_view events, std::size_t event_count) {
   stream_relay& relay = *m_options.m_relay;
   if (events.empty()) {
     return std::nullopt;
@@ -323,7 +323,6 @@
     relay.m_longest_pause = std::max(relay.m_longest_pause, now - relay.m_last_event);
   }
   relay.m_last_event = now;
-  const std::size_t event_count = relay.m_splitter.event_count();
   if (event_count > 0) {
     relay.m_completeness.record_event();
   }
@@ -442,7 +441,7 @@
     if (!stream_ended && !relay.m_splitter.ids_increase()) {
       return abort_after_error({"the id of an event does not follow the one before", true, false});
     }
-    if (const auto outcome = forward_events(events)) {
+    if (const auto outcome = forward_events(events, stream_ended ? 0 : relay.m_splitter.event_count())) {
       m_call->abort();
       return *outcome;
     }
