Compare no id of an event with that of the caller's own header

The header is the caller's word, which nothing confirms. A server that ignores the header repeats events to that caller only; the rule for runs that this daemon continues, whose ids it has seen itself, stays.

--- a/packages/gateway/include/cardamompond/gateway/event_splitter.hpp
+++ b/packages/gateway/include/cardamompond/gateway/event_splitter.hpp
@@ -33,13 +33,10 @@
   // Number of events in the view that the last feed() returned.
   std::size_t event_count() const { return m_event_count; }
 
-  // Whether the ids in the view that the last feed() returned increase, from the last id before it on, which
-  // at first is that of begin_after(). If they do not, last_event_id() stays the one before.
+  // Whether the ids in the view that the last feed() returned increase, from the last id before it on. If
+  // they do not, last_event_id() stays the one before.
   bool ids_increase() const { return m_ids_increase; }
 
-  // Sets the id that the ids of all events must follow, that of the last event that the caller has received.
-  void begin_after(std::string_view id) { m_id_before = id; }
-
   // The id of the last complete event that had one; empty if none had.
   const std::string& last_event_id() const { return m_last_event_id; }
 
@@ -62,7 +59,6 @@
   bool m_ids_increase = true;
   bool m_can_resume = false;
   std::string m_last_event_id;
-  std::string m_id_before; // that of begin_after()
 };
 
 } // namespace cardamompond::gateway
--- a/packages/gateway/include/cardamompond/gateway/request_protocol.hpp
+++ b/packages/gateway/include/cardamompond/gateway/request_protocol.hpp
@@ -28,7 +28,6 @@
   std::uint64_t m_shared_prefix_hash = 0; // of the prompt prefix that it shares with other requests; 0: none
   // The prompt parts that other requests may share, in the order of the prompt: all but the last one.
   std::vector<std::uint64_t> m_shared_parts;
-  std::string m_last_event_id; // of a stream that the caller resumes; empty: it asks for the first event
 };
 
 // What the daemon adds to a request for a backend server.
--- a/packages/gateway/src/event_splitter.cpp
+++ b/packages/gateway/src/event_splitter.cpp
@@ -113,7 +113,7 @@
   const std::size_t end = find_last_event_end(std::string_view(m_buffer).substr(search_begin));
   m_complete_bytes = end == 0 ? 0 : search_begin + end;
   const std::string_view events = std::string_view(m_buffer).substr(0, m_complete_bytes);
-  m_ids_increase = gateway::ids_increase(events, m_last_event_id.empty() ? m_id_before : m_last_event_id);
+  m_ids_increase = gateway::ids_increase(events, m_last_event_id);
   m_event_count = count_events(events);
   if (m_ids_increase && m_event_count > 0) {
     update_last_event_id(events);
--- a/packages/gateway/src/request_processor.cpp
+++ b/packages/gateway/src/request_processor.cpp
@@ -153,9 +153,6 @@
   }
   admission.record_request(m_service);
   m_relay.m_exchange = &m_exchange;
-  if (m_route->m_resumable) {
-    m_relay.m_splitter.begin_after(m_request.m_last_event_id);
-  }
   return std::nullopt;
 }
 
