Tell by the wait at the deadline whether a server went on until then

A read now notes whether it waits at the deadline with nothing to read. What is read after that has come after the deadline, however long the daemon was stopped; where no read has waited, the end is believed. Such an end is the outcome out_of_time, no failure of the server.

--- a/packages/gateway/include/cardamompond/gateway/stream_completeness.hpp
+++ b/packages/gateway/include/cardamompond/gateway/stream_completeness.hpp
@@ -11,7 +11,7 @@
   bool m_inside_event = false;         // it stopped after a part of an event
   bool m_body_bytes_due = false;       // it stopped before bytes that its length or a chunk had announced
   bool m_ends_with_connection = false; // it has neither a length nor chunks, so that it cannot state its end
-  bool m_ended_at_deadline = false;    // it stopped at the deadline that the server was given
+  bool m_ended_at_deadline = false;    // it went on at the deadline that the server was given
 };
 
 // Decides whether the end of a run can be that of the stream, which several runs may make up. A server that
--- a/packages/gateway/src/backend_call.cpp
+++ b/packages/gateway/src/backend_call.cpp
@@ -362,14 +362,11 @@
 }
 
 run_end backend_call::observe_run_end() const {
-  // A daemon that was paused reads what came before the deadline after it, the last event and the end alike.
-  const bool ended_at_deadline = monotonic_now() + deadline_unit >= m_options.m_deadline &&
-                                 m_options.m_relay->m_last_event < m_options.m_deadline;
   return {.m_events = m_events_relayed,
           .m_inside_event = is_inside_event(m_options.m_relay->m_splitter.remaining_bytes()),
           .m_body_bytes_due = m_call->body_bytes_due(),
           .m_ends_with_connection = m_call->ends_with_connection(),
-          .m_ended_at_deadline = ended_at_deadline};
+          .m_ended_at_deadline = m_call->response_went_on()};
 }
 
 // Whether the server has ended together with its connection, if that is the end of the response. The
@@ -390,6 +387,11 @@
     return std::nullopt;
   }
   completeness.record_cut(end);
+  if (end.m_ended_at_deadline) {
+    m_failure = contradiction;
+    m_call->abort();
+    return call_outcome::out_of_time; // no failure of the server
+  }
   return abort_after_error({std::string(contradiction), true, false, end.m_ends_with_connection});
 }
 
@@ -419,6 +421,7 @@
     return abort_after_error({"the status is not that of the stream it continues", true, false});
   }
   relay.m_splitter.drop_incomplete_event();
+  m_call->watch_response_at(m_options.m_deadline - deadline_unit);
   std::array<char, 8192> buffer{};
   while (true) {
     auto part = m_call->read_some(buffer, io_timeout());
--- a/packages/net/include/cardamompond/net/http_client.hpp
+++ b/packages/net/include/cardamompond/net/http_client.hpp
@@ -97,6 +97,13 @@
   // operation fails as timed out; otherwise it goes on waiting, at most for its own timeout.
   virtual void on_silence(duration timeout, duration interval, std::function<bool()> give_up) = 0;
 
+  // Makes the call note whether the response still goes on at the time given.
+  virtual void watch_response_at(time_point at) = 0;
+
+  // Whether the response went on at the time of watch_response_at(): nothing was left to read, and it had not
+  // ended. Its end has come later then, even if the process was stopped at that time. Otherwise it is unknown.
+  virtual bool response_went_on() const = 0;
+
   // Waits until the server sends bytes or closes the connection, at most until the time given. Returns false
   // if that passes first; the call can go on then.
   virtual bool wait_for_input(time_point until) = 0;
--- a/packages/net/src/fiber_stream.cpp
+++ b/packages/net/src/fiber_stream.cpp
@@ -168,9 +168,21 @@
   return !m_wait_expired || readable(); // data may have come before the fiber resumed
 }
 
+// Waits like wait_readable_until(), and looks on the way whether a read waits at the time that is watched.
+bool fiber_stream::wait_watched_until(time_point until) {
+  if (m_watched_at <= until) {
+    if (wait_readable_until(m_watched_at)) {
+      return true;
+    }
+    m_waited_when_watched = true;
+    m_watched_at = time_point::max();
+  }
+  return wait_readable_until(until);
+}
+
 void fiber_stream::wait_during_silence() {
   time_point check_at = monotonic_now() + m_silence_timeout;
-  while (check_at < m_deadline && !wait_readable_until(check_at)) {
+  while (check_at < m_deadline && !wait_watched_until(check_at)) {
     if (m_give_up()) {
       time_out();
       return;
@@ -187,6 +199,9 @@
       return 0;
     }
   }
+  if (m_watched_at < m_deadline) {
+    wait_watched_until(m_watched_at);
+  }
   std::size_t bytes = 0;
   error = wait_for(
       readiness::input, [&](auto handler) { m_socket.async_read_some(buffer, handler); }, &bytes);
--- a/packages/net/src/fiber_stream.hpp
+++ b/packages/net/src/fiber_stream.hpp
@@ -49,6 +49,16 @@
   // the deadline.
   void on_silence(duration timeout, duration interval, std::function<bool()> give_up);
 
+  // Makes reads note whether one of them waits at the time given, or after it, with nothing to read. What is
+  // read after such a wait has come after that time, even if the process is stopped. time_point::max(): none.
+  void watch_reads_at(time_point at) {
+    m_watched_at = at;
+    m_waited_when_watched = false;
+  }
+
+  // Whether a read has waited at the time of watch_reads_at() or after it.
+  bool waited_when_watched() const { return m_waited_when_watched; }
+
   // Whether a read would return at once, with data or with an error.
   bool readable() { return is_ready(readiness::input); }
 
@@ -116,6 +126,7 @@
   void on_timer();
   void time_out();
   bool is_ready(readiness awaited);
+  bool wait_watched_until(time_point until);
   void wait_during_silence();
   boost::system::error_code wait_writable(bool or_readable, bool& readable);
   boost::system::error_code wait_writable_during_silence(bool or_readable, bool& readable);
@@ -132,6 +143,8 @@
   duration m_connection_loss_timeout{};
   duration m_keep_alive_timeout{}; // zero: the connection is not probed
   duration m_silence_timeout{};
+  time_point m_watched_at = time_point::max();
+  bool m_waited_when_watched = false;
   duration m_silence_interval{};
   std::function<bool()> m_give_up;      // empty: calls wait until the deadline
   std::shared_ptr<timer_state> m_timer; // created by the first call that blocks
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -242,6 +242,7 @@
       (m_options.m_max_idle == 0 || count_idle() < m_options.m_max_idle)) {
     stream->expires_never();
     stream->on_silence({}, {}, nullptr);
+    stream->watch_reads_at(time_point::max());
     stream->set_connection_loss_timeout(m_options.m_connection_loss_timeout);
     stream->set_keep_alive_probes(m_options.m_connection_loss_timeout);
     idle.push_back({std::move(stream), std::move(proxy), opened_at, monotonic_now(),
@@ -500,6 +501,10 @@
     m_stream->on_silence(timeout, interval, std::move(give_up));
   }
 
+  void watch_response_at(time_point at) override { m_stream->watch_reads_at(at); }
+
+  bool response_went_on() const override { return m_stream->waited_when_watched(); }
+
   bool wait_for_input(time_point until) override { return m_stream->wait_readable_until(until); }
 
   bool has_input() override { return m_stream->readable(); }
