Pace resumptions that bring content again, and believe more of a sound body's ends in a cell

Found by the reviewer who had not seen the work, in scratch tests: - A server that ignores the offset was asked for the rest in a tight loop, 22,226 requests in a second, since each answer brought content.

--- a/packages/daemon/src/body_reader.cpp
+++ b/packages/daemon/src/body_reader.cpp
@@ -86,7 +86,8 @@
 
 // Returns why a response is not the rest of the body, or an empty text if it may be.
 std::string_view body_reader::find_mismatch(const net::http_response& head) const {
-  if (head.m_status != status_ok || m_head.m_status != status_ok) {
+  constexpr int success_class = 2;
+  if (head.m_status != status_ok || m_head.m_status / 100 != success_class) {
     return "status";
   }
   if (!boost::beast::iequals(media_type(head), media_type(m_head))) {
@@ -160,7 +161,8 @@
 bool body_reader::has_no_more() {
   const bool ended_early = std::exchange(m_ended_early, false);
   if (!m_resumed || m_completeness.has_content(m_part, m_meter)) {
-    m_resume_delay = milliseconds(0);
+    // A server that ignores the offset brings content each time.
+    m_resume_delay = m_resumed ? resume_interval : milliseconds(0);
     return false;
   }
   m_resume_delay = std::clamp(2 * m_resume_delay, resume_interval, max_resume_delay);
--- a/packages/daemon/src/response_meter.cpp
+++ b/packages/daemon/src/response_meter.cpp
@@ -53,13 +53,19 @@
   return gateway::has_field(std::string_view(m_tail).substr(m_tail.size() - bytes));
 }
 
-// The space behind the colon is optional.
+// The space behind the colon is optional. Blank lines and comments may follow.
 bool response_meter::has_last_event() const {
-  const auto end = m_tail.find_last_not_of("\r\n");
-  const std::string_view text = std::string_view(m_tail).substr(0, end == std::string::npos ? 0 : end + 1);
-  const auto line_break = text.find_last_of('\n');
-  const std::string_view line = line_break == std::string_view::npos ? text : text.substr(line_break + 1);
-  return (line == "data: [DONE]" || line == "data:[DONE]") && !is_inside_event();
+  std::string_view text = m_tail;
+  while (!text.empty()) {
+    text = text.substr(0, text.find_last_not_of("\r\n") + 1);
+    const auto line_break = text.find_last_of('\n');
+    const std::string_view line = line_break == std::string_view::npos ? text : text.substr(line_break + 1);
+    if (!line.starts_with(':')) {
+      return (line == "data: [DONE]" || line == "data:[DONE]") && !is_inside_event();
+    }
+    text = text.substr(0, text.size() - line.size());
+  }
+  return false;
 }
 
 std::optional<token_usage> response_meter::usage() const {
--- a/packages/daemon/tests/forwarder_ends_test.cpp
+++ b/packages/daemon/tests/forwarder_ends_test.cpp
@@ -233,3 +233,28 @@
   CHECK(received.m_complete);
   STRCMP_EQUAL((whole_event + next_event).c_str(), received.m_body.c_str());
 }
+
+// Guards against a whole stream that is broken off because a comment follows its last event, and against a
+// body that is broken off because its first response had another success status than its rest.
+TEST(forwarder_ends_group, comments_and_other_successes_leave_a_body_whole) {
+  const raw_backend with_comment({head + "\r\n" + whole_event + "data: [DONE]\n\n: end\n\n"});
+  CHECK(forward(with_comment).m_complete);
+  UNSIGNED_LONGS_EQUAL(1, with_comment.requests().size());
+  const std::string type = "Content-Type: text/event-stream\r\n";
+  const raw_backend created({"HTTP/1.1 201 Created\r\n" + type +
+                                 "X-Stream-Id: s1\r\nTransfer-Encoding: chunked\r\n\r\n9\r\n" + whole_event +
+                                 "\r\n",
+                             head + "Content-Length: 9\r\n\r\n" + next_event});
+  CHECK(forward(created).m_complete);
+}
+
+// Guards against a backend server that ignores the offset of each resumption, and is asked in a tight loop.
+TEST(forwarder_ends_group, resumptions_that_bring_content_again_are_paced) {
+  std::vector<std::string> responses;
+  for (int i = 0; i < 400; ++i) {
+    responses.push_back(head + "\r\n" + whole_event);
+  }
+  const raw_backend backend(responses);
+  forward(backend);
+  CHECK_COMPARE(backend.requests().size(), <, 100U);
+}
