Compare ids where a server continues a stream, one for each event

The ids matter where a server continues a stream that the daemon has passed on; there, the last id of an event counts, as in the format of server-sent events, and an empty one resets the comparison. First runs are passed on as they come.

event_splitter (notices_ids_that_do_not_increase) has the cases.

--- a/packages/gateway/include/cardamompond/gateway/event_splitter.hpp
+++ b/packages/gateway/include/cardamompond/gateway/event_splitter.hpp
@@ -17,8 +17,8 @@
 // blank lines are no events.
 std::size_t count_events(std::string_view stream);
 
-// Returns whether the ids of the events in this part of a stream increase, as those of one run do, and are
-// larger than `last_id`. Compares only ids that are decimal numbers.
+// Returns whether the ids of the events in this part of a stream increase, and are larger than `last_id`.
+// Compares only ids that are decimal numbers; the last one counts in an event with several.
 bool ids_increase(std::string_view events, std::string_view last_id);
 
 // Splits a stream of server-sent events into complete events. If the stream of a backend server breaks within
@@ -33,8 +33,8 @@
   // Number of events in the view that the last feed() returned.
   std::size_t event_count() const { return m_event_count; }
 
-  // Whether the ids in the view that the last feed() returned increase, from the last id before it on. If
-  // they do not, last_event_id() stays the one before.
+  // Whether the ids in the view that the last feed() returned increase, from the last id before it on, if a
+  // server continues the stream. If they do not, last_event_id() stays the one before.
   bool ids_increase() const { return m_ids_increase; }
 
   // The id of the last complete event that had one; empty if none had.
@@ -48,14 +48,16 @@
   // and comments.
   std::string_view remaining_bytes() const { return std::string_view(m_buffer).substr(m_complete_bytes); }
 
-  // Discards an incomplete event. Must be called before another server continues the stream.
-  void drop_incomplete_event();
+  // Discards an incomplete event. Must be called before another server continues the stream, whose events
+  // then have to follow the last id.
+  void continue_stream();
 
 private:
   void update_last_event_id(std::string_view events);
   std::string m_buffer;
   std::size_t m_complete_bytes = 0; // length of the part of m_buffer that feed() has returned
   std::size_t m_event_count = 0;
+  bool m_continues = false;
   bool m_ids_increase = true;
   bool m_can_resume = false;
   std::string m_last_event_id;
--- a/packages/gateway/src/backend_call.cpp
+++ b/packages/gateway/src/backend_call.cpp
@@ -420,7 +420,7 @@
   if (relay.m_head_sent && m_response.m_status != relay.m_status) {
     return abort_after_error({"the status is not that of the stream it continues", true, false});
   }
-  relay.m_splitter.drop_incomplete_event();
+  relay.m_splitter.continue_stream();
   m_call->watch_response_at(m_options.m_deadline - deadline_unit);
   std::array<char, 8192> buffer{};
   while (true) {
@@ -449,6 +449,7 @@
       return *outcome;
     }
     if (!stream_ended && relay.m_splitter.remaining_bytes().size() > max_event_bytes) {
+      relay.m_completeness.record_cut(observe_run_end());
       return abort_after_error({"an event of the answer is too large", true, false});
     }
     if (stream_ended) {
--- a/packages/gateway/src/event_splitter.cpp
+++ b/packages/gateway/src/event_splitter.cpp
@@ -91,14 +91,19 @@
 
 bool ids_increase(std::string_view events, std::string_view last_id) {
   std::optional<std::uint64_t> last = parse_number(last_id);
+  std::optional<std::string_view> id; // of the current event: the last one, if it states several
   while (!events.empty()) {
     const auto line_end = std::min(events.find('\n'), events.size() - 1);
-    if (const auto id = parse_id(events.substr(0, line_end + 1))) {
+    const std::string_view line = events.substr(0, line_end + 1);
+    if (const auto stated = parse_id(line)) {
+      id = stated;
+    } else if (id && (line == "\n" || line == "\r\n")) {
       const auto number = parse_number(*id);
       if (number && last && *number <= *last) {
         return false;
       }
-      last = number ? number : last;
+      last = number;
+      id.reset();
     }
     events.remove_prefix(line_end + 1);
   }
@@ -113,7 +118,7 @@
   const std::size_t end = find_last_event_end(std::string_view(m_buffer).substr(search_begin));
   m_complete_bytes = end == 0 ? 0 : search_begin + end;
   const std::string_view events = std::string_view(m_buffer).substr(0, m_complete_bytes);
-  m_ids_increase = gateway::ids_increase(events, m_last_event_id);
+  m_ids_increase = !m_continues || gateway::ids_increase(events, m_last_event_id);
   m_event_count = count_events(events);
   if (m_ids_increase && m_event_count > 0) {
     update_last_event_id(events);
@@ -121,7 +126,8 @@
   return events;
 }
 
-void event_splitter::drop_incomplete_event() {
+void event_splitter::continue_stream() {
+  m_continues = !m_last_event_id.empty();
   m_buffer.clear();
   m_complete_bytes = 0;
 }
