Wake the streams that share a question if asking throws

An exception while a server was asked whether it still runs left its question open for good: each later stream of that server without a length or chunks waited 100 ms for its last chunk. It counts as unknown now.

--- a/packages/gateway/src/server_survival.cpp
+++ b/packages/gateway/src/server_survival.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/fiber/operations.hpp>
 
+#include <exception>
 #include <mutex>
 
 namespace cardamompond::gateway {
@@ -41,7 +42,11 @@
   while (!has_verdict()) {
     if (shared.m_begun == shared.m_ended) {
       ++shared.m_begun;
-      shared.m_verdict = ask(server, until);
+      try {
+        shared.m_verdict = ask(server, until);
+      } catch (const std::exception&) {
+        shared.m_verdict = survival_verdict::unknown; // the other fibers wait for an end of the question
+      }
       shared.m_ended = shared.m_begun;
       shared.m_changed.notify_all();
       break;
