--- a/packages/net/include/cardamompond/net/http_client.hpp
+++ b/packages/net/include/cardamompond/net/http_client.hpp
@@ -101,7 +101,8 @@
   virtual void watch_response_at(time_point at) = 0;
 
   // Whether the response went on at the time of watch_response_at(): nothing was left to read, and it had not
-  // ended. Its end has come later then, even if the process was stopped at that time. Otherwise it is unknown.
+  // ended. Its end has come later then, even if the process was stopped at that time. Otherwise it is
+  // unknown.
   virtual bool response_went_on() const = 0;
 
   // Waits until the server sends bytes or closes the connection, at most until the time given. Returns false
