--- a/tests/soak/soak_group.cpp
+++ b/tests/soak/soak_group.cpp
@@ -43,7 +43,7 @@
 } // namespace
 
 soak_group::soak_group(int daemon_count, int engine_count, std::uint64_t seed,
-                       const std::string& duty_settings)
+                       const std::string& duty_settings, const std::string& group_settings)
     : m_store(test_runtime())
     , m_duty_api(test_runtime(), true, seed)
     , m_client(test_runtime()) {
@@ -75,8 +75,9 @@
             std::to_string(i % 2) + "\"\n[listen]\ncallers = " + quote_address(callers_port) +
             "admin = " + quote_address(admin_port) + "metrics = " + quote_address(metrics_port) +
             "exchange = " + quote_address(exchange_port) + "[store]\naddress = \"" +
-            daemon.m_store_relay->address() + "\"\n[group]\nseeds = [\"" + loopback_host(0) +
-            ":1\"]\n[drain]\ntime_s = " + std::to_string(soak_drain_time.count() / 1'000) + "\n" + duties);
+            daemon.m_store_relay->address() + "\"\n[group]\nseeds = [\"" + loopback_host(0) + ":1\"]\n" +
+            group_settings + "[drain]\ntime_s = " + std::to_string(soak_drain_time.count() / 1'000) + "\n" +
+            duties);
     m_daemons.push_back(std::move(daemon));
   }
   for (auto& daemon : m_daemons) {
@@ -134,9 +135,13 @@
                      [&](const auto& each) { return each.first <= until && each.second >= from; });
 }
 
-// Half of the daemons begin with the program of an earlier version, if the environment names one, and each
-// changes to the other program when it starts again.
+// CUT_STREAMS_DAEMON names a program for all daemons. Half of the daemons begin with the program of an
+// earlier version, if SOAK_EARLIER_DAEMON names one, and each changes to the other program when it starts
+// again.
 std::string soak_group::choose_program(const soak_daemon& daemon) const {
+  if (const char* program = std::getenv("CUT_STREAMS_DAEMON")) {
+    return program;
+  }
   const char* earlier = std::getenv("SOAK_EARLIER_DAEMON");
   const auto number = &daemon - m_daemons.data();
   const bool starts_earlier = earlier != nullptr && (number + daemon.m_start_count) % 2 == 1;
--- a/tests/soak/soak_group.hpp
+++ b/tests/soak/soak_group.hpp
@@ -45,8 +45,9 @@
 class soak_group {
 public:
   // `duty_settings` is appended to the settings of each daemon; "@API" in it stands for the address of the
-  // API for duties.
-  soak_group(int daemon_count, int engine_count, std::uint64_t seed, const std::string& duty_settings = {});
+  // API for duties. `group_settings` is added to their table [group].
+  soak_group(int daemon_count, int engine_count, std::uint64_t seed, const std::string& duty_settings = {},
+             const std::string& group_settings = {});
   ~soak_group();
 
   // Starts the daemon's process; if it is still running, it is killed first.
