Streams whose end is stated too early, callers that resume or read slowly, ids that tell less

Change: cut_streams plays engines that state the end of an unfinished stream (at the deadline that they were given, in a continuation without an event), continuations that repeat or skip events, callers that resume by themselves, come back while the first run goes on, read slowly or send several requests on one connection, and ids that grow by ten, are missing, or have comments between them. What nothing in the exchange tells of is counted and printed, not judged.

--- a/tests/soak/cut_streams_group.cpp
+++ b/tests/soak/cut_streams_group.cpp
@@ -18,12 +18,15 @@
 
 namespace json = boost::json;
 
-json::object make_route(const std::string& name, int max_attempts, bool resumable) {
+constexpr milliseconds long_timeout{30'000};
+constexpr milliseconds short_timeout{900};
+
+json::object make_route(const std::string& name, int max_attempts, bool resumable, milliseconds timeout) {
   return {{"name", name},
           {"host", "h"},
           {"path_prefix", "/" + name + "/"},
           {"type", "stream"},
-          {"timeout_ms", 30'000},
+          {"timeout_ms", timeout.count()},
           {"target_latency_ms", 300},
           {"priority", 0},
           {"service", "chat"},
@@ -36,6 +39,27 @@
 // Streams are cut on purpose, so the daemons may retry without a limit.
 constexpr const char* unlimited_retries = "retry_ratio = 1\nretry_fixed = 100000\n";
 
+int count_separators(std::string_view body) {
+  int count = 0;
+  for (auto at = body.find("\n\n"); at != std::string_view::npos; at = body.find("\n\n", at + 2)) {
+    ++count;
+  }
+  return count;
+}
+
+net::http_request make_request(const stream_case& sent, const std::string& id) {
+  net::http_request request{"POST",
+                            "/" + sent.m_route + "/x",
+                            {{"Host", "h"},
+                             {"X-Cardamompond-Request-Id", id},
+                             {"X-Cardamompond-Deadline-Ms", std::to_string(sent.m_deadline.count())}},
+                            "body of " + id};
+  if (!sent.m_last_event_id.empty()) {
+    request.m_headers.push_back({"Last-Event-Id", sent.m_last_event_id});
+  }
+  return request;
+}
+
 // Returns the number of the piece, or 0 if the event is none of the stream.
 int piece_number(std::string_view event, const std::string& request_id) {
   const std::string prefix = "data: " + request_id + " ";
@@ -51,8 +75,8 @@
 
 } // namespace
 
-void check_pieces(const std::string& body, const stream_plan& plan, stream_result& result) {
-  result.m_last = result.m_first - 1;
+void check_pieces(const std::string& body, const stream_case& sent, stream_result& result) {
+  const stream_plan& plan = sent.m_plan;
   std::string_view left = body;
   const auto add = [&](const std::string& what) {
     if (result.m_violations.size() < 3) {
@@ -62,12 +86,20 @@
   for (auto end = left.find("\n\n"); end != std::string_view::npos; end = left.find("\n\n")) {
     const std::string_view event = left.substr(0, end);
     left.remove_prefix(end + 2);
+    if (event.starts_with(':')) {
+      continue; // a comment
+    }
     const int number = piece_number(event, result.m_id);
     if (number == 0 || std::string(event) + "\n\n" != make_event(plan, result.m_id, number)) {
       add("after piece " + std::to_string(result.m_last) +
           " comes one of another stream or in parts: " + std::string(event.substr(0, 80)));
     } else if (number != result.m_last + 1) {
-      add("after piece " + std::to_string(result.m_last) + " comes piece " + std::to_string(number));
+      if (sent.m_loss_is_untold && number > result.m_last) {
+        result.m_untold_loss = true;
+      } else {
+        add("after piece " + std::to_string(result.m_last) + " comes piece " + std::to_string(number));
+      }
+      result.m_last = std::max(result.m_last, number);
     } else {
       result.m_last = number;
     }
@@ -76,8 +108,12 @@
     add("the stream ends as complete inside a piece");
   }
   if (result.m_complete && result.m_last < plan.m_events) {
-    add("the stream ends as complete after piece " + std::to_string(result.m_last) + " of " +
-        std::to_string(plan.m_events));
+    if (sent.m_loss_is_untold) {
+      result.m_untold_loss = true;
+    } else {
+      add("the stream ends as complete after piece " + std::to_string(result.m_last) + " of " +
+          std::to_string(plan.m_events));
+    }
   }
 }
 
@@ -88,8 +124,10 @@
     , m_seed(seed) {
   m_group.store().put("config", "main",
                       {{"version", 1'000},
-                       {"routes", json::array{make_route("note", 2, true), make_route("long", 3, true),
-                                              make_route("guide", 1, false)}},
+                       {"routes", json::array{make_route("note", 2, true, long_timeout),
+                                              make_route("three", 3, true, long_timeout),
+                                              make_route("short", 2, true, short_timeout),
+                                              make_route("guide", 1, false, long_timeout)}},
                        {"services", json::array{{{"name", "chat"}, {"health_path", "/healthz"}}}},
                        {"tenants", json::array{}}});
   for (const auto& engine : m_engines.engines()) {
@@ -123,56 +161,80 @@
                        {"cold_remaining_ms", 0}});
 }
 
-stream_result cut_streams_group::read(const stream_case& sent) {
+stream_result cut_streams_group::begin(const stream_case& sent) {
   stream_result result;
   result.m_id = std::to_string(m_seed) + "-" + std::to_string(++m_stream_count);
   result.m_first = next_event(sent.m_plan, sent.m_last_event_id);
   result.m_last = result.m_first - 1;
   result.m_sent_at = monotonic_now();
   m_engines.set_plan(result.m_id, sent.m_plan);
-  const auto fail = [&](const net::call_error& error) { result.m_error = error.m_message; };
-  const milliseconds timeout = sent.m_deadline + milliseconds(500);
-  net::http_request request{"POST",
-                            "/" + sent.m_route + "/x",
-                            {{"Host", "h"},
-                             {"X-Cardamompond-Request-Id", result.m_id},
-                             {"X-Cardamompond-Deadline-Ms", std::to_string(sent.m_deadline.count())}},
-                            "body of " + result.m_id};
-  if (!sent.m_last_event_id.empty()) {
-    request.m_headers.push_back({"Last-Event-Id", sent.m_last_event_id});
+  return result;
+}
+
+void cut_streams_group::receive(net::http_call& call, const stream_case& sent, stream_result& result) {
+  const milliseconds timeout = sent.m_deadline + milliseconds(1'000);
+  auto head = call.read_head(timeout);
+  if (!head) {
+    result.m_error = head.error().m_message;
+    return;
   }
-  auto opened = m_group.client().open(m_group.callers_address(m_group.daemons()[sent.m_daemon]));
+  result.m_status = head->m_status;
   std::string body;
-  if (!opened) {
-    fail(opened.error());
-  } else if (const auto written = (*opened)->send(request, timeout); !written) {
-    fail(written.error());
-  } else if (auto head = (*opened)->read_head(timeout); !head) {
-    fail(head.error());
-  } else {
-    result.m_status = head->m_status;
-    std::vector<char> buffer(sent.m_read_bytes);
-    while (true) {
-      auto part = (*opened)->read_some(buffer, timeout);
-      if (!part) {
-        fail(part.error());
-        break;
-      }
-      if (part->empty()) {
-        result.m_complete = head->m_status == 200;
-        break;
-      }
-      body.append(part->data(), part->size());
-      if (sent.m_read_pause > milliseconds(0)) {
-        boost::this_fiber::sleep_for(sent.m_read_pause);
-      }
+  std::vector<char> buffer(sent.m_read_bytes);
+  for (int events = 0; sent.m_leave_after == 0 || events < sent.m_leave_after;) {
+    auto part = call.read_some(buffer, timeout);
+    if (!part) {
+      result.m_error = part.error().m_message;
+      break;
+    }
+    if (part->empty()) {
+      result.m_complete = head->m_status == 200;
+      break;
+    }
+    body.append(part->data(), part->size());
+    events = sent.m_leave_after == 0 ? 0 : count_separators(body);
+    if (sent.m_read_pause > milliseconds(0) && monotonic_now() < result.m_sent_at + sent.m_deadline) {
+      boost::this_fiber::sleep_for(sent.m_read_pause);
     }
   }
   result.m_ended_at = monotonic_now();
+  if (result.m_status == 200 && !result.m_complete && result.m_error.empty()) {
+    result.m_left = true;
+    call.abort();
+  }
   if (result.m_status == 200) {
-    check_pieces(body, sent.m_plan, result);
+    check_pieces(body, sent, result);
   }
-  return result;
+}
+
+std::vector<stream_result> cut_streams_group::read_on_one_connection(const std::vector<stream_case>& cases) {
+  std::vector<stream_result> results;
+  for (const auto& each : cases) {
+    results.push_back(begin(each));
+  }
+  auto opened = m_group.client().open(m_group.callers_address(m_group.daemons()[cases.front().m_daemon]));
+  if (!opened) {
+    results.front().m_error = opened.error().m_message;
+    return results;
+  }
+  for (std::size_t i = 0; i < cases.size(); ++i) {
+    if (const auto written = (*opened)->send(make_request(cases[i], results[i].m_id), cases[i].m_deadline);
+        !written) {
+      results[i].m_error = written.error().m_message;
+      return results;
+    }
+  }
+  for (std::size_t i = 0; i < cases.size(); ++i) {
+    receive(**opened, cases[i], results[i]);
+    if (!results[i].m_error.empty()) {
+      break;
+    }
+  }
+  return results;
+}
+
+stream_result cut_streams_group::read(const stream_case& sent) {
+  return read_on_one_connection({sent}).front();
 }
 
 std::vector<stream_result> cut_streams_group::read_all(const std::vector<stream_case>& cases,
@@ -207,58 +269,60 @@
   for (const auto& daemon : m_group.daemons()) {
     std::istringstream lines(daemon.m_process->read_output());
     for (std::string line; std::getline(lines, line);) {
-      if (line.find("\"" + result.m_id + "\"") != std::string::npos ||
-          line.find("=" + result.m_id + " ") != std::string::npos) {
+      if (line.find("request_id=" + result.m_id + " ") != std::string::npos) {
         std::printf("    %s: %s\n", daemon.m_name.c_str(), line.c_str());
       }
     }
   }
 }
 
-void cut_streams_group::report(const std::string& name, const std::vector<stream_result>& results) {
-  constexpr std::size_t max_traces = 6;
+void stream_report::add(cut_streams_group& group, const std::string& name,
+                        const std::vector<stream_result>& results) {
+  constexpr std::size_t max_traces = 4;
   std::map<std::string, std::size_t> outcomes;
   std::size_t violated = 0;
   std::size_t resumed = 0;
   for (const auto& result : results) {
-    const auto& plan = m_engines.plan(result.m_id);
-    resumed += run_count(result) > 1 ? 1 : 0;
-    ++outcomes[!result.m_violations.empty() ? "violated"
+    const auto& plan = group.engines().plan(result.m_id);
+    resumed += group.run_count(result) > 1 ? 1 : 0;
+    ++outcomes[!result.m_violations.empty() ? "VIOLATED"
+               : result.m_untold_loss       ? "lost events that nothing tells of"
                : result.whole(plan)         ? "whole"
+               : result.m_left              ? "left by its caller"
                : result.m_status == 200     ? "broken off"
                : result.m_status == 0       ? "no response"
                                             : "status " + std::to_string(result.m_status)];
     if (!result.m_violations.empty() && violated++ < max_traces) {
-      print_trace(result);
+      group.print_trace(result);
     }
   }
-  std::printf("%s, seed %llu: %zu streams, %zu with two runs or more;", name.c_str(),
-              static_cast<unsigned long long>(m_seed), results.size(), resumed);
+  std::ostringstream line;
+  line << name << ", seed " << group.seed() << ": " << results.size() << " streams, " << resumed
+       << " with two runs or more;";
   for (const auto& [outcome, count] : outcomes) {
-    std::printf(" %s %zu", outcome.c_str(), count);
+    line << " " << outcome << " " << count;
   }
-  std::printf("\n");
+  std::printf("%s\n", line.str().c_str());
   std::fflush(stdout);
   if (violated > 0) {
-    fail_test(name + ": " + std::to_string(violated) + " of " + std::to_string(results.size()) +
-              " streams violate the order of their pieces");
+    m_failures += line.str() + "\n";
   }
 }
 
-std::vector<std::uint64_t> cut_streams_seeds() {
-  const char* text = std::getenv("CUT_STREAMS_SEEDS");
-  std::istringstream numbers(text == nullptr ? "1" : text);
-  std::vector<std::uint64_t> seeds;
-  for (std::uint64_t seed = 0; numbers >> seed;) {
-    seeds.push_back(seed);
+void stream_report::check() const {
+  if (!m_failures.empty()) {
+    fail_test("streams violate the order of their pieces:\n" + m_failures);
   }
-  return seeds;
 }
 
-void for_each_seed(const std::function<void(std::uint64_t)>& body) {
-  for (const auto seed : cut_streams_seeds()) {
-    body(seed);
+void for_each_seed(const std::function<void(std::uint64_t seed, stream_report& report)>& body) {
+  const char* seeds = std::getenv("CUT_STREAMS_SEEDS");
+  std::istringstream numbers(seeds == nullptr ? "1" : seeds);
+  stream_report report;
+  for (std::uint64_t seed = 0; numbers >> seed;) {
+    body(seed, report);
   }
+  report.check();
 }
 
 } // namespace cardamompond::testing
--- a/tests/soak/stream_engines.cpp
+++ b/tests/soak/stream_engines.cpp
@@ -1,5 +1,6 @@
 #include "stream_engines.hpp"
 
+#include "cardamompond/testing/child_process.hpp"
 #include "cardamompond/testing/environment.hpp"
 
 #include <boost/fiber/operations.hpp>
@@ -11,6 +12,8 @@
 namespace cardamompond::testing {
 namespace {
 
+const std::string comment = ": alive\n\n";
+
 using connection = platform::testing::scripted_engine::connection;
 
 std::string header_value(const std::string& request, const std::string& name) {
@@ -106,6 +109,10 @@
   }
 }
 
+stream_engines::~stream_engines() {
+  wait_until("the runs have ended", seconds(20), [&] { return m_active_runs == 0; });
+}
+
 void stream_engines::handle(engine& self, connection& conn, const std::string& request) {
   constexpr int status_misdirected = 421;
   constexpr int status_unavailable = 503;
@@ -130,9 +137,11 @@
   trace.m_ended = trace.m_began;
   trace.m_end = "goes on";
   runs.push_back(trace);
+  ++m_active_runs;
   run(self, conn, plan, index < plan.m_runs.size() ? plan.m_runs[index] : stream_run{}, id, trace);
   trace.m_ended = monotonic_now();
   m_runs[id][index] = trace;
+  --m_active_runs;
 }
 
 void stream_engines::run(engine& self, connection& conn, const stream_plan& plan, const stream_run& run,
@@ -171,7 +180,7 @@
                          : plan.m_events;
     std::size_t length = 0;
     for (int number = trace.m_first; number <= last; ++number) {
-      length += make_event(plan, request_id, number).size();
+      length += make_event(plan, request_id, number).size() + (plan.m_comments ? comment.size() : 0);
     }
     head += "Content-Length: " + std::to_string(length) + "\r\n";
   } else {
@@ -220,7 +229,8 @@
     if (self.m_stopping) {
       return true;
     }
-    const std::string bytes = frame(run, make_event(plan, request_id, number));
+    const std::string bytes =
+        frame(run, (plan.m_comments ? comment : "") + make_event(plan, request_id, number));
     if (run.m_split_writes) {
       constexpr milliseconds write_gap{2};
       if (!conn.try_write(bytes.substr(0, bytes.size() / 2))) {
--- a/tests/soak/stream_engines.hpp
+++ b/tests/soak/stream_engines.hpp
@@ -24,11 +24,16 @@
     bool m_stopping = false;
     bool m_leaving = false; // states in its answers that it leaves
 
-    const std::string address() const { return m_relay ? m_relay->address() : m_server->address(); }
+    std::string address() const { return m_relay ? m_relay->address() : m_server->address(); }
   };
 
   stream_engines(int count, bool with_relays);
 
+  // Waits until all runs have ended, so that the daemons have to be gone.
+  ~stream_engines();
+  stream_engines(const stream_engines&) = delete;
+  stream_engines& operator=(const stream_engines&) = delete;
+
   void set_plan(const std::string& request_id, stream_plan plan) { m_plans[request_id] = std::move(plan); }
   const stream_plan& plan(const std::string& request_id) const { return m_plans.at(request_id); }
 
@@ -50,6 +55,7 @@
   std::map<std::string, stream_plan> m_plans;
   std::map<std::string, std::vector<run_trace>> m_runs;
   std::vector<std::unique_ptr<engine>> m_engines;
+  std::size_t m_active_runs = 0;
 };
 
 } // namespace cardamompond::testing
--- a/tests/soak/stream_plan.hpp
+++ b/tests/soak/stream_plan.hpp
@@ -72,7 +72,8 @@
   milliseconds m_interval{25};
   std::size_t m_padding = 0; // bytes that each event has in addition
   id_scheme m_ids = id_scheme::numbers;
-  std::vector<stream_run> m_runs;
+  bool m_comments = false; // before each event
+  std::vector<stream_run> m_runs{};
 };
 
 // A run as its engine saw it.
