--- a/tests/soak/cut_streams_group.cpp
+++ b/tests/soak/cut_streams_group.cpp
@@ -53,7 +53,7 @@
                             {{"Host", "h"},
                              {"X-Cardamompond-Request-Id", id},
                              {"X-Cardamompond-Deadline-Ms", std::to_string(sent.m_deadline.count())}},
-                            "body of " + id};
+                            "body of " + id + std::string(sent.m_body_bytes, '.')};
   if (!sent.m_last_event_id.empty()) {
     request.m_headers.push_back({"Last-Event-Id", sent.m_last_event_id});
   }
--- a/tests/soak/cut_streams_group.hpp
+++ b/tests/soak/cut_streams_group.hpp
@@ -21,6 +21,7 @@
   std::string m_last_event_id{};   // that the caller itself sends
   milliseconds m_read_pause{};     // after each read, until the deadline
   std::size_t m_read_bytes = 8192; // at most in one read
+  std::size_t m_body_bytes = 0;    // of the request, in addition
   int m_leave_after = 0;           // events after which the caller closes its connection; 0: never
   // Whether an engine, as planned, states the end of a stream whose next event nobody can know of, or skips
   // events. Such losses are counted, but do not violate what a daemon can keep.
--- a/tests/soak/cut_streams_test.cpp
+++ b/tests/soak/cut_streams_test.cpp
@@ -45,3 +45,21 @@
     report.add(group, "in chunks", group.read_all(make_matrix(seed + 1'000'000, 200, true)));
   });
 }
+
+// Guards against a stream that looks complete because the run that continues it has neither a length nor chunks,
+// and its connection ends before its first event.
+TEST(cut_streams, unframed_continuation_that_ends_before_its_first_event) {
+  for_each_seed([](std::uint64_t seed, stream_report& report) {
+    std::mt19937_64 random(seed);
+    cut_streams_group group(2, engine_count, seed);
+    std::vector<stream_case> cases;
+    for (std::size_t i = 0; i < 40; ++i) {
+      cases.push_back({.m_daemon = i % 2});
+      cases.back().m_plan.m_runs = {make_cut(random, pick(all_framings, random)),
+                                    {.m_framing = body_framing::connection,
+                                     .m_stage = stop_stage::before_first_event,
+                                     .m_kind = stop_kind::fin}};
+    }
+    report.add(group, "unframed continuation", group.read_all(cases));
+  });
+}
