--- a/packages/gateway/include/cardamompond/gateway/backend_call.hpp
+++ b/packages/gateway/include/cardamompond/gateway/backend_call.hpp
@@ -3,6 +3,7 @@
 #include "cardamompond/core/time.hpp"
 #include "cardamompond/gateway/event_splitter.hpp"
 #include "cardamompond/gateway/request_protocol.hpp"
+#include "cardamompond/gateway/stream_completeness.hpp"
 #include "cardamompond/net/http_client.hpp"
 #include "cardamompond/net/http_server.hpp"
 
@@ -37,7 +38,9 @@
 struct stream_relay {
   net::http_exchange* m_exchange = nullptr;
   event_splitter m_splitter;
+  stream_completeness m_completeness;
   bool m_head_sent = false; // whether the status and headers were sent to the caller
+  int m_status = 0; // of the head that was sent
   time_point m_first_event;
   time_point m_last_event;
   duration m_longest_pause{}; // between two events
@@ -109,6 +112,12 @@
   // The response; its body is complete only if run() returned `answered`.
   const net::http_response& response() const { return m_response; }
 
+  // The framing of the response; `none` if no head was read.
+  net::body_framing framing() const { return m_call ? m_call->framing() : net::body_framing::none; }
+
+  // Whether the response stopped before the end of its body that its length or its current chunk states.
+  bool body_bytes_due() const { return m_call && m_call->body_bytes_due(); }
+
   // Whether the request, or a part of it, has been sent to the server.
   bool sent() const { return m_sent; }
 
@@ -136,6 +145,7 @@
   void close_if_unidentified();
   call_outcome read_body();
   call_outcome relay_events();
+  run_end observe_run_end() const;
   std::optional<call_outcome> check_stream_end();
   std::optional<call_outcome> forward_events(std::string_view events);
 
--- a/packages/gateway/src/backend_call.cpp
+++ b/packages/gateway/src/backend_call.cpp
@@ -37,6 +37,9 @@
 // it to arrive.
 constexpr milliseconds response_margin{60};
 
+// The unit in which a server is given its deadline, rounded down.
+constexpr milliseconds deadline_unit{1};
+
 // Interval at which a silent call is offered to be given up again.
 constexpr milliseconds silence_check_interval{100};
 
@@ -315,11 +318,15 @@
   }
   relay.m_last_event = now;
   const std::size_t event_count = relay.m_splitter.event_count();
+  if (event_count > 0) {
+    relay.m_completeness.record_event();
+  }
   relay.m_events_relayed += event_count;
   m_events_relayed += event_count;
   record_event_gap(event_count);
   if (!relay.m_head_sent) {
     relay.m_head_sent = true;
+    relay.m_status = m_response.m_status;
     relay.m_first_event = relay.m_last_event;
     m_options.m_on_first_token();
     if (!relay.m_exchange->begin(m_response.m_status, m_protocol.make_caller_headers(m_response))) {
@@ -349,19 +356,27 @@
   }
 }
 
-// An engine that crashes may end its answer inside an event. If the answer ends with its connection, nothing
-// else tells a crash before the first event from the end of the stream. That holds for each call of a stream,
-// since a call that continues it may crash as well.
+run_end backend_call::observe_run_end() const {
+  // A daemon that was paused reads what came before the deadline after it, the last event and the end alike.
+  const bool ended_at_deadline = monotonic_now() + deadline_unit >= m_options.m_deadline &&
+                                 m_options.m_relay->m_last_event < m_options.m_deadline;
+  return {.m_events = m_events_relayed,
+          .m_inside_event = is_inside_event(m_options.m_relay->m_splitter.remaining_bytes()),
+          .m_body_bytes_due = m_call->body_bytes_due(),
+          .m_ends_with_connection = m_call->ends_with_connection(),
+          .m_ended_at_deadline = ended_at_deadline};
+}
+
+// Checks whether the orderly end of the response can be that of the stream.
 std::optional<call_outcome> backend_call::check_stream_end() {
-  const stream_relay& relay = *m_options.m_relay;
-  if (is_inside_event(relay.m_splitter.remaining_bytes())) {
-    return abort_after_error(
-        {"the stream ended inside an event", true, false, m_call->ends_with_connection()});
-  }
-  if (m_events_relayed == 0 && m_call->ends_with_connection()) {
-    return abort_after_error({"the connection ended before the first event", true, false, true});
+  auto& completeness = m_options.m_relay->m_completeness;
+  const run_end end = observe_run_end();
+  const std::string_view contradiction = completeness.find_contradiction(end);
+  if (contradiction.empty()) {
+    return std::nullopt;
   }
-  return std::nullopt;
+  completeness.record_cut(end);
+  return abort_after_error({std::string(contradiction), true, false, end.m_ends_with_connection});
 }
 
 void backend_call::record_event_gap(std::size_t events) {
@@ -386,11 +401,15 @@
 
 call_outcome backend_call::relay_events() {
   stream_relay& relay = *m_options.m_relay;
+  if (relay.m_head_sent && m_response.m_status != relay.m_status) {
+    return abort_after_error({"the status is not that of the stream it continues", true, false});
+  }
   relay.m_splitter.drop_incomplete_event();
   std::array<char, 8192> buffer{};
   while (true) {
     auto part = m_call->read_some(buffer, io_timeout());
     if (!part) {
+      relay.m_completeness.record_cut(observe_run_end());
       return abort_after_error(part.error());
     }
     if (m_cancelled) {
@@ -405,6 +424,9 @@
     }
     const std::string_view events = stream_ended ? relay.m_splitter.remaining_bytes()
                                                  : relay.m_splitter.feed({part->data(), part->size()});
+    if (!stream_ended && !relay.m_splitter.ids_increase()) {
+      return abort_after_error({"the id of an event does not follow the one before", true, false});
+    }
     if (const auto outcome = forward_events(events)) {
       m_call->abort();
       return *outcome;
