Ask the kernel for one connection instead of listing all in a partition of one process

What callers saw: nothing; the relay of the tests partitions the clients of one process. In cut_streams_peers 40 of 40 streams without a disturbance were broken off, and all daemons lost the store for seconds.

Cause: for each new connection the relay read /proc/net/tcp, 42,154 lines beside other tests (72 ms each time), and the event loop that also runs the store, the engines and the callers stood still meanwhile.

Change: sock_diag names the socket of one connection. The relay partitions the same clients; a connection counts by its socket and no longer by its port alone.

--- a/tests/support/src/tcp_relay.cpp
+++ b/tests/support/src/tcp_relay.cpp
@@ -13,18 +13,22 @@
 
 #include <algorithm>
 #include <array>
+#include <cstring>
 #include <filesystem>
-#include <fstream>
-#include <iterator>
 #include <mutex>
 #include <random>
 #include <set>
-#include <sstream>
 #include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
 
+#include <linux/inet_diag.h>
+#include <linux/netlink.h>
+#include <linux/sock_diag.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 namespace cardamompond::testing {
 
 using boost::asio::ip::tcp;
@@ -45,34 +49,65 @@
                    head_end + 4 + std::stoul(std::string(bytes.substr(length + length_name.size(), 20)));
 }
 
-// Returns the local ports of the TCP connections of a process. Linux names the sockets of a process by their
-// inodes, and lists the ports of each inode.
-std::set<std::uint16_t> ports_of_process(pid_t process) {
-  std::set<std::string> inodes;
+// Returns the inodes of the sockets of a process, by which Linux names them.
+std::set<std::uint32_t> socket_inodes(pid_t process) {
+  std::set<std::uint32_t> inodes;
   std::error_code error;
   for (const auto& each :
        std::filesystem::directory_iterator("/proc/" + std::to_string(process) + "/fd", error)) {
     const std::string target = std::filesystem::read_symlink(each.path(), error).string();
     constexpr std::string_view prefix = "socket:[";
     if (!error && target.starts_with(prefix)) {
-      inodes.insert(target.substr(prefix.size(), target.size() - prefix.size() - 1));
+      inodes.insert(static_cast<std::uint32_t>(std::stoul(target.substr(prefix.size()))));
     }
   }
-  std::set<std::uint16_t> ports;
-  std::ifstream table("/proc/net/tcp");
-  std::string line;
-  std::getline(table, line); // names of the columns
-  while (std::getline(table, line)) {
-    std::istringstream fields(line);
-    std::vector<std::string> columns{std::istream_iterator<std::string>(fields), {}};
-    constexpr std::size_t local_column = 1;
-    constexpr std::size_t inode_column = 9;
-    if (columns.size() > inode_column && inodes.contains(columns[inode_column])) {
-      const std::string& local = columns[local_column];
-      ports.insert(static_cast<std::uint16_t>(std::stoul(local.substr(local.find(':') + 1), nullptr, 16)));
+  return inodes;
+}
+
+// Returns the inode of the socket at the other end of a loopback connection, or 0. Asks the kernel for this
+// one connection, because listing those of the whole machine takes long if there are many.
+std::uint32_t client_inode(const tcp::socket& accepted) {
+  boost::system::error_code error;
+  const auto client = accepted.remote_endpoint(error);
+  const auto server = accepted.local_endpoint(error);
+  const int netlink = error ? -1 : ::socket(AF_NETLINK, SOCK_DGRAM | SOCK_CLOEXEC, NETLINK_SOCK_DIAG);
+  if (netlink < 0) {
+    return 0;
+  }
+  struct {
+    nlmsghdr m_header{};
+    inet_diag_req_v2 m_query{};
+  } request;
+  request.m_header.nlmsg_len = sizeof request;
+  request.m_header.nlmsg_type = SOCK_DIAG_BY_FAMILY;
+  request.m_header.nlmsg_flags = NLM_F_REQUEST;
+  request.m_query.sdiag_family = AF_INET;
+  request.m_query.sdiag_protocol = IPPROTO_TCP;
+  request.m_query.idiag_states = ~0U;
+  request.m_query.id.idiag_sport = htons(client.port());
+  request.m_query.id.idiag_dport = htons(server.port());
+  request.m_query.id.idiag_src[0] = htonl(client.address().to_v4().to_uint());
+  request.m_query.id.idiag_dst[0] = htonl(server.address().to_v4().to_uint());
+  request.m_query.id.idiag_cookie[0] = INET_DIAG_NOCOOKIE;
+  request.m_query.id.idiag_cookie[1] = INET_DIAG_NOCOOKIE;
+  alignas(nlmsghdr) std::array<char, 1024> answer{};
+  std::uint32_t inode = 0;
+  if (::send(netlink, &request, sizeof request, 0) == static_cast<ssize_t>(sizeof request)) {
+    const auto length = ::recv(netlink, answer.data(), answer.size(), 0); // the kernel answers at once
+    nlmsghdr header{};
+    inet_diag_msg found{};
+    if (length >= static_cast<ssize_t>(NLMSG_HDRLEN + sizeof found)) {
+      std::memcpy(&header, answer.data(), sizeof header);
+      std::memcpy(&found, answer.data() + NLMSG_HDRLEN, sizeof found);
+      inode = header.nlmsg_type == SOCK_DIAG_BY_FAMILY ? found.idiag_inode : 0;
     }
   }
-  return ports;
+  ::close(netlink);
+  return inode;
+}
+
+bool is_client(const tcp::socket& accepted, pid_t process) {
+  return socket_inodes(process).contains(client_inode(accepted));
 }
 
 void reset_connection(tcp::socket& socket) {
@@ -99,7 +134,7 @@
         continue;
       }
       const std::uint16_t port = client->remote_endpoint().port();
-      if (m_partition != partition_kind::none && ports_of_process(m_partitioned_process).contains(port)) {
+      if (m_partition != partition_kind::none && is_client(*client, m_partitioned_process)) {
         m_partitioned_ports.insert(port);
         if (m_partition != partition_kind::hang) {
           reset_connection(*client);
@@ -120,13 +155,17 @@
   void partition_process(pid_t process, partition_kind kind) {
     m_partition = kind;
     m_partitioned_process = process;
-    m_partitioned_ports =
-        kind == partition_kind::none ? std::set<std::uint16_t>() : ports_of_process(process);
-    if (kind == partition_kind::reset) {
-      for (const auto& socket : m_sockets) {
-        boost::system::error_code error;
-        const auto remote = socket->remote_endpoint(error);
-        if (!error && m_partitioned_ports.contains(remote.port())) {
+    m_partitioned_ports.clear();
+    if (kind == partition_kind::none) {
+      return;
+    }
+    const auto inodes = socket_inodes(process);
+    for (const auto& socket : m_sockets) {
+      boost::system::error_code error;
+      const auto remote = socket->remote_endpoint(error);
+      if (!error && inodes.contains(client_inode(*socket))) {
+        m_partitioned_ports.insert(remote.port());
+        if (kind == partition_kind::reset) {
           reset_connection(*socket);
         }
       }
