Run each group of cut_streams as a test of its own; stops at and after the deadline apart

What callers saw: nothing; tests only.

Engines that stop 0 to 2 ms after their deadline and those that stop 5 to 40 ms after it are two tests; all cases stay. cardamompond_test takes arguments.

--- a/cmake/cardamompond.cmake
+++ b/cmake/cardamompond.cmake
@@ -49,14 +49,14 @@
   endif()
 endfunction()
 
-# cardamompond_test(NAME SOURCES files DEPENDS packages LINK external libraries TIMEOUT seconds): declares a CppUTest
-# program as the test NAME. The timeout is 120 s unless given. RapidCheck uses a fixed seed, so that runs are
-# reproducible. Does nothing if CARDAMOMPOND_TESTS is off.
+# cardamompond_test(NAME SOURCES files DEPENDS packages LINK external libraries TIMEOUT seconds ARGUMENTS arguments):
+# declares a CppUTest program as the test NAME, which runs it with the arguments. The timeout is 120 s unless given.
+# RapidCheck uses a fixed seed, so that runs are reproducible. Does nothing if CARDAMOMPOND_TESTS is off.
 function(cardamompond_test name)
   if(NOT CARDAMOMPOND_TESTS)
     return()
   endif()
-  cmake_parse_arguments(ARG "" "TIMEOUT" "SOURCES;DEPENDS;LINK" ${ARGN})
+  cmake_parse_arguments(ARG "" "TIMEOUT" "SOURCES;DEPENDS;LINK;ARGUMENTS" ${ARGN})
   add_executable(${name} ${CMAKE_SOURCE_DIR}/tests/support/test_main.cpp ${ARG_SOURCES})
   foreach(dependency ${ARG_DEPENDS})
     target_link_libraries(${name} PRIVATE cardamompond_${dependency})
@@ -65,7 +65,7 @@
                                         ${CPPUTEST_LIBRARY})
   # CppUTest replaces operator new by macros, with which RapidCheck and the standard library do not compile.
   target_compile_definitions(${name} PRIVATE CPPUTEST_MEM_LEAK_DETECTION_DISABLED)
-  add_test(NAME ${name} COMMAND ${name})
+  add_test(NAME ${name} COMMAND ${name} ${ARG_ARGUMENTS})
   if(NOT ARG_TIMEOUT)
     set(ARG_TIMEOUT 120)
   endif()
--- a/tests/soak/cut_streams_ends_test.cpp
+++ b/tests/soak/cut_streams_ends_test.cpp
@@ -4,8 +4,10 @@
 #include <CppUTest/TestHarness.h>
 #include <boost/fiber/operations.hpp>
 
-#include <algorithm>
-#include <utility>
+#include <array>
+#include <random>
+#include <string>
+#include <vector>
 
 using namespace cardamompond;
 using namespace cardamompond::testing;
@@ -13,6 +15,9 @@
 // Engines that state the end of a stream that is not whole.
 TEST_GROUP(cut_streams_ends){};
 
+// Engines that stop some time after their deadline, and send events until then.
+TEST_GROUP(cut_streams_late_stops){};
+
 namespace {
 
 constexpr int engine_count = 40;
@@ -34,34 +39,39 @@
   report.add(group, name, group.read_all(cases));
 }
 
+// Reads streams whose engines state the end at one of the given times before their deadline; negative: after
+// it.
+void read_streams_that_stop_at_the_deadline(stream_report& report, std::uint64_t seed,
+                                            const std::array<milliseconds, 3>& times) {
+  constexpr std::array<body_framing, 2> framings = {body_framing::chunks, body_framing::connection};
+  std::mt19937_64 random(seed);
+  cut_streams_group group(2, engine_count, seed);
+  const auto make_end = [&] {
+    stream_run end = make_stated_end(pick(framings, random), stop_stage::between_events, 0);
+    end.m_before_deadline = pick(times, random);
+    return end;
+  };
+  read_streams(report, group, "deadline of the caller", [&] {
+    return stream_case{.m_plan = {.m_runs = {make_end()}}, .m_deadline = milliseconds(500 + random() % 500)};
+  });
+  read_streams(report, group, "deadline of the route",
+               [&] { return stream_case{.m_plan = {.m_runs = {make_end()}}, .m_route = "short"}; });
+  read_streams(report, group, "deadline in the second run", [&] {
+    stream_run cut = make_cut_with_an_event_due(random);
+    cut.m_kind = stop_kind::fin;
+    cut.m_events = 5;
+    return stream_case{.m_plan = {.m_runs = {cut, make_end()}}, .m_deadline = milliseconds(800)};
+  });
+}
+
 } // namespace
 
 // Guards against a stream that looks complete because the engine stops at the deadline that the daemon handed
 // to it, and ends its response in an orderly way. The deadline is that of the caller or that of the route.
 TEST(cut_streams_ends, engines_stop_at_their_deadline) {
-  constexpr std::array<milliseconds, 4> before = {milliseconds(0), milliseconds(-5), milliseconds(-20),
-                                                  milliseconds(-40)};
-  constexpr std::array<body_framing, 2> framings = {body_framing::chunks, body_framing::connection};
-  for_each_seed([&](std::uint64_t seed, stream_report& report) {
-    std::mt19937_64 random(seed);
-    cut_streams_group group(2, engine_count, seed);
-    const auto make_end = [&] {
-      stream_run end = make_stated_end(pick(framings, random), stop_stage::between_events, 0);
-      end.m_before_deadline = pick(before, random);
-      return end;
-    };
-    read_streams(report, group, "deadline of the caller", [&] {
-      return stream_case{.m_plan = {.m_runs = {make_end()}},
-                         .m_deadline = milliseconds(500 + random() % 500)};
-    });
-    read_streams(report, group, "deadline of the route",
-                 [&] { return stream_case{.m_plan = {.m_runs = {make_end()}}, .m_route = "short"}; });
-    read_streams(report, group, "deadline in the second run", [&] {
-      stream_run cut = make_cut_with_an_event_due(random);
-      cut.m_kind = stop_kind::fin;
-      cut.m_events = 5;
-      return stream_case{.m_plan = {.m_runs = {cut, make_end()}}, .m_deadline = milliseconds(800)};
-    });
+  for_each_seed([](std::uint64_t seed, stream_report& report) {
+    read_streams_that_stop_at_the_deadline(report, seed,
+                                           {milliseconds(0), milliseconds(-1), milliseconds(-2)});
   });
 }
 
@@ -160,3 +170,12 @@
     }
   });
 }
+
+// Guards against a stream that looks complete because the engine stops soon after its deadline, and states
+// the end after an event that it sent after the deadline.
+TEST(cut_streams_late_stops, engines_stop_after_their_deadline) {
+  for_each_seed([](std::uint64_t seed, stream_report& report) {
+    read_streams_that_stop_at_the_deadline(report, seed,
+                                           {milliseconds(-5), milliseconds(-20), milliseconds(-40)});
+  });
+}
--- a/tests/soak/cut_streams_ids_test.cpp
+++ b/tests/soak/cut_streams_ids_test.cpp
@@ -12,6 +12,9 @@
 // Ids of events that tell less than a number for each event.
 TEST_GROUP(cut_streams_ids){};
 
+// Events of which some have no id.
+TEST_GROUP(cut_streams_missing_ids){};
+
 namespace {
 
 constexpr int engine_count = 40;
@@ -48,6 +51,6 @@
 
 // Guards against an event that comes twice because it has no id, and the run that goes on begins after the
 // last event that has one.
-TEST(cut_streams_ids, events_without_an_id) {
+TEST(cut_streams_missing_ids, events_without_an_id) {
   read_streams("events without an id", {.m_ids = id_scheme::odd_events});
 }
--- a/tests/soak/cut_streams_test.cpp
+++ b/tests/soak/cut_streams_test.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr int engine_count = 40;
+constexpr std::size_t concurrency = 100;
 
 std::vector<stream_case> make_matrix(std::uint64_t seed, std::size_t count, bool chunks_only) {
   std::mt19937_64 random(seed);
@@ -41,13 +42,13 @@
 TEST(cut_streams, cut_runs_are_not_taken_for_the_end) {
   for_each_seed([](std::uint64_t seed, stream_report& report) {
     cut_streams_group group(2, engine_count, seed);
-    report.add(group, "all framings", group.read_all(make_matrix(seed, 200, false)));
-    report.add(group, "in chunks", group.read_all(make_matrix(seed + 1'000'000, 200, true)));
+    report.add(group, "all framings", group.read_all(make_matrix(seed, 200, false), concurrency));
+    report.add(group, "in chunks", group.read_all(make_matrix(seed + 1'000'000, 200, true), concurrency));
   });
 }
 
-// Guards against a stream that looks complete because the run that continues it has neither a length nor chunks,
-// and its connection ends before its first event.
+// Guards against a stream that looks complete because the run that continues it has neither a length nor
+// chunks, and its connection ends before its first event.
 TEST(cut_streams, unframed_continuation_that_ends_before_its_first_event) {
   for_each_seed([](std::uint64_t seed, stream_report& report) {
     std::mt19937_64 random(seed);
