--- a/tests/soak/cut_streams_ends_test.cpp
+++ b/tests/soak/cut_streams_ends_test.cpp
@@ -15,6 +15,9 @@
 // Engines that state the end of a stream that is not whole.
 TEST_GROUP(cut_streams_ends){};
 
+// Engines that stop at their deadline.
+TEST_GROUP(cut_streams_deadlines){};
+
 // Engines that stop some time after their deadline, and send events until then.
 TEST_GROUP(cut_streams_late_stops){};
 
@@ -68,7 +71,7 @@
 
 // Guards against a stream that looks complete because the engine stops at the deadline that the daemon handed
 // to it, and ends its response in an orderly way. The deadline is that of the caller or that of the route.
-TEST(cut_streams_ends, engines_stop_at_their_deadline) {
+TEST(cut_streams_deadlines, engines_stop_at_their_deadline) {
   for_each_seed([](std::uint64_t seed, stream_report& report) {
     read_streams_that_stop_at_the_deadline(report, seed,
                                            {milliseconds(0), milliseconds(-1), milliseconds(-2)});
