--- a/tests/soak/cut_streams_group.cpp
+++ b/tests/soak/cut_streams_group.cpp
@@ -209,6 +209,7 @@
 
 std::vector<stream_result> cut_streams_group::read_on_one_connection(const std::vector<stream_case>& cases) {
   std::vector<stream_result> results;
+  results.reserve(cases.size());
   for (const auto& each : cases) {
     results.push_back(begin(each));
   }
