--- a/packages/gateway/src/backend_call.cpp
+++ b/packages/gateway/src/backend_call.cpp
@@ -43,6 +43,8 @@
 // Interval at which a silent call is offered to be given up again.
 constexpr milliseconds silence_check_interval{100};
 
+constexpr std::string_view server_gone = "the server was gone after the end of the connection";
+
 constexpr int status_misdirected = 421;
 constexpr int first_non_success_status = 300;
 
@@ -288,6 +290,10 @@
       return abort_after_error(part.error());
     }
     if (part->empty()) {
+      if (m_response.m_status < first_non_success_status &&
+          is_server_gone({.m_ends_with_connection = m_call->ends_with_connection()})) {
+        return abort_after_error({std::string(server_gone), true, false, true});
+      }
       close_if_unidentified();
       return call_outcome::answered;
     }
@@ -307,7 +313,7 @@
 
 // Forwards events to the caller. The head is sent with the first event only, so that a failure before the
 // first event can still be answered differently.
-std::optional<call_outcome> backend_call::forward_events(std::string_view events) {
+std::optional<call_outcome> backend_call::forward_events(std::string_view events, std::size_t event_count) {
   stream_relay& relay = *m_options.m_relay;
   if (events.empty()) {
     return std::nullopt;
@@ -317,7 +323,6 @@
     relay.m_longest_pause = std::max(relay.m_longest_pause, now - relay.m_last_event);
   }
   relay.m_last_event = now;
-  const std::size_t event_count = relay.m_splitter.event_count();
   if (event_count > 0) {
     relay.m_completeness.record_event();
   }
@@ -357,14 +362,17 @@
 }
 
 run_end backend_call::observe_run_end() const {
-  // A daemon that was paused reads what came before the deadline after it, the last event and the end alike.
-  const bool ended_at_deadline = monotonic_now() + deadline_unit >= m_options.m_deadline &&
-                                 m_options.m_relay->m_last_event < m_options.m_deadline;
   return {.m_events = m_events_relayed,
           .m_inside_event = is_inside_event(m_options.m_relay->m_splitter.remaining_bytes()),
           .m_body_bytes_due = m_call->body_bytes_due(),
           .m_ends_with_connection = m_call->ends_with_connection(),
-          .m_ended_at_deadline = ended_at_deadline};
+          .m_ended_at_deadline = m_call->response_went_on()};
+}
+
+// Whether the server has ended together with its connection, if that is the end of the response. The
+// connection of a server that crashes ends like that of one that has sent everything.
+bool backend_call::is_server_gone(const run_end& end) const {
+  return end.m_ends_with_connection && m_call->proxy().empty() && m_options.m_server_is_gone(end);
 }
 
 // Checks whether the orderly end of the response can be that of the stream.
@@ -372,15 +380,18 @@
   auto& completeness = m_options.m_relay->m_completeness;
   const run_end end = observe_run_end();
   std::string_view contradiction = completeness.find_contradiction(end);
-  // The connection of a server that crashes between two events ends like that of one that has sent all.
-  if (contradiction.empty() && end.m_ends_with_connection && m_call->proxy().empty() &&
-      m_options.m_server_is_gone(end)) {
-    contradiction = "the server was gone after the end of the connection";
+  if (contradiction.empty() && is_server_gone(end)) {
+    contradiction = server_gone;
   }
   if (contradiction.empty()) {
     return std::nullopt;
   }
   completeness.record_cut(end);
+  if (end.m_ended_at_deadline) {
+    m_failure = contradiction;
+    m_call->abort();
+    return call_outcome::out_of_time; // no failure of the server
+  }
   return abort_after_error({std::string(contradiction), true, false, end.m_ends_with_connection});
 }
 
@@ -410,6 +421,7 @@
     return abort_after_error({"the status is not that of the stream it continues", true, false});
   }
   relay.m_splitter.drop_incomplete_event();
+  m_call->watch_response_at(m_options.m_deadline - deadline_unit);
   std::array<char, 8192> buffer{};
   while (true) {
     auto part = m_call->read_some(buffer, io_timeout());
@@ -432,7 +444,7 @@
     if (!stream_ended && !relay.m_splitter.ids_increase()) {
       return abort_after_error({"the id of an event does not follow the one before", true, false});
     }
-    if (const auto outcome = forward_events(events)) {
+    if (const auto outcome = forward_events(events, stream_ended ? 0 : relay.m_splitter.event_count())) {
       m_call->abort();
       return *outcome;
     }
