Watch for the deadline of a server before it can stop at it

The engine was handed 899 ms of the route's 900, since the time left is rounded down, and its end came before the daemon looked.

--- a/packages/gateway/src/backend_call.cpp
+++ b/packages/gateway/src/backend_call.cpp
@@ -37,8 +37,9 @@
 // it to arrive.
 constexpr milliseconds response_margin{60};
 
-// The unit in which a server is given its deadline, rounded down.
-constexpr milliseconds deadline_unit{1};
+// A response that goes on this long before the deadline has not ended before it. The time is that by which
+// timers are late.
+constexpr milliseconds deadline_watch_margin{2};
 
 // Interval at which a silent call is offered to be given up again.
 constexpr milliseconds silence_check_interval{100};
@@ -198,7 +199,8 @@
   if (const auto outcome = check_may_send()) {
     return outcome;
   }
-  const auto left = std::chrono::duration_cast<milliseconds>(m_options.m_deadline - monotonic_now());
+  // Rounded up, so that a server which stops at its deadline does not stop before the daemon's.
+  const auto left = std::chrono::ceil<milliseconds>(m_options.m_deadline - monotonic_now());
   if (left <= milliseconds(0)) {
     m_call->abort();
     return call_outcome::out_of_time;
@@ -421,7 +423,7 @@
     return abort_after_error({"the status is not that of the stream it continues", true, false});
   }
   relay.m_splitter.continue_stream();
-  m_call->watch_response_at(m_options.m_deadline - deadline_unit);
+  m_call->watch_response_at(m_options.m_deadline - deadline_watch_margin);
   std::array<char, 8192> buffer{};
   while (true) {
     auto part = m_call->read_some(buffer, io_timeout());
