--- a/packages/gateway/include/cardamompond/gateway/stream_completeness.hpp
+++ b/packages/gateway/include/cardamompond/gateway/stream_completeness.hpp
@@ -29,12 +29,8 @@
   // be whole.
   std::string_view find_contradiction(const run_end& end) const;
 
-  // Whether a run was cut off after a part of an event, so that at least one more event belongs to the
-  // stream.
-  bool event_due() const { return m_event_due; }
-
 private:
-  bool m_event_due = false;
+  bool m_event_due = false; // a run was cut while at least one more event was to come
 };
 
 } // namespace cardamompond::gateway
