--- a/packages/gateway/src/request_processor.cpp
+++ b/packages/gateway/src/request_processor.cpp
@@ -28,7 +28,8 @@
 // A request with a body up to this size is sent without waiting for the server to read it.
 constexpr std::size_t max_offered_body_bytes = 64U << 10U;
 
-// The end of a stream waits at most this long for the answer to whether its server still runs.
+// The end of a response without a length or chunks waits at most this long for the answer to whether its
+// server still runs.
 constexpr milliseconds survival_timeout{100};
 
 // Whether the status tells a caller that its request has not run. A response with such a status counts as
@@ -286,7 +287,7 @@
   return options;
 }
 
-// Whether the server is known to leave, or must not be sent anything.
+// Whether the server is known to leave, or must not be sent anything now.
 bool request_handler::request_processor::is_leaving(const fleet::backend_server& server) const {
   auto& admission = m_handler.m_admission;
   const auto& listed = admission.known_fleet().backend_servers();
