Do not believe a stream without an event behind a run that was cut

What callers saw: a resumable stream that is complete and empty.

Cause: the first server sent its head, an event and a part of the next one, and reset the connection 20 ms later. The reset took back what had not left the server's socket, so that the daemon knew of no event ("events=0 body_bytes_due=false" in dispatch_failed). The second server stated its end without an event, and nothing that the daemon had recorded contradicted that.

Change: a stream that has no event from any run, although one of its runs was cut or given up, has not ended. A run counts as cut also if its head had not come. A caller that resumes a stream (Last-Event-Id) may lack nothing but its end, so that nothing changes for it, nor for a stream that states its end without an event in its first run.

Evidence: stream_ends, a_stream_without_an_event_is_not_whole_behind_a_run_that_was_cut; with the new condition taken out: "expected <502> but was <200>".

--- a/packages/gateway/include/cardamompond/gateway/stream_completeness.hpp
+++ b/packages/gateway/include/cardamompond/gateway/stream_completeness.hpp
@@ -19,18 +19,29 @@
 // shown contradicts it: then the stream is not whole, and another server may continue it.
 class stream_completeness {
 public:
-  // Records a run that was cut off or given up.
+  stream_completeness() = default;
+
+  // With `resumed_by_caller`, the caller has the beginning of the stream, and may lack nothing but its end.
+  explicit stream_completeness(bool resumed_by_caller)
+      : m_has_events(resumed_by_caller) {}
+
+  // Records a run that was cut off or given up, also one whose response had not begun.
   void record_cut(const run_end& end);
 
   // Records an event, with which a run goes on where an earlier one was cut.
-  void record_event() { m_event_due = false; }
+  void record_event() {
+    m_has_events = true;
+    m_event_due = false;
+  }
 
   // Returns why the stream is not whole although the run ended in an orderly way, or an empty text if it may
   // be whole.
   std::string_view find_contradiction(const run_end& end) const;
 
 private:
-  bool m_event_due = false; // a run was cut while at least one more event was to come
+  bool m_cut = false;        // a run was cut
+  bool m_has_events = false; // the stream has events, from any run or from an earlier request of the caller
+  bool m_event_due = false;  // a run was cut while at least one more event was to come
 };
 
 } // namespace cardamompond::gateway
--- a/packages/gateway/src/backend_call.cpp
+++ b/packages/gateway/src/backend_call.cpp
@@ -240,6 +240,9 @@
   for (int stray = 0; stray <= max_stray_responses; ++stray) {
     auto head = m_call->read_head(io_timeout());
     if (!head) {
+      if (m_options.m_relay != nullptr) {
+        m_options.m_relay->m_completeness.record_cut({});
+      }
       return abort_after_error(head.error());
     }
     const response_metadata metadata = m_protocol.read_response_metadata(*head);
--- a/packages/gateway/src/stream_completeness.cpp
+++ b/packages/gateway/src/stream_completeness.cpp
@@ -3,6 +3,7 @@
 namespace cardamompond::gateway {
 
 void stream_completeness::record_cut(const run_end& end) {
+  m_cut = true;
   m_event_due = m_event_due || end.m_inside_event || end.m_body_bytes_due;
 }
 
@@ -21,7 +22,12 @@
   if (end.m_ends_with_connection) {
     return "the connection ended before the first event";
   }
-  return m_event_due ? "the stream ended before an event of which a part had been received" : "";
+  if (m_event_due) {
+    return "the stream ended before an event of which a part had been received";
+  }
+  // A server that resets its connection can take back bytes that it has sent. A cut run that shows no event
+  // may have had some.
+  return m_cut && !m_has_events ? "the stream ended without an event behind a run that was cut" : "";
 }
 
 } // namespace cardamompond::gateway
