Let the stream with the latest time limit ask whether a server still runs

Streams that ended with their connection share one question to their server, and the question had the time limit of the stream that asked. A stream that was 5 ms from its caller's deadline ended it as unknown for others with 100 ms left, and a cut stream of a crashed server was then relayed as complete.

Cause: of the fibers that wait for the end of a question, the one that was woken first asked the next one, with its own limit.

Now the fiber with the latest limit of those that the next question answers asks it; the others wait. No question is asked again and no probe is added: all fibers that share a question have limits that are not later than its own.

Test a_stream_with_little_time_left_does_not_ask_for_those_with_more: 22 streams, one with 20 ms left, a probe of 40 ms.

--- a/packages/gateway/include/cardamompond/gateway/server_survival.hpp
+++ b/packages/gateway/include/cardamompond/gateway/server_survival.hpp
@@ -45,7 +45,8 @@
 
 // Finds out whether the process of a server has survived the end of its connections: the kernel closes those
 // of a process that crashed like those of one that has sent everything. Fibers that ask about the same server
-// share its answers, so that it is asked by one of them at a time. Not thread-safe.
+// share its answers, so that it is asked by one of them at a time: by the one that may wait longest. Not
+// thread-safe.
 class server_survival {
 public:
   // `probe` must outlive this object.
@@ -65,6 +66,7 @@
     std::uint64_t m_begun = 0;
     std::uint64_t m_ended = 0;
     survival_verdict m_verdict = survival_verdict::unknown; // of the question that ended last
+    time_point m_latest_until = time_point::min();          // of the fibers that the next question answers
     boost::fibers::mutex m_mutex;
     boost::fibers::condition_variable m_changed;
   };
--- a/packages/gateway/src/server_survival.cpp
+++ b/packages/gateway/src/server_survival.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/fiber/operations.hpp>
 
+#include <algorithm>
 #include <exception>
 #include <mutex>
 
@@ -39,9 +40,13 @@
   const auto has_verdict = [&] {
     return shared.m_ended >= first_valid || shared.m_verdict == survival_verdict::gone;
   };
+  shared.m_latest_until = std::max(shared.m_latest_until, until);
   while (!has_verdict()) {
-    if (shared.m_begun == shared.m_ended) {
+    // The time limit of the fiber that asks is that of the question, so that a shorter one would end it as
+    // unknown for all others. The fiber with the latest limit waits until it asks or all limits have passed.
+    if (shared.m_begun == shared.m_ended && until >= shared.m_latest_until) {
       ++shared.m_begun;
+      shared.m_latest_until = time_point::min(); // fibers that come from now on need another question
       try {
         shared.m_verdict = ask(server, until);
       } catch (const std::exception&) {
--- a/packages/gateway/tests/server_survival_test.cpp
+++ b/packages/gateway/tests/server_survival_test.cpp
@@ -144,6 +144,47 @@
   }
 }
 
+// Guards against a crash that is not seen because a stream with little time left asked for the others, and
+// against one more question for each of them.
+TEST(server_survival_group, a_stream_with_little_time_left_does_not_ask_for_those_with_more) {
+  scripted_probe probe({probe_result::answered, probe_result::refused}, milliseconds(40));
+  server_survival survival(probe);
+  std::vector<boost::fibers::fiber> streams;
+  const auto add_stream = [&](milliseconds time, survival_verdict expected) {
+    streams.emplace_back(
+        [&survival, time, expected] { CHECK(expected == survival.find_out(make_server("i-1"), in(time))); });
+  };
+  add_stream(seconds(1), survival_verdict::answered);
+  add_stream(milliseconds(60), survival_verdict::unknown); // 20 ms are left when the first question ends
+  for (int i = 0; i < 20; ++i) {
+    add_stream(milliseconds(500 + 10 * i), survival_verdict::gone);
+  }
+  for (auto& each : streams) {
+    each.join();
+  }
+  LONGS_EQUAL(2, probe.m_probes);
+}
+
+// Guards against a stream that waits to its limit, because the stream with the latest limit has its answer
+// already and asks no more.
+TEST(server_survival_group, a_stream_that_has_its_answer_keeps_no_other_from_asking) {
+  scripted_probe probe({probe_result::answered}, milliseconds(10));
+  server_survival survival(probe);
+  std::vector<boost::fibers::fiber> streams;
+  for (const int limit_seconds : {9, 8, 7, 6, 5, 4}) { // one comes during each question and one before it
+    streams.emplace_back([&survival, limit_seconds] {
+      const time_point began = monotonic_now();
+      CHECK(survival_verdict::answered ==
+            survival.find_out(make_server("i-1"), began + seconds(limit_seconds)));
+      CHECK(monotonic_now() - began < seconds(1));
+    });
+    boost::this_fiber::sleep_for(milliseconds(6));
+  }
+  for (auto& each : streams) {
+    each.join();
+  }
+}
+
 // Guards against the answer of one server that is taken for that of another.
 TEST(server_survival_group, each_server_is_asked_for_itself) {
   scripted_probe probe({probe_result::refused, probe_result::answered}, milliseconds(10));
