Do not resume a response in a cell for a caller who has left

A caller that left while an interrupted response was being resumed kept the slot of its backend server occupied, until the next write to the caller failed or, with a silent server, to the deadline of the request.

Cause: the watch of a caller interrupts the call that is under way, and does so once. A caller that left in the pause before a resumption, or while its connection was opened, was noticed with the earlier call, and one that left during the exchange made that attempt fail; the next call was opened in both cases and interrupted by nobody.

Now a resumption ends before and after each connection is opened if the caller has left, and the stream is cancelled at its server. Responses that are to be recorded are resumed as before. The log line is resumption_failed with reason=client_closed.

--- a/packages/daemon/src/body_reader.cpp
+++ b/packages/daemon/src/body_reader.cpp
@@ -100,15 +100,18 @@
   return id && *id != m_stream_id ? "stream_id" : "";
 }
 
+// A response that is to be recorded is read to its end without its caller.
+bool body_reader::is_unwanted() const {
+  return m_caller_watch.closed() && !m_request.m_record_response;
+}
+
 net::call_result<std::span<const char>> body_reader::read_some() {
   while (true) {
     auto part = read_part();
     if (part) {
       return part;
     }
-    // A response that is to be recorded is read to its end without its caller.
-    const bool unwanted = m_caller_watch.closed() && !m_request.m_record_response;
-    if (unwanted || monotonic_now() >= m_request.m_deadline) {
+    if (is_unwanted() || monotonic_now() >= m_request.m_deadline) {
       return part;
     }
     record_interruption(part.error().m_message);
@@ -178,12 +181,21 @@
   for (int attempt = 0; attempt < max_resume_attempts && monotonic_now() < m_request.m_deadline; ++attempt) {
     const milliseconds delay = attempt > 0 ? resume_interval : m_resume_delay;
     boost::this_fiber::sleep_for(std::min(delay, time_until(m_request.m_deadline)));
+    if (is_unwanted()) {
+      reason = "client_closed";
+      break;
+    }
     // Over a new connection, the answer is known even if it states no id.
     auto opened = m_client.open(m_request.m_permit->m_address, {.m_max_idle_time = milliseconds(0)});
     if (!opened) {
       reason = opened.error().m_message;
       continue;
     }
+    // If the caller left before this, its watch has interrupted the earlier call and will not do so again.
+    if (is_unwanted()) {
+      reason = "client_closed";
+      break;
+    }
     m_call = std::move(*opened);
     m_answer_identified = false;
     m_call->set_deadline(m_request.m_deadline);
--- a/packages/daemon/src/body_reader.hpp
+++ b/packages/daemon/src/body_reader.hpp
@@ -44,6 +44,7 @@
   net::call_result<std::span<const char>> read_some();
 
 private:
+  bool is_unwanted() const;
   net::call_result<std::span<const char>> read_part();
   void begin_part(const net::http_response& head);
   std::string_view find_mismatch(const net::http_response& head) const;
--- a/packages/daemon/tests/forwarder_ends_test.cpp
+++ b/packages/daemon/tests/forwarder_ends_test.cpp
@@ -258,3 +258,22 @@
   forward(backend);
   CHECK_COMPARE(backend.requests().size(), <, 100U);
 }
+
+// Guards against a backend server that works on for a caller who left while an interrupted response was being
+// resumed: the calls that were opened after that were not interrupted.
+TEST(forwarder_ends_group, a_response_is_not_resumed_for_a_caller_who_has_left) {
+  const std::string invalid_chunk = chunked_head + "9\r\n" + whole_event + "\r\nx\r\n";
+  const std::string silence;
+  // The caller leaves while the first resumption waits for its response, or in the pause after it has failed.
+  for (const auto& responses :
+       {std::vector{invalid_chunk, silence}, std::vector{invalid_chunk, std::string("x\r\n\r\n"), silence}}) {
+    const raw_backend backend(responses, {}, true);
+    test_forwarder target;
+    const time_point began = monotonic_now();
+    const auto received = forward(target, backend, seconds(5), "r1", false, 2);
+    CHECK(monotonic_now() - began < milliseconds(2'500));
+    CHECK(received.m_outcome == scheduler::outcome::cancelled);
+    CHECK(backend.requests().at(1).starts_with("GET /streams/s1?offset=9 "));
+    CHECK(backend.requests().back().starts_with("DELETE /streams/s1 "));
+  }
+}
--- a/packages/daemon/tests/forwarder_fixture.hpp
+++ b/packages/daemon/tests/forwarder_fixture.hpp
@@ -147,9 +147,11 @@
   forwarder m_forwarder{test_runtime(), m_permits};
 };
 
-// With `records`, the request may run at most once, and its response is recorded.
+// With `records`, the request may run at most once, and its response is recorded. With `leaves_at_request`,
+// the caller closes its connection once it has a part of the body and the backend server that many requests.
 inline received_response forward(test_forwarder& target, const raw_backend& backend, milliseconds timeout,
-                                 std::string_view id, bool records = false) {
+                                 std::string_view id, bool records = false,
+                                 std::size_t leaves_at_request = 0) {
   received_response received;
   verdict error_verdict = verdict::not_run;
   caller_monitor monitor;
@@ -191,8 +193,16 @@
     if (received.m_body.size() < 10'000) {
       received.m_body.append(part->data(), part->size());
     }
+    if (leaves_at_request > 0) {
+      while (!done && backend.requests().size() < leaves_at_request) {
+        boost::this_fiber::sleep_for(milliseconds(1));
+      }
+      (*call)->abort();
+      break;
+    }
   }
   while (!done) {
+    monitor.check();
     boost::this_fiber::sleep_for(milliseconds(5));
   }
   received.m_outcome = target.m_permits.m_outcome;
