--- a/packages/gateway/tests/collection_watcher_test.cpp
+++ b/packages/gateway/tests/collection_watcher_test.cpp
@@ -71,7 +71,8 @@
 
   collection_snapshot m_content;
   bool m_available = true;
-  bool m_history_gone = false; // watches fail
+  document_error_kind m_failure = document_error_kind::unavailable; // while it is not available
+  bool m_history_gone = false;                                      // watches fail
   bool m_watches_last = false; // watches without a change last until their time has passed
   bool m_ended = false;
   int m_calls = 0;
@@ -88,7 +89,7 @@
     }
     return m_available;
   }
-  static document_error unavailable() { return {document_error_kind::unavailable, "off"}; }
+  document_error unavailable() const { return {m_failure, "off"}; }
 };
 
 constexpr auto kind = collection_kind::backend_servers;
@@ -229,6 +230,28 @@
   CHECK(daemon.m_store.m_calls - calls <= 20);
 }
 
+// Guards against a list of many pages that is read over and over, since its last page cannot be read, and
+// against servers that are dropped meanwhile.
+TEST(collection_watcher, lists_that_cannot_be_read_are_asked_for_less_often) {
+  watcher_fixture daemon;
+  boost::this_fiber::sleep_for(milliseconds(1'200)); // the first list and the wait for readers
+  daemon.m_store.m_failure = document_error_kind::malformed;
+  daemon.m_store.m_available = false;
+  const int calls = daemon.m_store.m_calls;
+  boost::this_fiber::sleep_for(milliseconds(4'000));
+  CHECK(daemon.m_store.m_calls - calls >= 4);
+  // The shortest pauses are 25 ms, doubled six times: 3.2 s.
+  CHECK_COMPARE(daemon.m_store.m_calls - calls, <=, 8);
+  UNSIGNED_LONGS_EQUAL(2, daemon.m_view.backend_servers().size());
+  daemon.m_store.m_content = {12, {{"i-1", 3, ""}, {"i-2", 4, ""}, {"i-3", 11, ""}}, 0};
+  daemon.m_store.m_available = true;
+  const time_point until = monotonic_now() + milliseconds(5'500);
+  while (daemon.m_view.backend_servers().size() < 3 && monotonic_now() < until) {
+    boost::this_fiber::sleep_for(milliseconds(20));
+  }
+  UNSIGNED_LONGS_EQUAL(3, daemon.m_view.backend_servers().size());
+}
+
 // Guards against a log that a repeated event fills, and against changes that it hides.
 TEST(collection_watcher, a_repeated_event_is_logged_again_when_it_changes_and_after_the_interval) {
   repeated_event_filter filter;
