Log the first failed call to the store also at the start

Seen by operators: a daemon that had not reached the store since its start wrote no line about it, and one whose store went from unreachable to unreadable kept the reason of the outage in its only line. Found by reading.

Cause: store_lost was written only when a call failed after one that had succeeded.

Change: store_failure_filter admits the first failure since the start or the last success, and the first one since then whose answer could not be read; at most two lines for each collection and outage, as further kinds that alternate would give a line for each call.

Test: the_first_failure_and_the_first_unreadable_answer_are_logged. Without the line at the start: "CHECK(failures.admit(unavailable)) failed"; without the second line: "CHECK(failures.admit(malformed)) failed". gateway_tests: 99 tests, 46,634 checks, passed. The line of a real daemon was not looked at.

--- a/packages/gateway/include/cardamompond/gateway/collection_watcher.hpp
+++ b/packages/gateway/include/cardamompond/gateway/collection_watcher.hpp
@@ -36,6 +36,21 @@
   std::uint64_t m_suppressed = 0;
 };
 
+// Chooses the failed calls to the store that are logged: the first one since the start or the last success,
+// and the first one among them whose answer could not be read, since that is no outage and does not end like
+// one.
+class store_failure_filter {
+public:
+  // Returns whether a failure is to be logged.
+  bool admit(document_error_kind kind);
+
+  void handle_success() { *this = {}; }
+
+private:
+  bool m_failed = false;
+  bool m_malformed = false;
+};
+
 // Keeps one collection up to date from the store: lists it once, then watches it, and lists it again when the
 // store no longer has the history for the watch. Makes no calls while peers pass the collection on to this
 // daemon. Runs on its own fiber.
@@ -92,6 +107,7 @@
   store_call_counters m_counters;
   repeated_event_filter m_discarded_lists;
   repeated_event_filter m_history_gone;
+  store_failure_filter m_failures;
   bool m_connected = false;
   bool m_watching = false;      // a watch is under way
   bool m_shorten_watch = false; // the next one is the first after a list or a change
--- a/packages/gateway/src/collection_watcher.cpp
+++ b/packages/gateway/src/collection_watcher.cpp
@@ -85,6 +85,14 @@
   return std::exchange(m_suppressed, 0);
 }
 
+bool store_failure_filter::admit(document_error_kind kind) {
+  const bool malformed = kind == document_error_kind::malformed;
+  const bool first = !m_failed || (malformed && !m_malformed);
+  m_failed = true;
+  m_malformed = m_malformed || malformed;
+  return first;
+}
+
 collection_watcher::collection_watcher(document_store& store, fleet_view& view, collection_kind kind,
                                        peer_callbacks peers, std::uint64_t seed)
     : m_store(store)
@@ -317,8 +325,8 @@
     m_outage_began = now;
     m_outage_as_of = m_fleet_view.collection(m_kind).as_of();
   }
-  if (m_connected) {
-    m_connected = false;
+  m_connected = false;
+  if (m_failures.admit(error.m_kind)) {
     log_event(log_level::warning, "store_lost",
               {{"collection", to_string(m_kind)},
                {"reason", to_string(error.m_kind)},
@@ -355,6 +363,7 @@
   if (m_fleet_view.collection(m_kind).read_since() == time_point{}) {
     m_fleet_view.set_read_since(m_kind, now);
   }
+  m_failures.handle_success();
   m_consecutive_failures = 0;
   m_consecutive_malformed = 0;
   m_fleet_view.set_store_out_of_reach(m_kind, false);
--- a/packages/gateway/tests/collection_watcher_test.cpp
+++ b/packages/gateway/tests/collection_watcher_test.cpp
@@ -252,6 +252,21 @@
   UNSIGNED_LONGS_EQUAL(3, daemon.m_view.backend_servers().size());
 }
 
+// Guards against a daemon that never reaches the store, or that cannot read its answers after an outage, and
+// does not say so, and against a line for each failure.
+TEST(collection_watcher, the_first_failure_and_the_first_unreadable_answer_are_logged) {
+  using enum document_error_kind;
+  store_failure_filter failures;
+  CHECK(failures.admit(unavailable)); // at the start
+  CHECK_FALSE(failures.admit(rate_limited));
+  CHECK(failures.admit(malformed));
+  CHECK_FALSE(failures.admit(unavailable));
+  CHECK_FALSE(failures.admit(malformed));
+  failures.handle_success();
+  CHECK(failures.admit(malformed));
+  CHECK_FALSE(failures.admit(unavailable));
+}
+
 // Guards against a log that a repeated event fills, and against changes that it hides.
 TEST(collection_watcher, a_repeated_event_is_logged_again_when_it_changes_and_after_the_interval) {
   repeated_event_filter filter;
