--- a/packages/gateway/include/cardamompond/gateway/collection_watcher.hpp
+++ b/packages/gateway/include/cardamompond/gateway/collection_watcher.hpp
@@ -36,6 +36,21 @@
   std::uint64_t m_suppressed = 0;
 };
 
+// Chooses the failed calls to the store that are logged: the first one since the start or the last success,
+// and the first one among them whose answer could not be read, since that is no outage and does not end like
+// one.
+class store_failure_filter {
+public:
+  // Returns whether a failure is to be logged.
+  bool admit(document_error_kind kind);
+
+  void handle_success() { *this = {}; }
+
+private:
+  bool m_failed = false;
+  bool m_malformed = false;
+};
+
 // Keeps one collection up to date from the store: lists it once, then watches it, and lists it again when the
 // store no longer has the history for the watch. Makes no calls while peers pass the collection on to this
 // daemon. Runs on its own fiber.
@@ -80,7 +95,7 @@
   void apply_snapshot(const collection_snapshot& snapshot);
   void report_discarded_list(const collection_snapshot& snapshot);
   void report_history_gone();
-  void back_off(std::uint32_t earlier_attempts);
+  void back_off(std::uint32_t earlier_attempts, milliseconds limit);
   void wait_for_restored_entries();
   milliseconds watch_wait();
 
@@ -92,12 +107,14 @@
   store_call_counters m_counters;
   repeated_event_filter m_discarded_lists;
   repeated_event_filter m_history_gone;
+  store_failure_filter m_failures;
   bool m_connected = false;
   bool m_watching = false;      // a watch is under way
   bool m_shorten_watch = false; // the next one is the first after a list or a change
   bool m_list_next = true;
   time_point m_next_era_check; // until then, the era that peers state is no reason for a list
   std::uint32_t m_consecutive_failures = 0;
+  std::uint32_t m_consecutive_malformed = 0;    // failures by answers that could not be read
   std::uint32_t m_consecutive_history_gone = 0; // watches that failed since the last that succeeded
   time_point m_outage_began;                    // when the first of the consecutive failures occurred
   store_version m_outage_as_of;                 // version of the replica at that time
