Ask for an unreadable list as often as after other failures

Changes must be in force within two seconds; a callers' key that was taken back and still works is worse than whole pages that are read in vain from a broken store.

Open, as before: a list that fails at its last page costs all pages each 600 ms (1,500 ms for collections that change rarely).

--- a/packages/gateway/include/cardamompond/gateway/collection_watcher.hpp
+++ b/packages/gateway/include/cardamompond/gateway/collection_watcher.hpp
@@ -95,7 +95,7 @@
   void apply_snapshot(const collection_snapshot& snapshot);
   void report_discarded_list(const collection_snapshot& snapshot);
   void report_history_gone();
-  void back_off(std::uint32_t earlier_attempts, milliseconds limit);
+  void back_off(std::uint32_t earlier_attempts);
   void wait_for_restored_entries();
   milliseconds watch_wait();
 
@@ -114,7 +114,6 @@
   bool m_list_next = true;
   time_point m_next_era_check; // until then, the era that peers state is no reason for a list
   std::uint32_t m_consecutive_failures = 0;
-  std::uint32_t m_consecutive_malformed = 0;    // failures by answers that could not be read
   std::uint32_t m_consecutive_history_gone = 0; // watches that failed since the last that succeeded
   time_point m_outage_began;                    // when the first of the consecutive failures occurred
   store_version m_outage_as_of;                 // version of the replica at that time
--- a/packages/gateway/src/collection_watcher.cpp
+++ b/packages/gateway/src/collection_watcher.cpp
@@ -57,10 +57,6 @@
              : max_backoff_of_rare_changes;
 }
 
-// The same while the store's answers cannot be read. A list that ends in an error behind many pages costs as
-// much as a whole one, and is not mended by asking again at once.
-constexpr milliseconds max_backoff_of_malformed{5'000};
-
 // In an outage of the store of at least this length, the entries of live backend servers can expire. The
 // servers register again within about two seconds after the store has recovered.
 constexpr duration min_outage_for_expiry = milliseconds(1'500);
@@ -187,7 +183,7 @@
   m_fleet_view.confirm(m_kind, listed->m_as_of, monotonic_now());
   if (may_be_of_earlier_era()) {
     m_next_era_check = monotonic_now() + era_check_interval;
-    back_off(3, max_backoff_for(m_kind));
+    back_off(3);
   }
   return true;
 }
@@ -294,7 +290,7 @@
       report_history_gone();
       m_list_next = true;
       if (m_consecutive_history_gone++ > 0) {
-        back_off(m_consecutive_history_gone - 2, max_backoff_for(m_kind)); // the list in between did not help
+        back_off(m_consecutive_history_gone - 2); // the list in between did not help
       }
       return;
     }
@@ -334,19 +330,13 @@
                {"era", m_fleet_view.collection(m_kind).as_of().m_era},
                {"as_of", m_fleet_view.collection(m_kind).as_of().m_revision}});
   }
-  const std::uint32_t earlier_failures = m_consecutive_failures++;
-  if (error.m_kind == document_error_kind::malformed) {
-    back_off(m_consecutive_malformed++, max_backoff_of_malformed);
-  } else {
-    m_consecutive_malformed = 0;
-    back_off(earlier_failures, max_backoff_for(m_kind));
-  }
+  back_off(m_consecutive_failures++);
 }
 
 // Sleeps for a random time that doubles with each attempt.
-void collection_watcher::back_off(std::uint32_t earlier_attempts, milliseconds limit) {
-  const auto doublings = std::min(earlier_attempts, 7U);
-  const auto backoff_limit = std::min(min_backoff * (1U << doublings), limit);
+void collection_watcher::back_off(std::uint32_t earlier_attempts) {
+  const auto doublings = std::min(earlier_attempts, 5U);
+  const auto backoff_limit = std::min(min_backoff * (1U << doublings), max_backoff_for(m_kind));
   std::uniform_int_distribution<std::int64_t> backoff_ms(backoff_limit.count() / 2, backoff_limit.count());
   boost::this_fiber::sleep_for(milliseconds(backoff_ms(m_random)));
 }
@@ -365,7 +355,6 @@
   }
   m_failures.handle_success();
   m_consecutive_failures = 0;
-  m_consecutive_malformed = 0;
   m_fleet_view.set_store_out_of_reach(m_kind, false);
   if (!m_connected) {
     m_connected = true;
