Count a run as cut wherever it was given up, and not when a mere offer failed

What callers saw: a complete, empty stream, if the first run was given up while a response to another request was skipped or because its head was not accepted (unsigned, encoded, behind too many other responses), and the second one stated its end without an event; and a 502 instead of a stream without events, if a second server, to which the request was only offered while the first was silent, reset the connection.

Cause: the cut was recorded in one of the places where a call gives up, and that one also serves offers.

Change: it is recorded where every call that fails ends, for calls that carry out a run and have sent something.

Tests, on the code before: a_run_without_an_accepted_head_was_cut "expected <502> but was <200>"; a_run_beside_an_offer_that_fails_was_not_cut "expected <200> but was <502>". With the change both pass.

--- a/packages/gateway/include/cardamompond/gateway/backend_call.hpp
+++ b/packages/gateway/include/cardamompond/gateway/backend_call.hpp
@@ -170,6 +170,7 @@
   std::size_t m_skipped_bytes = 0; // in bodies of responses to other requests
   bool m_cancelled = false;
   bool m_sent = false;
+  bool m_running = false; // run() has been called, so that the call is no mere offer
   bool m_closed_by_server = false;
   bool m_prepared = false;
   bool m_head_read = false;
--- a/packages/gateway/src/backend_call.cpp
+++ b/packages/gateway/src/backend_call.cpp
@@ -83,6 +83,10 @@
 call_outcome backend_call::abort_after_error(const net::call_error& error) {
   m_failure = error.m_message;
   m_closed_by_server = error.m_closed_by_server;
+  // An offer that fails says nothing of the run beside it, which goes on.
+  if (m_running && m_sent && m_options.m_relay != nullptr) {
+    m_options.m_relay->m_completeness.record_cut({});
+  }
   m_call->abort();
   if (m_cancelled) {
     return call_outcome::caller_gone;
@@ -240,9 +244,6 @@
   for (int stray = 0; stray <= max_stray_responses; ++stray) {
     auto head = m_call->read_head(io_timeout());
     if (!head) {
-      if (m_options.m_relay != nullptr) {
-        m_options.m_relay->m_completeness.record_cut({});
-      }
       return abort_after_error(head.error());
     }
     const response_metadata metadata = m_protocol.read_response_metadata(*head);
@@ -518,6 +519,7 @@
 }
 
 call_outcome backend_call::run() {
+  m_running = true;
   if (!m_prepared) {
     if (const auto outcome = prepare()) {
       return *outcome;
