Pass on responses without a body behind a run that was cut

What callers saw: 502 instead of the answer to HEAD, or instead of a 204, on a resumable route, if the first run had been cut. Such a response ends without an event whatever the stream holds.

Change: run_end says whether the response has no body by its method or status; the rule "no event behind a cut" leaves it out.

--- a/packages/gateway/include/cardamompond/gateway/stream_completeness.hpp
+++ b/packages/gateway/include/cardamompond/gateway/stream_completeness.hpp
@@ -12,6 +12,7 @@
   bool m_body_bytes_due = false;       // it stopped before bytes that its length or a chunk had announced
   bool m_ends_with_connection = false; // it has neither a length nor chunks, so that it cannot state its end
   bool m_ended_at_deadline = false;    // it went on at the deadline that the server was given
+  bool m_has_no_body = false;          // because of the method or the status, whatever the stream holds
 };
 
 // Decides whether the end of a run can be that of the stream, which several runs may make up. A server that
--- a/packages/gateway/src/backend_call.cpp
+++ b/packages/gateway/src/backend_call.cpp
@@ -46,6 +46,7 @@
 
 constexpr std::string_view server_gone = "the server was gone after the end of the connection";
 
+constexpr int status_no_content = 204;
 constexpr int status_misdirected = 421;
 constexpr int first_non_success_status = 300;
 
@@ -372,7 +373,9 @@
           .m_inside_event = is_inside_event(m_options.m_relay->m_splitter.remaining_bytes()),
           .m_body_bytes_due = m_call->body_bytes_due(),
           .m_ends_with_connection = m_call->ends_with_connection(),
-          .m_ended_at_deadline = m_call->response_went_on()};
+          .m_ended_at_deadline = m_call->response_went_on(),
+          .m_has_no_body =
+              m_options.m_caller_request->m_method == "HEAD" || m_response.m_status == status_no_content};
 }
 
 // Whether the server has ended together with its connection, if that is the end of the response. The
--- a/packages/gateway/src/stream_completeness.cpp
+++ b/packages/gateway/src/stream_completeness.cpp
@@ -27,7 +27,10 @@
   }
   // A server that resets its connection can take back bytes that it has sent. A cut run that shows no event
   // may have had some.
-  return m_cut && !m_has_events ? "the stream ended without an event behind a run that was cut" : "";
+  if (m_cut && !m_has_events && !end.m_has_no_body) {
+    return "the stream ended without an event behind a run that was cut";
+  }
+  return {};
 }
 
 } // namespace cardamompond::gateway
