Do not believe an empty end behind a cut run for callers that resume either

Cause: left such callers out, since they may lack nothing but the end. But such a caller can ask again after a 502, while it cannot see a tail that it lacks. A stream whose continuation is not cut is answered as before, also an empty one.

--- a/packages/gateway/include/cardamompond/gateway/request_protocol.hpp
+++ b/packages/gateway/include/cardamompond/gateway/request_protocol.hpp
@@ -21,7 +21,6 @@
   std::string m_host;
   std::optional<std::string> m_api_key;
   std::optional<milliseconds> m_caller_timeout; // how long the caller waits for the response
-  bool m_resumes_stream = false; // the caller has the beginning of the stream from an earlier request
   bool m_has_token_counts = false;
   std::uint32_t m_prompt_tokens = 0;
   std::uint32_t m_max_output_tokens = 0;
--- a/packages/gateway/include/cardamompond/gateway/stream_completeness.hpp
+++ b/packages/gateway/include/cardamompond/gateway/stream_completeness.hpp
@@ -20,12 +20,6 @@
 // shown contradicts it: then the stream is not whole, and another server may continue it.
 class stream_completeness {
 public:
-  stream_completeness() = default;
-
-  // With `resumed_by_caller`, the caller has the beginning of the stream, and may lack nothing but its end.
-  explicit stream_completeness(bool resumed_by_caller)
-      : m_has_events(resumed_by_caller) {}
-
   // Records a run that was cut off or given up, also one whose response had not begun.
   void record_cut(const run_end& end);
 
@@ -41,7 +35,7 @@
 
 private:
   bool m_cut = false;        // a run was cut
-  bool m_has_events = false; // the stream has events, from any run or from an earlier request of the caller
+  bool m_has_events = false; // a run has brought an event
   bool m_event_due = false;  // a run was cut while at least one more event was to come
 };
 
--- a/packages/gateway/src/request_processor.cpp
+++ b/packages/gateway/src/request_processor.cpp
@@ -154,7 +154,6 @@
   }
   admission.record_request(m_service);
   m_relay.m_exchange = &m_exchange;
-  m_relay.m_completeness = stream_completeness(m_request.m_resumes_stream);
   return std::nullopt;
 }
 
