Let a run that is not passed on show that events are due

What callers saw: a stream that is complete after event 2 of 3. The first run brought 1 and 2 and was cut; the second one sent 1, 2 and 3 and was not passed on, since it repeated events; the third one stated its end without an event.

Cause: what the second run had shown was dropped with it.

Change: an id behind the last one, in a run that is given up for its ids, means that an event is due.

Test an_event_in_a_run_that_is_not_passed_on_is_due, without the change: "the stream looks complete, or a whole one was cut"; with it, it passes, also its case in which the repeated run shows nothing new and the stream is whole.

--- a/packages/gateway/include/cardamompond/gateway/event_splitter.hpp
+++ b/packages/gateway/include/cardamompond/gateway/event_splitter.hpp
@@ -21,6 +21,10 @@
 // Compares only ids that are decimal numbers; the last one counts in an event with several.
 bool ids_increase(std::string_view events, std::string_view last_id);
 
+// Returns whether an event in this part of a stream, or one that has only begun, has a larger id than
+// `last_id`. Compares only ids that are decimal numbers.
+bool has_later_id(std::string_view events, std::string_view last_id);
+
 // Splits a stream of server-sent events into complete events. If the stream of a backend server breaks within
 // an event, the caller has received complete events only, and another server can continue after the last of
 // them.
--- a/packages/gateway/src/backend_call.cpp
+++ b/packages/gateway/src/backend_call.cpp
@@ -451,6 +451,8 @@
     const std::string_view events = stream_ended ? relay.m_splitter.remaining_bytes()
                                                  : relay.m_splitter.feed({part->data(), part->size()});
     if (!stream_ended && !relay.m_splitter.ids_increase()) {
+      relay.m_completeness.record_cut(
+          {.m_inside_event = has_later_id(events, relay.m_splitter.last_event_id())});
       return abort_after_error({"the id of an event does not follow the one before", true, false});
     }
     if (const auto outcome = forward_events(events, stream_ended ? 0 : relay.m_splitter.event_count())) {
--- a/packages/gateway/src/event_splitter.cpp
+++ b/packages/gateway/src/event_splitter.cpp
@@ -110,6 +110,19 @@
   return true;
 }
 
+bool has_later_id(std::string_view events, std::string_view last_id) {
+  const auto last = parse_number(last_id);
+  while (last && !events.empty()) {
+    const auto line_end = std::min(events.find('\n'), events.size() - 1);
+    const auto id = parse_id(events.substr(0, line_end + 1));
+    if (const auto number = id ? parse_number(*id) : std::nullopt; number && *number > *last) {
+      return true;
+    }
+    events.remove_prefix(line_end + 1);
+  }
+  return false;
+}
+
 std::string_view event_splitter::feed(std::string_view bytes) {
   m_buffer.erase(0, m_complete_bytes);
   // The bytes kept from earlier calls hold no whole separator, but a part of one may be at their end.
