Do not believe an empty body in a cell behind a response that broke off

What callers saw: an empty, complete answer, a stream or JSON, if the first response broke off before its content and the resumption stated its end without a byte (5 of 5 variants); for a request that may run at most once it was also recorded as the answer that all retries get.

Change: a body that has no content, although one of its responses broke off, is not whole. A response whose orderly end was only doubted (neither a length nor chunks) does not count: its server confirms then that the stream is empty.

--- a/packages/daemon/include/cardamompond/daemon/body_completeness.hpp
+++ b/packages/daemon/include/cardamompond/daemon/body_completeness.hpp
@@ -29,8 +29,8 @@
       , m_resumable(resumable) {}
 
   // Records that a response was cut off after `body_bytes` bytes of the body. `bytes_due`: its length, or the
-  // size of a chunk, announced more.
-  void record_cut(const body_part& part, std::uint64_t body_bytes, bool bytes_due);
+  // size of a chunk, announced more. `ended`: it ended in an orderly way, which was not believed.
+  void record_cut(const body_part& part, std::uint64_t body_bytes, bool bytes_due, bool ended);
 
   // Returns whether the response has brought more than comments and blank lines of a stream, or any byte of
   // another body.
@@ -43,7 +43,8 @@
 private:
   bool m_event_stream;
   bool m_resumable;
-  bool m_cut = false;                   // a response was cut off
+  bool m_cut = false;                   // a response was cut off, or its end was not believed
+  bool m_broken = false;                // a response broke off without an end
   std::uint64_t m_min_bytes = 0;        // of the whole body
   std::optional<std::uint64_t> m_bytes; // of the whole body, if a response stated it
 };
--- a/packages/daemon/src/body_completeness.cpp
+++ b/packages/daemon/src/body_completeness.cpp
@@ -4,8 +4,10 @@
 
 namespace cardamompond::daemon {
 
-void body_completeness::record_cut(const body_part& part, std::uint64_t body_bytes, bool bytes_due) {
+void body_completeness::record_cut(const body_part& part, std::uint64_t body_bytes, bool bytes_due,
+                                   bool ended) {
   m_cut = true;
+  m_broken = m_broken || !ended;
   if (!bytes_due) {
     return;
   }
@@ -38,6 +40,11 @@
   if (m_event_stream && body.is_inside_event()) {
     return "the stream ended inside an event";
   }
+  // A server that resets its connection can take back bytes that it has sent. A response that broke off
+  // without content may have had some.
+  if (m_broken && (m_event_stream ? body.events() == 0 : body.bytes() == 0)) {
+    return "the body ended without content behind a response that was cut off";
+  }
   if (part.m_framing != net::body_framing::connection) {
     return {};
   }
--- a/packages/daemon/src/body_reader.cpp
+++ b/packages/daemon/src/body_reader.cpp
@@ -143,7 +143,7 @@
 }
 
 void body_reader::record_interruption(std::string_view reason) {
-  m_completeness.record_cut(m_part, m_meter.bytes(), m_call->body_bytes_due());
+  m_completeness.record_cut(m_part, m_meter.bytes(), m_call->body_bytes_due(), m_ended_early);
   if (++m_interruptions > max_logged_interruptions) {
     return;
   }
--- a/packages/daemon/tests/forwarder_ends_test.cpp
+++ b/packages/daemon/tests/forwarder_ends_test.cpp
@@ -109,6 +109,22 @@
   }
 }
 
+// Guards against an empty answer that looks complete, and is recorded for a request that may run at most
+// once, although the first response broke off before its content.
+TEST(forwarder_ends_group, an_empty_resumption_is_not_the_end_behind_a_response_that_broke_off) {
+  const std::string json_chunks = json_head + "Transfer-Encoding: chunked\r\n\r\n";
+  for (const auto& [cut, end] : {std::pair{chunked_head, empty_chunks},
+                                 {chunked_head, empty_length},
+                                 {chunked_head + "a\r\n: alive\n\n\r\n", empty_chunks},
+                                 {json_chunks, json_chunks + "0\r\n\r\n"},
+                                 {json_chunks, json_head + "Content-Length: 0\r\n\r\n"}}) {
+    const raw_backend backend({cut, end});
+    CHECK_FALSE(forward(backend).m_complete);
+    UNSIGNED_LONGS_EQUAL(2, backend.requests().size());
+    UNSIGNED_LONGS_EQUAL(0, forward_recorded(raw_backend({cut, end})).m_recorded.size());
+  }
+}
+
 // Guards against a whole stream without a last event that is broken off although its backend server confirms
 // its end.
 TEST(forwarder_ends_group, a_server_confirms_the_end_of_its_stream) {
