--- a/tests/soak/cut_streams_ends_test.cpp
+++ b/tests/soak/cut_streams_ends_test.cpp
@@ -96,6 +96,26 @@
   });
 }
 
+// Guards against an empty stream, or an empty rest of one that a caller resumes, that looks complete because
+// a run was cut before its first event, and the engine that runs it again states its end without an event.
+TEST(cut_streams_ends, a_stream_without_an_event_has_not_ended_behind_a_cut) {
+  constexpr std::array<body_framing, 2> framings = {body_framing::chunks, body_framing::length};
+  for_each_seed([&](std::uint64_t seed, stream_report& report) {
+    std::mt19937_64 random(seed);
+    cut_streams_group group(2, engine_count, seed);
+    for (const std::string id : {"", "5"}) {
+      read_streams(report, group, "no event behind a cut, Last-Event-Id '" + id + "'", [&] {
+        return stream_case{.m_plan = {.m_runs = {{.m_framing = pick(all_framings, random),
+                                                  .m_stage = stop_stage::before_first_event,
+                                                  .m_kind = pick(all_cuts, random)},
+                                                 make_stated_end(pick(framings, random),
+                                                                 stop_stage::before_first_event, 0)}},
+                           .m_last_event_id = id};
+      });
+    }
+  });
+}
+
 // Guards against events that a caller gets twice because the engine that continues a stream begins with the
 // first event, or with the one that the caller got last.
 TEST(cut_streams_ends, a_continuation_that_repeats_events_is_not_passed_on) {
