--- a/packages/gateway/src/backend_call.cpp
+++ b/packages/gateway/src/backend_call.cpp
@@ -46,6 +46,7 @@
 
 constexpr std::string_view server_gone = "the server was gone after the end of the connection";
 
+constexpr int status_no_content = 204;
 constexpr int status_misdirected = 421;
 constexpr int first_non_success_status = 300;
 
@@ -83,6 +84,10 @@
 call_outcome backend_call::abort_after_error(const net::call_error& error) {
   m_failure = error.m_message;
   m_closed_by_server = error.m_closed_by_server;
+  // An offer that fails says nothing of the run beside it, which goes on.
+  if (m_running && m_sent && m_options.m_relay != nullptr) {
+    m_options.m_relay->m_completeness.record_cut({});
+  }
   m_call->abort();
   if (m_cancelled) {
     return call_outcome::caller_gone;
@@ -240,9 +245,6 @@
   for (int stray = 0; stray <= max_stray_responses; ++stray) {
     auto head = m_call->read_head(io_timeout());
     if (!head) {
-      if (m_options.m_relay != nullptr) {
-        m_options.m_relay->m_completeness.record_cut({});
-      }
       return abort_after_error(head.error());
     }
     const response_metadata metadata = m_protocol.read_response_metadata(*head);
@@ -371,7 +373,9 @@
           .m_inside_event = is_inside_event(m_options.m_relay->m_splitter.remaining_bytes()),
           .m_body_bytes_due = m_call->body_bytes_due(),
           .m_ends_with_connection = m_call->ends_with_connection(),
-          .m_ended_at_deadline = m_call->response_went_on()};
+          .m_ended_at_deadline = m_call->response_went_on(),
+          .m_has_no_body =
+              m_options.m_caller_request->m_method == "HEAD" || m_response.m_status == status_no_content};
 }
 
 // Whether the server has ended together with its connection, if that is the end of the response. The
@@ -518,6 +522,7 @@
 }
 
 call_outcome backend_call::run() {
+  m_running = true;
   if (!m_prepared) {
     if (const auto outcome = prepare()) {
       return *outcome;
--- a/packages/gateway/tests/collection_watcher_test.cpp
+++ b/packages/gateway/tests/collection_watcher_test.cpp
@@ -71,7 +71,8 @@
 
   collection_snapshot m_content;
   bool m_available = true;
-  bool m_history_gone = false; // watches fail
+  document_error_kind m_failure = document_error_kind::unavailable; // while it is not available
+  bool m_history_gone = false;                                      // watches fail
   bool m_watches_last = false; // watches without a change last until their time has passed
   bool m_ended = false;
   int m_calls = 0;
@@ -88,7 +89,7 @@
     }
     return m_available;
   }
-  static document_error unavailable() { return {document_error_kind::unavailable, "off"}; }
+  document_error unavailable() const { return {m_failure, "off"}; }
 };
 
 constexpr auto kind = collection_kind::backend_servers;
@@ -229,6 +230,41 @@
   CHECK(daemon.m_store.m_calls - calls <= 20);
 }
 
+// Guards against servers that are dropped because the list cannot be read, and against changes that come into
+// force late once it can be read again.
+TEST(collection_watcher, an_unreadable_list_leaves_the_copy_and_delays_no_later_change) {
+  watcher_fixture daemon;
+  boost::this_fiber::sleep_for(milliseconds(1'200)); // the first list and the wait for readers
+  daemon.m_store.m_failure = document_error_kind::malformed;
+  daemon.m_store.m_available = false;
+  const int calls = daemon.m_store.m_calls;
+  boost::this_fiber::sleep_for(milliseconds(3'000));
+  CHECK_COMPARE(daemon.m_store.m_calls, >, calls);
+  UNSIGNED_LONGS_EQUAL(2, daemon.m_view.backend_servers().size());
+  daemon.m_store.m_content = {12, {{"i-1", 3, ""}, {"i-2", 4, ""}, {"i-3", 11, ""}}, 0};
+  daemon.m_store.m_available = true;
+  const time_point until = monotonic_now() + milliseconds(2'000);
+  while (daemon.m_view.backend_servers().size() < 3 && monotonic_now() < until) {
+    boost::this_fiber::sleep_for(milliseconds(20));
+  }
+  UNSIGNED_LONGS_EQUAL(3, daemon.m_view.backend_servers().size());
+}
+
+// Guards against a daemon that never reaches the store, or that cannot read its answers after an outage, and
+// does not say so, and against a line for each failure.
+TEST(collection_watcher, the_first_failure_and_the_first_unreadable_answer_are_logged) {
+  using enum document_error_kind;
+  store_failure_filter failures;
+  CHECK(failures.admit(unavailable)); // at the start
+  CHECK_FALSE(failures.admit(rate_limited));
+  CHECK(failures.admit(malformed));
+  CHECK_FALSE(failures.admit(unavailable));
+  CHECK_FALSE(failures.admit(malformed));
+  failures.handle_success();
+  CHECK(failures.admit(malformed));
+  CHECK_FALSE(failures.admit(unavailable));
+}
+
 // Guards against a log that a repeated event fills, and against changes that it hides.
 TEST(collection_watcher, a_repeated_event_is_logged_again_when_it_changes_and_after_the_interval) {
   repeated_event_filter filter;
